--- /dev/null
+++ b/godwitpath/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports that speak a protocol."""
--- /dev/null
+++ b/godwitpath/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of a request: admit, queue or refuse."""
--- /dev/null
+++ b/godwitpath/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: model, checks, storage and differences."""
--- /dev/null
+++ b/godwitpath/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties: work that one daemon does for all under a lease."""
--- /dev/null
+++ b/godwitpath/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: wiring, callers, operators and dispatch."""
--- /dev/null
+++ b/godwitpath/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Execution records of non-idempotent calls."""
--- /dev/null
+++ b/godwitpath/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Decision records that tell what was done and why."""
--- /dev/null
+++ b/godwitpath/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of accounts over all entries."""
--- /dev/null
+++ b/godwitpath/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and the list of live entries."""
--- /dev/null
+++ b/godwitpath/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The transport between entries and the framing of its messages."""
--- /dev/null
+++ b/godwitpath/records/__init__.py
@@ -0,0 +1,1 @@
+"""Request records and their replicas."""
--- /dev/null
+++ b/godwitpath/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and backoff."""
--- /dev/null
+++ b/godwitpath/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream for a call."""
--- /dev/null
+++ b/godwitpath/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of upstreams: state, load, subsets."""
--- /dev/null
+++ b/godwitpath_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure the decisions and the whole path."""
--- /dev/null
+++ b/godwitpath_bench/__main__.py
@@ -0,0 +1,16 @@
+"""Command line of the experiments: one module an experiment."""
+
+from __future__ import annotations
+
+import typer
+
+app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
+
+
+@app.callback()
+def root() -> None:
+    """Experiments, each with its baselines."""
+
+
+if __name__ == "__main__":
+    app()
