Add the key-value core and its fake

Cause: execution records, configuration, leases and duties are tested against a store that loses answers, delays effects, goes down and silences watches. Change: KeyValueCore holds revisions, leases and listeners on a clock that is passed in; FakeKeyValueStore puts faults and counts before it. Several fakes may share one core.

--- /dev/null
+++ b/godwitpath_standin/fakes/kv.py
@@ -0,0 +1,194 @@
+"""Fake of the key-value service with switchable faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from godwitpath.ports.kv import (
+    KeyValue,
+    KeyValueStore,
+    Lease,
+    StoreError,
+    StoreRefused,
+    StoreUncertain,
+    WatchEvent,
+)
+from godwitpath_standin.kv_core import KeyValueCore
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class CallCounts:
+    """Calls that reached the store through one fake."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    bytes_read: int = 0
+    bytes_written: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Watch:
+    queue: asyncio.Queue[WatchEvent | None]
+    silent: bool = False
+
+
+def loop_core() -> KeyValueCore:
+    """Return a core whose leases are measured by the running loop's clock."""
+    return KeyValueCore(lambda: asyncio.get_running_loop().time())
+
+
+class FakeKeyValueStore(KeyValueStore):
+    """One entry's view of the store; several fakes may share a core.
+
+    :ivar latency_s: time of each call
+    :ivar timeout_s: longest time that a caller waits
+    :ivar slow_s: added to each call; past the timeout the effect of a write comes without an answer
+    :ivar delay_effect_s: when above 0, writes are uncertain at once and take effect after this time
+    :ivar counts: calls that reached the store
+    """
+
+    def __init__(
+        self, core: KeyValueCore | None = None, latency_s: float = 0.0, timeout_s: float = 1.0
+    ) -> None:
+        self.core = core or loop_core()
+        self.latency_s = latency_s
+        self.timeout_s = timeout_s
+        self.slow_s = 0.0
+        self.delay_effect_s = 0.0
+        self.counts = CallCounts()
+        self._outage = False
+        self._lost_answers = 0
+        self._watches: set[_Watch] = set()
+
+    @property
+    def outage(self) -> bool:
+        """Whether calls are refused; setting it ends the open watches."""
+        return self._outage
+
+    @outage.setter
+    def outage(self, value: bool) -> None:
+        self._outage = value
+        if value:
+            for watch in self._watches:
+                watch.queue.put_nowait(None)
+
+    def lose_next_answers(self, count: int = 1) -> None:
+        """Let the next writes take effect and lose their answers."""
+        self._lost_answers = count
+
+    def silence_watches(self) -> None:
+        """Let the open watches see nothing any more; new ones work."""
+        for watch in self._watches:
+            watch.silent = True
+
+    async def get(self, key: str) -> KeyValue | None:
+        found = await self._read(lambda: self.core.get(key))
+        self.counts.bytes_read += len(found.value) if found else 0
+        return found
+
+    async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> list[KeyValue]:
+        found = await self._read(lambda: self.core.scan(prefix, limit, after))
+        self.counts.bytes_read += sum(len(item.value) for item in found)
+        return found
+
+    async def put(self, key: str, value: bytes, expected_revision: int, lease_id: int = 0) -> int:
+        self.counts.bytes_written += len(value)
+        return await self._write(lambda: self.core.put(key, value, expected_revision, lease_id))
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        await self._write(lambda: self.core.delete(key, expected_revision))
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        return await self._write(lambda: self.core.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease_id: int) -> None:
+        await self._write(lambda: self.core.renew_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        await self._write(lambda: self.core.revoke_lease(lease_id))
+
+    async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[WatchEvent]:
+        self._refuse_in_outage()
+        self.counts.watches += 1
+        watch = _Watch(asyncio.Queue())
+        listener_id = self.core.listen(prefix, after_revision, watch.queue.put_nowait)
+        self._watches.add(watch)
+        try:
+            while True:
+                event = await self._next_event(watch)
+                if event is None:
+                    raise StoreRefused("the store ended the watch")
+                if not watch.silent:
+                    self.counts.bytes_read += len(event.value or b"")
+                    yield event
+        finally:
+            self._watches.discard(watch)
+            self.core.unlisten(listener_id)
+
+    async def _next_event(self, watch: _Watch) -> WatchEvent | None:
+        # Leases lapse by time alone, so the wait ends at the next expiry.
+        while True:
+            expiry_s = self.core.next_expiry_s()
+            try:
+                async with asyncio.timeout_at(expiry_s):
+                    return await watch.queue.get()
+            except TimeoutError:
+                self.core.expire()
+
+    async def _read(self, operation: Callable[[], T]) -> T:
+        self._refuse_in_outage()
+        self.counts.reads += 1
+        delay_s = self.latency_s + self.slow_s
+        await asyncio.sleep(min(delay_s, self.timeout_s))
+        if delay_s > self.timeout_s:
+            raise StoreRefused("the store did not answer in time")
+        self._refuse_in_outage()
+        return operation()
+
+    async def _write(self, operation: Callable[[], T]) -> T:
+        self._refuse_in_outage()
+        self.counts.writes += 1
+        if self.delay_effect_s > 0:
+            self._apply_later(self.delay_effect_s, operation)
+            await asyncio.sleep(self.latency_s)
+            raise StoreUncertain("the answer was lost")
+        delay_s = self.latency_s + self.slow_s
+        if delay_s > self.timeout_s:
+            self._apply_later(delay_s, operation)
+            await asyncio.sleep(self.timeout_s)
+            raise StoreUncertain("the store did not answer in time")
+        # Half of the latency lies before the effect and half after it.
+        await asyncio.sleep(delay_s / 2)
+        self._refuse_in_outage()
+        lost = self._lost_answers > 0
+        self._lost_answers -= lost
+        try:
+            result = operation()
+        except StoreError:
+            await asyncio.sleep(delay_s / 2)
+            if lost:
+                raise StoreUncertain("the answer was lost") from None
+            raise
+        await asyncio.sleep(delay_s / 2)
+        if lost or self._outage:
+            raise StoreUncertain("the answer was lost")
+        return result
+
+    def _apply_later(self, delay_s: float, operation: Callable[[], object]) -> None:
+        def apply() -> None:
+            try:
+                operation()
+            except StoreError:
+                return
+
+        asyncio.get_running_loop().call_later(delay_s, apply)
+
+    def _refuse_in_outage(self) -> None:
+        if self._outage:
+            raise StoreRefused("the store is down")
--- /dev/null
+++ b/godwitpath_standin/kv_core.py
@@ -0,0 +1,179 @@
+"""The state of the key-value service in memory: compare-and-swap, leases and watches."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from godwitpath.ports.kv import (
+    ABSENT,
+    KeyValue,
+    Lease,
+    LeaseLapsed,
+    RevisionConflict,
+    StoreRefused,
+    WatchEvent,
+)
+
+MAX_VALUE_BYTES = 1_048_576
+HISTORY_EVENTS = 20_000
+
+Listener = Callable[[WatchEvent], None]
+
+
+@dataclass(slots=True)
+class _LeaseState:
+    ttl_s: float
+    expires_at_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Entry:
+    value: bytes
+    revision: int
+    lease_id: int
+
+
+class KeyValueCore:
+    """Keys, leases and listeners; every call is atomic.
+
+    :param clock: returns the time in seconds that leases are measured by
+    :ivar revision: number of the last change
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._entries: dict[str, _Entry] = {}
+        self._leases: dict[int, _LeaseState] = {}
+        self._last_lease_id = 0
+        self._history: deque[WatchEvent] = deque(maxlen=HISTORY_EVENTS)
+        self._listeners: dict[int, tuple[str, Listener]] = {}
+        self._last_listener_id = 0
+        self.revision = 0
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the key, or None when absent."""
+        self.expire()
+        return self._current(key)
+
+    def scan(self, prefix: str, limit: int = 1000, after: str = "") -> list[KeyValue]:
+        """Return the keys that start with a prefix, in order of name, after `after`."""
+        self.expire()
+        names = sorted(name for name in self._entries if name.startswith(prefix))
+        first = bisect_right(names, after) if after else 0
+        found = (self._current(name) for name in names[first : first + limit])
+        return [item for item in found if item is not None]
+
+    def put(self, key: str, value: bytes, expected_revision: int, lease_id: int = 0) -> int:
+        """Write a key if its revision is the expected one; see the port."""
+        self.expire()
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreRefused(f"value of {key} is larger than {MAX_VALUE_BYTES} bytes")
+        if lease_id and lease_id not in self._leases:
+            raise LeaseLapsed(f"lease {lease_id} is not known")
+        self._expect(key, expected_revision)
+        self._detach(key)
+        self.revision += 1
+        self._entries[key] = _Entry(value, self.revision, lease_id)
+        if lease_id:
+            self._leases[lease_id].keys.add(key)
+        self._publish(WatchEvent(key, value, self.revision))
+        return self.revision
+
+    def delete(self, key: str, expected_revision: int) -> None:
+        """Delete a key if its revision is the expected one."""
+        self.expire()
+        self._expect(key, expected_revision)
+        if key in self._entries:
+            self._remove(key)
+
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease."""
+        self.expire()
+        self._last_lease_id += 1
+        self._leases[self._last_lease_id] = _LeaseState(ttl_s, self._clock() + ttl_s)
+        return Lease(self._last_lease_id, ttl_s)
+
+    def renew_lease(self, lease_id: int) -> None:
+        """Renew a lease for its time to live."""
+        self.expire()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            raise LeaseLapsed(f"lease {lease_id} is not known")
+        lease.expires_at_s = self._clock() + lease.ttl_s
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; an unknown one is no error."""
+        lease = self._leases.pop(lease_id, None)
+        for key in sorted(lease.keys) if lease else []:
+            self._remove(key)
+
+    def expire(self) -> None:
+        """End every lease whose time has passed."""
+        if not self._leases:
+            return
+        now_s = self._clock()
+        lapsed = [number for number, lease in self._leases.items() if lease.expires_at_s <= now_s]
+        for lease_id in lapsed:
+            self.revoke_lease(lease_id)
+
+    def next_expiry_s(self) -> float | None:
+        """Return the time at which the next lease lapses, None without leases."""
+        return min((lease.expires_at_s for lease in self._leases.values()), default=None)
+
+    def listen(self, prefix: str, after_revision: int, listener: Listener) -> int:
+        """Call a listener with the changes after a revision, past ones at once.
+
+        :returns: number of the listener for :meth:`unlisten`
+        """
+        self.expire()
+        for event in self._past_events(after_revision):
+            if event.key.startswith(prefix):
+                listener(event)
+        self._last_listener_id += 1
+        self._listeners[self._last_listener_id] = (prefix, listener)
+        return self._last_listener_id
+
+    def unlisten(self, listener_id: int) -> None:
+        """Stop calling a listener."""
+        self._listeners.pop(listener_id, None)
+
+    def _past_events(self, after_revision: int) -> list[WatchEvent]:
+        oldest = self._history[0].revision if self._history else 1
+        if after_revision + 1 >= oldest:
+            return [event for event in self._history if event.revision > after_revision]
+        # Older changes are not kept any more: the present values take their place.
+        newer = [
+            (key, item) for key, item in self._entries.items() if item.revision > after_revision
+        ]
+        newer.sort(key=lambda pair: pair[1].revision)
+        return [WatchEvent(key, item.value, item.revision) for key, item in newer]
+
+    def _current(self, key: str) -> KeyValue | None:
+        entry = self._entries.get(key)
+        return KeyValue(key, entry.value, entry.revision) if entry else None
+
+    def _expect(self, key: str, expected_revision: int) -> None:
+        current = self._current(key)
+        if (current.revision if current else ABSENT) != expected_revision:
+            raise RevisionConflict(key, current)
+
+    def _detach(self, key: str) -> None:
+        entry = self._entries.get(key)
+        if entry and entry.lease_id in self._leases:
+            self._leases[entry.lease_id].keys.discard(key)
+
+    def _remove(self, key: str) -> None:
+        self._detach(key)
+        del self._entries[key]
+        self.revision += 1
+        self._publish(WatchEvent(key, None, self.revision))
+
+    def _publish(self, event: WatchEvent) -> None:
+        self._history.append(event)
+        for prefix, listener in list(self._listeners.values()):
+            if event.key.startswith(prefix):
+                listener(event)
