Add the HTTP adapters and the key-value and plain-service stand-ins

Cause: the ports need adapters, and tests and the demo need the other ends as programs. Ruled out: aiosonic's own pool rules. It repeats PUT, DELETE and GET over a stale connection and puts a connection back after a timed-out exchange, where the late answer would reach the next call. Change: one client for all adapters that never repeats, closes failed connections and tells calls that were surely not sent; adapters of every outside port; stand-ins with faults by POST /faults.

--- /dev/null
+++ b/godwitpath_standin/faults.py
@@ -0,0 +1,166 @@
+"""Faults of a stand-in, switched at run time, and the ASGI layer that brings them about."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+import uvicorn
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong; every field can be set by `POST /faults`.
+
+    :ivar outage: every call is refused with status 503 before it has an effect
+    :ivar drop: connections are cut before a call has an effect
+    :ivar slow_s: added before each call has an effect
+    :ivar drop_next: number of calls whose connection is cut before they have an effect
+    :ivar lose_next_answer: number of calls that have their effect and lose their answer
+    :ivar cut_after: bytes of body after which answers are cut, -1 for never
+    :ivar cut_next: number of answers that `cut_after` still cuts
+    :ivar garbage: number of answers replaced by bytes that are not HTTP
+    :ivar half_chunk: number of streamed answers cut within a chunk
+    :ivar silence_connections: set to silence every connection open now, for good
+    :ivar lag_s: age of what lists and reports show, -1 for the stand-in's own default
+    :ivar refuse_instances: whether the cloud gives no instance
+    :ivar reclaim: zone, or instance names, to reclaim
+    :ivar notice_s: notice given before a reclaim
+    :ivar lose_effect_s: delay of the effect of writes whose answer is lost
+    :ivar fail_version: version whose load fails
+    """
+
+    outage: bool = False
+    drop: bool = False
+    slow_s: float = 0.0
+    drop_next: int = 0
+    lose_next_answer: int = 0
+    cut_after: int = -1
+    cut_next: int = 1
+    garbage: int = 0
+    half_chunk: int = 0
+    silence_connections: bool = False
+    lag_s: float = -1.0
+    refuse_instances: bool = False
+    reclaim: str | list[str] = ""
+    notice_s: float = 30.0
+    fail_version: str = ""
+
+
+class _Cut(Exception):
+    """The connection was cut on purpose."""
+
+
+class FaultyApp:
+    """ASGI application that puts the faults before another one.
+
+    :ivar faults: what goes wrong now
+    :ivar server: the server whose connections are cut and silenced
+    """
+
+    def __init__(self, app: ASGIApp, faults: Faults) -> None:
+        self.app = app
+        self.faults = faults
+        self.server: uvicorn.Server | None = None
+        self._silent: set[tuple[str, int]] = set()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http" or scope["path"].startswith(("/faults", "/stats")):
+            await self.app(scope, receive, send)
+            return
+        client = tuple(scope["client"])
+        try:
+            await self._run(scope, receive, send, client)
+        except _Cut:
+            self._abort(client)
+
+    async def _run(
+        self, scope: Scope, receive: Receive, send: Send, client: tuple[str, int]
+    ) -> None:
+        faults = self.faults
+        if client in self._silent:
+            await self._stay_silent(receive)
+        if faults.slow_s > 0:
+            await asyncio.sleep(faults.slow_s)
+        if faults.drop or _take(faults, "drop_next"):
+            raise _Cut
+        if faults.outage:
+            await _refuse(send)
+            return
+        if _take(faults, "garbage"):
+            transport = self._transport(client)
+            if transport is not None:
+                transport.write(b"\x16\x03 garbage \x00\xff\r\n\r\n")
+            raise _Cut
+        lost = _take(faults, "lose_next_answer")
+        cut = faults.cut_after >= 0 and _take(faults, "cut_next")
+        limit_bytes = faults.cut_after if cut else -1
+        half_chunk = _take(faults, "half_chunk")
+        sent_bytes = 0
+
+        async def send_faulty(message: Message) -> None:
+            nonlocal sent_bytes
+            if self._silent and client in self._silent:
+                await self._stay_silent(receive)
+            if lost:
+                raise _Cut
+            if message["type"] == "http.response.body":
+                body = message.get("body", b"")
+                if half_chunk and sent_bytes and body:
+                    await send({**message, "body": body[: len(body) // 2], "more_body": True})
+                    raise _Cut
+                if 0 <= limit_bytes <= sent_bytes + len(body):
+                    part = body[: limit_bytes - sent_bytes]
+                    await send({**message, "body": part, "more_body": True})
+                    raise _Cut
+                sent_bytes += len(body)
+            await send(message)
+
+        await self.app(scope, receive, send_faulty)
+
+    def silence_open_connections(self) -> None:
+        """Let every connection that is open now go silent for good."""
+        for protocol in self._connections():
+            peer = protocol.transport.get_extra_info("peername")
+            if peer:
+                self._silent.add((peer[0], peer[1]))
+
+    async def _stay_silent(self, receive: Receive) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        raise _Cut
+
+    def _connections(self) -> list[Any]:
+        state = self.server.server_state if self.server else None
+        return [item for item in state.connections if item.transport] if state else []
+
+    def _transport(self, client: tuple[str, int]) -> Any:
+        for protocol in self._connections():
+            peer = protocol.transport.get_extra_info("peername")
+            if peer and (peer[0], peer[1]) == client:
+                return protocol.transport
+        return None
+
+    def _abort(self, client: tuple[str, int]) -> None:
+        self._silent.discard(client)
+        transport = self._transport(client)
+        if transport is not None:
+            # Bytes already written still go out; a later call on the connection does not.
+            transport.close()
+
+
+def _take(faults: Faults, name: str) -> bool:
+    left: int = getattr(faults, name)
+    if left > 0:
+        setattr(faults, name, left - 1)
+    return left > 0
+
+
+async def _refuse(send: Send) -> None:
+    headers = [(b"content-type", b"application/json"), (b"retry-after", b"1")]
+    body = b'{"error": "outage"}'
+    headers.append((b"content-length", str(len(body)).encode()))
+    headers.append((b"x-not-run", b"1"))
+    await send({"type": "http.response.start", "status": 503, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/godwitpath_standin/kv_app.py
@@ -0,0 +1,163 @@
+"""The key-value service as a program."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from godwitpath.adapters.kv_http import (
+    DeleteCall,
+    GetCall,
+    GrantCall,
+    LeaseCall,
+    PutCall,
+    ScanCall,
+    WatchCall,
+)
+from godwitpath.ports.kv import LeaseLapsed, RevisionConflict, StoreRefused, WatchEvent
+from godwitpath_standin.kv_core import KeyValueCore
+from godwitpath_standin.server import Json, Standin
+
+HEARTBEAT_S = 3.0
+EXPIRY_CHECK_S = 0.05
+
+
+class RateLimit:
+    """Token bucket of one second's burst.
+
+    :param per_s: sustained rate
+    """
+
+    def __init__(self, per_s: float) -> None:
+        self._per_s = per_s
+        self._left = per_s
+        self._filled_at_s = 0.0
+
+    def take(self, now_s: float) -> bool:
+        """Take one token if there is one."""
+        self._left = min(self._per_s, self._left + (now_s - self._filled_at_s) * self._per_s)
+        self._filled_at_s = now_s
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
+class KeyValueStandin:
+    """The service: a core behind HTTP, with rates and latency."""
+
+    def __init__(self, latency_s: float, reads_per_s: float, writes_per_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._core = KeyValueCore(self._loop.time)
+        self._latency_s = latency_s
+        self._limits = {"reads": RateLimit(reads_per_s), "writes": RateLimit(writes_per_s)}
+        self._counts = {
+            "reads": 0, "writes": 0, "watches": 0, "refused": 0, "read_bytes": 0, "write_bytes": 0
+        }  # fmt: skip
+        self._watches: set[asyncio.Queue[WatchEvent | None]] = set()
+        core = self._core
+        routes = [
+            self._route("get", "reads", GetCall, lambda c: core.get(c.key)),
+            self._route("scan", "reads", ScanCall, lambda c: core.scan(c.prefix, c.limit, c.after)),
+            self._route(
+                "put",
+                "writes",
+                PutCall,
+                lambda c: core.put(c.key, c.value, c.expected_revision, c.lease_id),
+            ),
+            self._route(
+                "delete",
+                "writes",
+                DeleteCall,
+                lambda c: core.delete(c.key, c.expected_revision),
+            ),
+            self._route("lease/grant", "writes", GrantCall, lambda c: core.grant_lease(c.ttl_s)),
+            self._route("lease/renew", "writes", LeaseCall, lambda c: core.renew_lease(c.lease_id)),
+            self._route(
+                "lease/revoke", "writes", LeaseCall, lambda c: core.revoke_lease(c.lease_id)
+            ),
+            Route("/kv/watch", self._watch, methods=["POST"]),
+            Route("/stats", self._stats, methods=["GET"]),
+        ]
+        self.standin = Standin(routes, self._on_faults)
+        self._expiry = asyncio.create_task(self._expire())
+
+    def _route(
+        self, name: str, rate: str, kind: type[Any], operation: Callable[[Any], Any]
+    ) -> Route:
+        decoder = msgspec.json.Decoder(kind)
+
+        async def handle(request: Request) -> Response:
+            body = await request.body()
+            self._counts[rate] += 1
+            self._counts["write_bytes"] += len(body)
+            if not self._limits[rate].take(self._loop.time()):
+                self._counts["refused"] += 1
+                return Json({"error": "rate exceeded"}, 429, {"retry-after": "1"})
+            if self._latency_s:
+                await asyncio.sleep(self._latency_s)
+            answer = _applied(lambda: operation(decoder.decode(body)))
+            self._counts["read_bytes"] += len(answer.body)
+            return answer
+
+        endpoint: Callable[[Request], Awaitable[Response]] = handle
+        return Route(f"/kv/{name}", endpoint, methods=["POST"])
+
+    async def _watch(self, request: Request) -> Response:
+        call = msgspec.json.decode(await request.body(), type=WatchCall)
+        self._counts["watches"] += 1
+        return StreamingResponse(self._events(call), media_type="application/x-ndjson")
+
+    async def _events(self, call: WatchCall) -> AsyncIterator[bytes]:
+        queue: asyncio.Queue[WatchEvent | None] = asyncio.Queue()
+        listener_id = self._core.listen(call.prefix, call.after_revision, queue.put_nowait)
+        self._watches.add(queue)
+        try:
+            yield b"\n"
+            while True:
+                try:
+                    event = await asyncio.wait_for(queue.get(), HEARTBEAT_S)
+                except TimeoutError:
+                    yield b"\n"
+                    continue
+                if event is None:
+                    return
+                line = msgspec.json.encode(event) + b"\n"
+                self._counts["read_bytes"] += len(line)
+                yield line
+        finally:
+            self._watches.discard(queue)
+            self._core.unlisten(listener_id)
+
+    async def _stats(self, _: Request) -> Response:
+        return Json({**self._counts, "open_watches": len(self._watches)})
+
+    async def _expire(self) -> None:
+        # Keys of lapsed leases must vanish for the watches although nobody calls.
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            self._core.expire()
+
+    def _on_faults(self, faults: Any) -> None:
+        if faults.outage or faults.drop:
+            for queue in self._watches:
+                queue.put_nowait(None)
+
+
+def _applied(operation: Callable[[], object]) -> Response:
+    try:
+        return Json(operation())
+    except RevisionConflict as error:
+        return Json(error.current, 409)
+    except LeaseLapsed as error:
+        return Json({"error": str(error)}, 410)
+    except StoreRefused as error:
+        return Json({"error": str(error)}, 413)
+    except msgspec.MsgspecError as error:
+        return Json({"error": str(error)}, 400)
--- /dev/null
+++ b/godwitpath_standin/server.py
@@ -0,0 +1,107 @@
+"""Runs a stand-in's application on a port and switches its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from godwitpath_standin.faults import Faults, FaultyApp
+
+KEEP_ALIVE_S = 30
+GRACE_S = 5
+
+
+class Json(Response):
+    """An answer with a JSON body."""
+
+    media_type = "application/json"
+
+    def render(self, content: Any) -> bytes:
+        return msgspec.json.encode(content)
+
+
+class Standin:
+    """A stand-in's application with its faults.
+
+    :param routes: paths of the stand-in
+    :param on_faults: called with the faults after each change
+    :ivar faults: what goes wrong now
+    """
+
+    def __init__(
+        self, routes: list[Route], on_faults: Callable[[Faults], None] | None = None
+    ) -> None:
+        self.faults = Faults()
+        self._on_faults = on_faults
+        own = [
+            Route("/faults", self._get_faults, methods=["GET"]),
+            Route("/faults", self._set_faults, methods=["POST"]),
+        ]
+        self.app = FaultyApp(Starlette(routes=own + routes), self.faults)
+
+    async def serve(self, port: int, host: str = "127.0.0.1") -> None:
+        """Listen, print where as one line of JSON, and run until stopped by a signal."""
+        # Without the protocol number the loop would not switch off Nagle's algorithm.
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        config = uvicorn.Config(
+            self.app,
+            log_level="critical",
+            access_log=False,
+            lifespan="off",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=GRACE_S,
+        )
+        server = uvicorn.Server(config)
+        self.app.server = server
+        listener.listen(1024)
+        address = "{}:{}".format(*listener.getsockname()[:2])
+        print(json.dumps({"listening": address}), flush=True)
+        await server.serve(sockets=[listener])
+
+    async def _get_faults(self, _: Request) -> Response:
+        return Json(self.faults)
+
+    async def _set_faults(self, request: Request) -> Response:
+        try:
+            changes = msgspec.json.decode(await request.body(), type=dict[str, Any])
+            changed = msgspec.convert(msgspec.to_builtins(self.faults) | changes, Faults)
+            unknown = set(changes) - set(Faults.__struct_fields__)
+            if unknown:
+                raise msgspec.ValidationError(f"unknown faults: {sorted(unknown)}")
+        except msgspec.MsgspecError as error:
+            return Json({"error": str(error)}, status_code=400)
+        for name in Faults.__struct_fields__:
+            setattr(self.faults, name, getattr(changed, name))
+        if self.faults.silence_connections:
+            self.app.silence_open_connections()
+            self.faults.silence_connections = False
+        if self._on_faults is not None:
+            self._on_faults(self.faults)
+        return Json(self.faults)
+
+
+def run(standin_factory: Callable[[], Standin], port: int) -> None:
+    """Run a stand-in until it is stopped; the factory is called within the running loop."""
+
+    async def main() -> None:
+        await standin_factory().serve(port)
+
+    # An interrupt that ends the program is no error.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        asyncio.run(main())
+    except KeyboardInterrupt:
+        return
