Add request records, the execution guard and duties

Entries need a place for accepted work that survives them, a guard for operations that must not run twice, and a way for one entry to act for all.

--- /dev/null
+++ b/godwitpath/duties/duty.py
@@ -0,0 +1,76 @@
+"""A duty: work that one entry does for all, and the proof of holding it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Duty:
+    """Work that one entry does for all, cut into shards.
+
+    :ivar name: kind of work
+    :ivar shard: part of it, such as service and region
+    """
+
+    name: str
+    shard: str
+
+    @property
+    def store_key(self) -> str:
+        """The key that the holder has under its lease."""
+        return f"duties/{self.name}/{self.shard}"
+
+
+@dataclass(slots=True, frozen=True)
+class Fence:
+    """Proof that a duty is held.
+
+    :ivar number: fencing number; each later holder has a greater one
+    :ivar valid_until_s: loop time after which the lease may have lapsed
+    """
+
+    duty: Duty
+    number: int
+    valid_until_s: float
+
+    def valid_for_s(self, now_s: float) -> float:
+        """Return how long the lease certainly holds on, 0 when it may have lapsed."""
+        return max(0.0, self.valid_until_s - now_s)
+
+
+@dataclass(slots=True)
+class DutyCounters:
+    """What the duties cost and how they changed hands, counted from the start."""
+
+    store_calls: int = 0
+    renewals: int = 0
+    renewals_failed: int = 0
+    taken: int = 0
+    found_held: int = 0
+    handed_back: int = 0
+    lapsed: int = 0
+    settled_by_read: int = 0
+
+
+@dataclass(slots=True)
+class HeldDuty:
+    """A duty as its keeper knows it.
+
+    :ivar revision: revision of the holder's key, 0 while the duty is not held
+    :ivar store_calls: store calls made for this duty alone
+    """
+
+    duty: Duty
+    revision: int = 0
+    store_calls: int = 0
+    checked_at_s: float = float("-inf")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        return {
+            "duty": f"{self.duty.name}/{self.duty.shard}",
+            "fencing": self.revision,
+            "store_calls": self.store_calls,
+        }
--- /dev/null
+++ b/godwitpath/records/backup.py
@@ -0,0 +1,324 @@
+"""Keeps every held record copied, and takes over the records of entries that are gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from itertools import groupby
+
+from godwitpath.membership.member import Member
+from godwitpath.ports.peers import PeerUnreachable
+from godwitpath.records.copies import CopySender
+from godwitpath.records.copy_intake import CopyIntake
+from godwitpath.records.ids import placement_of
+from godwitpath.records.messages import (
+    DropCopy,
+    FindRecord,
+    FoundRecord,
+    HandedOver,
+    HandOver,
+    HeldQuery,
+    HeldReply,
+    HolderChanged,
+    RecordCopy,
+    UpdateResults,
+    image_of,
+    pack,
+)
+from godwitpath.records.peer_calls import PeerCalls
+from godwitpath.records.placement import ASKED_PEERS, askable, backups
+from godwitpath.records.record import RequestRecord
+from godwitpath.records.table import RecordCounters, RecordTable
+
+COPY_TIMEOUT_S = 0.15
+HAND_OVER_TIMEOUT_S = 1.0
+ORPHAN_AFTER_S = 5.0
+MENDED_AT_ONCE = 16
+
+
+class BackupKeeper:
+    """Places copies, takes the copies of peers in, adopts and hands over.
+
+    :ivar on_adopt: called with each unfinished record that was taken over
+    :ivar on_fenced: called with each record that another entry took over
+    """
+
+    def __init__(
+        self,
+        calls: PeerCalls,
+        table: RecordTable,
+        sender: CopySender,
+        counters: RecordCounters,
+    ) -> None:
+        self._calls = calls
+        self._table = table
+        self._sender = sender
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._limit = asyncio.Semaphore(MENDED_AT_ONCE)
+        self._adopted_from: dict[str, set[str]] = {}
+        self._adopting: set[str] = set()
+        self.on_adopt: Callable[[RequestRecord], Awaitable[None]] | None = None
+        self.on_fenced: Callable[[RequestRecord], None] | None = None
+        sender.on_fenced = self.demote
+        sender.on_missing = self._copy_again
+        handle = calls.transport.handle
+        self._intake = CopyIntake(calls.transport, table, counters, self.demote)
+        handle(HolderChanged, self._on_holder_changed)
+        handle(HandOver, self._on_hand_over)
+        handle(HeldQuery, self._on_held_query)
+
+    @property
+    def _local_id(self) -> str:
+        return self._calls.local.entry_id
+
+    async def place(self, record: RequestRecord) -> bool:
+        """Copy a held record to the best backup that answers."""
+        placement = placement_of(record.request_id)
+        members = backups(placement, self._calls.members(), self._calls.local)
+        for member in members[:ASKED_PEERS]:
+            self._calls.note(member)
+            if not record.held:
+                return False
+            if await self._copy(record, member):
+                return True
+            # The copy may have arrived; a higher epoch makes it the lesser one.
+            await self._calls.transport.send(
+                member.entry_id, DropCopy(record.request_id, record.epoch)
+            )
+            record.epoch += 1
+        record.backup = ""
+        self._counters.degraded += 1
+        return False
+
+    async def _copy(self, record: RequestRecord, member: Member) -> bool:
+        image = image_of(record, member.entry_id, self._now_s())
+        image.pieces = list(record.pieces)
+        payload = pack(image)
+        self._counters.copies_sent += 1
+        self._counters.copy_bytes += len(payload)
+        self._calls.count_bytes(member.entry_id, len(payload))
+        message = RecordCopy(payload)
+        reply = await self._calls.ask(member.entry_id, message, UpdateResults, COPY_TIMEOUT_S)
+        result = reply.results[0] if reply is not None and reply.results else None
+        if result is None:
+            self._counters.copy_failures += 1
+            return False
+        if result.holder:
+            self.demote(record, result.holder, result.epoch)
+            return False
+        record.backup = member.entry_id
+        self._count_distance(member)
+        self._sender.acknowledged(record, result)
+        return True
+
+    def _count_distance(self, member: Member) -> None:
+        local = self._calls.local
+        if (member.region, member.availability_zone) == (local.region, local.availability_zone):
+            self._counters.same_zone_copies += 1
+
+    async def _copy_again(self, record: RequestRecord) -> None:
+        for member in self._calls.members():
+            if member.entry_id == record.backup:
+                await self._copy(record, member)
+                return
+
+    def demote(self, record: RequestRecord, holder: str, epoch: int) -> None:
+        """Stop holding a record that another entry took over."""
+        if not record.held or (epoch, holder) <= (record.epoch, record.holder):
+            return
+        record.held = False
+        record.holder = holder
+        record.epoch = epoch
+        record.backup = ""
+        record.outcome = None
+        record.since_s = self._now_s()
+        self._counters.fenced += 1
+        record.wake()
+        if self.on_fenced is not None:
+            self.on_fenced(record)
+
+    async def _on_holder_changed(self, sender: str, message: HolderChanged) -> None:
+        record = self._table.get(message.request_id)
+        if record is None:
+            return
+        if record.held and (record.epoch, record.holder) > (message.epoch, sender):
+            await self._tell_holder(sender, message.request_id)
+            return
+        self.demote(record, sender, message.epoch)
+
+    # Adoption.
+
+    def member_changed(self, member: Member) -> None:
+        """Act on a change of what is known of an entry."""
+        self._calls.note(member)
+        entry_id = member.entry_id
+        if member.live:
+            for request_id in self._adopted_from.pop(entry_id, set()):
+                self._spawn(self._tell_holder(entry_id, request_id))
+            return
+        for record in self._table:
+            if record.held and record.backup == entry_id:
+                self._spawn(self._place_anew(record))
+            elif member.state == "gone" and self._is_copy(record) and record.holder == entry_id:
+                self._spawn(self._adopt(record))
+        if member.state == "gone":
+            self._sender.drop(entry_id)
+
+    def _is_copy(self, record: RequestRecord) -> bool:
+        return not record.held and record.backup == self._local_id
+
+    async def _place_anew(self, record: RequestRecord) -> None:
+        async with self._limit:
+            if record.held and self._table.get(record.request_id) is record:
+                record.epoch += 1
+                await self.place(record)
+
+    async def _adopt(self, record: RequestRecord) -> None:
+        if record.request_id in self._adopting:
+            return
+        self._adopting.add(record.request_id)
+        try:
+            async with self._limit:
+                adopted = await self._take_over(record)
+        finally:
+            self._adopting.discard(record.request_id)
+        if adopted and not record.finished and self.on_adopt is not None:
+            try:
+                await self.on_adopt(record)
+            except Exception:
+                self._counters.adopt_errors += 1
+                raise
+
+    async def _take_over(self, record: RequestRecord) -> bool:
+        if await self._superseded(record):
+            self._counters.superseded += 1
+            self._table.remove(record.request_id)
+            return False
+        if not self._is_copy(record) or self._table.get(record.request_id) is not record:
+            return False
+        former = record.holder
+        record.holder = self._local_id
+        record.epoch += 1
+        record.held = True
+        record.backup = ""
+        self._counters.adopted += 1
+        self._adopted_from.setdefault(former, set()).add(record.request_id)
+        await self._tell_holder(former, record.request_id)
+        await self.place(record)
+        record.wake()
+        return record.held
+
+    async def _superseded(self, record: RequestRecord) -> bool:
+        members = askable(placement_of(record.request_id), self._calls.members())
+        others = [each.entry_id for each in members if each.entry_id != self._local_id]
+        others = [entry_id for entry_id in others if entry_id != record.holder]
+        message = FindRecord(record.account, record.request_id)
+        replies = await self._calls.ask_all(others, message, FoundRecord)
+        return any(found.epoch > record.epoch for _, found in replies)
+
+    async def _tell_holder(self, entry_id: str, request_id: str) -> None:
+        record = self._table.get(request_id)
+        if record is not None and record.held:
+            message = HolderChanged(request_id, record.epoch)
+            await self._calls.transport.send(entry_id, message)
+
+    # Hand-over.
+
+    async def hand_over(self) -> int:
+        """Give every unfinished record to its backup; returns how many were taken."""
+        active = [each for each in self._table if each.held and not each.finished]
+        for record in active:
+            if not record.backup:
+                await self.place(record)
+        active = sorted((each for each in active if each.backup), key=lambda each: each.backup)
+        groups = [(entry_id, list(group)) for entry_id, group in groupby(active, _backup_of)]
+        taken = await asyncio.gather(*(self._hand_to(*group) for group in groups))
+        self._counters.handed_over += sum(taken)
+        return sum(taken)
+
+    async def _hand_to(self, entry_id: str, records: list[RequestRecord]) -> int:
+        try:
+            await self._sender.flush(entry_id, records)
+        except PeerUnreachable:
+            self._counters.copy_failures += 1
+        message = HandOver([record.request_id for record in records if record.held])
+        reply = await self._calls.ask(entry_id, message, HandedOver, HAND_OVER_TIMEOUT_S)
+        taken = set(reply.request_ids) if reply is not None else set()
+        for record in records:
+            if record.request_id in taken:
+                self.demote(record, entry_id, record.epoch + 1)
+        return len(taken)
+
+    async def _on_hand_over(self, sender: str, message: HandOver) -> HandedOver:
+        records = [self._table.get(request_id) for request_id in message.request_ids]
+        copies = [
+            record
+            for record in records
+            if record is not None and self._is_copy(record) and record.holder == sender
+        ]
+        for record in copies:
+            self._spawn(self._adopt(record))
+        return HandedOver([record.request_id for record in copies])
+
+    # Mending.
+
+    async def mend(self, now_s: float) -> None:
+        """Copy records that have no backup, and look after copies that nobody updates."""
+        alone = [each for each in self._table if each.held and not each.backup]
+        for record in alone[:MENDED_AT_ONCE]:
+            if len(self._calls.members()) > 1:
+                self._spawn(self._place_anew(record))
+        silent = [each for each in self._table if self._is_silent(each, now_s)]
+        silent.sort(key=lambda each: each.holder)
+        for entry_id, group in groupby(silent, lambda each: each.holder):
+            self._spawn(self._look_after(entry_id, list(group)))
+
+    def _is_silent(self, record: RequestRecord, now_s: float) -> bool:
+        if not self._is_copy(record) or record.finished:
+            return False
+        return now_s - record.heard_at_s >= ORPHAN_AFTER_S
+
+    async def _look_after(self, holder: str, records: list[RequestRecord]) -> None:
+        if not self._calls.is_live(holder):
+            for record in records:
+                self._spawn(self._adopt(record))
+            return
+        message = HeldQuery([record.request_id for record in records])
+        reply = await self._calls.ask(holder, message, HeldReply)
+        if reply is None:
+            return
+        for record in records:
+            record.heard_at_s = self._now_s()
+            if record.request_id in reply.unknown:
+                self._spawn(self._adopt(record))
+            elif record.request_id in reply.elsewhere and self._is_copy(record):
+                self._table.remove(record.request_id)
+
+    async def _on_held_query(self, sender: str, message: HeldQuery) -> HeldReply:
+        reply = HeldReply([], [])
+        for request_id in message.request_ids:
+            record = self._table.get(request_id)
+            if record is None:
+                reply.unknown.append(request_id)
+            elif not record.held or record.backup not in ("", sender):
+                reply.elsewhere.append(request_id)
+        return reply
+
+    def close(self) -> None:
+        """End the tasks of this keeper."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _backup_of(record: RequestRecord) -> str:
+    return record.backup
--- /dev/null
+++ b/godwitpath/records/copy_intake.py
@@ -0,0 +1,123 @@
+"""Takes in the copies and updates that peers send for their records."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from godwitpath.ports.peers import PeerTransport
+from godwitpath.records.messages import (
+    DropCopy,
+    RecordCopy,
+    RecordImage,
+    RecordUpdate,
+    RecordUpdates,
+    UpdateResult,
+    UpdateResults,
+    record_of,
+    unpack,
+)
+from godwitpath.records.record import PIECE_OVERHEAD_BYTES, RequestRecord
+from godwitpath.records.table import RecordCounters, RecordTable
+
+
+class CopyIntake:
+    """Merges what holders send into the copies, whatever the order it comes in.
+
+    The epoch decides between two holders: what carries a lower one is refused, and its sender is
+    told who holds the record.
+    """
+
+    def __init__(
+        self,
+        transport: PeerTransport,
+        table: RecordTable,
+        counters: RecordCounters,
+        demote: Callable[[RequestRecord, str, int], None],
+    ) -> None:
+        self._table = table
+        self._counters = counters
+        self._demote = demote
+        transport.handle(RecordCopy, self._on_copy)
+        transport.handle(RecordUpdates, self._on_updates)
+        transport.handle(DropCopy, self._on_drop)
+
+    async def _on_copy(self, sender: str, message: RecordCopy) -> UpdateResults:
+        image = unpack(message.image, RecordImage)
+        current = self._table.get(image.request_id)
+        if current is not None:
+            if (current.epoch, current.holder) > (image.epoch, image.holder):
+                return UpdateResults([_refusal(current)])
+            if current.held:
+                self._demote(current, image.holder, image.epoch)
+        record = record_of(image, self._now_s())
+        self._counters.copies_received += 1
+        # A copy that was delayed behind its updates must not take them back.
+        if current is not None and _is_ahead(current, record):
+            return UpdateResults([_result(current)])
+        self._table.add(record)
+        record.heard_at_s = self._now_s()
+        return UpdateResults([_result(record)])
+
+    async def _on_updates(self, sender: str, message: RecordUpdates) -> UpdateResults:
+        updates = unpack(message.updates, list[RecordUpdate])
+        return UpdateResults([self._take_update(sender, update) for update in updates])
+
+    def _take_update(self, sender: str, update: RecordUpdate) -> UpdateResult:
+        record = self._table.get(update.request_id)
+        self._counters.updates_received += 1
+        if record is None:
+            return UpdateResult(update.request_id, -1)
+        if (record.epoch, record.holder) > (update.epoch, sender):
+            return _refusal(record)
+        if record.held or (record.epoch, record.holder) != (update.epoch, sender):
+            return UpdateResult(update.request_id, -1)
+        record.heard_at_s = self._now_s()
+        self._merge(record, update)
+        return _result(record)
+
+    def _merge(self, record: RequestRecord, update: RecordUpdate) -> None:
+        if update.attempt is not None and update.version > record.version:
+            record.version = update.version
+            record.attempt_id, record.upstream_id, record.stream_id = update.attempt
+            record.state = "running"
+        # Batches may come twice or out of order: only what continues the copy is taken.
+        fresh = update.pieces[max(0, len(record.pieces) - update.first_piece) :]
+        if update.first_piece <= len(record.pieces) and fresh:
+            record.pieces.extend(fresh)
+            size = sum(len(piece.text) + PIECE_OVERHEAD_BYTES for piece in fresh)
+            self._table.grew(record, size)
+        complete = update.first_piece + len(update.pieces) <= len(record.pieces)
+        if update.outcome is not None and complete and record.outcome is None:
+            record.outcome = update.outcome
+            record.state = "finished"
+            record.finished_at_s = self._now_s()
+            self._table.grew(record, len(update.outcome.body))
+            record.wake()
+
+    async def _on_drop(self, sender: str, message: DropCopy) -> None:
+        record = self._table.get(message.request_id)
+        if record is not None and not record.held and record.epoch <= message.epoch:
+            self._table.remove(message.request_id)
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _is_ahead(current: RequestRecord, arrived: RequestRecord) -> bool:
+    same = (current.epoch, current.holder) == (arrived.epoch, arrived.holder)
+    return same and not current.held and len(current.pieces) >= len(arrived.pieces)
+
+
+def _refusal(current: RequestRecord) -> UpdateResult:
+    return UpdateResult(current.request_id, -1, current.holder, current.epoch)
+
+
+def _result(record: RequestRecord) -> UpdateResult:
+    return UpdateResult(
+        record.request_id,
+        len(record.pieces),
+        version=record.version,
+        finished=record.finished,
+    )
--- /dev/null
+++ b/godwitpath/records/record.py
@@ -0,0 +1,288 @@
+"""The request record: an accepted request, the text generated so far and its outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Literal
+
+import msgspec
+
+from godwitpath.errors import GodwitpathError
+
+RequestKind = Literal["chat", "completion", "plain"]
+RecordState = Literal["accepted", "running", "finished"]
+Ran = Literal["yes", "no", "unknown"]
+
+KEEP_OUTCOME_S = 300.0
+RECORD_OVERHEAD_BYTES = 2048
+PIECE_OVERHEAD_BYTES = 120
+
+
+class Piece(msgspec.Struct, array_like=True, frozen=True):
+    """Text of an answer.
+
+    :ivar offset: tokens of the whole answer before this piece
+    :ivar text: the text
+    :ivar tokens: number of tokens in the text
+    """
+
+    offset: int
+    text: str
+    tokens: int
+
+
+class Outcome(msgspec.Struct, array_like=True, frozen=True):
+    """What became of a request.
+
+    :ivar status: HTTP status of the answer
+    :ivar body: whole body; empty for a generation, whose text is in the pieces
+    :ivar ran: whether the request ran at an upstream
+    :ivar reason: why it ended so, empty for success
+    :ivar retry_after_s: when asking again makes sense, 0 when there is no advice
+    """
+
+    status: int
+    content_type: str = "application/json"
+    body: bytes = b""
+    headers: list[tuple[str, str]] = []
+    finish_reason: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    ran: Ran = "yes"
+    reason: str = ""
+    retry_after_s: float = 0.0
+
+
+class RecordMoved(GodwitpathError):
+    """The record is held by another entry now.
+
+    :ivar holder: entry that holds it
+    """
+
+    def __init__(self, request_id: str, holder: str) -> None:
+        super().__init__(f"request {request_id} is held by {holder}")
+        self.holder = holder
+
+
+class OffsetUnknown(GodwitpathError):
+    """The answer cannot be continued from the offset without losing or repeating text."""
+
+
+class TextSeen(msgspec.Struct, array_like=True, frozen=True):
+    """Text that a reader has, told so that a divergent answer is never spliced to it.
+
+    :ivar chars: number of characters
+    :ivar crc: CRC-32 of the text in UTF-8
+    """
+
+    chars: int = 0
+    crc: int = 0
+
+    def extended(self, pieces: list[Piece]) -> TextSeen:
+        """Return what the reader has after more pieces."""
+        text = "".join(piece.text for piece in pieces)
+        return TextSeen(self.chars + len(text), zlib.crc32(text.encode(), self.crc))
+
+
+def pieces_after(
+    pieces: list[Piece], after_tokens: int, seen: TextSeen | None = None
+) -> list[Piece]:
+    """Return the pieces behind an offset.
+
+    :param after_tokens: tokens that the reader has
+    :param seen: text that the reader has; with it a piece that straddles the offset is cut
+    :raises OffsetUnknown: the answer cannot be continued there without losing or repeating text
+    """
+    if seen is not None:
+        return _pieces_after_text(pieces, after_tokens, seen)
+    start = len(pieces)
+    while start > 0 and pieces[start - 1].offset >= after_tokens:
+        start -= 1
+    if start > 0 and pieces[start - 1].offset + pieces[start - 1].tokens > after_tokens:
+        raise OffsetUnknown(f"offset {after_tokens} lies inside a piece")
+    return pieces[start:]
+
+
+def _pieces_after_text(pieces: list[Piece], after_tokens: int, seen: TextSeen) -> list[Piece]:
+    text = "".join(piece.text for piece in pieces)
+    known = text[: seen.chars]
+    if len(known) < seen.chars or zlib.crc32(known.encode()) != seen.crc:
+        raise OffsetUnknown("the answer differs from the text that was delivered")
+    start, before = 0, 0
+    while start < len(pieces) and before + len(pieces[start].text) <= seen.chars:
+        before += len(pieces[start].text)
+        start += 1
+    if before == seen.chars:
+        return pieces[start:]
+    straddling = pieces[start]
+    left = max(0, straddling.offset + straddling.tokens - after_tokens)
+    rest = Piece(after_tokens, straddling.text[seen.chars - before :], left)
+    return [rest, *pieces[start + 1 :]]
+
+
+@dataclass(slots=True, eq=False)
+class RequestRecord:
+    """An accepted request, held by one entry and copied to a backup entry.
+
+    :ivar body_digest: digest that tells two bodies under one key apart
+    :ivar streamed: whether the caller asked for a stream
+    :ivar timeout_s: time left until the caller's deadline when the record was made or copied
+    :ivar holder: entry that works on the request
+    :ivar backup: entry that has the copy, empty for none
+    :ivar epoch: raised whenever the holder or the backup changes; the highest one is right
+    :ivar attempt_id: attempt whose pieces are taken, empty before the first
+    :ivar stream_id: the engine's handle of the running stream
+    :ivar version: raised whenever the attempt or the stream changes
+    :ivar copied_pieces: pieces that the backup has acknowledged
+    :ivar copied_version: version that the backup has acknowledged
+    :ivar held: whether this process works on the request
+    :ivar since_s: loop time at which this process made or got the record
+    :ivar heard_at_s: loop time of the last news from the holder; copies only
+    :ivar finished_at_s: loop time of the outcome, 0 while there is none
+    """
+
+    request_id: str
+    account: str
+    service: str
+    kind: RequestKind
+    method: str = "POST"
+    path: str = ""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    idempotency_key: str = ""
+    body: bytes = b""
+    body_digest: str = ""
+    priority: int = 0
+    streamed: bool = False
+    timeout_s: float = 60.0
+    keep_outcome_s: float = KEEP_OUTCOME_S
+    holder: str = ""
+    backup: str = ""
+    epoch: int = 1
+    attempt_id: str = ""
+    upstream_id: str = ""
+    stream_id: str = ""
+    pieces: list[Piece] = field(default_factory=list)
+    outcome: Outcome | None = None
+    state: RecordState = "accepted"
+    version: int = 0
+    copied_pieces: int = 0
+    copied_version: int = 0
+    held: bool = True
+    since_s: float = 0.0
+    heard_at_s: float = 0.0
+    finished_at_s: float = 0.0
+    size_bytes: int = 0
+    _waiters: list[asyncio.Future[None]] = field(default_factory=list, repr=False)
+
+    @property
+    def tokens(self) -> int:
+        """Number of tokens of the answer so far."""
+        if not self.pieces:
+            return 0
+        return self.pieces[-1].offset + self.pieces[-1].tokens
+
+    @property
+    def text(self) -> str:
+        """The answer so far."""
+        return "".join(piece.text for piece in self.pieces)
+
+    @property
+    def finished(self) -> bool:
+        """Whether there is an outcome."""
+        return self.outcome is not None
+
+    def time_left_s(self, now_s: float) -> float:
+        """Return the time until the caller's deadline."""
+        return self.since_s + self.timeout_s - now_s
+
+    def measure(self) -> int:
+        """Return the memory that the record is counted with."""
+        text = sum(len(piece.text) + PIECE_OVERHEAD_BYTES for piece in self.pieces)
+        outcome = len(self.outcome.body) if self.outcome else 0
+        return RECORD_OVERHEAD_BYTES + len(self.body) + text + outcome
+
+    def wake(self) -> None:
+        """Wake every follower and waiter."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def changed(self) -> None:
+        """Wait until the record changes."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def _reached(self, after_tokens: int, seen: TextSeen | None) -> bool:
+        if self.outcome is not None or not self.held:
+            return True
+        if seen is not None:
+            return sum(len(piece.text) for piece in self.pieces) >= seen.chars
+        return self.tokens >= after_tokens
+
+    async def follow(
+        self, after_tokens: int, seen: TextSeen | None = None
+    ) -> AsyncIterator[list[Piece]]:
+        """Yield what is known behind an offset, then each batch as it comes, until the outcome.
+
+        :raises RecordMoved: another entry took the record over
+        :raises OffsetUnknown: see :func:`pieces_after`
+        """
+        # An adopted record may still be behind what its reader was given.
+        while not self._reached(after_tokens, seen):
+            await self.changed()
+        if not self.held:
+            raise RecordMoved(self.request_id, self.holder)
+        batch = pieces_after(self.pieces, after_tokens, seen)
+        position = len(self.pieces)
+        while True:
+            if batch:
+                yield batch
+            elif not self.held:
+                raise RecordMoved(self.request_id, self.holder)
+            elif self.outcome is not None:
+                return
+            else:
+                await self.changed()
+            batch = self.pieces[position:]
+            position += len(batch)
+
+    async def wait_outcome(self) -> Outcome:
+        """Wait for the outcome.
+
+        :raises RecordMoved: another entry took the record over
+        """
+        while self.outcome is None:
+            if not self.held:
+                raise RecordMoved(self.request_id, self.holder)
+            await self.changed()
+        return self.outcome
+
+
+@dataclass(slots=True)
+class RecordRef:
+    """A record that was found, here or at a peer.
+
+    :ivar record: the record itself where this process holds it
+    """
+
+    account: str
+    request_id: str
+    holder: str
+    epoch: int = 0
+    idempotency_key: str = ""
+    body_digest: str = ""
+    service: str = ""
+    kind: RequestKind = "chat"
+    streamed: bool = False
+    state: RecordState = "accepted"
+    tokens: int = 0
+    record: RequestRecord | None = None
--- /dev/null
+++ b/godwitpath/records/store.py
@@ -0,0 +1,210 @@
+"""The store of request records of one entry: each record held here has a copy at a backup."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from godwitpath.membership.member import Member
+from godwitpath.ports.peers import PeerTransport
+from godwitpath.records.backup import BackupKeeper
+from godwitpath.records.copies import CopySender
+from godwitpath.records.finder import RecordFinder
+from godwitpath.records.ids import new_request_id
+from godwitpath.records.peer_calls import PeerCalls
+from godwitpath.records.reader import RecordReader
+from godwitpath.records.record import (
+    PIECE_OVERHEAD_BYTES,
+    Outcome,
+    Piece,
+    RecordRef,
+    RequestRecord,
+    TextSeen,
+)
+from godwitpath.records.table import MAX_RECORDS_BYTES, RecordCounters, RecordTable
+
+SWEEP_INTERVAL_S = 1.0
+
+
+class RecordStore:
+    """Holds the records of this entry and the copies of its peers' records.
+
+    :ivar counters: what happened to records
+    """
+
+    def __init__(
+        self,
+        local: Member,
+        transport: PeerTransport,
+        live: Callable[[], list[Member]],
+        rng: random.Random,
+        max_bytes: int = MAX_RECORDS_BYTES,
+    ) -> None:
+        self._local = local
+        self._rng = rng
+        self.counters = RecordCounters()
+        self._table = RecordTable(self.counters, max_bytes)
+        calls = PeerCalls(local, transport, live, self.counters)
+        self._sender = CopySender(transport, self._table, self.counters, calls.count_bytes)
+        self._finder = RecordFinder(calls, self._table, self.counters)
+        self._reader = RecordReader(calls, self._table, self._finder)
+        self._keeper = BackupKeeper(calls, self._table, self._sender, self.counters)
+
+    @property
+    def on_adopt(self) -> Callable[[RequestRecord], Awaitable[None]] | None:
+        """Called with each record that this process took over and must finish."""
+        return self._keeper.on_adopt
+
+    @on_adopt.setter
+    def on_adopt(self, callback: Callable[[RequestRecord], Awaitable[None]] | None) -> None:
+        self._keeper.on_adopt = callback
+
+    @property
+    def on_fenced(self) -> Callable[[RequestRecord], None] | None:
+        """Called with each record that another entry took over; its work here must end."""
+        return self._keeper.on_fenced
+
+    @on_fenced.setter
+    def on_fenced(self, callback: Callable[[RequestRecord], None] | None) -> None:
+        self._keeper.on_fenced = callback
+
+    def new_request_id(self, account: str, idempotency_key: str = "") -> str:
+        """Return an identifier by which any entry finds the record."""
+        return new_request_id(self._rng, self._local, account, idempotency_key)
+
+    async def accept(self, record: RequestRecord) -> bool:
+        """Hold a record and copy it to a backup.
+
+        :returns: whether a backup acknowledged the copy; without one the record is held alone
+        """
+        record.holder = self._local.entry_id
+        record.held = True
+        record.since_s = self._now_s()
+        self.counters.accepted += 1
+        self._table.add(record)
+        return await self._keeper.place(record)
+
+    def begin_attempt(self, record: RequestRecord, attempt_id: str, upstream_id: str) -> bool:
+        """Note the attempt whose pieces are taken from now on.
+
+        :returns: False when another entry took the record over; nothing may be sent then
+        """
+        if not self._writable(record):
+            return False
+        record.attempt_id = attempt_id
+        record.upstream_id = upstream_id
+        record.stream_id = ""
+        record.state = "running"
+        record.version += 1
+        self._sender.mark(record)
+        return True
+
+    def set_stream(self, record: RequestRecord, stream_id: str) -> bool:
+        """Note the engine's handle of the running stream."""
+        if not self._writable(record):
+            return False
+        record.stream_id = stream_id
+        record.version += 1
+        self._sender.mark(record)
+        return True
+
+    def append(self, record: RequestRecord, piece: Piece) -> bool:
+        """Add a piece of the current attempt.
+
+        :returns: False when another entry took the record over
+        """
+        if not self._writable(record):
+            return False
+        record.pieces.append(piece)
+        self._table.grew(record, len(piece.text) + PIECE_OVERHEAD_BYTES)
+        record.wake()
+        self._sender.mark(record)
+        return True
+
+    def finish(self, record: RequestRecord, outcome: Outcome) -> bool:
+        """Note the outcome and send it to the backup at once.
+
+        :returns: False when another entry took the record over
+        """
+        if not self._writable(record):
+            return False
+        record.outcome = outcome
+        record.state = "finished"
+        record.finished_at_s = self._now_s()
+        self._table.grew(record, len(outcome.body))
+        record.wake()
+        self._sender.mark(record, urgent=True)
+        return True
+
+    async def find(self, account: str, request_id: str = "", key: str = "") -> RecordRef | None:
+        """Return an account's own record by identifier or by idempotency key."""
+        return await self._finder.find(account, request_id, key)
+
+    async def claim_key(
+        self, account: str, key: str, digest: str, request_id: str
+    ) -> RecordRef | None:
+        """Claim an idempotency key; returns the request that has it already, if any."""
+        return await self._finder.claim_key(account, key, digest, request_id)
+
+    async def release_key(self, account: str, key: str, request_id: str) -> None:
+        """Give a claim back, because the request was refused."""
+        await self._finder.release_key(account, key, request_id)
+
+    def follow(
+        self, ref: RecordRef, after_tokens: int, seen: TextSeen | None = None
+    ) -> AsyncIterator[list[Piece]]:
+        """Yield the pieces behind an offset until the outcome, whoever holds the record."""
+        return self._reader.follow(ref, after_tokens, seen)
+
+    async def outcome(self, ref: RecordRef) -> Outcome:
+        """Wait for the outcome, whoever holds the record."""
+        return await self._reader.outcome(ref)
+
+    def member_changed(self, member: Member) -> None:
+        """Act on a change of what is known of an entry."""
+        self._keeper.member_changed(member)
+
+    async def hand_over(self) -> int:
+        """Give every unfinished record to its backup; returns how many were taken."""
+        return await self._keeper.hand_over()
+
+    async def run(self) -> None:
+        """Expire records and mend missing copies until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(SWEEP_INTERVAL_S)
+                now_s = self._now_s()
+                self._table.expire(now_s)
+                self._finder.claims.expire(now_s)
+                await self._keeper.mend(now_s)
+        finally:
+            self._sender.close()
+            self._keeper.close()
+
+    def records(self) -> list[RequestRecord]:
+        """Return the records that this entry holds."""
+        return [record for record in self._table if record.held]
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators; no text of any caller is in it."""
+        records = list(self._table)
+        return {
+            "held": sum(record.held for record in records),
+            "held_unfinished": sum(record.held and not record.finished for record in records),
+            "copies": sum(not record.held for record in records),
+            "size_bytes": self._table.size_bytes,
+            "key_claims": len(self._finder.claims),
+            "counters": {name: getattr(self.counters, name) for name in RecordCounters.__slots__},
+        }
+
+    def _writable(self, record: RequestRecord) -> bool:
+        if record.held:
+            return True
+        self.counters.fenced_writes += 1
+        return False
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/godwitpath/records/table.py
@@ -0,0 +1,120 @@
+"""The records that this process holds or keeps a copy of, bounded in time and memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from godwitpath.records.record import RequestRecord
+
+MAX_RECORDS_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class RecordCounters:
+    """What happened to records, counted from the start of the process."""
+
+    accepted: int = 0
+    degraded: int = 0
+    copies_sent: int = 0
+    copies_received: int = 0
+    updates_sent: int = 0
+    updates_received: int = 0
+    copy_bytes: int = 0
+    update_bytes: int = 0
+    cross_region_bytes: int = 0
+    same_zone_copies: int = 0
+    copy_failures: int = 0
+    adopted: int = 0
+    adopt_errors: int = 0
+    superseded: int = 0
+    fenced: int = 0
+    fenced_writes: int = 0
+    handed_over: int = 0
+    finds: int = 0
+    key_claims: int = 0
+    key_conflicts: int = 0
+    expired: int = 0
+    dropped_for_memory: int = 0
+
+
+class RecordTable:
+    """Records by identifier and by idempotency key."""
+
+    def __init__(self, counters: RecordCounters, max_bytes: int = MAX_RECORDS_BYTES) -> None:
+        self._counters = counters
+        self._max_bytes = max_bytes
+        self._by_id: dict[str, RequestRecord] = {}
+        self._by_key: dict[tuple[str, str], str] = {}
+        self.size_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterator[RequestRecord]:
+        return iter(list(self._by_id.values()))
+
+    def get(self, request_id: str) -> RequestRecord | None:
+        """Return a record whatever its account; for messages about copies only."""
+        return self._by_id.get(request_id)
+
+    def find(
+        self, account: str, request_id: str = "", idempotency_key: str = ""
+    ) -> RequestRecord | None:
+        """Return an account's own record by identifier or by key."""
+        if not request_id:
+            request_id = self._by_key.get((account, idempotency_key), "")
+        record = self._by_id.get(request_id)
+        return record if record is not None and record.account == account else None
+
+    def add(self, record: RequestRecord) -> None:
+        """Add a record, or put it in the place of an older state of itself."""
+        self.remove(record.request_id)
+        self._by_id[record.request_id] = record
+        if record.idempotency_key:
+            self._by_key[record.account, record.idempotency_key] = record.request_id
+        record.size_bytes = record.measure()
+        self.size_bytes += record.size_bytes
+
+    def grew(self, record: RequestRecord, size_bytes: int) -> None:
+        """Count memory that a record took on."""
+        if self._by_id.get(record.request_id) is record:
+            record.size_bytes += size_bytes
+            self.size_bytes += size_bytes
+
+    def remove(self, request_id: str) -> None:
+        """Remove a record if it is there."""
+        record = self._by_id.pop(request_id, None)
+        if record is None:
+            return
+        self.size_bytes -= record.size_bytes
+        key = (record.account, record.idempotency_key)
+        if self._by_key.get(key) == request_id:
+            del self._by_key[key]
+
+    def expire(self, now_s: float) -> None:
+        """Remove records whose time is over, and the oldest finished ones above the bound."""
+        for record in self:
+            if now_s >= self._expiry_s(record):
+                self._counters.expired += 1
+                self.remove(record.request_id)
+        if self.size_bytes > self._max_bytes:
+            self._shrink()
+
+    def _shrink(self) -> None:
+        finished = [record for record in self if record.finished]
+        finished.sort(key=lambda record: record.finished_at_s)
+        for record in finished:
+            if self.size_bytes <= self._max_bytes:
+                return
+            self._counters.dropped_for_memory += 1
+            self.remove(record.request_id)
+
+    @staticmethod
+    def _expiry_s(record: RequestRecord) -> float:
+        if record.finished:
+            return record.finished_at_s + record.keep_outcome_s
+        # A record that is worked on here stays until it has an outcome.
+        if record.held:
+            return float("inf")
+        return record.since_s + record.timeout_s + record.keep_outcome_s
