--- a/godwitpath/admission/__init__.py
+++ b/godwitpath/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Admission of a request: admit, queue or refuse."""
+"""Admission: admit, queue or refuse a call from what it would see at its engine."""
--- a/godwitpath/limits/__init__.py
+++ b/godwitpath/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Rate limits of accounts over all entries."""
+"""Rate limits of client accounts, held over all entries."""
