--- a/godwitpath/config/model.py
+++ b/godwitpath/config/model.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
+from godwitpath.config.strict import StrictFields
+
 Priority = Literal["interactive", "plan", "batch"]
 
 PRIORITY_LEVELS: dict[str, int] = {"interactive": 0, "plan": 1, "batch": 2}
@@ -16,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class LatencyTarget:
+class LatencyTarget(StrictFields):
     """Latency that 95 in 100 requests must meet.
 
     :ivar first_token_s: time to the first token
@@ -28,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class ModelSpec:
+class ModelSpec(StrictFields):
     """The model that the engines of a service run.
 
     :ivar adapters: adapters to keep loaded
@@ -42,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class FleetSpec:
+class FleetSpec(StrictFields):
     """Bounds for the capacity of a service.
 
     :ivar minimum: fewest engines kept
@@ -60,7 +62,7 @@
 
 
 @dataclass(slots=True)
-class Operation:
+class Operation(StrictFields):
     """A kind of call of a plain service.
 
     :ivar method: HTTP method
@@ -76,7 +78,7 @@
 
 
 @dataclass(slots=True)
-class Service:
+class Service(StrictFields):
     """A service with what it depends on.
 
     :ivar kind: `generation` for model engines, `plain` for forwarded services
@@ -107,7 +109,7 @@
 
 
 @dataclass(slots=True)
-class ApiKey:
+class ApiKey(StrictFields):
     """A caller's key as a salted hash.
 
     :ivar salt: hexadecimal salt
@@ -119,7 +121,7 @@
 
 
 @dataclass(slots=True)
-class Account:
+class Account(StrictFields):
     """A client account.
 
     :ivar keys: API keys that are accepted, old and new side by side
@@ -139,7 +141,7 @@
 
 
 @dataclass(slots=True)
-class TrafficPrices:
+class TrafficPrices(StrictFields):
     """Prices that decisions weigh.
 
     :ivar cross_region_per_gb: price of a gigabyte sent to another region
@@ -151,7 +153,7 @@
 
 
 @dataclass(slots=True)
-class Configuration:
+class Configuration(StrictFields):
     """The whole text.
 
     :ivar services: every service by name
--- /dev/null
+++ b/godwitpath/security/__init__.py
@@ -0,0 +1,1 @@
+"""Keys: callers' API keys and the peers' CURVE pairs."""
--- /dev/null
+++ b/godwitpath/security/curve.py
@@ -0,0 +1,26 @@
+"""CURVE key pairs of the links between entries, and their rotation."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import zmq
+
+
+@dataclass(slots=True, frozen=True)
+class CurvePair:
+    """A CURVE key pair in Z85 form."""
+
+    public_key: str
+    secret_key: str
+
+
+def make_pair() -> CurvePair:
+    """Return a new key pair."""
+    public_key, secret_key = zmq.curve_keypair()
+    return CurvePair(public_key.decode(), secret_key.decode())
+
+
+def public_key_of(secret_key: str) -> str:
+    """Return the public key that belongs to a secret key."""
+    return zmq.curve_public(secret_key.encode()).decode()
--- a/godwitpath/settings.py
+++ b/godwitpath/settings.py
@@ -7,33 +7,33 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from importlib.resources import files
 from typing import Any
 
-from pydantic import ConfigDict, TypeAdapter, ValidationError
-
+from godwitpath.config.decode import decode
+from godwitpath.config.document import Document, Path, read_document
+from godwitpath.config.strict import StrictFields
 from godwitpath.errors import Finding, FindingsError
 
-_STRICT = ConfigDict(extra="forbid")
+MAX_PORT = 65535
+CURVE_KEY_LENGTH = 40
+"""Characters of a CURVE key in Z85 form."""
 
 
 @dataclass(slots=True)
-class ListenSettings:
+class ListenSettings(StrictFields):
     """Where a process listens; port 0 takes any free one."""
 
-    __pydantic_config__ = _STRICT
-
     host: str = "127.0.0.1"
     port: int = 0
 
 
 @dataclass(slots=True)
-class TlsSettings:
+class TlsSettings(StrictFields):
     """TLS towards callers; empty files mean plain HTTP."""
 
-    __pydantic_config__ = _STRICT
-
     certificate_file: str = ""
     key_file: str = ""
 
@@ -73,11 +73,9 @@
 
 
 @dataclass(slots=True)
-class PlatformSettings:
+class PlatformSettings(StrictFields):
     """Base URLs of the platform's services; empty where there is none."""
 
-    __pydantic_config__ = _STRICT
-
     key_value_url: str = ""
     cloud_url: str = ""
     instance_list_url: str = ""
@@ -86,11 +84,9 @@
 
 
 @dataclass(slots=True)
-class SeedSettings:
+class SeedSettings(StrictFields):
     """A peer known from the start."""
 
-    __pydantic_config__ = _STRICT
-
     entry_id: str
     host: str
     port: int
@@ -98,7 +94,7 @@
 
 
 @dataclass(slots=True)
-class MembershipSettings:
+class MembershipSettings(StrictFields):
     """Times of the failure detector.
 
     :ivar probe_interval_s: time between two probes
@@ -106,19 +102,15 @@
     :ivar suspicion_s: time between suspicion and the verdict that a peer is gone
     """
 
-    __pydantic_config__ = _STRICT
-
     probe_interval_s: float = 0.5
     probe_timeout_s: float = 0.2
     suspicion_s: float = 1.5
 
 
 @dataclass(slots=True)
-class ProcessSettings:
+class ProcessSettings(StrictFields):
     """Everything that one entry daemon must be told."""
 
-    __pydantic_config__ = _STRICT
-
     entry_id: str
     region: str
     availability_zone: str
@@ -138,19 +130,58 @@
     :param source: name of the text for findings
     :raises FindingsError: the text is wrong, with every finding
     """
-    try:
-        given = json.loads(text)
-    except json.JSONDecodeError as error:
-        finding = Finding("", f"not JSON: {error.msg}", line=error.lineno, column=error.colno)
-        raise FindingsError(source, [finding]) from error
-    if not isinstance(given, dict):
-        raise FindingsError(source, [Finding("", "the settings must be an object")])
-    merged = _merge(_defaults(), given)
-    try:
-        return TypeAdapter(ProcessSettings).validate_python(merged)
-    except ValidationError as error:
-        findings = [_finding(detail) for detail in error.errors(include_input=False)]
-        raise FindingsError(source, findings) from error
+    document = read_document(source, text)
+    if not isinstance(document.value, dict):
+        raise FindingsError(source, [document.finding((), "the settings must be an object")])
+    decoded = decode(document, _merge(_defaults(), document.value), ProcessSettings)
+    findings = document.findings + decoded.findings
+    if decoded.value is not None:
+        findings += _value_findings(document, decoded.value)
+    if findings or decoded.value is None:
+        raise FindingsError(source, sorted(findings, key=lambda item: (item.line, item.column)))
+    return decoded.value
+
+
+def _value_findings(document: Document, settings: ProcessSettings) -> Iterator[Finding]:
+    """Yield the findings on values that have the right type and still cannot be used."""
+    for name in ("entry_id", "region", "availability_zone"):
+        if not getattr(settings, name).strip():
+            yield document.finding((name,), "must not be empty")
+    for name in ("caller", "operator", "peer"):
+        if not 0 <= getattr(settings, name).port <= MAX_PORT:
+            yield document.finding((name, "port"), f"must be between 0 and {MAX_PORT}")
+    if bool(settings.peer.public_key) != bool(settings.peer.secret_key):
+        hint = "create both with: godwitpath keys curve"
+        yield document.finding(("peer",), "public_key and secret_key belong together", hint)
+    keys: list[tuple[Path, str]] = [(("peer", "public_key"), settings.peer.public_key)]
+    keys.append((("peer", "secret_key"), settings.peer.secret_key))
+    for index, key in enumerate(settings.peer.accepted_public_keys):
+        keys.append((("peer", "accepted_public_keys", index), key))
+    for path, key in keys:
+        if key and len(key) != CURVE_KEY_LENGTH:
+            yield document.finding(path, f"a CURVE key has {CURVE_KEY_LENGTH} characters")
+    tls = settings.caller.tls
+    if bool(tls.certificate_file) != bool(tls.key_file):
+        yield document.finding(("caller", "tls"), "certificate_file and key_file belong together")
+    yield from _time_findings(document, settings)
+
+
+def _time_findings(document: Document, settings: ProcessSettings) -> Iterator[Finding]:
+    times: list[tuple[tuple[str, ...], float]] = [
+        (("caller", "header_timeout_s"), settings.caller.header_timeout_s),
+        (("platform", "timeout_s"), settings.platform.timeout_s),
+        (("membership", "probe_interval_s"), settings.membership.probe_interval_s),
+        (("membership", "probe_timeout_s"), settings.membership.probe_timeout_s),
+        (("membership", "suspicion_s"), settings.membership.suspicion_s),
+        (("drain_timeout_s",), settings.drain_timeout_s),
+    ]
+    for path, seconds in times:
+        if not 0 < seconds < float("inf"):
+            yield document.finding(path, "must be a number of seconds above 0")
+    membership = settings.membership
+    if membership.probe_timeout_s >= membership.probe_interval_s:
+        path = ("membership", "probe_timeout_s")
+        yield document.finding(path, "must be shorter than probe_interval_s")
 
 
 def _defaults() -> dict[str, Any]:
@@ -166,8 +197,3 @@
         nested = isinstance(below, dict) and isinstance(value, dict)
         merged[name] = _merge(below, value) if nested else value  # type: ignore[arg-type]
     return merged
-
-
-def _finding(detail: Any) -> Finding:
-    pointer = "".join(f"/{part}" for part in detail["loc"])
-    return Finding(pointer, detail["msg"])
