--- /dev/null
+++ b/godwitpath/upstreams/stops.py
@@ -0,0 +1,54 @@
+"""Planned stops as operators announce them in the key-value service."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+STOPS_PREFIX = "stops/"
+"""Prefix of the keys of announced stops, followed by kind and name."""
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """An announced stop.
+
+    :ivar kind: what stops: one entry, one upstream, or everything in an availability zone
+    :ivar name: name of the entry, upstream or availability zone
+    :ivar announced_at: when, in RFC 3339 form
+    """
+
+    kind: Literal["entry", "upstream", "zone"]
+    name: str
+    announced_at: str
+
+    def covers_upstream(self, upstream_id: str, availability_zone: str) -> bool:
+        """Return whether an upstream stops."""
+        return self._covers("upstream", upstream_id, availability_zone)
+
+    def covers_entry(self, entry_id: str, availability_zone: str) -> bool:
+        """Return whether an entry stops."""
+        return self._covers("entry", entry_id, availability_zone)
+
+    def _covers(self, kind: str, name: str, availability_zone: str) -> bool:
+        if self.kind == "zone":
+            return self.name == availability_zone
+        return self.kind == kind and self.name == name
+
+
+def stop_key(stop: Stop) -> str:
+    """Return the key of a stop."""
+    return f"{STOPS_PREFIX}{stop.kind}/{stop.name}"
+
+
+def encode_stop(stop: Stop) -> bytes:
+    """Return the stored form of a stop."""
+    return msgspec.json.encode(stop)
+
+
+def decode_stop(value: bytes) -> Stop | None:
+    """Return the stop of a stored form, None for garbage."""
+    try:
+        return msgspec.json.decode(value, type=Stop)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/test/peer_fleet.py
@@ -0,0 +1,132 @@
+"""A fleet of entries on the fake network, for the tests of what entries tell one another."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from godwitpath.config.envelope import ConfigEnvelope, text_digest
+from godwitpath.config.model import Configuration
+from godwitpath.config_sync.in_force import ConfigInForce
+from godwitpath.membership.member import Member
+from godwitpath.membership.swim import Membership
+from godwitpath.ports.engine import Address
+from godwitpath.ports.kv import KeyValueStore
+from godwitpath.ports.peers import Peer
+from godwitpath.ports.platform import Cloud, InstanceList
+from godwitpath.settings import MembershipSettings
+from godwitpath.upstreams.feed import UpstreamFeed
+from godwitpath.upstreams.table import UpstreamTable
+from godwitpath_standin.fakes.peers import FakePeerNetwork
+
+
+def envelope(revision: int) -> ConfigEnvelope:
+    """Return a configuration of a revision."""
+    text = f'{{"services": {{}}, "revision": {revision}}}'
+    return ConfigEnvelope(revision, text, text_digest(text), "ops", "", "", f"s{revision}")
+
+
+def parse(text: str) -> Configuration:
+    """Return a configuration without services."""
+    return Configuration(services={})
+
+
+class FleetEntry:
+    """One entry with everything that entries tell one another."""
+
+    def __init__(
+        self,
+        network: FakePeerNetwork,
+        entry_id: str,
+        region: str,
+        store: KeyValueStore | None = None,
+        instance_list: InstanceList | None = None,
+        cloud: Cloud | None = None,
+        incarnation: int = 0,
+    ) -> None:
+        rng = Random(f"{entry_id} {incarnation}")
+        self.entry_id = entry_id
+        self.transport = network.transport(entry_id, incarnation)
+        self.local = Member(
+            entry_id, region, f"{region}-a", Address("test", 1), incarnation=incarnation
+        )
+        self.membership = Membership(self.local, self.transport, MembershipSettings(), rng)
+        self.table = UpstreamTable()
+        self.feed = UpstreamFeed(self.table, self.membership, rng, instance_list, cloud, store)
+        self.config = ConfigInForce(store, self.transport, self.membership, parse, rng)
+        self.revisions: list[int] = []
+        self.config.on_change(lambda env, _: self.revisions.append(env.revision))
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Run everything."""
+        runs = (self.membership.run(), self.feed.run(), self.config.run())
+        self.tasks = [asyncio.create_task(run) for run in runs]
+
+    async def stop(self) -> None:
+        """End every task, as when the process dies."""
+        for task in self.tasks:
+            task.cancel()
+        results = await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.transport.close()
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
+
+    def states(self) -> dict[str, str]:
+        """Return the state of each member as this entry sees it."""
+        return {member.entry_id: member.state for member in self.membership.members()}
+
+
+class Fleet:
+    """Entries in several regions that know one another from the start through one seed."""
+
+    def __init__(self, size: int, regions: int = 2, seed: int = 1, **ports: object) -> None:
+        self.network = FakePeerNetwork(Random(seed))
+        self.ports = ports
+        self.region_of = {f"e{i}": f"r{i % regions}" for i in range(size)}
+        self.entries: dict[str, FleetEntry] = {}
+        for entry_id in self.region_of:
+            self.add(entry_id)
+
+    def add(self, entry_id: str, incarnation: int = 0) -> FleetEntry:
+        """Make and run an entry, in place of an earlier one of its name."""
+        region = self.region_of[entry_id]
+        entry = FleetEntry(
+            self.network, entry_id, region, incarnation=incarnation, **self.ports  # type: ignore
+        )
+        for seed_id in self.region_of:
+            entry.membership.add_seed(Peer(seed_id, Address("test", 1)))
+        self.entries[entry_id] = entry
+        entry.start()
+        return entry
+
+    async def kill(self, entry_id: str) -> None:
+        """End an entry without a word."""
+        self.network.remove(entry_id)
+        await self.entries.pop(entry_id).stop()
+
+    async def stop(self) -> None:
+        """End every entry."""
+        for entry_id in list(self.entries):
+            await self.kill(entry_id)
+
+    def all_see(self, entry_id: str, state: str) -> bool:
+        """Return whether every other entry sees one in a state."""
+        others = (entry for name, entry in self.entries.items() if name != entry_id)
+        return all(entry.states().get(entry_id) == state for entry in others)
+
+    def all_alive(self) -> bool:
+        """Return whether every entry sees every other one alive."""
+        return all(self.all_see(entry_id, "alive") for entry_id in self.entries)
+
+
+async def until(condition: object, within_s: float, step_s: float = 0.05) -> float:
+    """Wait on the loop's clock until a condition holds; returns how long it took."""
+    loop = asyncio.get_running_loop()
+    started_at_s = loop.time()
+    while not condition():  # type: ignore[operator]
+        if loop.time() - started_at_s > within_s:
+            raise AssertionError(f"not within {within_s} s")
+        await asyncio.sleep(step_s)
+    return loop.time() - started_at_s
