--- a/godwitpath/routing/book.py
+++ b/godwitpath/routing/book.py
@@ -47,6 +47,7 @@
     """A call in progress, as :meth:`LoadBook.started` returns it.
 
     :ivar tokens: prompt tokens
+    :ivar to_compute: those of them that are expected to be computed
     :ivar sent_at_s: when it was sent
     :ivar first_at_s: when its first token came, 0 before
     :ivar running_then: calls that the engine had when the first token came
@@ -54,11 +55,11 @@
 
     upstream_id: str
     tokens: int
+    to_compute: int
     sent_at_s: float
     priority: int = 0
     blocks: Sequence[str] = ()
     rank: int = -1
-    predicted_cached_tokens: int = 0
     first_at_s: float = 0.0
     running_then: float = 0.0
     ended: bool = False
@@ -113,17 +114,21 @@
         priority: int = 0,
         blocks: Sequence[str] = (),
         rank: int = -1,
+        predicted_cached_tokens: int = 0,
     ) -> Outstanding:
         """Note that a call was sent; the result goes to the other methods.
 
+        :param tokens: prompt tokens, cached ones included
         :param rank: rank of the choice, for learning how often prefixes are found
+        :param predicted_cached_tokens: prompt tokens that the choice expects in the cache
         """
         state = self._state(upstream_id, now_s)
-        state.own_tokens += tokens
         state.own_running += 1
         self.counters.started += 1
         self._count(blocks)
-        return Outstanding(upstream_id, tokens, now_s, priority, blocks, rank)
+        to_compute = max(1, tokens - predicted_cached_tokens)
+        state.own_tokens += to_compute
+        return Outstanding(upstream_id, tokens, to_compute, now_s, priority, blocks, rank)
 
     def first_token(self, call: Outstanding, cached_tokens: int, now_s: float) -> None:
         """Note the first token, with the prompt tokens that came from the engine's cache."""
@@ -136,7 +141,7 @@
         self.counters.cached_tokens += cached_tokens
         self._learn_prefill(state, call, cached_tokens, now_s)
         self._learn_cache(state, call, cached_tokens)
-        state.own_tokens = max(0, state.own_tokens - call.tokens)
+        state.own_tokens = max(0, state.own_tokens - call.to_compute)
 
     def finished(self, call: Outstanding, now_s: float, tokens: int = 0) -> None:
         """Note the end of an answer.
@@ -263,14 +268,14 @@
         state = self._state(call.upstream_id, now_s)
         state.own_running = max(0, state.own_running - 1)
         if not call.first_at_s:
-            state.own_tokens = max(0, state.own_tokens - call.tokens)
+            state.own_tokens = max(0, state.own_tokens - call.to_compute)
         return state
 
     def _learn_prefill(
         self, state: _EngineState, call: Outstanding, cached_tokens: int, now_s: float
     ) -> None:
         computed = call.tokens - cached_tokens
-        alone = state.own_tokens <= call.tokens and state.other_tokens.value < call.tokens / 4
+        alone = state.own_tokens <= call.to_compute and state.other_tokens.value < computed / 4
         if computed < MIN_SAMPLE_TOKENS or not alone:
             return
         spent_s = max(1e-3, now_s - call.sent_at_s - state.between.mean_y)
