Take the greatest of store and peers at the start, and ask less often without either

An entry started beside a store restored late now never passes through the old revision while a peer answers.

--- a/godwitpath/config_sync/in_force.py
+++ b/godwitpath/config_sync/in_force.py
@@ -41,8 +41,12 @@
 START_PEERS = 5
 """Entries that are asked at the start."""
 
+START_MEETING_S = 1.0
+"""Longest time that an entry which starts waits to hear of another one."""
+
 START_RETRY_S = 0.5
-"""Time between two rounds while there is no configuration at all."""
+START_LONGEST_RETRY_S = 2.0
+"""Time between two rounds while there is no configuration at all, first and at most."""
 
 Callback = Callable[[ConfigEnvelope, Configuration], None]
 
@@ -160,45 +164,54 @@
     # Start.
 
     async def _start(self) -> None:
+        wait_s = START_RETRY_S
         while True:
             # The peers are asked although the store answers: it may have been restored late.
-            await asyncio.gather(self._read(), self._ask_some_peers())
+            stored, heard = await asyncio.gather(self._read(), self._ask_some_peers())
+            self._offer_all(stored, *heard)
             if self.ready:
                 return
-            await asyncio.sleep(START_RETRY_S * self._rng.uniform(0.8, 1.2))
+            await asyncio.sleep(wait_s * self._rng.uniform(0.8, 1.2))
+            wait_s = min(START_LONGEST_RETRY_S, 2 * wait_s)
 
-    async def _ask_some_peers(self) -> None:
+    async def _ask_some_peers(self) -> list[ConfigEnvelope | None]:
+        await self._membership.wait_for_others(START_MEETING_S)
         others = self._membership.live()[1:]
         asked = self._rng.sample(others, min(START_PEERS, len(others)))
-        await asyncio.gather(*(self._pull(member.entry_id) for member in asked))
+        return await asyncio.gather(*(self._pull(member.entry_id) for member in asked))
 
     # Store.
 
     def _watcher(self) -> bool:
         return follows("config", self._membership.local, self._membership.live())
 
-    async def _read(self) -> None:
+    async def _read(self) -> ConfigEnvelope | None:
         if self._store is None:
-            return
+            return None
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 value = await self._store.get(CURRENT_KEY)
         except (GodwitpathError, TimeoutError):
             self.counts["read_failures"] += 1
-            return
-        if value is not None:
-            self._take_stored(value.value)
+            return None
+        return self._stored(value.value) if value is not None else None
 
-    def _take_stored(self, value: bytes) -> None:
+    def _stored(self, value: bytes) -> ConfigEnvelope | None:
         try:
             envelope = decode_envelope(value)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             self.counts["garbage_in_store"] += 1
-            return
+            return None
         self._store_revision = envelope.revision
         if envelope.revision < self.revision:
             self.counts["store_behind"] += 1
-        self.offer(envelope)
+        return envelope
+
+    def _offer_all(self, *found: ConfigEnvelope | None) -> None:
+        # The greatest goes first, so that none comes into force for a moment only.
+        envelopes = [envelope for envelope in found if envelope is not None]
+        for envelope in sorted(envelopes, key=lambda one: one.revision, reverse=True):
+            self.offer(envelope)
 
     async def _watch_forever(self, store: KeyValueStore) -> None:
         while True:
@@ -211,11 +224,11 @@
             async with asyncio.timeout(READ_TIMEOUT_S):
                 value = await store.get(CURRENT_KEY)
             if value is not None:
-                self._take_stored(value.value)
+                self._offer_all(self._stored(value.value))
             events = store.watch(CURRENT_KEY, value.revision if value else 0)
             async for event in until_silent(events, WATCH_RENEW_S):
                 if event.key == CURRENT_KEY and event.value is not None:
-                    self._take_stored(event.value)
+                    self._offer_all(self._stored(event.value))
         except (GodwitpathError, TimeoutError):
             self.counts["watches_ended"] += 1
 
@@ -223,7 +236,7 @@
         while True:
             await asyncio.sleep(REREAD_INTERVAL_S * self._rng.uniform(0.8, 1.0))
             if self._watcher():
-                await self._read()
+                self._offer_all(await self._read())
 
     # Peers.
 
@@ -269,18 +282,16 @@
                 sender = max(self._behind, key=lambda name: self._behind[name])
                 revision = self._behind.pop(sender)
                 if revision > self.revision:
-                    await self._pull(sender)
+                    self._offer_all(await self._pull(sender))
 
-    async def _pull(self, entry_id: str) -> None:
+    async def _pull(self, entry_id: str) -> ConfigEnvelope | None:
         self.counts["pulls"] += 1
         try:
             message = ConfigPull(self.revision)
             reply = await self._transport.request(entry_id, message, PULL_TIMEOUT_S)
         except PeerUnreachable:
             self.counts["failed_pulls"] += 1
-            return
+            return None
         if not isinstance(reply, ConfigReply) or not reply.packed:
-            return
-        envelope = unpack(reply.packed)
-        if envelope is not None:
-            self.offer(envelope)
+            return None
+        return unpack(reply.packed)
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -83,6 +83,7 @@
         self._silent_helpers = 0
         self._indirect: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._met = asyncio.Event()
         self._callbacks: list[Callback] = []
         self._revision_callbacks: list[RevisionCallback] = []
         self.exchange = Exchange(transport, self._reachable, rng)
@@ -120,6 +121,15 @@
         if peer.entry_id not in self._members:
             self._transport.connect(peer)
 
+    async def wait_for_others(self, timeout_s: float) -> None:
+        """Wait until another entry was heard of, at most for a time; not without seeds."""
+        if not self._seeds:
+            return
+        try:
+            await asyncio.wait_for(self._met.wait(), timeout_s)
+        except TimeoutError:
+            return
+
     async def leave(self) -> None:
         """Tell the other entries that this one stops taking new work."""
         await self._tell_own_state("leaving")
@@ -234,6 +244,7 @@
             self.counts["gone"] += 1
         else:
             self._gone_at_s.pop(member.entry_id, None)
+        self._met.set()
         self._transport.connect(_peer(member))
         self._spread(member, fact.from_itself)
         self._changed(member)
--- a/test/peer_fleet.py
+++ b/test/peer_fleet.py
@@ -58,6 +58,9 @@
         self.config.on_change(lambda env, _: self.revisions.append(env.revision))
         self.tasks: list[asyncio.Task[None]] = []
 
+        if store is None:
+            self.config.offer(envelope(1))
+
     def start(self) -> None:
         """Run everything."""
         runs = (self.membership.run(), self.feed.run(), self.config.run())
