Command line, examples and schemas

Commands for configuration, planned stops, status, state, explanations and keys; errors become exit codes in one place.

--- a/godwitpath/commands/__init__.py
+++ b/godwitpath/commands/__init__.py
@@ -1,33 +1,29 @@
-"""The command line: one module a command, put together here.
-
-This is the only place that catches :class:`godwitpath.errors.GodwitpathError`.
-"""
+"""The command line: one module a command, put together here."""
 
 from __future__ import annotations
 
-import sys
-
 import typer
 
-from godwitpath.commands import serve, version
-from godwitpath.errors import GodwitpathError
-
-EXIT_WRONG_INPUT = 2
-"""Exit code when a file, an argument or the state of the system forbids the command."""
+from godwitpath.commands import config, explain, keys, serve, state, status, stop, version
+from godwitpath.commands.console import ErrorsAsExitCodes
 
 app = typer.Typer(
     name="godwitpath",
+    cls=ErrorsAsExitCodes,
     help="Serves language-model applications and companion services.",
     no_args_is_help=True,
+    pretty_exceptions_show_locals=False,
 )
 app.command("serve")(serve.serve)
+app.add_typer(config.app, name="config", no_args_is_help=True)
+app.add_typer(stop.app, name="stop", no_args_is_help=True)
+app.command("status")(status.status)
+app.command("state")(state.state)
+app.command("explain")(explain.explain)
+app.add_typer(keys.app, name="keys", no_args_is_help=True)
 app.command("version")(version.version)
 
 
 def main() -> None:
-    """Run the command line and turn errors meant for people into an exit code."""
-    try:
-        app()
-    except GodwitpathError as error:
-        typer.echo(str(error), err=True)
-        sys.exit(EXIT_WRONG_INPUT)
+    """Run the command line; errors meant for people become exit codes."""
+    app()
--- /dev/null
+++ b/godwitpath/commands/console.py
@@ -0,0 +1,135 @@
+"""What the commands share: output for people or programs, and errors turned into exit codes."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import sys
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+from typer.core import TyperGroup
+
+from godwitpath.commands.exit_codes import exit_code
+from godwitpath.errors import FindingsError, GodwitpathError
+
+_JSON_KEY = "godwitpath.json"
+
+
+def _note_json(context: typer.Context, value: bool) -> bool:
+    if value:
+        context.find_root().meta[_JSON_KEY] = True
+    return value
+
+
+JsonOption = Annotated[
+    bool,
+    typer.Option("--json", help="Print JSON for programs.", callback=_note_json, is_eager=True),
+]
+
+
+class UnreadableFile(GodwitpathError):
+    """A file cannot be read."""
+
+
+class ErrorsAsExitCodes(TyperGroup):
+    """The top group: prints errors meant for people and exits with their code."""
+
+    def invoke(self, ctx: Any) -> Any:
+        """Run a command."""
+        try:
+            return super().invoke(ctx)
+        except GodwitpathError as error:
+            report(error, as_json=bool(ctx.meta.get(_JSON_KEY)))
+            raise typer.Exit(exit_code(error)) from error
+        except ExceptionGroup as group:
+            meant, others = group.split(GodwitpathError)
+            if meant is None or others is not None:
+                raise
+            leaves = list(_leaves(meant))
+            for leaf in leaves:
+                report(leaf, as_json=bool(ctx.meta.get(_JSON_KEY)))
+            raise typer.Exit(max(map(exit_code, leaves))) from group
+
+
+def _leaves(group: BaseExceptionGroup[Any]) -> Iterable[BaseException]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
+
+
+def report(error: BaseException, as_json: bool) -> None:
+    """Print an error to standard error."""
+    if as_json:
+        typer.echo(json.dumps(error_fields(error), ensure_ascii=False), err=True)
+    elif isinstance(error, FindingsError):
+        _report_findings(error)
+    else:
+        typer.secho(f"error: {error}", fg=typer.colors.RED, err=True)
+
+
+def error_fields(error: BaseException) -> dict[str, Any]:
+    """Return an error for programs."""
+    fields: dict[str, Any] = {"error": type(error).__name__, "message": str(error)}
+    if isinstance(error, FindingsError):
+        fields["source"] = error.source
+        fields["findings"] = [dataclasses.asdict(item) for item in error.findings]
+    return fields
+
+
+def _report_findings(error: FindingsError) -> None:
+    for finding in error.findings:
+        place = f"{error.source}:{finding.line}:{finding.column}" if finding.line else error.source
+        typer.echo(f"{typer.style(place, bold=True)}: {finding.pointer or '/'}", err=True)
+        typer.secho(f"    {finding.message}", fg=typer.colors.RED, err=True)
+        if finding.hint:
+            typer.echo(f"    hint: {finding.hint}", err=True)
+    count = len(error.findings)
+    typer.echo(f"{count} finding{'s' if count != 1 else ''}", err=True)
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a file; `-` stands for standard input.
+
+    :raises UnreadableFile: it cannot be read
+    """
+    try:
+        return sys.stdin.read() if str(path) == "-" else path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise UnreadableFile(f"cannot read {path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise UnreadableFile(f"cannot read {path}: it is not UTF-8 text") from error
+
+
+def print_json(value: Any) -> None:
+    """Print a value as JSON."""
+    typer.echo(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_table(rows: Iterable[Mapping[str, Any]]) -> None:
+    """Print rows as aligned columns; the first row's names are the head."""
+    shown = [{name: _cell(value) for name, value in row.items()} for row in rows]
+    if not shown:
+        return
+    names = list(shown[0])
+    widths = {name: max(len(name), *(len(row.get(name, "")) for row in shown)) for name in names}
+    head = "  ".join(name.upper().ljust(widths[name]) for name in names)
+    typer.secho(head.rstrip(), bold=True)
+    for row in shown:
+        line = "  ".join(row.get(name, "").ljust(widths[name]) for name in names)
+        typer.echo(line.rstrip())
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return ",".join(map(_cell, value)) or "-"
+    if isinstance(value, dict):
+        return json.dumps(value, ensure_ascii=False)
+    return "-" if value in (None, "") else str(value)
--- /dev/null
+++ b/godwitpath/commands/explain.py
@@ -0,0 +1,79 @@
+"""The command that tells the story of a request, a refusal or a configuration change."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import Annotated
+
+import msgspec
+import typer
+
+from godwitpath.commands.console import JsonOption, print_json
+from godwitpath.commands.exit_codes import EntryUnreachable, NotFound
+from godwitpath.commands.operator_client import (
+    DEFAULT_ENTRY,
+    EntryOption,
+    OperatorKeyOption,
+    ask_entry,
+    path_part,
+)
+from godwitpath.errors import GodwitpathError
+from godwitpath.explain.record import DecisionRecord, Story
+
+
+def explain(
+    subject_id: Annotated[
+        str, typer.Argument(help="Request identifier, or configuration/REVISION.")
+    ],
+    around: Annotated[
+        str, typer.Option(help="When it happened, such as 2026-03-01T14:00; speeds the search.")
+    ] = "",
+    entry: EntryOption = DEFAULT_ENTRY,
+    operator_key: OperatorKeyOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Tell what was decided about a request or a configuration change, and why.
+
+    Any entry can be asked, also when the one that decided is gone.
+
+    Example: godwitpath explain req-5f0c... --around 2026-03-01T14:00
+    """
+    query = f"?around_s={_seconds(around):.0f}" if around else ""
+    answer = ask_entry(entry, operator_key, f"/admin/explain/{path_part(subject_id)}{query}")
+    try:
+        story = msgspec.convert(answer, Story)
+    except msgspec.ValidationError as error:
+        raise EntryUnreachable(f"the entry's answer is not a story: {error}") from error
+    if json_output:
+        print_json(story)
+    elif story.records:
+        _print_story(story)
+    if not story.records:
+        note = f" ({story.note})" if story.note else ""
+        raise NotFound(f"nothing is known of {subject_id}{note}")
+
+
+def _seconds(text: str) -> float:
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError as error:
+        raise GodwitpathError(f"--around: {text} is not a time in RFC 3339 form") from error
+    return (moment if moment.tzinfo else moment.replace(tzinfo=UTC)).timestamp()
+
+
+def _print_story(story: Story) -> None:
+    typer.secho(story.subject_id, bold=True)
+    for record in story.records:
+        _print_record(record)
+    if not story.complete:
+        typer.secho(f"incomplete: {story.note}", fg=typer.colors.YELLOW)
+
+
+def _print_record(record: DecisionRecord) -> None:
+    moment = datetime.fromtimestamp(record.at, UTC).isoformat(timespec="milliseconds")
+    account = f" for {record.account}" if record.account else ""
+    typer.echo(f"{moment}  {record.entry_id}  {record.kind}{account}: {record.chosen}")
+    for name, value in record.known.items():
+        typer.echo(f"    known: {name} = {value}")
+    for alternative in record.alternatives:
+        typer.echo(f"    also possible: {alternative}")
--- /dev/null
+++ b/godwitpath/commands/platform_store.py
@@ -0,0 +1,69 @@
+"""Access of the commands to the key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from importlib import import_module
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import typer
+
+from godwitpath.commands.console import read_text
+from godwitpath.errors import GodwitpathError
+from godwitpath.ports.kv import KeyValueStore
+from godwitpath.settings import load_settings
+
+T = TypeVar("T")
+
+TIMEOUT_S = 5.0
+
+StoreOption = Annotated[
+    str,
+    typer.Option(
+        "--store", envvar="GODWITPATH_STORE", help="Base URL of the platform's key-value service."
+    ),
+]
+SettingsOption = Annotated[
+    Path | None,
+    typer.Option("--settings", help="Settings file to take the address from instead."),
+]
+
+
+class StoreNotNamed(GodwitpathError):
+    """The command needs the key-value service and was not told where it is."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "where is the key-value service? give --store URL, --settings FILE"
+            " or the environment variable GODWITPATH_STORE"
+        )
+
+
+def open_store(url: str, settings_file: Path | None) -> KeyValueStore:
+    """Return the key-value service that the options name.
+
+    :raises StoreNotNamed: they name none
+    """
+    # Imported here, since most commands never speak to the store.
+    adapter = import_module("godwitpath.adapters.kv_http")
+
+    if not url and settings_file is not None:
+        settings = load_settings(str(settings_file), read_text(settings_file))
+        url = settings.platform.key_value_url
+    if not url:
+        raise StoreNotNamed
+    store: KeyValueStore = adapter.HttpKeyValueStore(url, TIMEOUT_S)
+    return store
+
+
+def with_store(
+    url: str, settings_file: Path | None, work: Callable[[KeyValueStore], Awaitable[T]]
+) -> T:
+    """Run work on the key-value service that the options name and return its result."""
+
+    async def run() -> T:
+        return await work(open_store(url, settings_file))
+
+    return asyncio.run(run())
--- a/godwitpath/commands/serve.py
+++ b/godwitpath/commands/serve.py
@@ -8,6 +8,7 @@
 
 import typer
 
+from godwitpath.commands.console import read_text
 from godwitpath.settings import load_settings
 
 
@@ -18,7 +19,8 @@
 
     Example: godwitpath serve --settings entry-1.json
     """
+    loaded = load_settings(str(settings), read_text(settings))
+    # Imported after the settings are known to be sound, so that a finding is shown at once.
     from godwitpath.entry.daemon import run_daemon
 
-    text = settings.read_text(encoding="utf-8")
-    asyncio.run(run_daemon(load_settings(str(settings), text)))
+    asyncio.run(run_daemon(loaded))
--- /dev/null
+++ b/godwitpath/config/schema.py
@@ -0,0 +1,33 @@
+"""JSON Schemas of the configuration and of a process's settings, for editors."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from godwitpath.config.model import Configuration
+from godwitpath.settings import ProcessSettings
+
+_DIALECT = "https://json-schema.org/draft/2020-12/schema"
+
+
+def configuration_schema() -> dict[str, Any]:
+    """Return the JSON Schema of a configuration."""
+    return _schema(Configuration, "Configuration of godwitpath")
+
+
+def settings_schema() -> dict[str, Any]:
+    """Return the JSON Schema of the settings of one process."""
+    return _schema(ProcessSettings, "Settings of a godwitpath process")
+
+
+def schema_text(schema: dict[str, Any]) -> str:
+    """Return a schema as it is committed."""
+    return json.dumps(schema, indent=2) + "\n"
+
+
+def _schema(kind: type[Any], title: str) -> dict[str, Any]:
+    schema = TypeAdapter(kind).json_schema()
+    return {"$schema": _DIALECT, **schema, "title": title}
--- a/godwitpath/config/submit.py
+++ b/godwitpath/config/submit.py
@@ -131,6 +131,15 @@
     return decode_envelope(stored.value) if stored else None
 
 
+async def kept_envelope(store: KeyValueStore, revision: int) -> ConfigEnvelope | None:
+    """Return an accepted configuration by its revision, None when there was none."""
+    current = await current_envelope(store)
+    if current is not None and current.revision == revision:
+        return current
+    kept = await store.get(history_key(revision))
+    return decode_envelope(kept.value) if kept else None
+
+
 async def history(store: KeyValueStore) -> list[ConfigEnvelope]:
     """Return every accepted configuration, the oldest first."""
     envelopes: list[ConfigEnvelope] = []
