--- /dev/null
+++ b/godwitpath/entry/accept.py
@@ -0,0 +1,149 @@
+"""Acceptance of generations: known keys, limits, admission, the record and its copy."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+from godwitpath.config.model import Service
+from godwitpath.entry.caller_body import GenerationRequest
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.gate import AdmissionGate
+from godwitpath.entry.generate import GenerationRunner, priority_level
+from godwitpath.entry.refusals import CallerError
+from godwitpath.records.record import RecordRef, RequestRecord
+
+
+class Acceptance:
+    """Turns requests into records that are worked on, or refuses them."""
+
+    __slots__ = ("_context", "_gate", "_runner")
+
+    def __init__(
+        self, context: EntryContext, runner: GenerationRunner, gate: AdmissionGate
+    ) -> None:
+        self._context = context
+        self._runner = runner
+        self._gate = gate
+
+    async def known(self, account: str, key: str, digest: str) -> RecordRef | None:
+        """Return the request that an account made under a key before, if it is still known.
+
+        :raises CallerError: the key was used with another body
+        """
+        ref = _same_body(await self._context.records.find(account, key=key), digest)
+        if ref is None or ref.state != "finished":
+            return ref
+        # A request that ended without an answer may be made again under its key.
+        outcome = await self._context.records.outcome(ref)
+        return ref if not outcome.reason or outcome.ran == "unknown" else None
+
+    async def generation(
+        self, record: RequestRecord, asked: GenerationRequest, service: Service
+    ) -> RecordRef:
+        """Accept a generation and start it.
+
+        :raises CallerError: refused
+        """
+        key = record.idempotency_key
+        if key:
+            earlier = await self._claim_key(record)
+            if earlier is not None:
+                return earlier
+        try:
+            await self._admit(record, asked, service)
+        except CallerError:
+            if key:
+                await self._context.records.release_key(record.account, key, record.request_id)
+            raise
+        return local_ref(record)
+
+    def limit(self, account: str, tokens: int) -> None:
+        """Take a call from its account's rates.
+
+        :raises CallerError: the account is over them
+        """
+        spec = self._context.configuration().accounts[account]
+        refusal = self._context.limiter.take(account, spec, tokens, now_s())
+        if refusal is not None:
+            raise CallerError("rate_limited", refusal.reason, retry_after_s=refusal.retry_after_s)
+
+    async def _claim_key(self, record: RequestRecord) -> RecordRef | None:
+        ref = await self._context.records.claim_key(
+            record.account, record.idempotency_key, record.body_digest, record.request_id
+        )
+        return _same_body(ref, record.body_digest)
+
+    async def _admit(
+        self, record: RequestRecord, asked: GenerationRequest, service: Service
+    ) -> None:
+        context = self._context
+        generation = self._runner.prepare(record, asked.max_tokens, service)
+        self.limit(record.account, generation.prompt_tokens + generation.max_tokens)
+        digest = hashlib.sha256(f"{record.account} {record.body_digest}".encode()).hexdigest()
+        choice = await self._gate.enter(generation, digest)
+        context.metrics.accepted.add(1, service=record.service, kind=record.kind)
+        # Running a generation twice costs tokens only, so it starts while the copy travels; the
+        # caller hears of the acceptance after the backup has it.
+        copied = asyncio.create_task(context.records.accept(record))
+        self._runner.start(generation, choice)
+        if not await copied:
+            context.metrics.degraded.add(1)
+
+
+def new_generation_record(
+    request_id: str,
+    account: str,
+    key: str,
+    raw: bytes,
+    asked: GenerationRequest,
+    service: Service,
+    account_priority: str,
+    timeout_s: float,
+) -> RequestRecord:
+    """Return the record of a generation that is not accepted yet."""
+    asked_priority = asked.body.get("priority")
+    return RequestRecord(
+        request_id=request_id,
+        account=account,
+        service=asked.service,
+        kind="chat" if asked.chat else "completion",
+        idempotency_key=key,
+        body=raw,
+        body_digest=generation_digest(raw, asked.chat),
+        priority=priority_level(account_priority, str(asked_priority)),
+        streamed=asked.streamed,
+        timeout_s=timeout_s,
+        keep_outcome_s=service.keep_outcome_s,
+    )
+
+
+def generation_digest(raw: bytes, chat: bool) -> str:
+    """Return the digest that two generations under one idempotency key must share."""
+    return hashlib.sha256(b"chat\n" + raw if chat else b"completion\n" + raw).hexdigest()
+
+
+def local_ref(record: RequestRecord) -> RecordRef:
+    """Return the reference of a record that this process holds."""
+    return RecordRef(
+        account=record.account,
+        request_id=record.request_id,
+        holder=record.holder,
+        epoch=record.epoch,
+        idempotency_key=record.idempotency_key,
+        body_digest=record.body_digest,
+        service=record.service,
+        kind=record.kind,
+        streamed=record.streamed,
+        state=record.state,
+        tokens=record.tokens,
+        record=record,
+    )
+
+
+def _same_body(ref: RecordRef | None, digest: str) -> RecordRef | None:
+    if ref is not None and ref.body_digest and ref.body_digest != digest:
+        raise CallerError(
+            "idempotency_key_reused", "the idempotency key was used with another request"
+        )
+    return ref
--- /dev/null
+++ b/godwitpath/entry/caller_app.py
@@ -0,0 +1,175 @@
+"""HTTP application for callers: generations, plain services and requests asked for again."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from godwitpath.entry.accept import Acceptance, generation_digest, new_generation_record
+from godwitpath.entry.caller_body import parse_generation
+from godwitpath.entry.context import EntryContext
+from godwitpath.entry.delivery import EventStream, plain_response, whole_response
+from godwitpath.entry.forward import Forwarder
+from godwitpath.entry.intake import (
+    asked_timeout_s,
+    check_allowed,
+    check_taking,
+    idempotency_key,
+    identify,
+    last_event_tokens,
+    read_body,
+    service_named,
+)
+from godwitpath.entry.plain_calls import FORWARDED_METHODS, PlainCalls
+from godwitpath.entry.refusals import CallerError, error_response
+from godwitpath.entry.vanished import VanishedCallers
+from godwitpath.records.record import RecordRef
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class CallerApp:
+    """The handlers of the caller address."""
+
+    __slots__ = ("_acceptance", "_context", "_plain_calls", "_vanished")
+
+    def __init__(
+        self,
+        context: EntryContext,
+        acceptance: Acceptance,
+        forwarder: Forwarder,
+        vanished: VanishedCallers,
+    ) -> None:
+        self._context = context
+        self._acceptance = acceptance
+        self._plain_calls = PlainCalls(context, acceptance, forwarder)
+        self._vanished = vanished
+
+    def application(self) -> Starlette:
+        """Return the ASGI application."""
+        handlers: list[tuple[str, Handler, list[str]]] = [
+            ("/v1/chat/completions", self._chat, ["POST"]),
+            ("/v1/completions", self._completion, ["POST"]),
+            ("/v1/models", self._models, ["GET"]),
+            ("/v1/requests/{request_id}", self._request, ["GET"]),
+            ("/v1/requests/{request_id}/events", self._request_events, ["GET"]),
+            ("/services/{name}{path:path}", self._plain_calls.answer, FORWARDED_METHODS),
+        ]
+        routes = [Route(path, self._typed(handler), methods=m) for path, handler, m in handlers]
+        return Starlette(routes=routes, exception_handlers={HTTPException: self._no_such_path})
+
+    def _typed(self, handler: Handler) -> Handler:
+        """Return a handler whose every error is a typed answer with a request id."""
+
+        async def handle(request: Request) -> Response:
+            request.state.request_id = self._context.records.new_request_id("")
+            request.state.account = ""
+            try:
+                return await handler(request)
+            except CallerError as error:
+                self._context.story.refused(error, request.state.request_id, request.state.account)
+                return error_response(error, request.state.request_id)
+            except Exception as error:
+                # The last guard before the caller: whatever broke, the answer is typed.
+                self._context.story.broke(error, request.state.request_id)
+                unknown = CallerError("internal_error", "the entry failed", ran="unknown")
+                return error_response(unknown, request.state.request_id)
+
+        return handle
+
+    async def _no_such_path(self, _request: Request, error: Exception) -> Response:
+        request_id = self._context.records.new_request_id("")
+        detail = error.detail if isinstance(error, HTTPException) else ""
+        return error_response(CallerError("unknown_path", detail or "no such path"), request_id)
+
+    async def _chat(self, request: Request) -> Response:
+        return await self._generation(request, chat=True)
+
+    async def _completion(self, request: Request) -> Response:
+        return await self._generation(request, chat=False)
+
+    async def _generation(self, request: Request, chat: bool) -> Response:
+        context = self._context
+        account_name = identify(context, request)
+        configuration = context.configuration()
+        key = idempotency_key(request)
+        request.state.request_id = context.records.new_request_id(account_name, key)
+        limit_bytes = max(service.max_body_bytes for service in configuration.services.values())
+        raw = await read_body(request, limit_bytes, context.settings.caller.header_timeout_s)
+        asked = parse_generation(raw, chat)
+        service = service_named(configuration, asked.service, "generation")
+        account = configuration.accounts[account_name]
+        check_allowed(account, asked.service)
+        if len(raw) > service.max_body_bytes:
+            raise CallerError("body_too_large", f"the body may have {service.max_body_bytes} bytes")
+        after_tokens = last_event_tokens(request)
+        timeout_s = asked_timeout_s(request, service)
+        ref = None
+        if key:
+            digest = generation_digest(raw, chat)
+            ref = await self._acceptance.known(account_name, key, digest)
+        if ref is None:
+            check_taking(context)
+            record = new_generation_record(
+                request.state.request_id,
+                account_name,
+                key,
+                raw,
+                asked,
+                service,
+                account.priority,
+                timeout_s,
+            )
+            ref = await self._acceptance.generation(record, asked, service)
+        return await self._deliver(ref, asked.streamed, after_tokens, asked.include_usage)
+
+    async def _deliver(
+        self, ref: RecordRef, streamed: bool, after_tokens: int, include_usage: bool
+    ) -> Response:
+        if not streamed:
+            return await whole_response(self._context, ref)
+        self._vanished.attached(ref)
+        return EventStream(self._context, ref, after_tokens, include_usage, self._vanished.detached)
+
+    async def _models(self, request: Request) -> Response:
+        account_name = identify(self._context, request)
+        configuration = self._context.configuration()
+        allowed = configuration.accounts[account_name].services
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "godwitpath"}
+            for name, service in configuration.services.items()
+            if service.kind == "generation" and (not allowed or name in allowed)
+        ]
+        body = msgspec.json.encode({"object": "list", "data": models})
+        return Response(body, media_type="application/json")
+
+    async def _find(self, request: Request) -> RecordRef:
+        account = identify(self._context, request)
+        request.state.account = account
+        asked_id = request.path_params["request_id"]
+        ref = await self._context.records.find(account, request_id=asked_id)
+        if ref is None:
+            raise CallerError("unknown_request", "no such request of this account is known")
+        return ref
+
+    async def _request(self, request: Request) -> Response:
+        ref = await self._find(request)
+        if ref.state != "finished" and request.query_params.get("wait") != "true":
+            state = {"id": ref.request_id, "state": ref.state, "tokens": ref.tokens}
+            return Response(msgspec.json.encode(state), 202, media_type="application/json")
+        if ref.kind == "plain":
+            outcome = await self._context.records.outcome(ref)
+            return plain_response(outcome, ref.request_id, replayed=True)
+        return await whole_response(self._context, ref)
+
+    async def _request_events(self, request: Request) -> Response:
+        ref = await self._find(request)
+        if ref.kind == "plain":
+            raise CallerError("unknown_request", "only generations have events")
+        return await self._deliver(ref, True, last_event_tokens(request), False)
--- /dev/null
+++ b/godwitpath/entry/context.py
@@ -0,0 +1,96 @@
+"""The parts of an entry daemon that requests are served with."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from godwitpath.config.model import Configuration
+from godwitpath.config_sync.in_force import ConfigInForce
+from godwitpath.entry.counters import EntryMetrics
+from godwitpath.entry.refusals import CallerError
+from godwitpath.entry.story import Storyteller
+from godwitpath.execution.guard import ExecutionGuard
+from godwitpath.explain.journal import Journal
+from godwitpath.limits.limiter import AccountLimiter
+from godwitpath.membership.swim import Membership
+from godwitpath.ports.engine import Engine
+from godwitpath.ports.service import PlainService
+from godwitpath.records.store import RecordStore
+from godwitpath.recovery.mover import CacheMover
+from godwitpath.retries.budget import RetryBudget
+from godwitpath.routing.book import LoadBook
+from godwitpath.security.keys import AccountIndex
+from godwitpath.settings import ProcessSettings
+from godwitpath.upstreams.table import UpstreamTable
+
+NOT_READY_RETRY_S = 2.0
+"""When to come back to an entry that has no configuration yet."""
+
+
+@dataclass(slots=True)
+class EntryContext:
+    """Everything that serving a request needs.
+
+    :ivar budgets: retry budget by service
+    :ivar tasks: running background work, kept so that it is not garbage collected
+    :ivar dumps: state dump of each part by name
+    :ivar leaving: whether the entry told its peers and the balancer that it leaves
+    :ivar stopping: whether the entry takes no new requests
+    """
+
+    settings: ProcessSettings
+    config: ConfigInForce
+    membership: Membership
+    upstreams: UpstreamTable
+    records: RecordStore
+    guard: ExecutionGuard
+    engine: Engine
+    plain: PlainService
+    book: LoadBook
+    limiter: AccountLimiter
+    mover: CacheMover
+    journal: Journal
+    metrics: EntryMetrics
+    story: Storyteller
+    rng: random.Random
+    accounts: AccountIndex | None = None
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    dumps: dict[str, Callable[[], object]] = field(default_factory=dict)
+    leaving: bool = False
+    stopping: bool = False
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force.
+
+        :raises CallerError: there is none yet
+        """
+        current = self.config.current
+        if current is None:
+            raise CallerError("not_ready", "no configuration yet", retry_after_s=NOT_READY_RETRY_S)
+        return current
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.configuration().services[service].retry_ratio)
+            self.budgets[service] = budget
+        return budget
+
+    def new_id(self) -> str:
+        """Return a random identifier of 128 bits in hexadecimal form."""
+        return f"{self.rng.getrandbits(128):032x}"
+
+    def spawn(self, work: asyncio.Task[None]) -> None:
+        """Keep a background task until it ends."""
+        self.tasks.add(work)
+        work.add_done_callback(self.tasks.discard)
+
+
+def now_s() -> float:
+    """Return the running loop's time."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/godwitpath/entry/counters.py
@@ -0,0 +1,63 @@
+"""The metrics of serving requests."""
+
+from __future__ import annotations
+
+from godwitpath.telemetry.metrics import Metrics
+
+
+class EntryMetrics:
+    """Instruments of one entry, under names of OpenTelemetry's conventions."""
+
+    __slots__ = (
+        "_metrics",
+        "abandoned",
+        "accepted",
+        "answered",
+        "attempts",
+        "attempts_lost",
+        "between_tokens_s",
+        "cached_tokens",
+        "cancelled",
+        "degraded",
+        "first_token_s",
+        "foreign_chunks",
+        "internal_errors",
+        "moved",
+        "prompt_tokens",
+        "recomputed_tokens",
+        "refused",
+        "tokens",
+        "unsettled",
+    )
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        count = metrics.counter
+        self.accepted = count("godwitpath.requests.accepted", "{request}", "Requests accepted.")
+        self.answered = count("godwitpath.requests.answered", "{request}", "Outcomes reached.")
+        self.refused = count("godwitpath.requests.refused", "{request}", "Requests refused.")
+        self.degraded = count("godwitpath.requests.alone", "{request}", "Accepted without backup.")
+        self.attempts = count("godwitpath.attempts", "{attempt}", "Attempts sent upstream.")
+        self.attempts_lost = count("godwitpath.attempts.lost", "{attempt}", "Attempts that failed.")
+        self.moved = count("godwitpath.attempts.moved", "{attempt}", "Moved off leaving upstreams.")
+        self.foreign_chunks = count("godwitpath.chunks.foreign", "{chunk}", "Of other attempts.")
+        self.tokens = count("godwitpath.tokens.generated", "{token}", "Tokens received.")
+        self.prompt_tokens = count("godwitpath.tokens.prompt", "{token}", "Prompt tokens.")
+        self.cached_tokens = count("godwitpath.tokens.cached", "{token}", "From engines' caches.")
+        self.recomputed_tokens = count(
+            "godwitpath.tokens.recomputed", "{token}", "Computed again after an attempt was lost."
+        )
+        self.abandoned = count("godwitpath.requests.abandoned", "{request}", "Callers gone.")
+        self.cancelled = count("godwitpath.requests.cancelled", "{request}", "Stopped unheard.")
+        self.unsettled = count("godwitpath.calls.unsettled", "{call}", "Outcomes not known.")
+        self.internal_errors = count("godwitpath.errors.internal", "{error}", "Errors of our own.")
+        self.first_token_s = metrics.histogram(
+            "godwitpath.first_token.duration", "s", "Time from acceptance to the first token."
+        )
+        self.between_tokens_s = metrics.histogram(
+            "godwitpath.between_tokens.duration", "s", "Mean time between tokens of an answer."
+        )
+
+    def render(self) -> tuple[bytes, str]:
+        """Return all metrics in the text form of Prometheus, and its content type."""
+        return self._metrics.render()
--- a/godwitpath/entry/daemon.py
+++ b/godwitpath/entry/daemon.py
@@ -2,9 +2,268 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from godwitpath import __version__
+from godwitpath.adapters.engine_http import HttpEngine
+from godwitpath.adapters.kv_http import HttpKeyValueStore
+from godwitpath.adapters.platform_http import HttpCloud, HttpInstanceList
+from godwitpath.adapters.service_http import HttpPlainService
+from godwitpath.config.check import parse_configuration
+from godwitpath.config.envelope import ConfigEnvelope
+from godwitpath.config.model import Configuration
+from godwitpath.config_sync.in_force import ConfigInForce
+from godwitpath.entry.accept import Acceptance
+from godwitpath.entry.caller_app import CallerApp
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.counters import EntryMetrics
+from godwitpath.entry.drain import Drain
+from godwitpath.entry.evacuate import Evacuation
+from godwitpath.entry.forward import Forwarder
+from godwitpath.entry.gate import AdmissionGate
+from godwitpath.entry.generate import GenerationRunner
+from godwitpath.entry.journal_link import JournalLink
+from godwitpath.entry.load_poll import LoadPoll
+from godwitpath.entry.operator_app import operator_app
+from godwitpath.entry.server import HttpServer
+from godwitpath.entry.status_lookup import StatusLookup
+from godwitpath.entry.stop_news import StopNews
+from godwitpath.entry.story import Storyteller
+from godwitpath.entry.vanished import VanishedCallers
+from godwitpath.execution.guard import ExecutionGuard
+from godwitpath.explain.journal import Journal
+from godwitpath.limits.limiter import AccountLimiter
+from godwitpath.membership.member import Member
+from godwitpath.membership.swim import Membership
+from godwitpath.peers.zmq_transport import ZmqPeerTransport
+from godwitpath.ports.engine import Address
+from godwitpath.ports.peers import Peer
+from godwitpath.records.record import RequestRecord
+from godwitpath.records.store import RecordStore
+from godwitpath.recovery.mover import CacheMover
+from godwitpath.routing.book import LoadBook
+from godwitpath.security.keys import AccountIndex
 from godwitpath.settings import ProcessSettings
+from godwitpath.telemetry.logs import start_logging, state_change
+from godwitpath.telemetry.metrics import Metrics
+from godwitpath.upstreams.feed import UpstreamFeed
+from godwitpath.upstreams.table import Upstream, UpstreamTable
+
+
+class Daemon:
+    """One entry daemon, from its start to the end of its planned stop."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._rng = random.Random(settings.seed or None)
+        self._incarnation = self._rng.getrandbits(31)
+        platform = settings.platform
+        self._store = HttpKeyValueStore(platform.key_value_url, platform.timeout_s)
+        self._instances = HttpInstanceList(platform.instance_list_url, platform.timeout_s)
+        self._cloud = HttpCloud(platform.cloud_url, platform.timeout_s)
+        self._transport = ZmqPeerTransport(settings.entry_id, settings.peer, self._incarnation)
+        self._engine = HttpEngine()
+        self._plain = HttpPlainService()
+        self._work: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until told to stop, then drain."""
+        start_logging(sys.stderr, entry_id=self._settings.entry_id)
+        address = await self._transport.start()
+        context = self._context(address)
+        runner, forwarder, gate = self._serving(context)
+        vanished = VanishedCallers(context, runner)
+        caller_app = CallerApp(context, Acceptance(context, runner, gate), forwarder, vanished)
+        settings = self._settings
+        callers = HttpServer(
+            caller_app.application(),
+            settings.caller,
+            settings.caller.header_timeout_s,
+            settings.caller.tls,
+            settings.caller.max_connections,
+        )
+        operators = HttpServer(
+            operator_app(context), settings.operator, settings.caller.header_timeout_s
+        )
+        drain = Drain(context, lambda: runner.in_progress + forwarder.in_progress)
+        StopNews(drain, self._feed, context.membership, self._transport)
+        self._listen_for_stops(drain)
+        self._start_work(context)
+        await operators.start()
+        await callers.start()
+        self._announce(callers.address, operators.address, address)
+        await drain.asked.wait()
+        await drain.leave()
+        await drain.finish()
+        await callers.stop()
+        await context.membership.depart()
+        await operators.stop()
+        await self._close(context)
+
+    def _context(self, address: Address) -> EntryContext:
+        settings = self._settings
+        local = Member(
+            entry_id=settings.entry_id,
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+            address=address,
+            public_key=settings.peer.public_key,
+            incarnation=self._incarnation,
+        )
+        membership = Membership(local, self._transport, settings.membership, self._rng)
+        for seed in settings.seeds:
+            peer = Peer(seed.entry_id, Address(seed.host, seed.port), seed.public_key)
+            membership.add_seed(peer)
+        table = UpstreamTable()
+        self._feed = UpstreamFeed(
+            table, membership, self._rng, self._instances, self._cloud, self._store
+        )
+        config = ConfigInForce(self._store, self._transport, membership, _parse, self._rng)
+        metrics = EntryMetrics(Metrics(settings.entry_id, __version__))
+        journal = Journal(self._store, settings.entry_id, str(self._incarnation), self._rng)
+        self._journal_link = JournalLink(journal, membership, self._transport)
+        context = EntryContext(
+            settings=settings,
+            config=config,
+            membership=membership,
+            upstreams=table,
+            records=RecordStore(local, self._transport, membership.live, self._rng),
+            guard=ExecutionGuard(self._store, settings.entry_id, str(self._incarnation), self._rng),
+            engine=self._engine,
+            plain=self._plain,
+            book=LoadBook(),
+            limiter=AccountLimiter(settings.entry_id, self._rng),
+            mover=CacheMover(self._engine),
+            journal=journal,
+            metrics=metrics,
+            story=Storyteller(journal, metrics),
+            rng=self._rng,
+        )
+
+        def take(envelope: ConfigEnvelope, configuration: Configuration) -> None:
+            _take_configuration(context, envelope, configuration)
+
+        config.on_change(take)
+        membership.on_change(context.records.member_changed)
+        return context
+
+    def _serving(self, context: EntryContext) -> tuple[GenerationRunner, Forwarder, AdmissionGate]:
+        runner = GenerationRunner(context)
+        forwarder = Forwarder(context, StatusLookup(context, self._store))
+        gate = AdmissionGate(context, runner)
+        evacuation = Evacuation(context, runner)
+        runner.on_end = gate.left
+
+        async def adopt(record: RequestRecord) -> None:
+            await (forwarder if record.kind == "plain" else runner).adopt(record)
+
+        def upstream_changed(upstream: Upstream) -> None:
+            state_change("upstream", "", upstream.state, upstream_id=upstream.upstream_id)
+            evacuation.changed(upstream)
+            if upstream.state == "gone":
+                context.book.forget(upstream.upstream_id)
+
+        context.records.on_adopt = adopt
+        context.records.on_fenced = lambda record: runner.fenced(record.request_id)
+        context.upstreams.on_change(upstream_changed)
+        context.dumps.update(
+            admission=gate.dump,
+            config=context.config.dump,
+            limits=context.limiter.dump,
+            membership=context.membership.dump,
+            recovery=context.mover.dump,
+            execution=context.guard.dump,
+            feed=self._feed.dump,
+            peers=self._transport.dump,
+            records=context.records.dump,
+            retries=lambda: {name: budget.dump() for name, budget in context.budgets.items()},
+            routing=context.book.dump,
+        )
+        return runner, forwarder, gate
+
+    def _listen_for_stops(self, drain: Drain) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, drain.stop, signal.Signals(number).name)
+
+    def _start_work(self, context: EntryContext) -> None:
+        def live_names() -> list[str]:
+            return [member.entry_id for member in context.membership.live()]
+
+        self._work = [
+            asyncio.create_task(_kept_alive(name, work))
+            for name, work in {
+                "membership": context.membership.run,
+                "configuration": context.config.run,
+                "upstreams": self._feed.run,
+                "records": context.records.run,
+                "execution": context.guard.run,
+                "journal": context.journal.run,
+                "journal copies": self._journal_link.run,
+                "limits": lambda: context.limiter.run(self._transport, live_names),
+                "load": LoadPoll(context).run,
+            }.items()
+        ]
+
+    def _announce(self, callers: Address, operators: Address, peers: Address) -> None:
+        """Write where the entry listens, as one line on standard output."""
+        addresses = {
+            "entry_id": self._settings.entry_id,
+            "caller": str(callers),
+            "operator": str(operators),
+            "peer": str(peers),
+        }
+        sys.stdout.write(msgspec.json.encode(addresses).decode() + "\n")
+        sys.stdout.flush()
+
+    async def _close(self, context: EntryContext) -> None:
+        for task in [*self._work, *context.tasks]:
+            task.cancel()
+        await asyncio.gather(*self._work, *context.tasks, return_exceptions=True)
+        await self._transport.close()
+        await self._engine.close()
+        await self._plain.close()
+        await self._store.close()
+        await self._instances.close()
+        await self._cloud.close()
 
 
 async def run_daemon(settings: ProcessSettings) -> None:
-    """Run the daemon until it is stopped."""
-    raise NotImplementedError(settings.entry_id)
+    """Run an entry daemon until its planned stop is over."""
+    await Daemon(settings).run()
+
+
+async def _kept_alive(name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a part for ever; one that breaks is reported and started again."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            # A daemon that serves with one part ailing is worth more than none.
+            state_change("part", "running", "broken", part=name, error=repr(error))
+        await asyncio.sleep(PART_RESTART_S)
+
+
+PART_RESTART_S = 0.5
+"""Time before a broken part is started again."""
+
+
+def _parse(text: str) -> Configuration:
+    return parse_configuration("configuration", text)
+
+
+def _take_configuration(
+    context: EntryContext, envelope: ConfigEnvelope, configuration: Configuration
+) -> None:
+    context.journal.keep_s = configuration.explanation_keep_s
+    context.accounts = AccountIndex(configuration)
+    context.budgets.clear()
+    revision = str(envelope.revision)
+    state_change("configuration", "", "in force", revision=revision, at_s=round(now_s(), 3))
--- /dev/null
+++ b/godwitpath/entry/delivery.py
@@ -0,0 +1,130 @@
+"""Hands the answers of request records to callers, streamed or whole."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from godwitpath.entry.context import EntryContext
+from godwitpath.entry.openai_form import EventWriter, whole_body
+from godwitpath.entry.refusals import STATUS_BY_REASON, CallerError, error_body, error_response
+from godwitpath.records.record import Outcome, RecordRef
+
+CONTENT_TYPE_EVENTS = "text/event-stream; charset=utf-8"
+
+MESSAGE_BY_REASON: dict[str, str] = {
+    "outcome_unknown": "whether the call ran is not known",
+    "deadline_exceeded": "the request was not finished within its time",
+    "no_upstream": "no upstream could take the request",
+    "store_unavailable": "the platform's store cannot be reached, so the call was not sent",
+    "upstream_failed": "the upstream failed",
+    "cancelled": "the request was cancelled",
+    "overloaded": "the request could not be served within its latency target",
+}
+"""Text of each reason that an outcome may carry."""
+
+
+def outcome_error(outcome: Outcome) -> CallerError:
+    """Return the error that an outcome without an answer stands for."""
+    reason = outcome.reason if outcome.reason in STATUS_BY_REASON else "internal_error"
+    message = MESSAGE_BY_REASON.get(outcome.reason, outcome.reason)
+    return CallerError(reason, message, ran=outcome.ran, retry_after_s=outcome.retry_after_s)
+
+
+def plain_response(outcome: Outcome, request_id: str, replayed: bool = False) -> Response:
+    """Return the HTTP answer of a plain call's outcome."""
+    if outcome.reason:
+        return error_response(outcome_error(outcome), request_id)
+    response = Response(outcome.body, status_code=outcome.status)
+    for name, value in outcome.headers:
+        response.headers.append(name, value)
+    response.headers["x-request-id"] = request_id
+    if replayed:
+        response.headers["x-replayed"] = "true"
+    return response
+
+
+async def whole_response(context: EntryContext, ref: RecordRef) -> Response:
+    """Return the whole answer of a generation once it is finished."""
+    outcome = await context.records.outcome(ref)
+    if outcome.reason:
+        return error_response(outcome_error(outcome), ref.request_id)
+    pieces = [piece async for batch in context.records.follow(ref, 0) for piece in batch]
+    text = "".join(piece.text for piece in pieces)
+    tokens = sum(piece.tokens for piece in pieces)
+    body = whole_body(ref, outcome, text, tokens, int(time.time()))
+    headers = {"x-request-id": ref.request_id}
+    return Response(body, media_type="application/json", headers=headers)
+
+
+class EventStream(Response):
+    """A generation as server-sent events, from a token offset on.
+
+    :param on_gone: called when the caller's connection ends before the answer does
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        ref: RecordRef,
+        after_tokens: int,
+        include_usage: bool,
+        on_gone: Callable[[RecordRef], None],
+    ) -> None:
+        super().__init__(b"", media_type=CONTENT_TYPE_EVENTS)
+        self._context = context
+        self._ref = ref
+        self._after_tokens = after_tokens
+        self._writer = EventWriter(ref, int(time.time()), include_usage)
+        self._on_gone = on_gone
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the events; stops when the caller is gone."""
+        headers = [
+            (b"content-type", CONTENT_TYPE_EVENTS.encode()),
+            (b"cache-control", b"no-store"),
+            (b"x-request-id", self._ref.request_id.encode()),
+        ]
+        sending = asyncio.current_task()
+        gone = asyncio.create_task(_wait_gone(receive))
+        if sending is not None:
+            gone.add_done_callback(lambda done: done.cancelled() or sending.cancel())
+        try:
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            await self._send_events(send)
+            gone.cancel()
+        except asyncio.CancelledError:
+            if not gone.done() or gone.cancelled():
+                raise
+            # The caller went away; the stream is over, the request need not be.
+            if sending is not None:
+                sending.uncancel()
+        finally:
+            gone.cancel()
+            self._on_gone(self._ref)
+
+    async def _send_events(self, send: Send) -> None:
+        tokens = self._after_tokens
+        async for batch in self._context.records.follow(self._ref, self._after_tokens):
+            text = "".join(piece.text for piece in batch)
+            tokens += sum(piece.tokens for piece in batch)
+            await _send_part(send, self._writer.text(text, tokens))
+        outcome = await self._context.records.outcome(self._ref)
+        if outcome.reason:
+            body = error_body(outcome_error(outcome), self._ref.request_id)
+            await _send_part(send, self._writer.error(body), last=True)
+        else:
+            await _send_part(send, self._writer.end(outcome, tokens), last=True)
+
+
+async def _send_part(send: Send, body: bytes, last: bool = False) -> None:
+    await send({"type": "http.response.body", "body": body, "more_body": not last})
+
+
+async def _wait_gone(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- /dev/null
+++ b/godwitpath/entry/evacuate.py
@@ -0,0 +1,83 @@
+"""Takes generations off upstreams that are reclaimed."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.generate import Generation, GenerationRunner
+from godwitpath.recovery.move import MARGIN_S, MoveQuery, plan_move
+from godwitpath.routing.choose import NoUpstream, RouteChoice
+from godwitpath.upstreams.table import Upstream
+
+
+class Evacuation:
+    """Moves the generations of an upstream that goes, within its notice."""
+
+    __slots__ = ("_context", "_runner")
+
+    def __init__(self, context: EntryContext, runner: GenerationRunner) -> None:
+        self._context = context
+        self._runner = runner
+
+    def changed(self, upstream: Upstream) -> None:
+        """Bring the generations of an upstream that goes to another one."""
+        if upstream.state == "serving" or (
+            upstream.state == "leaving" and not upstream.leaving_deadline
+        ):
+            # A planned stop waits for all that is in progress.
+            return
+        for generation in self._runner.of_upstream(upstream.upstream_id):
+            if upstream.state == "gone" and generation.attempt is not None:
+                generation.attempt.cancel()
+            else:
+                self._context.spawn(asyncio.create_task(self._move(generation, upstream)))
+
+    async def _move(self, generation: Generation, upstream: Upstream) -> None:
+        """Take a generation off an engine that is reclaimed, within the notice."""
+        attempt = generation.attempt
+        try:
+            choice = self._runner.choose(generation, avoid=upstream.upstream_id)
+        except NoUpstream:
+            await asyncio.sleep(max(0.0, upstream.leaving_deadline - now_s() - MARGIN_S))
+            choice = None
+        if choice is not None:
+            plan = plan_move(self._move_query(generation, upstream, choice))
+            self._context.story.moved(generation.record, choice.upstream_id, plan)
+            if plan.kind == "finish":
+                await asyncio.sleep(max(0.0, upstream.leaving_deadline - now_s() - MARGIN_S))
+            elif plan.kind == "export":
+                await self._move_cache(generation, upstream, choice)
+        if attempt is not None and generation.attempt is attempt and not attempt.done():
+            generation.choice = choice
+            attempt.cancel()
+
+    def _move_query(
+        self, generation: Generation, upstream: Upstream, choice: RouteChoice
+    ) -> MoveQuery:
+        record = generation.record
+        target = self._context.upstreams.get(choice.upstream_id)
+        tokens_left = max(0, generation.max_tokens - record.tokens)
+        return MoveQuery(
+            notice_left_s=upstream.leaving_deadline - now_s(),
+            remaining_s=tokens_left * choice.predicted_between_tokens_s,
+            context_tokens=generation.prompt_tokens + record.tokens,
+            cached_tokens=choice.predicted_cached_tokens,
+            same_region=target is not None and target.region == upstream.region,
+            prices=self._context.configuration().prices,
+            cache_bytes_per_token=self._context.mover.bytes_per_token,
+        )
+
+    async def _move_cache(
+        self, generation: Generation, upstream: Upstream, choice: RouteChoice
+    ) -> None:
+        target = self._context.upstreams.get(choice.upstream_id)
+        if target is None or not generation.record.stream_id:
+            return
+        await self._context.mover.move(
+            upstream.address,
+            target.address,
+            generation.record.stream_id,
+            generation.prompt_tokens + generation.record.tokens,
+            billed=target.region != upstream.region,
+        )
--- /dev/null
+++ b/godwitpath/entry/forward.py
@@ -0,0 +1,288 @@
+"""Forwards calls to plain services: repeated where that is safe, at most once where it is not."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from godwitpath.config.model import Operation, Service
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.refusals import CallerError
+from godwitpath.entry.status_lookup import StatusLookup
+from godwitpath.errors import GodwitpathError
+from godwitpath.execution.record import BodyMismatch, Claim, ClaimRefused, ExecutionExists
+from godwitpath.ports.kv import StoreError
+from godwitpath.ports.service import (
+    ServiceAnswer,
+    ServiceCall,
+    ServiceError,
+    ServiceNotSent,
+    ServiceUncertain,
+)
+from godwitpath.records.record import Outcome, RequestRecord
+from godwitpath.retries.backoff import backoff_s
+from godwitpath.upstreams.table import Upstream
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+"""Methods that HTTP itself defines as idempotent (RFC 9110, 9.2.2)."""
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "authorization",
+        "idempotency-key",
+        "expect",
+    }
+)
+"""Headers that belong to one connection or to this system, never passed on."""
+
+NO_UPSTREAM_RETRY_S = 2.0
+"""When to come back to a plain service that has no serving upstream."""
+
+
+@dataclass(slots=True, frozen=True)
+class CallRule:
+    """How a call must be treated.
+
+    :ivar guarded: whether an execution record must precede it
+    :ivar repeatable: whether it may be sent again after it could have run
+    :ivar key_required: whether a call without an idempotency key is refused
+    :ivar status_path: path that tells what became of a key, empty for none
+    """
+
+    guarded: bool
+    repeatable: bool
+    key_required: bool
+    status_path: str = ""
+
+
+def call_rule(service: Service, method: str, path: str, key: str) -> CallRule:
+    """Return the rule of a call: the longest matching operation's, else that of its method."""
+    operation = _operation(service, method, path)
+    if operation is None:
+        safe = method in SAFE_METHODS
+        return CallRule(guarded=bool(key) and not safe, repeatable=safe, key_required=False)
+    if operation.idempotent:
+        return CallRule(guarded=False, repeatable=True, key_required=False)
+    return CallRule(True, False, True, operation.status_path)
+
+
+def _operation(service: Service, method: str, path: str) -> Operation | None:
+    bare = path.partition("?")[0]
+    matching = [
+        operation
+        for operation in service.operations
+        if operation.method.upper() == method and _covers(operation.path, bare)
+    ]
+    return max(matching, key=lambda operation: len(operation.path), default=None)
+
+
+def _covers(prefix: str, path: str) -> bool:
+    stem = prefix.rstrip("/")
+    return path == stem or path.startswith(stem + "/")
+
+
+class Forwarder:
+    """Carries accepted calls of plain services to their outcome."""
+
+    __slots__ = ("_context", "_lookup", "_next", "in_progress")
+
+    def __init__(self, context: EntryContext, lookup: StatusLookup) -> None:
+        self._context = context
+        self._lookup = lookup
+        self._next = 0
+        self.in_progress = 0
+
+    def choose(self, service_name: str, tried: set[str]) -> Upstream:
+        """Return the next serving upstream of a service, those of the own region first.
+
+        :raises CallerError: none serves
+        """
+        serving = self._context.upstreams.serving(service_name)
+        fresh = [upstream for upstream in serving if upstream.upstream_id not in tried]
+        candidates = fresh or serving
+        if not candidates:
+            raise CallerError(
+                "no_upstream",
+                f"no upstream of {service_name} is serving",
+                retry_after_s=NO_UPSTREAM_RETRY_S,
+            )
+        region = self._context.settings.region
+        near = [upstream for upstream in candidates if upstream.region == region] or candidates
+        self._next += 1
+        return near[self._next % len(near)]
+
+    def start(self, record: RequestRecord, rule: CallRule) -> None:
+        """Carry a call in the background until it has an outcome."""
+        self._context.spawn(asyncio.create_task(self._run(record, rule)))
+
+    async def adopt(self, record: RequestRecord) -> None:
+        """Settle a call that another entry had."""
+        self._context.story.adopted(record)
+        service = self._context.configuration().services[record.service]
+        rule = call_rule(service, record.method, record.path, record.idempotency_key)
+        if rule.repeatable:
+            self.start(record, rule)
+            return
+        # Whether the call was sent is only known to the execution record; it is not sent again.
+        self._context.spawn(asyncio.create_task(self._settle(record, rule)))
+
+    async def _run(self, record: RequestRecord, rule: CallRule) -> None:
+        self.in_progress += 1
+        try:
+            if rule.guarded:
+                outcome = await self._run_once(record, rule)
+            else:
+                outcome = await self._run_repeatable(record, rule)
+            self._context.records.finish(record, outcome)
+            self._context.story.ended(record, outcome)
+        finally:
+            self.in_progress -= 1
+
+    async def _run_once(self, record: RequestRecord, rule: CallRule) -> Outcome:
+        guard = self._context.guard
+        try:
+            claim = await guard.claim(
+                record.account, record.idempotency_key, record.body_digest, record.request_id
+            )
+        except ClaimRefused as error:
+            return _refused("store_unavailable", 503, error.retry_after_s)
+        except BodyMismatch:
+            return _refused("idempotency_key_reused", 422, 0.0)
+        except ExecutionExists as error:
+            return await self._existing(record, rule, error)
+        outcome = await self._send_claimed(record, claim)
+        if outcome.ran == "no":
+            await guard.release(claim)
+        elif outcome.ran == "yes":
+            await guard.finish(claim, outcome)
+        else:
+            # The execution record stays at `sent`, so nobody runs the call again.
+            outcome = await self._lookup.outcome(record, rule.status_path) or outcome
+        return outcome
+
+    async def _existing(
+        self, record: RequestRecord, rule: CallRule, error: ExecutionExists
+    ) -> Outcome:
+        """Return what is known of a call whose key was claimed before."""
+        existing = error.record
+        if existing.outcome is not None:
+            return existing.outcome
+        ref = await self._context.records.find(record.account, request_id=existing.request_id)
+        if ref is not None:
+            try:
+                async with asyncio.timeout(record.timeout_s):
+                    outcome = await self._context.records.outcome(ref)
+            except (TimeoutError, GodwitpathError):
+                outcome = _unknown()
+            if outcome.ran != "unknown":
+                return outcome
+        return await self._lookup.outcome(record, rule.status_path) or _unknown()
+
+    async def _send_claimed(self, record: RequestRecord, claim: Claim) -> Outcome:
+        """Send a claimed call; another upstream is tried only while it was provably not sent."""
+        tried: set[str] = set()
+        deadline_s = now_s() + record.timeout_s
+        while True:
+            try:
+                upstream = self.choose(record.service, tried)
+            except CallerError as error:
+                return _refused(error.reason, 503, error.retry_after_s)
+            if upstream.upstream_id in tried or now_s() >= deadline_s:
+                return _refused("no_upstream", 503, NO_UPSTREAM_RETRY_S)
+            tried.add(upstream.upstream_id)
+            call = self._call(record, claim.attempt_id, deadline_s - now_s(), fresh=True)
+            self._context.records.begin_attempt(record, claim.attempt_id, upstream.upstream_id)
+            self._context.story.sent(record, upstream.upstream_id, guarded=True)
+            try:
+                return _answered(await self._context.plain.call(upstream.address, call))
+            except ServiceNotSent as error:
+                self._context.story.attempt_failed(record, error)
+            except ServiceUncertain as error:
+                self._context.story.attempt_failed(record, error)
+                return _unknown()
+
+    async def _run_repeatable(self, record: RequestRecord, rule: CallRule) -> Outcome:
+        tried: set[str] = set()
+        budget = self._context.budget(record.service)
+        budget.note_fresh(now_s())
+        deadline_s = now_s() + record.timeout_s
+        failures = 0
+        while True:
+            try:
+                upstream = self.choose(record.service, tried)
+            except CallerError as error:
+                return _refused(error.reason, 503, error.retry_after_s)
+            tried.add(upstream.upstream_id)
+            attempt_id = self._context.new_id()
+            call = self._call(record, attempt_id, deadline_s - now_s(), fresh=failures > 0)
+            self._context.records.begin_attempt(record, attempt_id, upstream.upstream_id)
+            self._context.story.sent(record, upstream.upstream_id, guarded=False)
+            try:
+                return _answered(await self._context.plain.call(upstream.address, call))
+            except ServiceError as error:
+                self._context.story.attempt_failed(record, error)
+                failures += 1
+                sent = not isinstance(error, ServiceNotSent)
+                if sent and not rule.repeatable:
+                    return _unknown()
+                pause_s = backoff_s(failures, self._context.rng)
+                late = now_s() + pause_s >= deadline_s
+                if late or not budget.spend(now_s()):
+                    return _failed(sent)
+                await asyncio.sleep(pause_s)
+
+    def _call(
+        self, record: RequestRecord, attempt_id: str, timeout_s: float, fresh: bool
+    ) -> ServiceCall:
+        return ServiceCall(
+            method=record.method,
+            path=record.path,
+            headers=[(name, value) for name, value in record.headers],
+            body=record.body,
+            request_id=record.request_id,
+            attempt_id=attempt_id,
+            timeout_s=max(0.05, timeout_s),
+            idempotency_key=record.idempotency_key,
+            fresh_connection=fresh,
+        )
+
+    async def _settle(self, record: RequestRecord, rule: CallRule) -> None:
+        """Finish a call of a holder that is gone, by what the store and the service know."""
+        outcome = None
+        try:
+            found = await self._context.guard.read(record.account, record.idempotency_key)
+            outcome = found.outcome if found is not None else None
+        except StoreError as error:
+            self._context.metrics.unsettled.add(1, cause=type(error).__name__)
+        if outcome is None:
+            outcome = await self._lookup.outcome(record, rule.status_path) or _unknown()
+        self._context.records.finish(record, outcome)
+        self._context.story.ended(record, outcome)
+
+
+def _answered(answer: ServiceAnswer) -> Outcome:
+    kept = [(name, value) for name, value in answer.headers if name.lower() not in HOP_BY_HOP]
+    return Outcome(status=answer.status, ran="yes", headers=kept, body=answer.body)
+
+
+def _refused(reason: str, status: int, retry_after_s: float) -> Outcome:
+    return Outcome(status=status, ran="no", reason=reason, retry_after_s=retry_after_s)
+
+
+def _failed(sent: bool) -> Outcome:
+    ran = "unknown" if sent else "no"
+    return Outcome(status=502, ran=ran, reason="upstream_failed", retry_after_s=1.0)  # type: ignore[arg-type]
+
+
+def _unknown() -> Outcome:
+    return Outcome(status=504, ran="unknown", reason="outcome_unknown", retry_after_s=2.0)
--- /dev/null
+++ b/godwitpath/entry/gate.py
@@ -0,0 +1,125 @@
+"""The gate that a generation passes before it is accepted: dependencies, admission, queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from godwitpath.admission.decide import Admission, AdmissionQuery, Admit, Prediction, Refuse
+from godwitpath.admission.queue import AdmissionQueue, QueueExpired
+from godwitpath.config.model import Configuration
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.generate import Generation, GenerationRunner
+from godwitpath.entry.refusals import CallerError
+from godwitpath.routing.choose import NoUpstream, RouteChoice
+
+EXPECTED_TOKENS = 128
+"""Tokens that an answer is expected to have where its limit is higher."""
+
+NO_UPSTREAM_RETRY_S = 2.0
+"""When to come back to a service without a serving engine."""
+
+
+@dataclass(slots=True)
+class ServiceGate:
+    """Admission to one service at this entry."""
+
+    admission: Admission = field(default_factory=Admission)
+    queue: AdmissionQueue = field(default_factory=AdmissionQueue)
+
+
+class AdmissionGate:
+    """Admits generations service by service."""
+
+    __slots__ = ("_context", "_gates", "_runner")
+
+    def __init__(self, context: EntryContext, runner: GenerationRunner) -> None:
+        self._context = context
+        self._runner = runner
+        self._gates: dict[str, ServiceGate] = {}
+
+    async def enter(self, generation: Generation, digest: str) -> RouteChoice:
+        """Return once the generation may be dispatched.
+
+        :param digest: digest of account and body, the same when the caller comes back
+        :returns: the choice that admission was decided on
+        :raises CallerError: refused, with the time to come back
+        """
+        record = generation.record
+        self._check_dependencies(self._context.configuration(), record.service)
+        choice = self._choose(generation)
+        gate = self._gate(record.service)
+        query = AdmissionQuery(
+            service=record.service,
+            account=record.account,
+            digest=digest,
+            priority=record.priority,
+            time_left_s=generation.deadline_s - now_s(),
+            expected_tokens=min(generation.max_tokens, EXPECTED_TOKENS),
+            latency=generation.service.latency,
+        )
+        queue_state = gate.queue.state(record.priority)
+        decision = gate.admission.decide(query, _prediction(choice), queue_state, now_s())
+        if isinstance(decision, Refuse):
+            raise CallerError("overloaded", decision.reason, retry_after_s=decision.retry_after_s)
+        if not isinstance(decision, Admit):
+            await self._wait(gate, record.priority, decision.max_wait_s)
+        return choice
+
+    def left(self, generation: Generation) -> None:
+        """Note the end of a generation and let waiting ones go while there is room."""
+        service = generation.record.service
+        gate = self._gate(service)
+        gate.admission.finished(now_s())
+        gate.queue.wake(lambda priority: self._fits(gate, generation, priority))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            service: {"admission": gate.admission.dump(), "queue": gate.queue.dump()}
+            for service, gate in sorted(self._gates.items())
+        }
+
+    def _gate(self, service: str) -> ServiceGate:
+        return self._gates.setdefault(service, ServiceGate())
+
+    def _choose(self, generation: Generation) -> RouteChoice:
+        try:
+            return self._runner.choose(generation)
+        except NoUpstream as error:
+            raise CallerError(
+                "no_upstream", str(error), retry_after_s=NO_UPSTREAM_RETRY_S
+            ) from error
+
+    def _check_dependencies(self, configuration: Configuration, service: str) -> None:
+        for needed in configuration.services[service].depends_on:
+            if not self._context.upstreams.serving(needed):
+                raise CallerError(
+                    "dependency_down",
+                    f"{service} depends on {needed}, which has no serving upstream",
+                    retry_after_s=NO_UPSTREAM_RETRY_S,
+                )
+
+    async def _wait(self, gate: ServiceGate, priority: int, max_wait_s: float) -> None:
+        try:
+            await gate.queue.wait(priority, max_wait_s)
+        except QueueExpired as error:
+            raise CallerError("overloaded", str(error), retry_after_s=1.0) from error
+
+    def _fits(self, gate: ServiceGate, like: Generation, priority: int) -> bool:
+        try:
+            choice = self._runner.choose(like)
+        except NoUpstream:
+            return False
+        query = AdmissionQuery(
+            service=like.record.service,
+            account="",
+            digest="",
+            priority=priority,
+            latency=like.service.latency,
+        )
+        return gate.admission.fits(query, _prediction(choice), promised=False, now_s=now_s())
+
+
+def _prediction(choice: RouteChoice) -> Prediction:
+    return Prediction(choice.predicted_first_token_s, choice.predicted_between_tokens_s)
--- /dev/null
+++ b/godwitpath/entry/journal_link.py
@@ -0,0 +1,103 @@
+"""Connects the journal with the peers: copies of what is not kept yet, and questions about it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitpath.explain.batch import DamagedBatch
+from godwitpath.explain.journal import Journal
+from godwitpath.explain.record import DecisionRecord
+from godwitpath.membership.member import Member
+from godwitpath.membership.swim import Membership
+from godwitpath.peers.codec import peer_message
+from godwitpath.ports.peers import PeerMessage, PeerTransport, PeerUnreachable
+from godwitpath.ranking import rank
+
+COPY_INTERVAL_S = 1.0
+"""Time between two copies of new records to the backup."""
+
+ASK_TIMEOUT_S = 0.5
+"""Longest time that a peer may take to tell its records."""
+
+
+@peer_message
+class JournalPart(PeerMessage):
+    """New records of the sender, in the journal's own form."""
+
+    part: bytes
+
+
+@peer_message
+class JournalQuestion(PeerMessage):
+    """Asks for the records of a subject that are not kept yet."""
+
+    subject_id: str
+
+
+@peer_message
+class JournalAnswer(PeerMessage):
+    """The records asked for."""
+
+    records: list[DecisionRecord]
+
+
+class JournalLink:
+    """Copies the journal of this entry to one peer, and asks all of them about a subject."""
+
+    __slots__ = ("_backup", "_journal", "_membership", "_transport")
+
+    def __init__(self, journal: Journal, membership: Membership, transport: PeerTransport) -> None:
+        self._journal = journal
+        self._membership = membership
+        self._transport = transport
+        self._backup = ""
+        journal.ask_peers = self._ask_all
+        transport.handle(JournalPart, self._on_part)
+        transport.handle(JournalQuestion, self._on_question)
+        membership.on_change(self._member_changed)
+
+    async def run(self) -> None:
+        """Copy new records until cancelled."""
+        while True:
+            await asyncio.sleep(COPY_INTERVAL_S)
+            backup = self._choose_backup()
+            if backup != self._backup:
+                self._backup = backup
+                self._journal.recopy()
+            if backup and (part := self._journal.unsent()):
+                await self._transport.send(backup, JournalPart(part))
+
+    def _choose_backup(self) -> str:
+        local = self._membership.local
+        others = [member for member in self._membership.live() if member is not local]
+        apart = [one for one in others if one.availability_zone != local.availability_zone]
+        ranked = rank(local.entry_id, apart or others, lambda member: member.entry_id)
+        return ranked[0].entry_id if ranked else ""
+
+    def _member_changed(self, member: Member) -> None:
+        if member.state == "gone":
+            self._journal.peer_gone(member.entry_id)
+
+    async def _on_part(self, _sender: str, message: JournalPart) -> None:
+        try:
+            self._journal.adopt(message.part)
+        except DamagedBatch:
+            # The sender hands out whole batches again when its backup changes.
+            return
+
+    async def _on_question(self, _sender: str, message: JournalQuestion) -> JournalAnswer:
+        return JournalAnswer(self._journal.not_yet_kept(message.subject_id))
+
+    async def _ask_all(self, subject_id: str) -> list[DecisionRecord]:
+        local = self._membership.local
+        names = [one.entry_id for one in self._membership.live() if one is not local]
+        answers = await asyncio.gather(*(self._ask(name, subject_id) for name in names))
+        return [record for records in answers for record in records]
+
+    async def _ask(self, entry_id: str, subject_id: str) -> list[DecisionRecord]:
+        question = JournalQuestion(subject_id)
+        try:
+            answer = await self._transport.request(entry_id, question, ASK_TIMEOUT_S)
+        except PeerUnreachable:
+            return []
+        return answer.records if isinstance(answer, JournalAnswer) else []
--- /dev/null
+++ b/godwitpath/entry/load_poll.py
@@ -0,0 +1,56 @@
+"""Asks the engines for their load reports, a few at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.ports.engine import EngineError
+from godwitpath.upstreams.table import Upstream
+
+POLL_INTERVAL_S = 1.0
+"""Time between two rounds."""
+
+POLLED_PER_ROUND = 8
+"""Most engines asked in a round, so that the cost does not grow with the fleet."""
+
+
+class LoadPoll:
+    """Keeps the load book's reports fresh in turn."""
+
+    __slots__ = ("_context", "_turn")
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+        self._turn = 0
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.gather(*(self._ask(upstream) for upstream in self._next_round()))
+
+    def _next_round(self) -> list[Upstream]:
+        configuration = self._context.config.current
+        if configuration is None:
+            return []
+        engines = [
+            upstream
+            for upstream in self._context.upstreams.all()
+            if upstream.state == "serving"
+            and upstream.service in configuration.services
+            and configuration.services[upstream.service].kind == "generation"
+        ]
+        if not engines:
+            return []
+        start = self._turn % len(engines)
+        self._turn += POLLED_PER_ROUND
+        return (engines[start:] + engines[:start])[:POLLED_PER_ROUND]
+
+    async def _ask(self, upstream: Upstream) -> None:
+        try:
+            report = await self._context.engine.load(upstream.address)
+        except EngineError:
+            # Calls to the engine tell soon enough whether it is gone.
+            return
+        self._context.book.report(upstream.upstream_id, report, now_s())
--- /dev/null
+++ b/godwitpath/entry/openai_form.py
@@ -0,0 +1,89 @@
+"""The OpenAI form of generated answers: whole bodies and server-sent events."""
+
+from __future__ import annotations
+
+import msgspec
+
+from godwitpath.records.record import Outcome, RecordRef
+
+_json = msgspec.json.Encoder().encode
+
+DONE_EVENT = b"data: [DONE]\n\n"
+"""Last event of a stream."""
+
+
+class EventWriter:
+    """Renders the events of one stream; all but the text is encoded once.
+
+    The event id is `REQUEST:TOKENS`, the number of tokens delivered up to the event's end.
+
+    :param ref: the request
+    :param created: Unix time in seconds that the answer carries
+    """
+
+    __slots__ = ("_chat", "_head", "_request_id", "_usage")
+
+    def __init__(self, ref: RecordRef, created: int, include_usage: bool) -> None:
+        self._chat = ref.kind == "chat"
+        self._request_id = ref.request_id
+        self._usage = include_usage
+        form = "chat.completion.chunk" if self._chat else "text_completion"
+        self._head = b'data: {"id":%s,"object":"%s","created":%d,"model":%s,"choices":[' % (
+            _json(ref.request_id),
+            form.encode(),
+            created,
+            _json(ref.service),
+        )
+
+    def text(self, text: str, tokens_after: int) -> bytes:
+        """Return the event of a piece of text."""
+        event_id = f"id: {self._request_id}:{tokens_after}\n".encode()
+        choice = b'{"index":0,"delta":{"content":%s},"finish_reason":null}]}\n\n'
+        if not self._chat:
+            choice = b'{"index":0,"text":%s,"finish_reason":null}]}\n\n'
+        return event_id + self._head + choice % _json(text)
+
+    def end(self, outcome: Outcome, tokens: int) -> bytes:
+        """Return the events that end a stream."""
+        content = b'"delta":{}' if self._chat else b'"text":""'
+        reason = _json(outcome.finish_reason or "stop")
+        event_id = f"id: {self._request_id}:{tokens}\n".encode()
+        last = self._head + b'{"index":0,%s,"finish_reason":%s}]}\n\n' % (content, reason)
+        if not self._usage:
+            return event_id + last + DONE_EVENT
+        usage = self._head + b'],"usage":%s}\n\n' % _json(usage_of(outcome, tokens))
+        return event_id + last + usage + DONE_EVENT
+
+    def error(self, body: bytes) -> bytes:
+        """Return the event of an error in the middle of a stream."""
+        return b"event: error\ndata: " + body + b"\n\n"
+
+
+def usage_of(outcome: Outcome, tokens: int) -> dict[str, object]:
+    """Return the token counts of an answer in the OpenAI form."""
+    return {
+        "prompt_tokens": outcome.prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": outcome.prompt_tokens + tokens,
+        "prompt_tokens_details": {"cached_tokens": outcome.cached_tokens},
+    }
+
+
+def whole_body(ref: RecordRef, outcome: Outcome, text: str, tokens: int, created: int) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    chat = ref.kind == "chat"
+    choice: dict[str, object] = {"index": 0, "finish_reason": outcome.finish_reason or "stop"}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return _json(
+        {
+            "id": ref.request_id,
+            "object": "chat.completion" if chat else "text_completion",
+            "created": created,
+            "model": ref.service,
+            "choices": [choice],
+            "usage": usage_of(outcome, tokens),
+        }
+    )
--- /dev/null
+++ b/godwitpath/entry/operator_app.py
@@ -0,0 +1,70 @@
+"""HTTP application for operators: state, readiness, metrics and explanations."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from godwitpath.entry.context import EntryContext
+from godwitpath.entry.state_dump import daemon_ready, dump_state, fleet_status
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def operator_app(context: EntryContext) -> Starlette:
+    """Return the application for operators."""
+
+    def guarded(handler: Handler) -> Handler:
+        async def check_key(request: Request) -> Response:
+            given = request.headers.get("authorization", "").removeprefix("Bearer ").encode()
+            wanted = context.settings.operator.key.encode()
+            # Without a key nobody is let in; an empty setting is not an open door.
+            if not wanted or not hmac.compare_digest(given, wanted):
+                return _json({"error": "wrong operator key"}, 401)
+            return await handler(request)
+
+        return check_key
+
+    async def live(_request: Request) -> Response:
+        return _json({"live": True})
+
+    async def ready(_request: Request) -> Response:
+        report = daemon_ready(context)
+        return _json(report, 200 if report.ready else 503)
+
+    async def state(_request: Request) -> Response:
+        return _json(dump_state(context))
+
+    async def status(_request: Request) -> Response:
+        return _json(fleet_status(context))
+
+    async def metrics(_request: Request) -> Response:
+        body, content_type = context.metrics.render()
+        return Response(body, media_type=content_type)
+
+    async def explain(request: Request) -> Response:
+        story = await context.journal.find(request.path_params["subject_id"])
+        if story is None:
+            return _json({"error": "nothing is known of it"}, 404)
+        return _json(story)
+
+    return Starlette(
+        routes=[
+            Route("/admin/live", live),
+            Route("/admin/ready", ready),
+            Route("/admin/state", guarded(state)),
+            Route("/admin/status", guarded(status)),
+            Route("/admin/explain/{subject_id}", guarded(explain)),
+            Route("/metrics", guarded(metrics)),
+        ]
+    )
+
+
+def _json(value: object, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(value), status, media_type="application/json")
--- /dev/null
+++ b/godwitpath/entry/plain_calls.py
@@ -0,0 +1,113 @@
+"""Calls of plain services as callers make them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from godwitpath.entry.accept import Acceptance
+from godwitpath.entry.context import EntryContext
+from godwitpath.entry.delivery import plain_response
+from godwitpath.entry.forward import HOP_BY_HOP, CallRule, Forwarder, call_rule
+from godwitpath.entry.intake import (
+    asked_timeout_s,
+    check_allowed,
+    check_taking,
+    idempotency_key,
+    identify,
+    read_body,
+    service_named,
+)
+from godwitpath.entry.refusals import CallerError
+from godwitpath.records.record import Outcome, RequestRecord
+
+FORWARDED_METHODS = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
+"""Methods that are forwarded to plain services."""
+
+
+class PlainCalls:
+    """Accepts calls of plain services and answers them."""
+
+    __slots__ = ("_acceptance", "_context", "_forwarder")
+
+    def __init__(self, context: EntryContext, acceptance: Acceptance, forwarder: Forwarder) -> None:
+        self._context = context
+        self._acceptance = acceptance
+        self._forwarder = forwarder
+
+    async def answer(self, request: Request) -> Response:
+        """Answer one call.
+
+        :raises CallerError: refused
+        """
+        context = self._context
+        account = identify(context, request)
+        configuration = context.configuration()
+        name = request.path_params["name"]
+        service = service_named(configuration, name, "plain")
+        check_allowed(configuration.accounts[account], name)
+        key = idempotency_key(request)
+        request.state.request_id = context.records.new_request_id(account, key)
+        request.state.account = account
+        path = forwarded_path(request)
+        rule = call_rule(service, request.method, path, key)
+        if rule.key_required and not key:
+            raise CallerError(
+                "idempotency_key_required", "this call may not be repeated: give `Idempotency-Key`"
+            )
+        timeout_s = context.settings.caller.header_timeout_s
+        raw = await read_body(request, service.max_body_bytes, timeout_s)
+        digest = plain_digest(request.method, path, raw)
+        if key:
+            earlier = await self._acceptance.known(account, key, digest)
+            if earlier is not None:
+                outcome = await context.records.outcome(earlier)
+                return plain_response(outcome, earlier.request_id, replayed=True)
+        check_taking(context)
+        self._acceptance.limit(account, tokens=0)
+        self._forwarder.choose(name, set())
+        record = RequestRecord(
+            request_id=request.state.request_id,
+            account=account,
+            service=name,
+            kind="plain",
+            method=request.method,
+            path=path,
+            headers=[(n, v) for n, v in request.headers.items() if n not in HOP_BY_HOP],
+            idempotency_key=key,
+            body=raw,
+            body_digest=digest,
+            timeout_s=asked_timeout_s(request, service),
+            keep_outcome_s=service.keep_outcome_s,
+        )
+        context.metrics.accepted.add(1, service=name, kind="plain")
+        outcome = await self._carry(record, rule)
+        return plain_response(outcome, record.request_id)
+
+    async def _carry(self, record: RequestRecord, rule: CallRule) -> Outcome:
+        context = self._context
+        copied = asyncio.create_task(context.records.accept(record))
+        # The copy of a call that may run once stands before the call is sent, so that its outcome
+        # outlives this entry; other calls are sent while the copy travels.
+        if rule.guarded and not await copied:
+            context.metrics.degraded.add(1)
+        self._forwarder.start(record, rule)
+        await copied
+        return await record.wait_outcome()
+
+
+def plain_digest(method: str, path: str, body: bytes) -> str:
+    """Return the digest that two calls under one idempotency key must share."""
+    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
+
+
+def forwarded_path(request: Request) -> str:
+    """Return path and query at the service, as the caller sent them."""
+    prefix = f"/services/{request.path_params['name']}"
+    raw_path = request.scope.get("raw_path", b"").partition(b"?")[0].decode("latin-1")
+    path = raw_path.removeprefix(prefix) or "/"
+    query = request.url.query
+    return f"{path}?{query}" if query else path
--- /dev/null
+++ b/godwitpath/entry/refusals.py
@@ -0,0 +1,111 @@
+"""Typed errors that callers get, and their JSON form."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+from starlette.responses import Response
+
+from godwitpath.errors import GodwitpathError
+
+Ran = Literal["yes", "no", "unknown"]
+
+STATUS_BY_REASON: dict[str, int] = {
+    "malformed_request": 400,
+    "idempotency_key_required": 400,
+    "unauthenticated": 401,
+    "service_not_allowed": 403,
+    "unknown_service": 404,
+    "unknown_request": 404,
+    "unknown_path": 404,
+    "body_timeout": 408,
+    "request_in_progress": 409,
+    "body_too_large": 413,
+    "idempotency_key_reused": 422,
+    "rate_limited": 429,
+    "headers_too_large": 431,
+    "internal_error": 500,
+    "upstream_failed": 502,
+    "overloaded": 503,
+    "no_upstream": 503,
+    "dependency_down": 503,
+    "not_ready": 503,
+    "stopping": 503,
+    "store_unavailable": 503,
+    "outcome_unknown": 504,
+    "deadline_exceeded": 504,
+}
+"""HTTP status of each reason that a caller can be given."""
+
+
+class CallerError(GodwitpathError):
+    """A request that gets an error instead of an answer.
+
+    :ivar reason: one of the keys of :data:`STATUS_BY_REASON`
+    :ivar ran: whether the request ran at an upstream
+    :ivar retry_after_s: when to come back, 0 when coming back changes nothing
+    """
+
+    def __init__(
+        self, reason: str, message: str, ran: Ran = "no", retry_after_s: float = 0.0
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+        self.ran: Ran = ran
+        self.retry_after_s = retry_after_s
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return STATUS_BY_REASON[self.reason]
+
+
+@dataclass(slots=True)
+class ErrorDetail:
+    """What stands under `error` in an error's JSON form."""
+
+    type: str
+    code: str
+    message: str
+    ran: str
+    request_id: str
+    retry_after_s: float
+    ask_again: str
+
+
+@dataclass(slots=True)
+class ErrorBody:
+    """The JSON form of an error, in the shape that OpenAI clients expect."""
+
+    error: ErrorDetail
+
+
+def error_body(error: CallerError, request_id: str) -> bytes:
+    """Return the JSON form of an error."""
+    known_later = error.ran == "unknown" or error.reason == "request_in_progress"
+    detail = ErrorDetail(
+        type=error.reason,
+        code=error.reason,
+        message=str(error),
+        ran=error.ran,
+        request_id=request_id,
+        retry_after_s=round(error.retry_after_s, 3),
+        ask_again=f"/v1/requests/{request_id}" if known_later else "",
+    )
+    return msgspec.json.encode(ErrorBody(detail))
+
+
+def error_response(error: CallerError, request_id: str) -> Response:
+    """Return the HTTP answer of an error."""
+    headers = {"x-request-id": request_id}
+    if error.retry_after_s > 0:
+        headers["retry-after"] = str(max(1, math.ceil(error.retry_after_s)))
+    return Response(
+        error_body(error, request_id),
+        status_code=error.status,
+        media_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/godwitpath/entry/status_lookup.py
@@ -0,0 +1,84 @@
+"""Asks a plain service what became of a call whose answer was lost."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from urllib.parse import quote
+
+from godwitpath.entry.context import EntryContext
+from godwitpath.execution.settle import settle_finished
+from godwitpath.ports.kv import KeyValueStore
+from godwitpath.ports.service import ServiceAnswer, ServiceCall, ServiceError
+from godwitpath.records.record import Outcome, RequestRecord
+
+ANSWER_TIMEOUT_S = 1.0
+"""Longest time that one look-up may take."""
+
+TRIES = 3
+"""Look-ups before the outcome is reported as unknown."""
+
+PAUSE_S = 0.3
+"""Time between two look-ups."""
+
+
+class StatusLookup:
+    """Settles calls by the status path of their operation.
+
+    That a service does not know a key says nothing for sure: the call may still be on its way. So
+    only a positive answer settles.
+    """
+
+    __slots__ = ("_context", "_store")
+
+    def __init__(self, context: EntryContext, store: KeyValueStore) -> None:
+        self._context = context
+        self._store = store
+
+    async def outcome(self, record: RequestRecord, status_path: str) -> Outcome | None:
+        """Return the outcome that the service knows of, None when it knows none.
+
+        :param status_path: path with `{key}` in it, empty for a service without look-up
+        """
+        if not status_path or not record.idempotency_key:
+            return None
+        path = status_path.replace("{key}", quote(record.idempotency_key, safe=""))
+        for attempt in range(TRIES):
+            if attempt:
+                await asyncio.sleep(PAUSE_S)
+            answer = await self._ask(record, path)
+            if answer is not None and 200 <= answer.status < 300:
+                return await self._keep(record, answer)
+        return None
+
+    async def _ask(self, record: RequestRecord, path: str) -> ServiceAnswer | None:
+        context = self._context
+        for upstream in context.upstreams.serving(record.service)[:TRIES]:
+            call = ServiceCall(
+                method="GET",
+                path=path,
+                headers=[],
+                body=b"",
+                request_id=record.request_id,
+                attempt_id=context.new_id(),
+                timeout_s=ANSWER_TIMEOUT_S,
+                fresh_connection=True,
+            )
+            try:
+                return await context.plain.call(upstream.address, call)
+            except ServiceError as error:
+                context.metrics.unsettled.add(1, cause=type(error).__name__)
+        return None
+
+    async def _keep(self, record: RequestRecord, answer: ServiceAnswer) -> Outcome:
+        outcome = Outcome(
+            status=200,
+            content_type="application/json",
+            body=answer.body,
+            headers=[("content-type", "application/json")],
+            ran="yes",
+        )
+        await settle_finished(
+            self._store, record.account, record.idempotency_key, outcome, time.time()
+        )
+        return outcome
--- /dev/null
+++ b/godwitpath/entry/vanished.py
@@ -0,0 +1,48 @@
+"""Callers who go away: their generations are stopped unless they may be asked for again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitpath.entry.context import EntryContext
+from godwitpath.entry.generate import GenerationRunner
+from godwitpath.records.record import RecordRef, RequestRecord
+
+CANCEL_AFTER_S = 0.5
+"""Time after which a generation that nobody listens to is stopped."""
+
+
+class VanishedCallers:
+    """Counts the listeners of each generation and stops those that have none left."""
+
+    __slots__ = ("_context", "_listeners", "_runner")
+
+    def __init__(self, context: EntryContext, runner: GenerationRunner) -> None:
+        self._context = context
+        self._runner = runner
+        self._listeners: dict[str, int] = {}
+
+    def attached(self, ref: RecordRef) -> None:
+        """Count a listener of a generation."""
+        self._listeners[ref.request_id] = self._listeners.get(ref.request_id, 0) + 1
+
+    def detached(self, ref: RecordRef) -> None:
+        """Uncount a listener; the last one starts the time to the generation's end."""
+        left = self._listeners.get(ref.request_id, 0) - 1
+        if left > 0:
+            self._listeners[ref.request_id] = left
+            return
+        self._listeners.pop(ref.request_id, None)
+        record = ref.record
+        if record is None:
+            # Another entry works on it and counts its own listeners.
+            return
+        # With a key the caller may come back for the answer, through any entry.
+        if record.outcome is None and not record.idempotency_key:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CANCEL_AFTER_S, self._cancel_unless_heard, record)
+
+    def _cancel_unless_heard(self, record: RequestRecord) -> None:
+        if record.outcome is None and record.request_id not in self._listeners:
+            self._context.metrics.abandoned.add(1, service=record.service)
+            self._runner.cancel(record.request_id)
--- /dev/null
+++ b/godwitpath/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Recovery of work whose upstream goes away."""
--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -16,7 +16,7 @@
 from godwitpath.errors import GodwitpathError
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
-from godwitpath.ports.platform import Cloud, InstanceList
+from godwitpath.ports.platform import Cloud, InstanceList, ReclaimNotice
 from godwitpath.streams import until_silent
 from godwitpath.upstreams.facts import UpstreamFact, decode_fact, encode_fact
 from godwitpath.upstreams.list_view import InstanceListView
@@ -72,6 +72,7 @@
         self._list_view = InstanceListView()
         self._stop_view = StopView()
         self._stop_callbacks: list[Callable[[Stop], None]] = []
+        self._notice_callbacks: list[Callable[[ReclaimNotice], None]] = []
         self._gone_at_s: dict[str, float] = {}
         self._outbox: list[tuple[UpstreamFact, str]] = []
         self._outbox_filled = asyncio.Event()
@@ -81,6 +82,10 @@
         """Call back with each newly announced stop, whatever it stops."""
         self._stop_callbacks.append(callback)
 
+    def on_notice(self, callback: Callable[[ReclaimNotice], None]) -> None:
+        """Call back with each reclaim notice that this entry hears, whatever it is about."""
+        self._notice_callbacks.append(callback)
+
     def leaving(self, upstream_id: str, leaving_in_s: float = 0.0) -> bool:
         """Take note that an upstream is leaving, whoever saw it; returns whether it was news."""
         known = self.table.get(upstream_id)
@@ -224,6 +229,8 @@
     async def _follow_notices(self, cloud: Cloud) -> None:
         try:
             async for notice in until_silent(cloud.notices(), NOTICES_RENEW_S):
+                for callback in self._notice_callbacks:
+                    callback(notice)
                 if not self.leaving(notice.instance_id, notice.notice_s):
                     self.counts["notices_without_news"] += 1
         except GodwitpathError:
