Bound headers and bodies in size and time, tested with raw sockets

A socket made without its protocol number kept Nagle's algorithm on; it is made with IPPROTO_TCP now.

--- a/godwitpath/entry/server.py
+++ b/godwitpath/entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import Any
 
@@ -73,8 +74,6 @@
     """A uvicorn server that leaves the process's signals alone."""
 
     def capture_signals(self) -> Any:
-        import contextlib
-
         return contextlib.nullcontext()
 
 
@@ -96,7 +95,8 @@
         tls: TlsSettings | None = None,
         max_connections: int = 200,
     ) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # Without the protocol number the loop would not switch off Nagle's algorithm.
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((listen.host, listen.port))
         self.address = Address(*self._socket.getsockname()[:2])
--- /dev/null
+++ b/test/test_entry_server.py
@@ -0,0 +1,80 @@
+"""Bounds of the HTTP server towards callers: size and time of headers, and of bodies."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from godwitpath.entry.intake import read_body
+from godwitpath.entry.refusals import CallerError, error_response
+from godwitpath.entry.server import MAX_HEADER_BYTES, HttpServer
+from godwitpath.ports.engine import Address
+from godwitpath.settings import ListenSettings
+
+HEADER_TIMEOUT_S = 0.3
+BODY_LIMIT_BYTES = 1000
+
+
+async def _echo(request: Request) -> Response:
+    try:
+        body = await read_body(request, BODY_LIMIT_BYTES, HEADER_TIMEOUT_S)
+    except CallerError as error:
+        return error_response(error, "req-1")
+    return PlainTextResponse(body)
+
+
+@pytest.fixture
+async def address() -> AsyncIterator[Address]:
+    app = Starlette(routes=[Route("/", _echo, methods=["POST"])])
+    server = HttpServer(app, ListenSettings(), HEADER_TIMEOUT_S)
+    await server.start()
+    yield server.address
+    await server.stop()
+
+
+async def _exchange(address: Address, sent: bytes) -> bytes:
+    """Send bytes and return what comes until the server closes the connection."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(sent)
+    try:
+        async with asyncio.timeout(10):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+async def test_late_headers_end_the_connection(address: Address) -> None:
+    assert await _exchange(address, b"POST / HTTP/1.1\r\nhost: x\r\n") == b""
+
+
+async def test_large_headers_end_the_connection(address: Address) -> None:
+    filler = b"a" * (MAX_HEADER_BYTES + 1)
+    assert b"200" not in await _exchange(address, b"POST / HTTP/1.1\r\nx-filler: " + filler)
+
+
+async def test_a_late_body_is_refused(address: Address) -> None:
+    head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 10\r\n\r\nabc"
+    assert b"body_timeout" in await _exchange(address, head)
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"content-length: 5000\r\n\r\n",
+        b"transfer-encoding: chunked\r\n\r\n" + b"3e9\r\n" + b"a" * 1001 + b"\r\n0\r\n\r\n",
+    ],
+)
+async def test_a_large_body_is_refused(address: Address, framing: bytes) -> None:
+    head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+    assert b"body_too_large" in await _exchange(address, head + framing)
+
+
+async def test_a_whole_body_passes(address: Address) -> None:
+    head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc"
+    assert (await _exchange(address, head)).endswith(b"abc")
