--- a/godwitpath/duties/duty.py
+++ b/godwitpath/duties/duty.py
@@ -59,13 +59,22 @@
     """A duty as its keeper knows it.
 
     :ivar revision: revision of the holder's key, 0 while the duty is not held
+    :ivar token: value of the key, new for each time the duty is taken
+    :ivar pause_s: time until the next try to take the duty
+    :ivar try_at_s: loop time of that try
+    :ivar absent_looks: looks in a row at which nobody held the duty
+    :ivar stood_in_for: entry that ranks first but left the duty without a holder
     :ivar store_calls: store calls made for this duty alone
     """
 
     duty: Duty
+    token: bytes
+    pause_s: float
     revision: int = 0
+    try_at_s: float = float("-inf")
+    absent_looks: int = 0
+    stood_in_for: str = ""
     store_calls: int = 0
-    checked_at_s: float = float("-inf")
 
     def dump(self) -> dict[str, Any]:
         """Return the state for operators."""
--- a/godwitpath/duties/keeper.py
+++ b/godwitpath/duties/keeper.py
@@ -16,6 +16,7 @@
 from godwitpath.membership.member import Member
 from godwitpath.ports.kv import (
     ABSENT,
+    KeyValue,
     KeyValueStore,
     LeaseLapsed,
     RevisionConflict,
@@ -27,7 +28,8 @@
 LEASE_TTL_S = 10.0
 SAFETY_MARGIN_S = 1.0
 RENEW_INTERVAL_S = LEASE_TTL_S / 3
-STEADY_S = 2.0
+STEP_S = 1.0
+FIRST_PAUSE_S = 2.0
 RECHECK_S = LEASE_TTL_S
 
 
@@ -48,11 +50,11 @@
         self._local = local
         self._live = live
         self._rng = rng
-        self._token = f"{local.entry_id}/{rng.getrandbits(64):016x}".encode()
+        self._process = f"{local.entry_id}/{rng.getrandbits(64):016x}/".encode()
         self._duties: dict[Duty, HeldDuty] = {}
         self._lease_id = 0
         self._valid_until_s = float("-inf")
-        self._ranked_since_s: dict[Duty, float] = {}
+        self._unwanted: set[Duty] = set()
         self._leaving = False
         self._wakeup = asyncio.Event()
         self.counters = DutyCounters()
@@ -60,19 +62,14 @@
     def set_duties(self, duties: Iterable[Duty]) -> None:
         """Say which duties there are; those no longer named are handed back."""
         wanted = set(duties)
-        for duty in wanted:
-            self._duties.setdefault(duty, HeldDuty(duty))
-        for duty, held in self._duties.items():
-            if duty not in wanted and not held.revision:
-                self._ranked_since_s.pop(duty, None)
+        for duty in wanted - self._duties.keys():
+            self._duties[duty] = HeldDuty(duty, self._new_token(), FIRST_PAUSE_S)
         self._duties = {
             duty: held for duty, held in self._duties.items() if duty in wanted or held.revision
         }
         self._unwanted = {duty for duty in self._duties if duty not in wanted}
         self._wakeup.set()
 
-    _unwanted: set[Duty] = set()
-
     def holding(self, duty: Duty) -> Fence | None:
         """Return the proof of holding a duty, to be asked for right before each action."""
         held = self._duties.get(duty)
@@ -106,7 +103,7 @@
         """Take and renew duties until cancelled or :meth:`leave` was called."""
         while not self._leaving:
             await self._step()
-            pause_s = STEADY_S * (0.9 + 0.2 * self._rng.random())
+            pause_s = STEP_S * (0.9 + 0.2 * self._rng.random())
             try:
                 async with asyncio.timeout(pause_s):
                     await self._wakeup.wait()
@@ -147,93 +144,105 @@
             self._valid_until_s = started_s + LEASE_TTL_S - SAFETY_MARGIN_S
 
     async def _look_after(self, held: HeldDuty) -> None:
-        position = self._position(held.duty)
-        now_s = self._now_s()
-        if position != 0 or held.duty in self._unwanted:
-            self._ranked_since_s.pop(held.duty, None)
-        first_since_s = self._ranked_since_s.get(held.duty)
-        if position == 0 and first_since_s is None:
-            first_since_s = self._ranked_since_s[held.duty] = now_s
+        names = self._ranked(held.duty)
+        position = names.index(self._local.entry_id) if self._local.entry_id in names else -1
+        wanted = held.duty not in self._unwanted and not self._leaving
         if held.revision:
-            if held.duty in self._unwanted or position > 0:
+            standing_in = position == 1 and names[0] == held.stood_in_for
+            if not wanted or not (position == 0 or standing_in):
                 await self._hand_back(held)
-            return
-        if held.duty in self._unwanted or self._leaving:
-            return
-        if position == 0:
-            # The former first may still hand the duty back; a short wait saves a refused write.
-            if now_s - held.checked_at_s >= STEADY_S:
-                await self._take(held)
-        elif position == 1 and now_s - held.checked_at_s >= RECHECK_S:
-            await self._stand_in(held)
-
-    def _position(self, duty: Duty) -> int:
-        members = self._live()
-        ranked = rank(duty.store_key, members, lambda member: member.entry_id)
-        names = [member.entry_id for member in ranked]
-        if self._local.entry_id not in names:
-            return -1
-        return names.index(self._local.entry_id)
+        elif wanted and position in (0, 1) and self._now_s() >= held.try_at_s:
+            # The first in rank takes the duty; the second only looks whether anybody has it.
+            held.stood_in_for = names[0] if position == 1 else ""
+            await (self._take(held) if position == 0 else self._stand_in(held))
+
+    def _ranked(self, duty: Duty) -> list[str]:
+        ranked = rank(duty.store_key, self._live(), lambda member: member.entry_id)
+        return [member.entry_id for member in ranked]
 
     async def _stand_in(self, held: HeldDuty) -> None:
         """Take a duty that the first in rank has left without a holder for a lease's time."""
-        first_look = held.checked_at_s == float("-inf")
-        held.checked_at_s = self._now_s()
-        if first_look:
+        looked_before = held.try_at_s > float("-inf")
+        held.try_at_s = self._now_s() + RECHECK_S
+        if not looked_before:
             return
         self._call(held)
-        if await self._store.get(held.duty.store_key) is None:
+        found = await self._store.get(held.duty.store_key)
+        if found is not None:
+            held.absent_looks = 0
+            return
+        held.absent_looks += 1
+        if held.absent_looks > 1:
             await self._take(held)
 
     async def _take(self, held: HeldDuty) -> None:
-        held.checked_at_s = self._now_s()
-        if not self._lease_id:
-            started_s = self._now_s()
-            self._call()
-            lease = await self._store.grant_lease(LEASE_TTL_S)
-            self._lease_id = lease.lease_id
-            self._prolong(started_s)
+        held.try_at_s = self._now_s() + held.pause_s
+        held.pause_s = min(RECHECK_S, held.pause_s * 2)
+        await self._have_lease()
         key = held.duty.store_key
         self._call(held)
         try:
-            revision = await self._store.put(key, self._token, ABSENT, self._lease_id)
+            revision = await self._store.put(key, held.token, ABSENT, self._lease_id)
         except RevisionConflict as conflict:
-            current = conflict.current
-            if current is None or current.value != self._token:
-                self.counters.found_held += 1
-                return
-            revision = current.revision
+            revision = await self._settle_conflict(held, conflict.current)
         except StoreUncertain:
-            revision = await self._settle(held)
+            self.counters.settled_by_read += 1
+            self._call(held)
+            current = await self._store.get(key)
+            revision = current.revision if current and current.value == held.token else 0
         if revision and not self._leaving:
             held.revision = revision
+            held.pause_s = FIRST_PAUSE_S
             self.counters.taken += 1
 
-    async def _settle(self, held: HeldDuty) -> int:
-        """Return the revision of the own key after an answer was lost, 0 when it is not there."""
-        self.counters.settled_by_read += 1
-        self._call(held)
-        current = await self._store.get(held.duty.store_key)
-        return current.revision if current is not None and current.value == self._token else 0
+    async def _have_lease(self) -> None:
+        holds = any(held.revision for held in self._duties.values())
+        if self._lease_id and (holds or self._now_s() < self._valid_until_s):
+            return
+        started_s = self._now_s()
+        self._call()
+        lease = await self._store.grant_lease(LEASE_TTL_S)
+        self._lease_id = lease.lease_id
+        self._prolong(started_s)
+
+    async def _settle_conflict(self, held: HeldDuty, current: KeyValue | None) -> int:
+        """Return the revision of the duty's key if this very take wrote it, else 0."""
+        if current is None:
+            return 0
+        if current.value == held.token:
+            return current.revision
+        if current.value.startswith(self._process):
+            # An own key that was handed back; its deletion may still be under way, so that the
+            # key must not be held again under the same revision.
+            await self._delete(held, current.revision)
+        else:
+            self.counters.found_held += 1
+        return 0
 
     async def _hand_back(self, held: HeldDuty) -> None:
         revision, held.revision = held.revision, 0
-        held.checked_at_s = self._now_s()
+        held.token = self._new_token()
+        held.try_at_s = self._now_s() + FIRST_PAUSE_S
+        await self._delete(held, revision)
+        self.counters.handed_back += 1
+
+    async def _delete(self, held: HeldDuty, revision: int) -> None:
         self._call(held)
         try:
             await self._store.delete(held.duty.store_key, revision)
         except RevisionConflict:
             return
-        self.counters.handed_back += 1
+
+    def _new_token(self) -> bytes:
+        return self._process + f"{self._rng.getrandbits(64):016x}".encode()
 
     def _lapse(self) -> None:
         self._lease_id = 0
         self._valid_until_s = float("-inf")
-        # A new token, so that a late write under the old lease is never taken for an own one.
-        self._token = f"{self._local.entry_id}/{self._rng.getrandbits(64):016x}".encode()
         for held in self._duties.values():
             self.counters.lapsed += held.revision > 0
             held.revision = 0
+            held.token = self._new_token()
 
     def _call(self, held: HeldDuty | None = None) -> None:
         self.counters.store_calls += 1
--- /dev/null
+++ b/test/test_execution_guard.py
@@ -0,0 +1,297 @@
+"""Execution records: at most one execution for each key, whatever the store and the entries do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+
+import looptime
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from godwitpath.execution.guard import ExecutionGuard
+from godwitpath.execution.record import (
+    BodyMismatch,
+    ClaimRefused,
+    ExecutionExists,
+    decode,
+    store_key,
+)
+from godwitpath.execution.sweep import sweep
+from godwitpath.records.record import Outcome
+from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
+
+ENTRIES = 3
+KEEP_S = 100.0
+
+
+def guard_of(store: FakeKeyValueStore, name: str = "e1", seed: int = 1) -> ExecutionGuard:
+    clock = asyncio.get_running_loop().time
+    return ExecutionGuard(store, name, "i1", random.Random(seed), clock)
+
+
+@pytest.mark.looptime
+class TestClaims:
+    async def test_a_call_costs_two_writes_and_no_read(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        claim = await guard.claim("a", "k", "d", "r1")
+        await guard.mark_sent(claim)
+        assert await guard.finish(claim, Outcome(201, body=b"booked"))
+        assert (store.counts.writes, store.counts.reads) == (2, 0)
+        record = await guard.read("a", "k")
+        assert record is not None
+        assert record.outcome is not None
+        assert (record.state, record.outcome.body) == ("finished", b"booked")
+
+    async def test_a_second_claim_learns_of_the_first(self) -> None:
+        core = loop_core()
+        one = guard_of(FakeKeyValueStore(core), "e1", 1)
+        two = guard_of(FakeKeyValueStore(core), "e2", 2)
+        await one.claim("a", "k", "d", "r1")
+        with pytest.raises(ExecutionExists) as caught:
+            await two.claim("a", "k", "d", "r2")
+        assert (caught.value.record.entry_id, caught.value.record.request_id) == ("e1", "r1")
+        with pytest.raises(BodyMismatch):
+            await two.claim("a", "k", "other", "r3")
+        await two.claim("b", "k", "d", "r4")
+
+    async def test_a_lost_answer_is_settled_by_the_attempt(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        store.lose_next_answers(1)
+        claim = await guard.claim("a", "k", "d", "r1")
+        assert guard.counters.lost_answers_settled == 1
+        assert await guard.finish(claim, Outcome(200))
+
+    async def test_refused_while_the_store_is_down_and_free_afterwards(self) -> None:
+        store = FakeKeyValueStore(timeout_s=0.1)
+        guard = guard_of(store)
+        task = asyncio.create_task(guard.run())
+        # The write lands a second after its answer was given up.
+        store.slow_s = 1.0
+        with pytest.raises(ClaimRefused):
+            await guard.claim("a", "k", "d", "r1")
+        store.slow_s = 0.0
+        await asyncio.sleep(10)
+        await guard.claim("a", "k", "d", "r2")
+        task.cancel()
+
+    async def test_a_delayed_claim_never_lands_after_its_release(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        task = asyncio.create_task(guard.run())
+        store.delay_effect_s = 30.0
+        with pytest.raises(ClaimRefused):
+            await guard.claim("a", "k", "d", "r1")
+        store.delay_effect_s = 0.0
+        await asyncio.sleep(10)
+        found = await store.get(store_key("a", "k"))
+        assert found is not None
+        assert decode(found.value).state == "released"
+        await asyncio.sleep(60)
+        assert await store.get(store_key("a", "k")) == found
+        task.cancel()
+
+    async def test_the_outcome_is_written_once_the_store_is_back(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        task = asyncio.create_task(guard.run())
+        claim = await guard.claim("a", "k", "d", "r1")
+        store.outage = True
+        assert not await guard.finish(claim, Outcome(200, body=b"x"))
+        await asyncio.sleep(60)
+        store.outage = False
+        await asyncio.sleep(6)
+        record = await guard.read("a", "k")
+        assert record is not None
+        assert record.state == "finished"
+        assert guard.dump()["pending_writes"] == 0
+        task.cancel()
+
+    async def test_pending_outcomes_stay_within_their_bound(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        rng = random.Random(5)
+        claims = [await guard.claim("a", f"k{index}", "d", "r") for index in range(40)]
+        store.outage = True
+        for claim in claims:
+            await guard.finish(claim, Outcome(200, body=rng.randbytes(900_000)))
+        assert guard.dump()["pending_bytes"] <= 16 * 1024 * 1024
+        assert guard.dump()["pending_writes"] == 40
+
+    async def test_an_outcome_too_large_for_a_value_keeps_its_status(self) -> None:
+        guard = guard_of(FakeKeyValueStore())
+        claim = await guard.claim("a", "k", "d", "r1")
+        await guard.finish(claim, Outcome(200, body=random.Random(1).randbytes(2_000_000)))
+        record = await guard.read("a", "k")
+        assert record is not None
+        assert record.outcome is not None
+        assert (record.outcome_dropped, record.outcome.status) == (True, 200)
+
+    async def test_a_claim_that_may_have_been_sent_is_not_released(self) -> None:
+        guard = guard_of(FakeKeyValueStore())
+        claim = await guard.claim("a", "k", "d", "r1")
+        await guard.mark_sent(claim)
+        with pytest.raises(ValueError, match="may have been sent"):
+            await guard.release(claim)
+
+    async def test_the_sweep_leaves_calls_that_may_have_been_sent(self) -> None:
+        store = FakeKeyValueStore()
+        guard = guard_of(store)
+        done = await guard.claim("a", "done", "d", "r1")
+        await guard.finish(done, Outcome(200))
+        await guard.claim("a", "open", "d", "r2")
+        await asyncio.sleep(KEEP_S + 1)
+        clock = asyncio.get_running_loop().time
+        result = await sweep(store, KEEP_S, lambda: True, clock)
+        assert (result.removed, result.unsettled, result.complete) == (1, 1, True)
+        assert await guard.read("a", "done") is None
+        assert await guard.read("a", "open") is not None
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Entries that claim, pause, crash, send and finish over a store with faults.
+
+    The judge counts executions at the service, as the stand-in of the service does.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.rng = random.Random(7)
+        self.executions: dict[str, list[str]] = defaultdict(list)
+        self.finished: dict[str, float] = {}
+        self.refused: set[str] = set()
+        self.violations: list[str] = []
+        self.requests = 0
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self) -> None:
+        self.core = loop_core()
+        self.stores = [FakeKeyValueStore(self.core, 0.002, 0.5) for _ in range(ENTRIES)]
+        self.tasks: list[list[asyncio.Task[None]]] = [[] for _ in range(ENTRIES)]
+        self.guards = [self._start(index) for index in range(ENTRIES)]
+
+    def _start(self, index: int) -> ExecutionGuard:
+        seed = self.rng.getrandbits(32)
+        clock = asyncio.get_running_loop().time
+        incarnation = str(seed)
+        guard = ExecutionGuard(
+            self.stores[index], f"e{index}", incarnation, random.Random(seed), clock
+        )
+        self.tasks[index] = [asyncio.create_task(guard.run())]
+        return guard
+
+    async def _call(
+        self, index: int, key: str, request_id: str, pause_s: float, sends: bool
+    ) -> None:
+        guard = self.guards[index]
+        try:
+            claim = await guard.claim("a", key, "d", request_id)
+        except ClaimRefused:
+            self.refused.add(request_id)
+            return
+        except ExecutionExists:
+            return
+        await asyncio.sleep(pause_s)
+        if not sends:
+            await guard.release(claim)
+            self.refused.add(request_id)
+            return
+        await guard.mark_sent(claim)
+        self._execute(key, request_id)
+        await asyncio.sleep(pause_s / 2)
+        await guard.finish(claim, Outcome(200))
+        self.finished[key] = self.loop.time()
+
+    def _execute(self, key: str, request_id: str) -> None:
+        former = self.executions[key]
+        kept = self.finished.get(key, float("inf")) + KEEP_S > self.loop.time()
+        if former and kept:
+            self.violations.append(f"{key} ran for {former} and for {request_id}")
+        self.finished.pop(key, None)
+        former.append(request_id)
+
+    @rule(
+        index=st.integers(0, ENTRIES - 1),
+        key=st.sampled_from(["k1", "k2"]),
+        pause_s=st.sampled_from([0.0, 0.01, 5.0, 90.0]),
+        sends=st.sampled_from([True, True, True, False]),
+    )
+    def call(self, index: int, key: str, pause_s: float, sends: bool) -> None:
+        self.requests += 1
+        work = self._call(index, key, f"r{self.requests}", pause_s, sends)
+        self.tasks[index].append(self.loop.create_task(work))
+        self.loop.run_until_complete(asyncio.sleep(0))
+
+    @rule(key=st.sampled_from(["k1", "k2"]))
+    def three_entries_at_once(self, key: str) -> None:
+        for index in range(ENTRIES):
+            self.call(index, key, 0.01, True)
+
+    @rule(
+        index=st.integers(0, ENTRIES - 1),
+        fault=st.sampled_from(["none", "lost", "late", "slow", "outage"]),
+    )
+    def fault(self, index: int, fault: str) -> None:
+        store = self.stores[index]
+        store.delay_effect_s = 3.0 if fault == "late" else 0.0
+        store.slow_s = 1.5 if fault == "slow" else 0.0
+        store.outage = fault == "outage"
+        if fault == "lost":
+            store.lose_next_answers(2)
+
+    @rule(index=st.integers(0, ENTRIES - 1))
+    def crash(self, index: int) -> None:
+        for task in self.tasks[index]:
+            task.cancel()
+
+        async def restart() -> None:
+            await asyncio.gather(*self.tasks[index], return_exceptions=True)
+            self.guards[index] = self._start(index)
+
+        self.loop.run_until_complete(restart())
+
+    @rule(index=st.integers(0, ENTRIES - 1))
+    def sweep(self, index: int) -> None:
+        clock = self.loop.time
+        self.loop.run_until_complete(sweep(self.stores[index], KEEP_S, lambda: True, clock))
+
+    @rule(seconds=st.sampled_from([0.001, 0.003, 0.4, 2.0, 20.0, 150.0]))
+    def advance(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @invariant()
+    def ran_at_most_once(self) -> None:
+        assert not self.violations
+
+    @invariant()
+    def what_was_refused_did_not_run(self) -> None:
+        ran = {request_id for runs in self.executions.values() for request_id in runs}
+        assert not ran & self.refused
+
+    def teardown(self) -> None:
+        async def settle() -> None:
+            for store in self.stores:
+                store.delay_effect_s = store.slow_s = 0.0
+                store.outage = False
+            await asyncio.sleep(300)
+            # Nothing that is left to write stays unwritten once the store is well.
+            assert [guard.dump()["pending_writes"] for guard in self.guards] == [0] * ENTRIES
+            for tasks in self.tasks:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.loop.run_until_complete(settle())
+        self.loop.close()
+
+
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = settings(
+    derandomize=True, max_examples=30, stateful_step_count=30, deadline=None
+)
