Price the calls that a prompt holds up, and add the routing experiment

Cause: under load, prefixes were computed on many engines: spilling looked almost free, since the cost named only the engine's price and the caller's own lateness. Change: the time a prompt is computed is priced by the calls in progress that wait for it.

--- a/godwitpath/routing/choose.py
+++ b/godwitpath/routing/choose.py
@@ -26,7 +26,10 @@
 LATE_PRICE_PER_S = 0.02
 """Cost of a second past the latency target, in units of price."""
 
-TARGET_MARGIN = 0.6
+HELD_UP_PRICE_PER_S = 0.03
+"""Cost of holding up one call in progress for a second, in units of price."""
+
+TARGET_MARGIN = 0.85
 """Part of the target that a prediction may use; the rest covers lagging knowledge."""
 
 PATIENCE = (1.0, 8.0, 30.0)
@@ -183,7 +186,10 @@
 ) -> Iterator[float]:
     # The engine's time: the prompt has it alone, the answer shares it with the batch.
     decode_s = query.max_tokens * view.between_tokens_s / (view.running + 1.0)
-    yield view.price_per_h / 3600.0 * (prefill_s + decode_s)
+    engine_price_per_s = view.price_per_h / 3600.0
+    yield engine_price_per_s * (prefill_s + decode_s)
+    # Every call in progress waits while the prompt is computed.
+    yield HELD_UP_PRICE_PER_S * prefill_s * view.running
     if view.region != query.region:
         sent_bytes = (query.prompt_tokens + query.max_tokens) * CHARS_PER_TOKEN
         yield query.prices.cross_region_per_gb * sent_bytes / 1e9
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,6 +4,8 @@
 
 import typer
 
+from godwitpath_bench import routing
+
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
 
@@ -12,5 +14,7 @@
     """Experiments, each with its baselines."""
 
 
+routing.register(app)
+
 if __name__ == "__main__":
     app()
--- a/godwitpath_bench/policies.py
+++ b/godwitpath_bench/policies.py
@@ -20,6 +20,12 @@
     return Placed(entry.rng.choice([v.upstream_id for v in views if v.own_running == fewest]))
 
 
+def least_at_home(entry: Entry, call: Call, views: list[EngineView], now_s: float) -> Placed:
+    """Take the engine of the entry's region with the fewest own calls."""
+    home = [view for view in views if view.region == entry.region]
+    return least_outstanding(entry, call, home or views, now_s)
+
+
 def route(entry: Entry, call: Call, views: list[EngineView], now_s: float) -> RouteChoice:
     """Return the product's choice with its predictions."""
     query = RouteQuery(
@@ -49,6 +55,7 @@
 POLICIES: dict[str, Policy] = {
     "godwitpath": prefix_cost,
     "least outstanding": least_outstanding,
+    "least outstanding at home": least_at_home,
     "round robin": round_robin,
 }
 """Routing policies by name, the product's first."""
--- a/godwitpath_bench/work.py
+++ b/godwitpath_bench/work.py
@@ -105,9 +105,7 @@
             for _ in range(rng.randint(15, 35)):
                 sent_s = at_s + rng.uniform(0.0, 4.0)
                 name = f"depot-{depot}"
-                yield self._call(
-                    rng, sent_s, region, account, "survey", 2, name, 2_048, 150, 120.0
-                )
+                yield self._call(rng, sent_s, region, account, "survey", 2, name, 2_048, 150, 120.0)
         for at_s in self._arrivals(rng, 4.0):
             region = self._region(rng)
             output = rng.randint(40, 100)
@@ -147,5 +145,14 @@
         blocks += [f"{prefix}/{number}" for number in range(prefix_tokens // BLOCK_TOKENS)]
         prompt_tokens = len(blocks) * BLOCK_TOKENS + rng.randint(40, 240)
         return Call(
-            at_s, 0, region, account, kind, priority, blocks, prompt_tokens, output_tokens, deadline_s
+            at_s,
+            0,
+            region,
+            account,
+            kind,
+            priority,
+            blocks,
+            prompt_tokens,
+            output_tokens,
+            deadline_s,
         )
