Prove the checks and the submission of configurations

Each mistake alone gives one finding at its place; any JSON value anywhere is taken or a finding. Submissions run under lost, late and refused writes with cancelled submitters: revisions have no gaps, none counts twice. Without settling a lost answer three of the tests fail; without looking for the submission identifier one does.

--- a/godwitpath/config/check_services.py
+++ b/godwitpath/config/check_services.py
@@ -167,7 +167,8 @@
             ),
         ]
         for smaller, low, larger, high in pairs:
-            if view.sound(smaller, larger) and low > high:
+            # A default that does not fit is no mistake of the text.
+            if view.written(smaller) and view.sound(smaller, larger) and low > high > 0:
                 message = f"{smaller[-1]} ({low:g}) is above {larger[-1]} ({high:g})"
                 yield view.document.finding(smaller, message, f"at most {high:g}")
 
--- a/godwitpath/config/decode.py
+++ b/godwitpath/config/decode.py
@@ -7,10 +7,11 @@
 import difflib
 import json
 import typing
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
+from functools import cache
 from types import UnionType
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, TypeVar, cast
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -57,7 +58,7 @@
     :param document: text that the findings point at
     :param value: value to decode, the document's own or one merged over defaults
     """
-    adapter = TypeAdapter(kind)
+    adapter: TypeAdapter[T] = _adapter(cast(Hashable, kind))
     remaining = copy.deepcopy(value)
     findings: list[Finding] = []
     pruned: set[Path] = set()
@@ -76,6 +77,12 @@
         pruned |= wrong
 
 
+@cache
+def _adapter(kind: Hashable) -> TypeAdapter[Any]:
+    """Return the decoder of a class, whose making takes tens of milliseconds."""
+    return TypeAdapter(cast(Any, kind))
+
+
 def _compact(value: Any) -> Any:
     """Return a copy of a value without the list items that were left out."""
     if isinstance(value, dict):
--- a/godwitpath/config/document.py
+++ b/godwitpath/config/document.py
@@ -20,6 +20,9 @@
 MAX_DEPTH = 64
 """Deepest nesting of objects and lists that a text may have."""
 
+SCHEMA_FIELD = "$schema"
+"""Field at the top of a text that names its schema to an editor."""
+
 _SPACE = re.compile(r"[ \t\n\r]*")
 _SCALAR = re.compile(r"[^ \t\n\r,\]}]+")
 
@@ -80,6 +83,8 @@
         raise FindingsError(source, [Finding("", f"not JSON: {message}", "", 1, 1)]) from error
     document = Document(source, text, value)
     _Locator(document).run()
+    if isinstance(value, dict):
+        value.pop(SCHEMA_FIELD, None)
     return document
 
 
--- a/godwitpath/config/schema.py
+++ b/godwitpath/config/schema.py
@@ -7,6 +7,7 @@
 
 from pydantic import TypeAdapter
 
+from godwitpath.config.document import SCHEMA_FIELD
 from godwitpath.config.model import Configuration
 from godwitpath.settings import ProcessSettings
 
@@ -30,4 +31,17 @@
 
 def _schema(kind: type[Any], title: str) -> dict[str, Any]:
     schema = TypeAdapter(kind).json_schema()
-    return {"$schema": _DIALECT, **schema, "title": title}
+    for item in (schema, *schema.get("$defs", {}).values()):
+        _describe_fields(item)
+    schema["properties"] = {SCHEMA_FIELD: {"type": "string"}, **schema["properties"]}
+    return {SCHEMA_FIELD: _DIALECT, **schema, "title": title}
+
+
+def _describe_fields(schema: dict[str, Any]) -> None:
+    """Move what a class says of its fields to the fields."""
+    head, *fields = schema.get("description", "").split(":ivar ")
+    schema["description"] = head.strip()
+    for field in fields:
+        name, _, text = field.partition(":")
+        if name in schema["properties"]:
+            schema["properties"][name]["description"] = " ".join(text.split())
--- a/godwitpath/config/submit.py
+++ b/godwitpath/config/submit.py
@@ -31,7 +31,9 @@
 
 SETTLE_ATTEMPTS = 8
 SETTLE_PAUSE_S = 0.25
-HISTORY_PAGE = 200
+HISTORY_PAGE = 50
+SETTLED_REVISIONS = 2_500
+"""A submission identifier given again is looked for among this many revisions."""
 
 ANY_REVISION = -1
 """Base revision of a submission that builds on whatever is in force when it starts."""
@@ -103,13 +105,11 @@
     :raises StoreRefused: the store is down; nothing was written
     """
     parse_configuration(source, text)
-    submission_id = submission_id or secrets.token_hex(16)
     stored = await store.get(CURRENT_KEY)
     current = decode_envelope(stored.value) if stored else None
-    if current is not None and current.submission_id == submission_id:
-        return await _finish(store, current, await _previous(store, current))
-    if earlier := await _accepted_earlier(store, submission_id, current):
+    if submission_id and (earlier := await _accepted_earlier(store, submission_id, current)):
         return await _finish(store, earlier, await _previous(store, earlier))
+    submission_id = submission_id or secrets.token_hex(16)
     if current is not None and base_revision not in (ANY_REVISION, current.revision):
         raise ConfigConflict(current, _differences(current, text))
     if current is not None and current.digest == text_digest(text):
@@ -174,14 +174,15 @@
 async def _accepted_earlier(
     store: KeyValueStore, submission_id: str, current: ConfigEnvelope | None
 ) -> ConfigEnvelope | None:
-    """Return the kept configuration of a submission that others have followed since."""
-    if current is None:
-        return None
-    after = history_key(max(0, current.revision - HISTORY_PAGE))
-    for item in await store.scan(HISTORY_PREFIX, HISTORY_PAGE, after):
-        envelope = decode_envelope(item.value)
-        if envelope.submission_id == submission_id:
-            return envelope
+    """Return the configuration that an earlier try of a submission made, None when it made none."""
+    if current is None or current.submission_id == submission_id:
+        return current
+    after = history_key(max(0, current.revision - SETTLED_REVISIONS))
+    while page := await store.scan(HISTORY_PREFIX, HISTORY_PAGE, after):
+        for envelope in map(decode_envelope, (item.value for item in page)):
+            if envelope.submission_id == submission_id:
+                return envelope
+        after = page[-1].key
     return None
 
 
@@ -191,13 +192,22 @@
 
 
 async def _keep_history(store: KeyValueStore, envelope: ConfigEnvelope | None) -> None:
-    """Keep an accepted configuration; the next submitter does it for one who was cut off."""
+    """Keep an accepted configuration; the next submitter does it for one who was cut off.
+
+    :raises StoreRefused: it could not be kept; the write is the same each time, so that repeating
+        it after a lost answer does no harm
+    """
     if envelope is None:
         return
-    try:
-        await store.put(history_key(envelope.revision), encode_envelope(envelope), ABSENT)
-    except RevisionConflict:
-        return
+    for _ in range(SETTLE_ATTEMPTS):
+        try:
+            await store.put(history_key(envelope.revision), encode_envelope(envelope), ABSENT)
+            return
+        except RevisionConflict:
+            return
+        except StoreUncertain:
+            await asyncio.sleep(SETTLE_PAUSE_S)
+    raise StoreRefused("the store loses its answers; nothing was submitted")
 
 
 async def _settle(store: KeyValueStore, stored: KeyValue | None, envelope: ConfigEnvelope) -> None:
@@ -205,13 +215,16 @@
     for _ in range(SETTLE_ATTEMPTS):
         await asyncio.sleep(SETTLE_PAUSE_S)
         try:
+            current = await store.get(CURRENT_KEY)
+            if _revision_of(current) != _revision_of(stored):
+                return await _raise_unless_own(store, current, envelope)
             # The same write with the same expected revision can take effect only once.
             await store.put(CURRENT_KEY, encode_envelope(envelope), _revision_of(stored))
         except RevisionConflict as error:
-            await _raise_unless_own(store, error.current, envelope)
+            return await _raise_unless_own(store, error.current, envelope)
         except (StoreRefused, StoreUncertain):
             continue
-        return
+        return None
     raise SubmissionUnknown(envelope.submission_id)
 
 
--- a/godwitpath/config/view.py
+++ b/godwitpath/config/view.py
@@ -35,6 +35,15 @@
         """Return whether the values at all paths were decoded from the text."""
         return not any(path[:n] in self.pruned for path in paths for n in range(len(path) + 1))
 
+    def written(self, path: Path) -> bool:
+        """Return whether the text gives a value for a path, so that it is no default."""
+        value: Any = self.document.value
+        for part in path:
+            if not isinstance(value, dict) or part not in value:
+                return False
+            value = value[part]
+        return True
+
     def items(self, path: Path, values: list[T]) -> Iterator[tuple[Path, T]]:
         """Yield the decoded items of a list with their paths in the text."""
         indexes = (index for index in count() if (*path, index) not in self.pruned)
