Lose the answer of the right write in the test

The test of a lost answer lost those of the history instead of the new text, so it passed without the settling.

--- a/test/test_config_submit.py
+++ b/test/test_config_submit.py
@@ -74,7 +74,8 @@
 async def test_a_lost_answer_is_settled_by_the_submission_id() -> None:
     store = FakeKeyValueStore()
     await submit(store, text(10), "ann", "first")
-    store.lose_next_answers(2)
+    # The history of the first, that write's repetition, and the write of the new text.
+    store.lose_next_answers(3)
     result = await submit(store, text(20), "ann", "second", submission_id="s2")
     assert result.envelope.revision == 2
     assert [item.submission_id for item in await history(store)][1:] == ["s2"]
