Show that a stream is alive, and let a request without an answer be made again under its key

A caller could not tell a slow stream from a connection gone silent: a comment goes out each second.

--- a/godwitpath/entry/accept.py
+++ b/godwitpath/entry/accept.py
@@ -31,12 +31,8 @@
 
         :raises CallerError: the key was used with another body
         """
-        ref = _same_body(await self._context.records.find(account, key=key), digest)
-        if ref is None or ref.state != "finished":
-            return ref
-        # A request that ended without an answer may be made again under its key.
-        outcome = await self._context.records.outcome(ref)
-        return ref if not outcome.reason or outcome.ran == "unknown" else None
+        ref = await self._context.records.find(account, key=key)
+        return await self._answering(ref, digest)
 
     async def generation(
         self, record: RequestRecord, asked: GenerationRequest, service: Service
@@ -72,7 +68,21 @@
         ref = await self._context.records.claim_key(
             record.account, record.idempotency_key, record.body_digest, record.request_id
         )
-        return _same_body(ref, record.body_digest)
+        return await self._answering(ref, record.body_digest)
+
+    async def _answering(self, ref: RecordRef | None, digest: str) -> RecordRef | None:
+        """Return an earlier request that has or will have an answer to the same body."""
+        if ref is None:
+            return None
+        if ref.body_digest and ref.body_digest != digest:
+            raise CallerError(
+                "idempotency_key_reused", "the idempotency key was used with another request"
+            )
+        if ref.state != "finished":
+            return ref
+        # A request that ended without an answer may be made again under its key.
+        outcome = await self._context.records.outcome(ref)
+        return None if outcome.reason else ref
 
     async def _admit(
         self, record: RequestRecord, asked: GenerationRequest, service: Service
@@ -139,11 +149,3 @@
         tokens=record.tokens,
         record=record,
     )
-
-
-def _same_body(ref: RecordRef | None, digest: str) -> RecordRef | None:
-    if ref is not None and ref.body_digest and ref.body_digest != digest:
-        raise CallerError(
-            "idempotency_key_reused", "the idempotency key was used with another request"
-        )
-    return ref
--- a/godwitpath/entry/delivery.py
+++ b/godwitpath/entry/delivery.py
@@ -16,6 +16,12 @@
 
 CONTENT_TYPE_EVENTS = "text/event-stream; charset=utf-8"
 
+KEEP_ALIVE_S = 1.0
+"""Time between two comments that show that a stream is alive."""
+
+KEEP_ALIVE_COMMENT = b": alive\n\n"
+"""A server-sent event that every client passes over."""
+
 MESSAGE_BY_REASON: dict[str, str] = {
     "outcome_unknown": "whether the call ran is not known",
     "deadline_exceeded": "the request was not finished within its time",
@@ -93,9 +99,10 @@
         gone = asyncio.create_task(_wait_gone(receive))
         if sending is not None:
             gone.add_done_callback(lambda done: done.cancelled() or sending.cancel())
+        alive = asyncio.create_task(self._keep_alive(send))
         try:
             await send({"type": "http.response.start", "status": 200, "headers": headers})
-            await self._send_events(send)
+            await self._send_events(send, alive)
             gone.cancel()
         except asyncio.CancelledError:
             if not gone.done() or gone.cancelled():
@@ -105,15 +112,23 @@
                 sending.uncancel()
         finally:
             gone.cancel()
+            alive.cancel()
             self._on_gone(self._ref)
 
-    async def _send_events(self, send: Send) -> None:
+    async def _keep_alive(self, send: Send) -> None:
+        """Let the caller tell a slow answer from a dead connection."""
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_S)
+            await _send_part(send, KEEP_ALIVE_COMMENT)
+
+    async def _send_events(self, send: Send, alive: asyncio.Task[None]) -> None:
         tokens = self._after_tokens
         async for batch in self._context.records.follow(self._ref, self._after_tokens):
             text = "".join(piece.text for piece in batch)
             tokens += sum(piece.tokens for piece in batch)
             await _send_part(send, self._writer.text(text, tokens))
         outcome = await self._context.records.outcome(self._ref)
+        alive.cancel()
         if outcome.reason:
             body = error_body(outcome_error(outcome), self._ref.request_id)
             await _send_part(send, self._writer.error(body), last=True)
--- a/godwitpath/entry/forward.py
+++ b/godwitpath/entry/forward.py
@@ -41,6 +41,8 @@
         "authorization",
         "idempotency-key",
         "expect",
+        "date",
+        "server",
     }
 )
 """Headers that belong to one connection or to this system, never passed on."""
