--- a/godwitpath/commands/config.py
+++ b/godwitpath/commands/config.py
@@ -119,6 +119,7 @@
         typer.echo(f"revision {envelope.revision} already has this text; nothing was written")
     else:
         typer.echo(f"accepted as revision {envelope.revision}")
+    if not json_output and result.differences:
         _print_differences(result.differences, json_output=False)
 
 
--- a/godwitpath/commands/console.py
+++ b/godwitpath/commands/console.py
@@ -14,6 +14,7 @@
 from typer.core import TyperGroup
 
 from godwitpath.commands.exit_codes import exit_code
+from godwitpath.config.submit import ConfigConflict, SubmissionUnknown
 from godwitpath.errors import FindingsError, GodwitpathError
 
 _JSON_KEY = "godwitpath.json"
@@ -79,6 +80,11 @@
     if isinstance(error, FindingsError):
         fields["source"] = error.source
         fields["findings"] = [dataclasses.asdict(item) for item in error.findings]
+    if isinstance(error, ConfigConflict):
+        fields["revision"] = error.current.revision
+        fields["differences"] = [dataclasses.asdict(item) for item in error.differences]
+    if isinstance(error, SubmissionUnknown):
+        fields["submission_id"] = error.submission_id
     return fields
 
 
--- a/godwitpath/commands/platform_store.py
+++ b/godwitpath/commands/platform_store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from importlib import import_module
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -47,15 +46,14 @@
     :raises StoreNotNamed: they name none
     """
     # Imported here, since most commands never speak to the store.
-    adapter = import_module("godwitpath.adapters.kv_http")
+    from godwitpath.adapters.kv_http import HttpKeyValueStore
 
     if not url and settings_file is not None:
         settings = load_settings(str(settings_file), read_text(settings_file))
         url = settings.platform.key_value_url
     if not url:
         raise StoreNotNamed
-    store: KeyValueStore = adapter.HttpKeyValueStore(url, TIMEOUT_S)
-    return store
+    return HttpKeyValueStore(url, TIMEOUT_S)
 
 
 def with_store(
--- a/godwitpath/config/decode.py
+++ b/godwitpath/config/decode.py
@@ -22,6 +22,7 @@
 
 _UNKNOWN_FIELD = frozenset({"unexpected_keyword_argument", "extra_forbidden"})
 _MISSING = frozenset({"missing", "missing_argument"})
+MAX_SHOWN_CHARS = 40
 _KEY_MARK = "[key]"
 _LEFT_OUT: Any = object()
 """Stands in a list for an item that was left out, so that the others keep their index."""
@@ -148,10 +149,17 @@
         return document.finding(path, f"the field {name} is missing")
     if detail["type"] == "literal_error":
         expected = detail["ctx"]["expected"]
-        return document.finding(path, "unknown value", f"one of {expected}")
+        message = f"unknown value {_short(detail['input'])}"
+        return document.finding(path, message, f"one of {expected}")
     return document.finding(path, _plain(detail["msg"]))
 
 
+def _short(value: Any) -> str:
+    """Return the JSON form of a value, cut to a length that fits a message."""
+    shown = json.dumps(value)
+    return shown if len(shown) <= MAX_SHOWN_CHARS else shown[:MAX_SHOWN_CHARS] + "..."
+
+
 def _plain(message: str) -> str:
     text = message.replace("Input should be", "must be").replace("Input must be", "must be")
     return text[:1].lower() + text[1:]
