Add the model engine and platform stand-ins

Cause: entries need engines that batch, cache prefixes, resume, move caches and take orders, and a platform that reclaims, lists late and limits weights. Change: one ticking loop an engine for the whole batch; text as a function of request and place, so that continuations match anywhere and mix-ups are seen; PlatformCore behind HTTP and as a fake. Conclusion: whole but for tests.

--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
+from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
-from godwitpath_standin.server import run
+from godwitpath_standin.server import Standin, run
 
 app = typer.Typer(name="godwitpath-standin", no_args_is_help=True)
 
@@ -45,5 +48,57 @@
     run(lambda: PlainServiceStandin(run_s).standin, port)
 
 
+@app.command()
+def engine(
+    port: Port = 0,
+    seed: Seed = 0,
+    service_name: Annotated[str, typer.Option(help="Service that it belongs to.")] = "planner-lm",
+    model: Annotated[str, typer.Option(help="Model that it starts with.")] = "planner-7b",
+    version: Annotated[str, typer.Option(help="Version of the weights.")] = "1",
+    adapter: Annotated[list[str] | None, typer.Option(help="Adapter that it starts with.")] = None,
+    checks_fencing: Annotated[bool, typer.Option(help="Refuse old fencing numbers.")] = True,
+    weights_url: Annotated[str, typer.Option(help="Weight store, empty for a fixed time.")] = "",
+    step_s: Annotated[float, typer.Option(help="Time of a decoding step.")] = 0.02,
+    prefill_tokens_per_s: Annotated[float, typer.Option(help="Speed of prefilling.")] = 20_000.0,
+    max_batch: Annotated[int, typer.Option(help="Sequences in a batch.")] = 48,
+    max_waiting: Annotated[int, typer.Option(help="Sequences that may wait.")] = 200,
+    cache_tokens: Annotated[int, typer.Option(help="Room of the prefix cache.")] = 400_000,
+) -> None:
+    """Run a model engine."""
+    from godwitpath_standin.engine_app import EngineStandin
+    from godwitpath_standin.engine_core import EngineParameters
+    from godwitpath_standin.engine_orders import LoadedModel
+
+    loaded = LoadedModel(service_name, model, version, list(adapter or []))
+    parameters = EngineParameters(
+        step_s=step_s,
+        prefill_tokens_per_s=prefill_tokens_per_s,
+        max_batch=max_batch,
+        max_waiting=max_waiting,
+        cache_tokens=cache_tokens,
+    )
+    rng = random.Random(seed)
+
+    def start() -> Standin:
+        return EngineStandin(loaded, parameters, rng, checks_fencing, weights_url).standin
+
+    run(start, port)
+
+
+@app.command()
+def platform(
+    port: Port = 0,
+    seed: Seed = 0,
+    instances: Annotated[Path | None, typer.Option(help="JSON file of the first state.")] = None,
+    list_lag_s: Annotated[float, typer.Option(help="Age of the instance list.")] = 1.0,
+) -> None:
+    """Run the cloud API, the instance list and the weight store."""
+    from godwitpath_standin.platform_app import PlatformStandin, PlatformState
+
+    text = instances.read_bytes() if instances else b"{}"
+    state = msgspec.json.decode(text, type=PlatformState)
+    run(lambda: PlatformStandin(state, list_lag_s).standin, port)
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/godwitpath_standin/engine_app.py
@@ -0,0 +1,220 @@
+"""A model engine as a program: the OpenAI form over server-sent events, and its own paths."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from godwitpath.adapters.engine_wire import (
+    CacheEvents,
+    CallExtension,
+    Choice,
+    Delta,
+    EventExtension,
+    Imported,
+    StreamEvent,
+)
+from godwitpath.ports.engine import EngineOrder
+from godwitpath_standin.engine_core import EngineCore, EngineFull, EngineParameters, Sequence
+from godwitpath_standin.engine_orders import EngineOrders, LoadedModel, OldFencing
+from godwitpath_standin.prefix_cache import BLOCK_TOKENS, block_digests
+from godwitpath_standin.server import Json, Standin
+from godwitpath_standin.text import answer_tokens, text_between
+
+ALIVE_S = 0.5
+KV_BYTES_PER_TOKEN = 64
+
+
+class ExportedCache(msgspec.Struct):
+    """A KV cache as it travels between engines."""
+
+    blocks: list[str]
+    padding: bytes
+
+
+class EngineStandin:
+    """The engine: a core behind HTTP."""
+
+    def __init__(
+        self,
+        loaded: LoadedModel,
+        parameters: EngineParameters,
+        rng: random.Random,
+        checks_fencing: bool,
+        weights_url: str = "",
+    ) -> None:
+        self.core = EngineCore(parameters, rng)
+        self.orders = EngineOrders(loaded, rng, checks_fencing, weights_url)
+        self._encoder = msgspec.json.Encoder()
+        self._loop = asyncio.get_running_loop()
+        routes = [
+            Route("/v1/chat/completions", self._chat, methods=["POST"]),
+            Route("/v1/completions", self._completion, methods=["POST"]),
+            Route("/streams/{stream_id}", self._resume, methods=["GET"]),
+            Route("/streams/{stream_id}/cancel", self._cancel, methods=["POST"]),
+            Route("/streams/{stream_id}/cache", self._export, methods=["GET"]),
+            Route("/cache", self._import, methods=["POST"]),
+            Route("/cache-events", self._cache_events, methods=["GET"]),
+            Route("/load", self._load, methods=["GET"]),
+            Route("/status", self._status, methods=["GET"]),
+            Route("/order", self._order, methods=["POST"]),
+            Route("/stop", self._stop, methods=["POST"]),
+            Route("/stats", self._stats, methods=["GET"]),
+        ]
+        self.standin = Standin(routes)
+
+    async def _chat(self, request: Request) -> Response:
+        return await self._generate(request, chat=True)
+
+    async def _completion(self, request: Request) -> Response:
+        return await self._generate(request, chat=False)
+
+    async def _generate(self, request: Request, chat: bool) -> Response:
+        try:
+            body = msgspec.json.decode(await request.body(), type=dict[str, Any])
+            extension = msgspec.convert(body.pop("engine", {"attempt_id": ""}), CallExtension)
+        except msgspec.MsgspecError as error:
+            return Json({"error": str(error)}, 400)
+        refusal = self.orders.refusal(str(body.get("model", "")))
+        if refusal:
+            return Json({"error": refusal}, 503, {"retry-after": "1"})
+        try:
+            sequence = self.core.start(body, chat, extension)
+        except EngineFull:
+            return Json({"error": "too many requests wait"}, 429, {"retry-after": "1"})
+        if not body.get("stream"):
+            return await self._whole(sequence, body)
+        events = self._events(sequence, extension.attempt_id, sequence.produced)
+        return StreamingResponse(events, media_type="text/event-stream")
+
+    async def _whole(self, sequence: Sequence, body: dict[str, Any]) -> Response:
+        while not sequence.ended:
+            await sequence.changed.wait()
+        text = text_between(sequence.digest, 0, answer_tokens(body))
+        message = {"message": {"role": "assistant", "content": text}}
+        choice = {"index": 0, "finish_reason": "stop"}
+        choice |= message if sequence.chat else {"text": text}
+        usage = {"prompt_tokens": sequence.prompt, "completion_tokens": sequence.total}
+        usage["total_tokens"] = sequence.prompt + sequence.total
+        return Json({"id": sequence.stream_id, "choices": [choice], "usage": usage})
+
+    async def _resume(self, request: Request) -> Response:
+        sequence = self.core.find(request.path_params["stream_id"])
+        after = int(request.query_params.get("after", "0"))
+        if sequence is None or sequence.ended == "cancelled" or after > sequence.produced:
+            return Json({"error": "stream not known"}, 404)
+        self.core.counts.resumed += 1
+        events = self._events(sequence, request.query_params.get("attempt", ""), after)
+        return StreamingResponse(events, media_type="text/event-stream")
+
+    async def _events(
+        self, sequence: Sequence, attempt_id: str, after: int
+    ) -> AsyncIterator[bytes]:
+        sent = after
+        # The first event tells the stream's name before there is any text.
+        yield self._event(sequence, attempt_id, sent, sent, "")
+        while True:
+            changed = sequence.changed
+            produced = sequence.produced
+            finish_reason = sequence.ended if sequence.ended else ""
+            if produced > sent or finish_reason:
+                event = self._event(sequence, attempt_id, sent, produced, finish_reason)
+                sent = produced
+                if finish_reason:
+                    yield event + b"data: [DONE]\n\n"
+                    return
+                yield event
+                if sequence.changed is not changed:
+                    continue
+            await self._news(changed)
+            if not changed.is_set():
+                yield b": alive\n\n"
+
+    async def _news(self, changed: asyncio.Event) -> None:
+        if changed.is_set():
+            return
+        timer = self._loop.call_later(ALIVE_S, _wake, changed)
+        try:
+            await changed.wait()
+        finally:
+            timer.cancel()
+
+    def _event(
+        self, sequence: Sequence, attempt_id: str, first: int, end: int, finish_reason: str
+    ) -> bytes:
+        text = text_between(sequence.digest, first, end)
+        choice = Choice(
+            delta=Delta(text) if sequence.chat else None,
+            text="" if sequence.chat else text,
+            finish_reason=finish_reason or None,
+        )
+        extension = EventExtension(
+            attempt_id=attempt_id,
+            offset=first,
+            tokens=end - first,
+            prompt_tokens=sequence.prompt if finish_reason else 0,
+            cached_tokens=sequence.cached if first == end else 0,
+        )
+        event = StreamEvent(sequence.stream_id, [choice], extension)
+        return b"data: " + self._encoder.encode(event) + b"\n\n"
+
+    async def _cancel(self, request: Request) -> Response:
+        self.core.cancel(request.path_params["stream_id"])
+        return Json({})
+
+    async def _export(self, request: Request) -> Response:
+        sequence = self.core.find(request.path_params["stream_id"])
+        if sequence is None or sequence.uncached:
+            return Json({"error": "stream not known"}, 404)
+        blocks = block_digests(sequence.text + sequence.text_after(0))
+        padding = bytes(len(blocks) * BLOCK_TOKENS * KV_BYTES_PER_TOKEN)
+        return Response(msgspec.msgpack.encode(ExportedCache(blocks, padding)))
+
+    async def _import(self, request: Request) -> Response:
+        try:
+            exported = msgspec.msgpack.decode(await request.body(), type=ExportedCache)
+        except msgspec.MsgspecError as error:
+            return Json({"error": str(error)}, 400)
+        added = self.core.cache.add(exported.blocks, self._loop.time())
+        return Json(Imported(added * BLOCK_TOKENS))
+
+    async def _cache_events(self, request: Request) -> Response:
+        after = int(request.query_params.get("after", "0"))
+        return Json(CacheEvents(self.core.cache.published(after, self._loop.time())))
+
+    async def _load(self, _: Request) -> Response:
+        return Json(self.core.load(self.standin.faults.lag_s))
+
+    async def _status(self, _: Request) -> Response:
+        return Json(self.orders.status())
+
+    async def _order(self, request: Request) -> Response:
+        try:
+            order = msgspec.json.decode(await request.body(), type=EngineOrder)
+            self.orders.take(order, self.standin.faults.fail_version)
+        except msgspec.MsgspecError as error:
+            return Json({"error": str(error)}, 400)
+        except OldFencing as error:
+            return Json({"error": str(error)}, 412)
+        return Json(self.orders.status())
+
+    async def _stop(self, _: Request) -> Response:
+        self.orders.leave()
+        return Json(self.orders.status())
+
+    async def _stats(self, _: Request) -> Response:
+        counts = {name: getattr(self.core.counts, name) for name in self.core.counts.__slots__}
+        return Json({**counts, "running": self.core.running(), "orders": self.orders.counts})
+
+
+def _wake(changed: asyncio.Event) -> None:
+    # Waiters are woken without the event being set: they see that nothing is new.
+    changed.set()
+    changed.clear()
--- /dev/null
+++ b/godwitpath_standin/engine_core.py
@@ -0,0 +1,277 @@
+"""The batching of a model engine: one loop that ticks for all sequences."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from godwitpath.adapters.engine_wire import CallExtension
+from godwitpath.ports.engine import LoadReport
+from godwitpath_standin.prefix_cache import PrefixCache, block_digests
+from godwitpath_standin.text import (
+    answer_tokens,
+    prompt_text,
+    prompt_tokens,
+    request_digest,
+    text_between,
+)
+
+
+@dataclass(slots=True)
+class EngineParameters:
+    """Speed and sizes of an engine.
+
+    :ivar step_s: time of a decoding step with one sequence
+    :ivar step_per_sequence_s: added by each further sequence
+    :ivar prefill_tokens_per_s: speed of computing uncached prompt tokens
+    :ivar prefill_chunk_tokens: most prompt tokens computed in one step
+    :ivar load_lag_s: age of the load reports
+    :ivar keep_stream_s: how long an ended stream can be resumed
+    """
+
+    step_s: float = 0.02
+    step_per_sequence_s: float = 0.0005
+    prefill_tokens_per_s: float = 20_000.0
+    prefill_chunk_tokens: int = 2048
+    max_batch: int = 48
+    max_waiting: int = 200
+    cache_tokens: int = 400_000
+    load_lag_s: float = 1.0
+    event_lag_s: float = 0.5
+    event_gap_ratio: float = 0.05
+    keep_stream_s: float = 60.0
+
+
+@dataclass(slots=True)
+class EngineCounts:
+    """What the engine really computed.
+
+    :ivar recomputed: tokens computed again that this or another engine had computed before:
+        delivered text that a continuation had to read
+    :ivar wrong_continuations: continuations whose delivered text was not the answer's own
+    """
+
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    prefilled: int = 0
+    cached: int = 0
+    generated: int = 0
+    recomputed: int = 0
+    wrong_continuations: int = 0
+    resumed: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Sequence:
+    """One generation.
+
+    :ivar produced: tokens of the whole answer that exist, earlier attempts included
+    :ivar uncached: prompt tokens still to compute
+    :ivar ended: why it ended, empty while it runs
+    :ivar changed: set whenever there is something new
+    """
+
+    stream_id: str
+    digest: str
+    chat: bool
+    priority: int
+    number: int
+    total: int
+    produced: int
+    prompt: int
+    cached: int
+    uncached: int
+    text: str
+    ended: str = ""
+    ended_at_s: float = 0.0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def text_after(self, tokens: int) -> str:
+        """Return the text from a token up to what exists."""
+        return text_between(self.digest, tokens, self.produced)
+
+    def notify(self) -> None:
+        """Wake everyone who waits for news."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class EngineFull(Exception):
+    """Too many sequences wait."""
+
+
+class EngineCore:
+    """Sequences, batch and cache.
+
+    :ivar counts: what was really computed
+    """
+
+    def __init__(self, parameters: EngineParameters, rng: random.Random) -> None:
+        self.parameters = parameters
+        self.counts = EngineCounts()
+        self.cache = PrefixCache(
+            parameters.cache_tokens, rng, parameters.event_lag_s, parameters.event_gap_ratio
+        )
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._sequences: dict[str, Sequence] = {}
+        self._waiting: list[Sequence] = []
+        self._batch: list[Sequence] = []
+        self._number = 0
+        self._work = asyncio.Event()
+        self._reports: deque[LoadReport] = deque(maxlen=600)
+        self._tick_task = asyncio.create_task(self._run())
+
+    def start(self, body: dict[str, Any], chat: bool, extension: CallExtension) -> Sequence:
+        """Take a generation into the queue.
+
+        :raises EngineFull: too many wait
+        """
+        if len(self._waiting) >= self.parameters.max_waiting:
+            raise EngineFull
+        digest = request_digest(body)
+        prompt = prompt_text(body)
+        text = prompt + ("assistant: " if chat else "") + extension.delivered_text
+        cached = self.cache.cached_tokens(block_digests(text))
+        tokens = prompt_tokens(text)
+        delivered = extension.delivered_tokens
+        if text_between(digest, 0, delivered) != extension.delivered_text:
+            self.counts.wrong_continuations += 1
+        self._number += 1
+        sequence = Sequence(
+            stream_id=f"{self._rng.getrandbits(128):032x}",
+            digest=digest,
+            chat=chat,
+            priority=extension.priority,
+            number=self._number,
+            total=answer_tokens(body),
+            produced=delivered,
+            prompt=tokens,
+            cached=min(cached, tokens),
+            uncached=max(1, tokens - cached),
+            text=text,
+        )
+        self.counts.requests += 1
+        self.counts.cached += sequence.cached
+        if delivered:
+            self.counts.recomputed += sequence.uncached
+        self._sequences[sequence.stream_id] = sequence
+        self._waiting.append(sequence)
+        self._waiting.sort(key=lambda item: (item.priority, item.number))
+        self._work.set()
+        return sequence
+
+    def find(self, stream_id: str) -> Sequence | None:
+        """Return a running or lately ended sequence."""
+        return self._sequences.get(stream_id)
+
+    def cancel(self, stream_id: str) -> None:
+        """End a sequence; an unknown or ended one is left alone."""
+        sequence = self._sequences.get(stream_id)
+        if sequence is not None and not sequence.ended:
+            self.counts.cancelled += 1
+            self._end(sequence, "cancelled")
+
+    def load(self, lag_s: float = -1.0) -> LoadReport:
+        """Return the load as it was some time ago."""
+        lag_s = self.parameters.load_lag_s if lag_s < 0 else lag_s
+        due_s = self._loop.time() - lag_s
+        reports = [report for report in self._reports if report.reported_at_s <= due_s]
+        return reports[-1] if reports else LoadReport(0, 0, 0, self.cache.free_tokens, due_s)
+
+    def running(self) -> int:
+        """Return the number of sequences that have not ended."""
+        return len(self._batch) + len(self._waiting)
+
+    async def _run(self) -> None:
+        reporter = asyncio.create_task(self._report())
+        try:
+            while True:
+                if not self._batch and not self._waiting:
+                    self._work.clear()
+                    await self._work.wait()
+                started_s = self._loop.time()
+                self._fill_batch()
+                prefilled = self._prefill()
+                step_s = self._step_time_s(prefilled)
+                await asyncio.sleep(max(0.0, started_s + step_s - self._loop.time()))
+                self._decode()
+        finally:
+            reporter.cancel()
+
+    async def _report(self) -> None:
+        while True:
+            now_s = self._loop.time()
+            waiting_tokens = sum(item.uncached for item in self._waiting + self._batch)
+            self._reports.append(
+                LoadReport(
+                    running=len(self._batch),
+                    waiting=len(self._waiting),
+                    waiting_tokens=waiting_tokens,
+                    free_cache_tokens=self.cache.free_tokens,
+                    reported_at_s=now_s,
+                )
+            )
+            self._forget_ended(now_s)
+            await asyncio.sleep(0.1)
+
+    def _fill_batch(self) -> None:
+        room = self.parameters.max_batch - len(self._batch)
+        self._batch += self._waiting[:room]
+        del self._waiting[:room]
+
+    def _prefill(self) -> int:
+        left = self.parameters.prefill_chunk_tokens
+        for sequence in sorted(self._batch, key=lambda item: (item.priority, item.number)):
+            part = min(left, sequence.uncached)
+            if part == 0:
+                continue
+            sequence.uncached -= part
+            left -= part
+            if sequence.uncached == 0:
+                self.cache.add(block_digests(sequence.text), self._loop.time())
+        prefilled = self.parameters.prefill_chunk_tokens - left
+        self.counts.prefilled += prefilled
+        return prefilled
+
+    def _step_time_s(self, prefilled: int) -> float:
+        parameters = self.parameters
+        decode_s = parameters.step_s + parameters.step_per_sequence_s * (len(self._batch) - 1)
+        return decode_s + prefilled / parameters.prefill_tokens_per_s
+
+    def _decode(self) -> None:
+        for sequence in list(self._batch):
+            if sequence.uncached or sequence.ended:
+                continue
+            if sequence.produced < sequence.total:
+                sequence.produced += 1
+                self.counts.generated += 1
+            if sequence.produced >= sequence.total:
+                self.counts.finished += 1
+                self._end(sequence, "stop")
+            else:
+                sequence.notify()
+
+    def _end(self, sequence: Sequence, reason: str) -> None:
+        sequence.ended = reason
+        sequence.ended_at_s = self._loop.time()
+        for queue in (self._batch, self._waiting):
+            if sequence in queue:
+                queue.remove(sequence)
+        # The answer is a prefix of the conversation's next prompt.
+        if reason == "stop":
+            answer = text_between(sequence.digest, 0, sequence.total)
+            whole = sequence.text + answer + "\n"
+            self.cache.add(block_digests(whole), self._loop.time())
+        sequence.notify()
+
+    def _forget_ended(self, now_s: float) -> None:
+        oldest_s = now_s - self.parameters.keep_stream_s
+        ended = [item for item in self._sequences.values() if item.ended]
+        for sequence in ended:
+            if sequence.ended_at_s < oldest_s:
+                del self._sequences[sequence.stream_id]
--- /dev/null
+++ b/godwitpath_standin/engine_orders.py
@@ -0,0 +1,141 @@
+"""What an engine runs, and the orders that change it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from godwitpath.adapters.http_client import AnswerLost, HttpClient, NotSent
+from godwitpath.ports.engine import EngineOrder, EngineStatus
+
+LOAD_S = 1.0
+WEIGHTS_TIMEOUT_S = 2.0
+
+
+class OldFencing(Exception):
+    """The order carries a fencing number older than one seen."""
+
+
+class LoadGrant(msgspec.Struct):
+    """The weight store's answer to a load: how long the transfer takes."""
+
+    wait_s: float
+
+
+@dataclass(slots=True)
+class LoadedModel:
+    """The written state that an engine runs."""
+
+    service: str
+    model: str
+    version: str
+    adapters: list[str] = field(default_factory=list)
+    role: str = "unified"
+
+
+class EngineOrders:
+    """The engine's model and state; orders load another.
+
+    :ivar counts: orders taken, refused for their fencing number, and older ones followed all the
+        same
+    """
+
+    def __init__(
+        self, loaded: LoadedModel, rng: random.Random, checks_fencing: bool, weights_url: str
+    ) -> None:
+        self._loaded = loaded
+        self._incarnation = f"{rng.getrandbits(64):016x}"
+        self._checks_fencing = checks_fencing
+        self._weights_url = weights_url.rstrip("/")
+        self._state = "serving"
+        self._detail = ""
+        self._fencing = 0
+        self._loading: asyncio.Task[None] | None = None
+        self._client = HttpClient()
+        self.counts = {"taken": 0, "fenced": 0, "old_followed": 0, "loads": 0}
+
+    def refusal(self, model: str) -> str:
+        """Return why a generation of a model is refused, empty for taken."""
+        if self._state != "serving":
+            return f"the engine is {self._state}"
+        if model not in (self._loaded.model, *self._loaded.adapters):
+            return f"the engine runs {self._loaded.model}"
+        return ""
+
+    def status(self) -> EngineStatus:
+        """Return what the engine runs."""
+        loaded = self._loaded
+        return EngineStatus(
+            incarnation=self._incarnation,
+            state=self._state,
+            service=loaded.service,
+            model=loaded.model,
+            version=loaded.version,
+            adapters=loaded.adapters,
+            role=loaded.role,
+            fencing=self._fencing,
+            detail=self._detail,
+        )
+
+    def take(self, order: EngineOrder, fail_version: str) -> None:
+        """Follow an order.
+
+        :raises OldFencing: a newer number was seen and the engine checks it
+        """
+        if order.fencing < self._fencing:
+            if self._checks_fencing:
+                self.counts["fenced"] += 1
+                raise OldFencing(f"fencing number {self._fencing} was seen")
+            self.counts["old_followed"] += 1
+        self._fencing = max(self._fencing, order.fencing)
+        self.counts["taken"] += 1
+        wanted = LoadedModel(
+            order.service, order.model, order.version, list(order.adapters), order.role
+        )
+        if wanted == self._loaded and self._state in ("serving", "loading"):
+            return
+        same_weights = (wanted.model, wanted.version) == (self._loaded.model, self._loaded.version)
+        if same_weights and self._state == "serving":
+            self._loaded = wanted
+            return
+        if self._loading is not None:
+            self._loading.cancel()
+        self._loaded = wanted
+        self._state, self._detail = "loading", ""
+        self.counts["loads"] += 1
+        self._loading = asyncio.create_task(self._load(wanted, fail_version))
+
+    def leave(self) -> None:
+        """Refuse new work from now on; what runs goes on."""
+        self._state = "leaving"
+
+    async def _load(self, wanted: LoadedModel, fail_version: str) -> None:
+        wait_s = LOAD_S
+        if self._weights_url:
+            path = f"/weights/{wanted.model}/{wanted.version}/load"
+            try:
+                answer, body = await self._client.call(
+                    "POST",
+                    self._weights_url + path,
+                    timeout_s=WEIGHTS_TIMEOUT_S,
+                    max_bytes=4096,
+                )
+                if answer.status != 200:
+                    self._fail(f"the weight store answered with status {answer.status}")
+                    return
+                wait_s = msgspec.json.decode(body, type=LoadGrant).wait_s
+            except (NotSent, AnswerLost, msgspec.MsgspecError) as error:
+                self._fail(f"the weight store failed: {error}")
+                return
+        await asyncio.sleep(wait_s)
+        if wanted.version == fail_version:
+            self._fail("the weights are broken")
+            return
+        if self._state == "loading":
+            self._state = "serving"
+
+    def _fail(self, detail: str) -> None:
+        self._state, self._detail = "failed", detail
--- /dev/null
+++ b/godwitpath_standin/platform_core.py
@@ -0,0 +1,209 @@
+"""State of the cloud, its lagging instance list and the weight store, in memory."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from godwitpath.ports.engine import Address
+from godwitpath.ports.platform import CloudRefused, Instance, Offer, ReclaimNotice, WeightVersion
+
+RECLAIMABLE_RATIO = 0.35
+"""Price of a reclaimable instance as a fraction of the on-demand price."""
+
+REFUSED_RETRY_S = 5.0
+KEPT_LISTS = 1000
+WEIGHTS_BYTES = 4_000_000_000
+WEIGHTS_BYTES_PER_S = 2_000_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class Spare:
+    """A process that stands ready to become an instance.
+
+    :ivar machine_class: class that it plays
+    """
+
+    instance_id: str
+    region: str
+    availability_zone: str
+    machine_class: str
+    address: Address
+
+
+class PlatformCore:
+    """Instances, offers, notices and weights; every call is atomic.
+
+    :param clock: returns the time in seconds
+    :param list_lag_s: age of what the list shows
+    """
+
+    def __init__(self, clock: Callable[[], float], list_lag_s: float = 1.0) -> None:
+        self._clock = clock
+        self._instances: dict[str, Instance] = {}
+        self._spares: dict[str, Spare] = {}
+        self._given: dict[str, str] = {}
+        self._offers: list[Offer] = []
+        self._history: deque[tuple[float, list[Instance]]] = deque(maxlen=KEPT_LISTS)
+        self._reclaims: dict[str, float] = {}
+        self._listeners: set[Callable[[ReclaimNotice], None]] = set()
+        self._versions: dict[str, list[WeightVersion]] = {}
+        self._weights_free_at_s = 0.0
+        self.list_lag_s = list_lag_s
+        self.refuse_instances = False
+        self.on_reclaimed: Callable[[Instance], None] | None = None
+
+    def register(self, instances: Iterable[Instance], spares: Iterable[Spare] = ()) -> None:
+        """Add or replace instances and spares."""
+        for instance in instances:
+            self._instances[instance.instance_id] = instance
+        for spare in spares:
+            self._spares[spare.instance_id] = spare
+        self._remember()
+
+    def remove(self, instance_ids: Iterable[str]) -> None:
+        """Take instances off the list."""
+        for instance_id in instance_ids:
+            self._instances.pop(instance_id, None)
+            self._reclaims.pop(instance_id, None)
+        self._remember()
+
+    def set_offers(self, offers: list[Offer]) -> None:
+        """Set what is offered, with prices."""
+        self._offers = list(offers)
+
+    def offers(self) -> list[Offer]:
+        """Return what is offered."""
+        return list(self._offers)
+
+    def acquire(self, offer: Offer, purpose: str, request_token: str) -> Instance:
+        """Give a spare that fits; the same token gives the same instance.
+
+        :raises CloudRefused: none fits, or the cloud refuses
+        """
+        known = self._instances.get(self._given.get(request_token, ""))
+        if known is not None:
+            return known
+        spare = None if self.refuse_instances else self._fitting(offer)
+        if spare is None:
+            raise CloudRefused("no instance of that kind", REFUSED_RETRY_S)
+        del self._spares[spare.instance_id]
+        instance = Instance(
+            instance_id=spare.instance_id,
+            purpose=purpose,
+            region=spare.region,
+            availability_zone=spare.availability_zone,
+            state="live",
+            machine_class=spare.machine_class,
+            reclaimable=offer.reclaimable,
+            price_per_h=offer.price_per_h,
+            address=spare.address,
+        )
+        self._given[request_token] = instance.instance_id
+        self.register([instance])
+        return instance
+
+    def release(self, instance_id: str) -> None:
+        """Take an instance back; it becomes a spare."""
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return
+        spare = Spare(
+            instance_id,
+            instance.region,
+            instance.availability_zone,
+            instance.machine_class,
+            instance.address,
+        )
+        self.remove([instance_id])
+        self._spares[instance_id] = spare
+
+    def reclaim(self, selected: str | list[str], notice_s: float) -> list[str]:
+        """Give notice to the reclaimable instances of a zone, or to named ones.
+
+        :returns: the instances that go
+        """
+        if isinstance(selected, str):
+            going = [
+                item.instance_id
+                for item in self._instances.values()
+                if item.reclaimable and item.availability_zone == selected
+            ]
+        else:
+            going = [instance_id for instance_id in selected if instance_id in self._instances]
+        for instance_id in going:
+            instance = self._instances[instance_id]
+            self._instances[instance_id] = replace(instance, state="leaving")
+            self._reclaims[instance_id] = self._clock() + notice_s
+        self._remember()
+        for instance_id in going:
+            notice = ReclaimNotice(instance_id, notice_s)
+            for listener in list(self._listeners):
+                listener(notice)
+        return going
+
+    def pending_notices(self) -> list[ReclaimNotice]:
+        """Return the notices whose time is not over yet."""
+        now_s = self._clock()
+        return [
+            ReclaimNotice(name, max(0.0, at_s - now_s)) for name, at_s in self._reclaims.items()
+        ]
+
+    def listen(self, listener: Callable[[ReclaimNotice], None]) -> None:
+        """Call a listener with every notice."""
+        self._listeners.add(listener)
+
+    def unlisten(self, listener: Callable[[ReclaimNotice], None]) -> None:
+        """Stop calling a listener."""
+        self._listeners.discard(listener)
+
+    def take_reclaimed(self) -> list[Instance]:
+        """Remove the instances whose notice is over, and return them."""
+        now_s = self._clock()
+        due = [name for name, at_s in self._reclaims.items() if at_s <= now_s]
+        gone = [self._instances[name] for name in due if name in self._instances]
+        if due:
+            self.remove(due)
+        return gone
+
+    def instances(self) -> list[Instance]:
+        """Return the list as it was some time ago."""
+        self.take_reclaimed()
+        due_s = self._clock() - self.list_lag_s
+        shown: list[Instance] = self._history[0][1] if self._history else []
+        for at_s, instances in self._history:
+            if at_s > due_s:
+                break
+            shown = instances
+        return shown
+
+    def set_versions(self, versions: Iterable[WeightVersion]) -> None:
+        """Set what the weight store holds."""
+        self._versions = {}
+        for version in versions:
+            self._versions.setdefault(version.model, []).append(version)
+
+    def versions(self, model: str) -> list[WeightVersion]:
+        """Return the versions of a model."""
+        return list(self._versions.get(model, []))
+
+    def load_wait_s(self, model: str, version: str) -> float | None:
+        """Take a turn at the weight store; returns its time, None for unknown weights."""
+        known = [item for item in self.versions(model) if item.version == version]
+        if not known:
+            return None
+        now_s = self._clock()
+        transfer_s = known[0].size_bytes / WEIGHTS_BYTES_PER_S
+        self._weights_free_at_s = max(now_s, self._weights_free_at_s) + transfer_s
+        return self._weights_free_at_s - now_s
+
+    def _fitting(self, offer: Offer) -> Spare | None:
+        for spare in self._spares.values():
+            same_zone = spare.availability_zone == offer.availability_zone
+            if same_zone and spare.machine_class == offer.machine_class:
+                return spare
+        return None
+
+    def _remember(self) -> None:
+        self._history.append((self._clock(), list(self._instances.values())))
--- /dev/null
+++ b/godwitpath_standin/prefix_cache.py
@@ -0,0 +1,91 @@
+"""A bounded prefix cache by blocks, and the events that an engine publishes about it."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict, deque
+
+import xxhash
+
+from godwitpath.ports.engine import CacheEvent
+from godwitpath_standin.text import CHARACTERS_PER_TOKEN
+
+BLOCK_TOKENS = 16
+BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+KEPT_EVENTS = 4096
+
+
+def block_digests(text: str) -> list[str]:
+    """Return the digests of a text's whole blocks, each over everything before its end."""
+    digests: list[str] = []
+    state = xxhash.xxh3_64()
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        state.update(text[start : start + BLOCK_CHARACTERS].encode())
+        digests.append(state.hexdigest())
+    return digests
+
+
+class PrefixCache:
+    """Least recently used blocks go first.
+
+    :param capacity_tokens: room of the cache
+    :param event_lag_s: time until an event is published
+    :param event_gap_ratio: share of the events that are never published
+    """
+
+    def __init__(
+        self,
+        capacity_tokens: int,
+        rng: random.Random,
+        event_lag_s: float = 0.5,
+        event_gap_ratio: float = 0.05,
+    ) -> None:
+        self._capacity_blocks = max(1, capacity_tokens // BLOCK_TOKENS)
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._rng = rng
+        self._event_lag_s = event_lag_s
+        self._event_gap_ratio = event_gap_ratio
+        self._sequence = 0
+        self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=KEPT_EVENTS)
+
+    @property
+    def free_tokens(self) -> int:
+        """Room left."""
+        return (self._capacity_blocks - len(self._blocks)) * BLOCK_TOKENS
+
+    def cached_tokens(self, digests: list[str]) -> int:
+        """Return the tokens of the longest cached prefix, and mark it as used."""
+        count = 0
+        for digest in digests:
+            if digest not in self._blocks:
+                break
+            self._blocks.move_to_end(digest)
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def add(self, digests: list[str], now_s: float) -> int:
+        """Take blocks in; returns how many were new."""
+        added = 0
+        for digest in digests:
+            if digest in self._blocks:
+                self._blocks.move_to_end(digest)
+                continue
+            added += 1
+            self._blocks[digest] = None
+            self._record(digest, True, now_s)
+            if len(self._blocks) > self._capacity_blocks:
+                evicted, _ = self._blocks.popitem(last=False)
+                self._record(evicted, False, now_s)
+        return added
+
+    def published(self, after_sequence: int, now_s: float) -> list[CacheEvent]:
+        """Return the events after a sequence number that are published by now."""
+        due = ((at_s, event) for at_s, event in self._events if at_s <= now_s)
+        return [event for _, event in due if event.sequence > after_sequence]
+
+    def _record(self, digest: str, present: bool, now_s: float) -> None:
+        self._sequence += 1
+        if self._rng.random() < self._event_gap_ratio:
+            return
+        event = CacheEvent(self._sequence, digest, present)
+        self._events.append((now_s + self._event_lag_s, event))
