Test copies, look-up, adoption, fencing and hand-over of records

Fifteen failures on the fake network and the paused clock. A finished copy is served to readers by its backup, where it was refused before as held elsewhere.

--- a/godwitpath/records/reader.py
+++ b/godwitpath/records/reader.py
@@ -87,7 +87,8 @@
                         seen = seen.extended(batch) if seen is not None else None
                 return
             except RecordMoved:
-                await self._search_again(search)
+                pass
+            await self._search_again(search)
 
     async def outcome(self, ref: RecordRef) -> Outcome:
         """Wait for the outcome, whoever holds the record.
--- a/godwitpath/records/record.py
+++ b/godwitpath/records/record.py
@@ -150,9 +150,9 @@
     kind: RequestKind
     method: str = "POST"
     path: str = ""
-    headers: list[tuple[str, str]] = field(default_factory=list)
+    headers: list[tuple[str, str]] = field(default_factory=list, repr=False)
     idempotency_key: str = ""
-    body: bytes = b""
+    body: bytes = field(default=b"", repr=False)
     body_digest: str = ""
     priority: int = 0
     streamed: bool = False
@@ -164,8 +164,8 @@
     attempt_id: str = ""
     upstream_id: str = ""
     stream_id: str = ""
-    pieces: list[Piece] = field(default_factory=list)
-    outcome: Outcome | None = None
+    pieces: list[Piece] = field(default_factory=list, repr=False)
+    outcome: Outcome | None = field(default=None, repr=False)
     state: RecordState = "accepted"
     version: int = 0
     copied_pieces: int = 0
@@ -239,17 +239,17 @@
         # An adopted record may still be behind what its reader was given.
         while not self._reached(after_tokens, seen):
             await self.changed()
-        if not self.held:
+        if not self.held and self.outcome is None:
             raise RecordMoved(self.request_id, self.holder)
         batch = pieces_after(self.pieces, after_tokens, seen)
         position = len(self.pieces)
         while True:
             if batch:
                 yield batch
-            elif not self.held:
-                raise RecordMoved(self.request_id, self.holder)
             elif self.outcome is not None:
                 return
+            elif not self.held:
+                raise RecordMoved(self.request_id, self.holder)
             else:
                 await self.changed()
             batch = self.pieces[position:]
@@ -285,4 +285,4 @@
     streamed: bool = False
     state: RecordState = "accepted"
     tokens: int = 0
-    record: RequestRecord | None = None
+    record: RequestRecord | None = field(default=None, repr=False)
--- /dev/null
+++ b/test/test_record_delivery.py
@@ -0,0 +1,142 @@
+"""Whole delivery: every accepted answer arrives complete, once, and at its own caller."""
+
+from __future__ import annotations
+
+import asyncio
+
+import looptime
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from godwitpath.records.record import RequestRecord
+from test.record_fleet import NOTICE_S, Reader, RecordFleet, whole_answer
+
+SIZE = 8
+NAMES = [f"e{index}" for index in range(SIZE)]
+SETTLED_S = NOTICE_S + 6.0
+"""Time in which every record has a new backup after entries were lost."""
+
+
+class WholeDelivery(RuleBasedStateMachine):
+    """Entries that die, freeze and lose messages while callers read their answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.records: list[RequestRecord] = []
+        self.readers: list[tuple[RequestRecord, Reader, asyncio.Task[None]]] = []
+        self.frozen = ""
+        self.quiet_since_s = 0.0
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self) -> None:
+        self.fleet = RecordFleet(SIZE)
+
+    def _living(self, position: int) -> str:
+        names = [name for name in self.fleet.nodes if name != self.frozen]
+        return names[position % len(names)]
+
+    def _settled(self) -> bool:
+        return not self.frozen and self.loop.time() - self.quiet_since_s >= SETTLED_S
+
+    @rule(position=st.integers(0, 7), account=st.sampled_from(["a", "b"]), key=st.booleans())
+    def accept(self, position: int, account: str, key: bool) -> None:
+        name = self._living(position)
+        idempotency_key = f"k{len(self.records)}" if key else ""
+
+        async def accept() -> None:
+            node = self.fleet.nodes[name]
+            record = node.record(account, idempotency_key)
+            if await node.store.accept(record):
+                node.start_work(record)
+                self._read(record, name)
+
+        self.loop.run_until_complete(accept())
+
+    def _read(self, record: RequestRecord, name: str) -> None:
+        self.records.append(record)
+        reader = Reader(self.fleet, record)
+        task = self.loop.create_task(reader.read(name))
+        self.readers.append((record, reader, task))
+
+    @precondition(lambda self: self.records)
+    @rule(position=st.integers(0, 7), index=st.integers(0, 50))
+    def read_again(self, position: int, index: int) -> None:
+        record = self.records[index % len(self.records)]
+        self._read(record, self._living(position))
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.3]),
+        duplication=st.sampled_from([0.0, 0.5]),
+        jitter_s=st.sampled_from([0.0, 0.02, 0.2]),
+    )
+    def change_links(self, loss: float, duplication: float, jitter_s: float) -> None:
+        faults = self.fleet.network.faults
+        faults.loss, faults.duplication, faults.jitter_s = loss, duplication, jitter_s
+
+    @precondition(lambda self: self._settled() and len(self.fleet.nodes) > 4)
+    @rule(position=st.integers(0, 7), zone=st.booleans())
+    def kill(self, position: int, zone: bool) -> None:
+        name = self._living(position)
+        names = self.fleet.zone_of(name) if zone else [name]
+        self.loop.run_until_complete(self.fleet.kill(*names))
+        self.quiet_since_s = self.loop.time()
+
+    @precondition(lambda self: self._settled())
+    @rule(position=st.integers(0, 7))
+    def freeze(self, position: int) -> None:
+        """Cut an entry off until the others think it gone; it goes on meanwhile."""
+        self.frozen = self._living(position)
+        self.fleet.network.pause(self.frozen)
+        member = self.fleet.nodes[self.frozen].member
+        self.loop.call_later(NOTICE_S, self.fleet.tell, member, "gone")
+
+    @precondition(lambda self: self.frozen)
+    @rule()
+    def wake(self) -> None:
+        name, self.frozen = self.frozen, ""
+        self.loop.run_until_complete(asyncio.sleep(NOTICE_S))
+        self.fleet.network.wake(name)
+        self.fleet.tell(self.fleet.nodes[name].member, "alive")
+        self.quiet_since_s = self.loop.time()
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 3.0]))
+    def advance(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule()
+    def settle(self) -> None:
+        faults = self.fleet.network.faults
+        faults.loss = faults.jitter_s = 0.0
+        self.loop.run_until_complete(asyncio.sleep(SETTLED_S))
+
+    @invariant()
+    def no_text_is_lost_doubled_or_anothers(self) -> None:
+        for record, reader, _ in self.readers:
+            assert whole_answer(record).startswith(reader.text)
+
+    def teardown(self) -> None:
+        async def finish() -> None:
+            if self.frozen:
+                await asyncio.sleep(NOTICE_S)
+                self.fleet.network.wake(self.frozen)
+                self.fleet.tell(self.fleet.nodes[self.frozen].member, "alive")
+            faults = self.fleet.network.faults
+            faults.loss = faults.jitter_s = 0.0
+            tasks = [task for _, _, task in self.readers]
+            try:
+                await asyncio.wait_for(asyncio.gather(*tasks), 60)
+            finally:
+                await self.fleet.stop()
+            for record, reader, _ in self.readers:
+                assert reader.text == whole_answer(record)
+
+        self.loop.run_until_complete(finish())
+        self.loop.close()
+
+
+TestWholeDelivery = WholeDelivery.TestCase
+TestWholeDelivery.settings = settings(
+    derandomize=True, max_examples=20, stateful_step_count=20, deadline=None
+)
--- /dev/null
+++ b/test/test_record_store.py
@@ -0,0 +1,256 @@
+"""The record store: copies, look-up, adoption, fencing and hand-over."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from godwitpath.ports.peers import Peer
+from godwitpath.records.record import (
+    OffsetUnknown,
+    Outcome,
+    Piece,
+    RequestRecord,
+    TextSeen,
+    pieces_after,
+)
+from godwitpath.records.table import RecordCounters, RecordTable
+from test.record_fleet import NOTICE_S, TOKENS, Reader, RecordFleet, whole_answer
+
+pytestmark = pytest.mark.looptime
+
+GENERATION_S = 3.0
+SETTLED_S = 12.0
+
+
+async def read(fleet: RecordFleet, record: RequestRecord, entry_id: str) -> Reader:
+    reader = Reader(fleet, record)
+    await asyncio.wait_for(reader.read(entry_id), 60)
+    return reader
+
+
+def holders(fleet: RecordFleet, record: RequestRecord) -> list[str]:
+    found = [
+        name
+        for name, node in fleet.nodes.items()
+        if any(each.request_id == record.request_id for each in node.store.records())
+    ]
+    return sorted(found)
+
+
+async def test_the_backup_is_in_another_zone_and_follows_the_record() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    for _ in range(10):
+        record = await node.accept()
+        backup = fleet.nodes[record.backup].member
+        assert backup.region == node.member.region
+        assert backup.availability_zone != node.member.availability_zone
+    await asyncio.sleep(GENERATION_S)
+    ref = await fleet.nodes[record.backup].store.find("a", record.request_id)
+    assert ref is not None
+    assert ref.record is not None
+    assert (ref.record.text, ref.state) == (whole_answer(record), "finished")
+    assert node.store.counters.cross_region_bytes == 0
+    await fleet.stop()
+
+
+async def test_bytes_to_another_region_are_counted() -> None:
+    fleet = RecordFleet(size=2, zones=4)
+    fleet.all_nodes["e1"].member.region = "r1"
+    record = await fleet.nodes["e0"].accept()
+    assert record.backup == "e1"
+    await asyncio.sleep(GENERATION_S)
+    counters = fleet.nodes["e0"].store.counters
+    assert counters.cross_region_bytes == counters.copy_bytes + counters.update_bytes > 0
+    await fleet.stop()
+
+
+async def test_without_a_live_backup_the_record_is_held_alone_and_copied_later() -> None:
+    fleet = RecordFleet(size=2)
+    fleet.network.cut("e0", "e1")
+    record = fleet.nodes["e0"].record()
+    assert not await fleet.nodes["e0"].store.accept(record)
+    assert fleet.nodes["e0"].store.counters.degraded == 1
+    fleet.network.heal()
+    await asyncio.sleep(3)
+    assert record.backup == "e1"
+    await fleet.stop()
+
+
+async def test_any_entry_finds_a_record_by_id_and_by_key_and_only_for_its_account() -> None:
+    fleet = RecordFleet(size=8)
+    record = fleet.nodes["e3"].record("a", "k1")
+    assert await fleet.nodes["e3"].store.claim_key("a", "k1", "d", record.request_id) is None
+    await fleet.nodes["e3"].store.accept(record)
+    for node in fleet.nodes.values():
+        by_id = await node.store.find("a", record.request_id)
+        by_key = await node.store.find("a", key="k1")
+        assert by_id is not None
+        assert by_key is not None
+        assert by_id.holder == by_key.holder == "e3"
+        assert await node.store.find("b", record.request_id) is None
+        assert await node.store.find("b", key="k1") is None
+        assert await node.store.find("a", "req-unknown") is None
+    await fleet.stop()
+
+
+async def test_a_key_claimed_at_three_entries_at_once_runs_once() -> None:
+    fleet = RecordFleet()
+    stores = [fleet.nodes[name].store for name in ("e0", "e2", "e5")]
+    ids = [store.new_request_id("a", "k") for store in stores]
+    claims = (
+        store.claim_key("a", "k", "d", request_id)
+        for store, request_id in zip(stores, ids, strict=True)
+    )
+    refs = await asyncio.gather(*claims)
+    winners = [request_id for request_id, ref in zip(ids, refs, strict=True) if ref is None]
+    assert len(winners) == 1
+    assert {ref.request_id for ref in refs if ref is not None} == set(winners)
+    for store in stores:
+        await store.release_key("a", "k", winners[0])
+    await asyncio.sleep(0.1)
+    assert await stores[1].claim_key("a", "k", "d", ids[1]) is None
+    await fleet.stop()
+
+
+async def test_text_is_whole_when_the_holder_dies() -> None:
+    fleet = RecordFleet()
+    record = await fleet.nodes["e0"].accept()
+    reader = asyncio.create_task(read(fleet, record, "e0"))
+    await asyncio.sleep(0.73)
+    await fleet.kill("e0")
+    assert (await reader).text == whole_answer(record)
+    assert holders(fleet, record) == [record.backup]
+    await fleet.stop()
+
+
+async def test_text_is_whole_when_a_zone_dies() -> None:
+    fleet = RecordFleet(size=8)
+    record = await fleet.nodes["e0"].accept()
+    readers = [asyncio.create_task(read(fleet, record, name)) for name in ("e0", "e4", "e3")]
+    await asyncio.sleep(0.5)
+    await fleet.kill(*fleet.zone_of("e0"))
+    assert {(await each).text for each in readers} == {whole_answer(record)}
+    await fleet.stop()
+
+
+async def test_holder_and_backup_die_one_after_the_other() -> None:
+    fleet = RecordFleet(size=8)
+    record = await fleet.nodes["e0"].accept()
+    reader = asyncio.create_task(read(fleet, record, "e2"))
+    backup = record.backup
+    await asyncio.sleep(0.2)
+    await fleet.kill(backup)
+    await asyncio.sleep(NOTICE_S + 0.5)
+    await fleet.kill("e0")
+    await asyncio.sleep(NOTICE_S + 0.5)
+    await fleet.kill(holders(fleet, record)[0])
+    assert (await reader).text == whole_answer(record)
+    await fleet.stop()
+
+
+async def test_a_woken_holder_is_fenced_and_its_readers_go_on() -> None:
+    fleet = RecordFleet()
+    record = await fleet.nodes["e0"].accept()
+    reader = asyncio.create_task(read(fleet, record, "e0"))
+    await asyncio.sleep(0.3)
+    fleet.network.pause("e0")
+    fleet.nodes["e0"].work[record.request_id].cancel()
+    fleet.tell(fleet.nodes["e0"].member, "gone")
+    await asyncio.sleep(1.0)
+    fleet.network.wake("e0")
+    assert (await reader).text == whole_answer(record)
+    assert holders(fleet, record) != ["e0"]
+    assert len(holders(fleet, record)) == 1
+    assert fleet.nodes["e0"].store.counters.fenced == 1
+    assert not fleet.nodes["e0"].store.append(record, Piece(0, "late", 1))
+    await fleet.stop()
+
+
+async def test_a_restarted_holder_does_not_know_its_records_and_the_backup_adopts() -> None:
+    fleet = RecordFleet()
+    record = await fleet.nodes["e0"].accept()
+    node = fleet.nodes["e0"]
+    await node.stop()
+    fleet.nodes["e0"] = fleet.all_nodes["e0"] = type(node)(fleet, node.member, 99)
+    for other in fleet.nodes:
+        fleet.nodes["e0"].transport.connect(Peer(other, node.member.address))
+    reader = await read(fleet, record, "e3")
+    assert reader.text == whole_answer(record)
+    await fleet.stop()
+
+
+async def test_a_hand_over_moves_every_unfinished_record() -> None:
+    fleet = RecordFleet()
+    records = [await fleet.nodes["e0"].accept() for _ in range(20)]
+    readers = [asyncio.create_task(read(fleet, record, "e0")) for record in records]
+    await asyncio.sleep(0.3)
+    assert await fleet.nodes["e0"].store.hand_over() == 20
+    await asyncio.sleep(0.5)
+    assert fleet.nodes["e0"].store.dump()["held_unfinished"] == 0
+    await fleet.kill("e0")
+    texts = [(await reader).text for reader in readers]
+    assert texts == [whole_answer(record) for record in records]
+    await fleet.stop()
+
+
+async def test_a_different_text_is_never_spliced_to_what_was_delivered() -> None:
+    record = RequestRecord("r", "a", "s", "chat")
+    record.pieces = [Piece(0, "one ", 1), Piece(1, "two ", 1), Piece(2, "three four ", 2)]
+    seen = TextSeen().extended([Piece(0, "one two three ", 3)])
+    assert pieces_after(record.pieces, 3, seen) == [Piece(3, "four ", 1)]
+    assert pieces_after(record.pieces, 2) == record.pieces[2:]
+    with pytest.raises(OffsetUnknown):
+        pieces_after(record.pieces, 3)
+    other = TextSeen().extended([Piece(0, "one TWO three ", 3)])
+    with pytest.raises(OffsetUnknown):
+        await anext(record.follow(3, other))
+
+
+async def test_a_reader_ahead_of_an_adopted_record_waits_for_it() -> None:
+    record = RequestRecord("r", "a", "s", "chat", pieces=[Piece(0, "a ", 1)])
+    following = asyncio.create_task(anext(record.follow(2)))
+    await asyncio.sleep(1)
+    record.pieces.append(Piece(1, "b ", 1))
+    record.wake()
+    await asyncio.sleep(1)
+    assert not following.done()
+    record.pieces.append(Piece(2, "c ", 1))
+    record.wake()
+    assert await following == [Piece(2, "c ", 1)]
+
+
+async def test_finished_records_go_after_their_time_and_above_the_bound() -> None:
+    counters = RecordCounters()
+    table = RecordTable(counters, max_bytes=300_000)
+    for index in range(40):
+        record = RequestRecord(f"r{index}", "a", "s", "chat", body=bytes(20_000))
+        if index % 2:
+            record.outcome = Outcome(200)
+            record.finished_at_s = float(index)
+        table.add(record)
+    table.expire(100.0)
+    assert counters.dropped_for_memory == 20
+    assert [record.request_id for record in table] == [f"r{index}" for index in range(0, 40, 2)]
+    for record in table:
+        record.outcome = Outcome(200)
+        record.finished_at_s = 100.0
+    table.expire(400.0)
+    assert (len(table), table.size_bytes, counters.expired) == (0, 0, 20)
+
+
+async def test_an_answer_too_long_for_a_peer_message_does_not_stop_the_copies() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    large = node.record(kind="plain")
+    await node.store.accept(large)
+    node.store.finish(large, Outcome(200, body=node.rng.randbytes(5_000_000)))
+    small = await node.accept()
+    await asyncio.sleep(GENERATION_S)
+    assert large.outcome is not None
+    assert len(large.outcome.body) == 5_000_000
+    assert small.copied_pieces == len(small.pieces) > 0
+    assert small.tokens == TOKENS
+    await fleet.stop()
