Bound queueing by the target and leave room for higher priorities

Ruled out: refusing waiting calls earlier, which is still not a final answer at once. Change: a call waits only if it meets its target at its turn, and goes at the latest moment; fresh calls of lower priority fill less of the target.

--- a/godwitpath/admission/decide.py
+++ b/godwitpath/admission/decide.py
@@ -7,13 +7,17 @@
 
 from godwitpath.admission.promises import PromiseBook
 from godwitpath.config.model import LatencyTarget
-from godwitpath.routing.choose import PATIENCE
+from godwitpath.routing.choose import PATIENCE, RouteChoice
 
 DRAIN_WINDOW_S = 5.0
 """Time over which the rate of finished calls is measured."""
 
-FRESH_MARGIN = 0.9
-"""Part of the target that a fresh call may fill; a promised one may fill all of it."""
+FRESH_MARGINS = (0.9, 0.8, 0.7)
+"""Part of the target that a fresh call of each priority level may fill; a promised one may fill
+all of it. What one level leaves is room for those above it and for promises."""
+
+QUEUE_DRAIN_SHARE = 0.5
+"""Part of the finished calls whose room goes to the queue; the rest goes to others."""
 
 DEADLINE_MARGIN = 1.15
 """Factor on the predicted time of a call when it is held against its deadline."""
@@ -53,6 +57,16 @@
     first_token_per_call_s: float = 0.0
     between_per_call_s: float = 0.0
 
+    @classmethod
+    def of(cls, choice: RouteChoice) -> Prediction:
+        """Return what routing predicts for its choice."""
+        return cls(
+            choice.predicted_first_token_s,
+            choice.predicted_between_tokens_s,
+            choice.first_token_per_call_s,
+            choice.between_per_call_s,
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class QueueState:
@@ -144,12 +158,11 @@
     ) -> bool:
         """Return whether a call sent now would meet the target of its priority."""
         held = 0 if promised else self.promises.falling_due(now_s)
-        margin = 1.0 if promised else FRESH_MARGIN
+        margin = 1.0 if promised else FRESH_MARGINS[_level(query)]
         first_s = prediction.first_token_s + held * prediction.first_token_per_call_s
         between_s = prediction.between_tokens_s + held * prediction.between_per_call_s
-        patience = PATIENCE[min(query.priority, len(PATIENCE) - 1)]
         return (
-            first_s <= margin * patience * query.latency.first_token_s
+            first_s <= margin * _first_token_target_s(query)
             and between_s <= margin * query.latency.between_tokens_s
         )
 
@@ -198,10 +211,12 @@
         # Nobody overtakes calls of the same or a higher priority that wait already.
         if (promised or not queue.ahead) and self.fits(query, prediction, promised, now_s):
             return Admit(promised)
-        wait_s = (queue.ahead + 1) / self.drain_per_s
-        patient = query.priority > 0 or promised
-        if patient and queue.waiting < queue.capacity and DEADLINE_MARGIN * wait_s <= spare_s:
-            return Queue(max_wait_s=spare_s, expected_wait_s=wait_s)
+        # A call that waits is accepted; it must still meet its target when its turn comes.
+        target_spare_s = _first_token_target_s(query) - prediction.first_token_s
+        max_wait_s = min(spare_s, target_spare_s)
+        wait_s = (queue.waiting + 1) / (self.drain_per_s * QUEUE_DRAIN_SHARE)
+        if queue.waiting < queue.capacity and DEADLINE_MARGIN * wait_s <= max_wait_s:
+            return Queue(max_wait_s=max_wait_s, expected_wait_s=wait_s)
         return self._refuse(query, "the latency target cannot be met", now_s)
 
     def _refuse(self, query: AdmissionQuery, reason: str, now_s: float) -> Refuse:
@@ -215,3 +230,11 @@
         self.counters.admitted += isinstance(decision, Admit)
         self.counters.promised_refused += promised and refused
         self.counters.promised_admitted += promised and not refused
+
+
+def _level(query: AdmissionQuery) -> int:
+    return min(query.priority, len(PATIENCE) - 1)
+
+
+def _first_token_target_s(query: AdmissionQuery) -> float:
+    return PATIENCE[_level(query)] * query.latency.first_token_s
--- a/godwitpath/admission/queue.py
+++ b/godwitpath/admission/queue.py
@@ -118,14 +118,15 @@
         finally:
             self.line.remove(waiting)
 
-    def wake(self, fits: Callable[[int], bool]) -> int:
+    def wake(self, fits: Callable[[int], bool], most: int = 1) -> int:
         """Let waiting calls go, first turn first, while there is room.
 
         :param fits: tells whether a call of a priority has room now
+        :param most: calls that go at most; those that went are not in the prediction yet
         :returns: how many went
         """
         went = 0
-        while (first := self.line.first()) is not None and fits(first.priority):
+        while went < most and (first := self.line.first()) is not None and fits(first.priority):
             self.line.pop()
             if not first.call.done():
                 first.call.set_result(None)
--- a/godwitpath/routing/choose.py
+++ b/godwitpath/routing/choose.py
@@ -29,7 +29,7 @@
 HELD_UP_PRICE_PER_S = 0.03
 """Cost of holding up one call in progress for a second, in units of price."""
 
-TARGET_MARGIN = 0.85
+TARGET_MARGIN = 0.7
 """Part of the target that a prediction may use; the rest covers lagging knowledge."""
 
 PATIENCE = (1.0, 8.0, 30.0)
@@ -91,6 +91,8 @@
     :ivar why: short reason for people
     :ivar alternatives: the next best engines
     :ivar rank: place of the engine in the prefix's ranking, -1 outside it
+    :ivar first_token_per_call_s: growth of the time to first token with one more call anywhere
+    :ivar between_per_call_s: growth of the time between tokens with one more call anywhere
     """
 
     upstream_id: str
@@ -100,6 +102,8 @@
     predicted_between_tokens_s: float
     predicted_cached_tokens: int
     rank: int
+    first_token_per_call_s: float = 0.0
+    between_per_call_s: float = 0.0
 
 
 def choose(query: RouteQuery, views: Sequence[EngineView], now_s: float) -> RouteChoice:
@@ -116,7 +120,7 @@
     ranks = home_ranks(query, sound)
     home = [view for view in sound if view.region == query.region]
     weighed = _weigh(query, home, ranks, now_s)
-    if not weighed or weighed[0][0].predicted_first_token_s > _allowance_s(query):
+    if not weighed or _misses_target(query, *weighed[0]):
         away = [view for view in sound if view.region != query.region]
         weighed = sorted(weighed + _weigh(query, away, ranks, now_s), key=_cost)
     best, view = weighed[0]
@@ -128,6 +132,8 @@
         predicted_between_tokens_s=view.between_tokens_s + view.between_per_call_s,
         predicted_cached_tokens=best.predicted_cached_tokens,
         rank=best.rank,
+        first_token_per_call_s=query.prompt_tokens / view.prefill_tokens_per_s / len(sound),
+        between_per_call_s=view.between_per_call_s / len(sound),
     )
 
 
@@ -204,6 +210,12 @@
     return TARGET_MARGIN * query.latency.first_token_s * PATIENCE[level]
 
 
+def _misses_target(query: RouteQuery, option: Alternative, view: EngineView) -> bool:
+    between_s = view.between_tokens_s + view.between_per_call_s
+    slow = between_s > TARGET_MARGIN * query.latency.between_tokens_s
+    return slow or option.predicted_first_token_s > _allowance_s(query)
+
+
 def _cached_tokens(query: RouteQuery, view: EngineView, rank: int) -> int:
     known = view.held.depth(query.blocks) if view.held is not None else 0
     tokens = known * BLOCK_TOKENS
--- a/godwitpath_bench/fleet.py
+++ b/godwitpath_bench/fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from godwitpath.ports.engine import LoadReport
 from godwitpath.routing.book import LoadBook, Outstanding
 from godwitpath.routing.views import EngineView
 from godwitpath_bench.engine_model import EngineModel, EngineSpec, Sequence
@@ -30,6 +31,7 @@
 class Outcome:
     """What came of one call.
 
+    :ivar began_s: when the caller asked, later than the call's time for one who came back
     :ivar first_s: time to the first token, 0 when there was none
     :ivar between_s: mean time between tokens
     :ivar state: `finished`, `refused`, `failed` or `open`
@@ -44,6 +46,11 @@
     state: str = "open"
     refused_after_s: float = 0.0
     far: bool = False
+    began_s: float = -1.0
+
+    def __post_init__(self) -> None:
+        if self.began_s < 0:
+            self.began_s = self.call.at_s
 
 
 class Clock:
@@ -193,7 +200,7 @@
         attempt.first_at_s = now_s
         attempt.entry.book.first_token(attempt.ticket, cached_tokens, now_s)
         if not attempt.outcome.first_s:
-            attempt.outcome.first_s = now_s - attempt.outcome.call.at_s
+            attempt.outcome.first_s = now_s - attempt.outcome.began_s
             attempt.outcome.cached_tokens = cached_tokens
 
     def end(self, attempt: Attempt) -> None:
@@ -205,6 +212,13 @@
         outcome.between_s = (now_s - attempt.first_at_s) / max(1, tokens - 1)
         outcome.end_s = now_s
         outcome.state = "finished"
+        self.ended(attempt.entry)
+
+    def ended(self, entry: Entry) -> None:
+        """Do what an entry does at the end of a call; nothing here."""
+
+    def reported(self) -> None:
+        """Do what entries do when a load report came; nothing here."""
 
     def _delay_s(self, attempt: Attempt) -> float:
         near = self.spec_of[attempt.upstream_id].region == attempt.entry.region
@@ -221,6 +235,7 @@
             self.clock.at(at_s + REPORT_LAG_S, lambda: self._tell(upstream_id, report))
         self._arm_report(upstream_id, at_s + REPORT_INTERVAL_S, until_s)
 
-    def _tell(self, upstream_id: str, report: object) -> None:
+    def _tell(self, upstream_id: str, report: LoadReport) -> None:
         for entry in self.entries:
-            entry.book.report(upstream_id, report, self.clock.now_s)  # type: ignore[arg-type]
+            entry.book.report(upstream_id, report, self.clock.now_s)
+        self.reported()
--- a/godwitpath_bench/report.py
+++ b/godwitpath_bench/report.py
@@ -11,10 +11,11 @@
 SEEDS = 5
 """Seeds that an experiment runs over."""
 
-WORKERS = 5
+WORKERS = 6
 """Runs that go on at once."""
 
 T = TypeVar("T")
+J = TypeVar("J")
 
 
 def percentile(values: Iterable[float], part: float) -> float:
@@ -25,10 +26,10 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def over_seeds(run: Callable[[int], T], first_seed: int, seeds: int = SEEDS) -> list[T]:
-    """Run an experiment with seeds that follow one another, several at once."""
+def in_parallel(run: Callable[[J], T], jobs: Sequence[J]) -> list[T]:
+    """Run an experiment's jobs, several at once, and return their results in order."""
     with ProcessPoolExecutor(WORKERS) as pool:
-        return list(pool.map(run, range(first_seed, first_seed + seeds)))
+        return list(pool.map(run, jobs))
 
 
 @dataclass
--- a/godwitpath_bench/routing.py
+++ b/godwitpath_bench/routing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from functools import partial
+from dataclasses import dataclass
 
 import typer
 
@@ -12,18 +12,21 @@
 from godwitpath_bench.engine_model import EngineSpec
 from godwitpath_bench.fleet import Fleet, Outcome
 from godwitpath_bench.policies import POLICIES
-from godwitpath_bench.report import SEEDS, Table, over_seeds, percentile
+from godwitpath_bench.report import SEEDS, Table, in_parallel, percentile
 from godwitpath_bench.work import REGIONS, Call, Workload
 
 ENGINES = {"ramdin": 5, "regroupement": 6}
 """Engines of each deployment's generation service today."""
 
-RATES = {"ramdin": 3.0, "regroupement": 2.0}
-"""Multiple of the work at which round robin needs about today's engines."""
+RATES = {"ramdin": 3.25, "regroupement": 2.0}
+"""Multiple of the work at which round robin needs today's engines."""
 
-DURATIONS_S = {1: 240.0, 4: 90.0}
+DURATIONS_S = {1: 240.0, 4: 60.0}
 """Length of the work at each scale."""
 
+SEARCH_DRAIN_S = 30.0
+"""Time after the last call in which the search for the cheapest fleet waits for answers."""
+
 PLACES = (0, 1, 0, 2, 0, 1)
 """Region of each engine in turn."""
 
@@ -37,6 +40,15 @@
 """The latency target."""
 
 
+@dataclass(slots=True, frozen=True)
+class Job:
+    """One seed's work of a deployment at a scale."""
+
+    deployment: str
+    scale: int
+    seed: int
+
+
 def specs(deployment: str, engines: int) -> list[EngineSpec]:
     """Return a fleet spread over the deployment's regions, two zones in each."""
     regions = REGIONS[deployment]
@@ -73,7 +85,7 @@
     while high - low > 1:
         middle = (low + high) // 2
         fleet = Fleet(specs("ramdin", middle), POLICIES[policy], seed)
-        if meets_target(fleet.run(calls)):
+        if meets_target(fleet.run(calls, SEARCH_DRAIN_S)):
             high = middle
         else:
             low = middle
@@ -91,8 +103,9 @@
     return tokens
 
 
-def run_seed(seed: int, deployment: str, scale: int, cost: bool) -> dict[str, dict[str, float]]:
+def run_job(job: Job) -> dict[str, dict[str, float]]:
     """Play one seed's work under every policy."""
+    deployment, scale, seed = job.deployment, job.scale, job.seed
     work = Workload(deployment, seed, DURATIONS_S[scale], scale, RATES[deployment])
     calls = work.calls()
     least = first_reads(calls)
@@ -105,7 +118,7 @@
         computed = figures[name]["computed_tokens"]
         figures[name]["recomputed_tokens"] = computed - least
         figures[name]["computed_over_first_reads"] = computed / least
-        if cost:
+        if deployment == "ramdin":
             figures[name]["cost_at_target_per_h"] = cheapest(name, calls, seed, engines)
     return figures
 
@@ -122,24 +135,27 @@
         figures[f"first_token_p95_s_{kind}"] = percentile(firsts, 0.95)
     figures["between_tokens_p95_s"] = percentile((o.between_s for o in outcomes), 0.95)
     figures["met_target_part"] = sum(map(met, outcomes)) / len(outcomes)
+    price = sum(spec.price_per_h for spec in fleet.specs) * outcomes[-1].call.at_s / 3600.0
+    figures["price_per_1000_in_target"] = 1000.0 * price / max(1, sum(map(met, outcomes)))
     figures["sent_to_another_region"] = sum(o.far for o in outcomes) / len(outcomes)
     return figures
 
 
 def routing(seed: int = 1, seeds: int = SEEDS) -> None:
     """Compare prefix routing with least outstanding, anywhere and at home, and round robin."""
-    for deployment, scale in (
-        ("regroupement", 1),
-        ("regroupement", 4),
-        ("ramdin", 1),
-        ("ramdin", 4),
-    ):
-        cost = deployment == "ramdin"
-        run = partial(run_seed, deployment=deployment, scale=scale, cost=cost)
-        table = Table(f"{deployment}, {scale} times today's size")
-        for figures in over_seeds(run, seed, seeds):
-            for policy, values in figures.items():
-                table.add(policy, **values)
+    jobs = [
+        Job(deployment, scale, seed + number)
+        for deployment in ("ramdin", "regroupement")
+        for scale in (4, 1)
+        for number in range(seeds)
+    ]
+    tables: dict[str, Table] = {}
+    for job, figures in zip(jobs, in_parallel(run_job, jobs), strict=True):
+        title = f"{job.deployment}, {job.scale} times today's size"
+        table = tables.setdefault(title, Table(title))
+        for policy, values in figures.items():
+            table.add(policy, **values)
+    for table in tables.values():
         table.show()
 
 
