--- /dev/null
+++ b/godwitpath_standin/fleet.py
@@ -0,0 +1,365 @@
+"""Starts a deployment as separate processes, and ends all that it started."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+import socket
+import tempfile
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import msgspec
+
+from godwitpath.adapters.http_client import AnswerLost, HttpClient, NotSent
+from godwitpath.adapters.kv_http import HttpKeyValueStore
+from godwitpath.config.submit import SubmitResult, submit
+from godwitpath.ports.engine import Address
+from godwitpath.ports.platform import Instance, Offer, WeightVersion
+from godwitpath.security.curve import make_pair
+from godwitpath_standin.deployments import DEPLOYMENTS
+from godwitpath_standin.platform_app import PlatformState
+from godwitpath_standin.process import Process
+
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.1
+CALL_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 16_777_216
+ENGINE_PRICE_PER_H = 1.0
+WEIGHTS_BYTES = 1_000_000_000
+
+
+class FleetNotReady(Exception):
+    """The entries did not become ready in time."""
+
+
+class Fleet:
+    """A running deployment; entries and engines are counted from 1.
+
+    :ivar deployment: what is started
+    :ivar operator_key: key of the operator addresses
+    :ivar log_folder: where each process's error output goes
+    """
+
+    def __init__(
+        self,
+        deployment: str = "ramdin",
+        entries: int = 6,
+        seed: int = 1,
+        engine_options: list[str] | None = None,
+        engines: dict[str, int] | None = None,
+    ) -> None:
+        self.deployment = DEPLOYMENTS[deployment]
+        self.operator_key = secrets.token_hex(16)
+        self._engine_counts = engines or self.deployment.engines
+        self._entry_count = entries
+        self._seed = seed
+        self._engine_options = engine_options or []
+        self._folder = tempfile.TemporaryDirectory(prefix="godwitpath-fleet-")
+        self.log_folder = Path(self._folder.name)
+        self._processes: dict[str, Process] = {}
+        self._client = HttpClient()
+        self._instances: dict[str, Instance] = {}
+
+    async def __aenter__(self) -> Fleet:
+        try:
+            await self._start()
+        except BaseException:
+            await self.end()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.end()
+
+    @property
+    def kv(self) -> Process:
+        """The key-value service."""
+        return self._processes["kv"]
+
+    @property
+    def platform(self) -> Process:
+        """The cloud API, instance list and weight store."""
+        return self._processes["platform"]
+
+    @property
+    def entries(self) -> list[Process]:
+        """Every entry that was started."""
+        return [self.entry(number) for number in range(1, self._entry_count + 1)]
+
+    def entry(self, number: int) -> Process:
+        """Return an entry."""
+        return self._processes[f"entry-{number}"]
+
+    def engine(self, service: str, number: int) -> Process:
+        """Return an engine."""
+        return self._processes[f"{service}-{number}"]
+
+    @property
+    def engines(self) -> list[Process]:
+        """Every engine that was started."""
+        names = [
+            f"{s}-{n}" for s, count in self._engine_counts.items() for n in range(1, count + 1)
+        ]
+        return [self._processes[name] for name in names]
+
+    def service(self) -> Process:
+        """Return the plain service."""
+        return self._processes[self.deployment.plain_service]
+
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of an entry, engine or plain service."""
+        return self._instances[name].availability_zone
+
+    def caller_url(self, number: int) -> str:
+        """Return the base URL of an entry for callers."""
+        return f"http://{self.entry(number).announced['caller']}"
+
+    def operator_url(self, number: int) -> str:
+        """Return the base URL of an entry for operators."""
+        return f"http://{self.entry(number).announced['operator']}"
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a stand-in."""
+        return f"http://{self._processes[name].announced['listening']}"
+
+    async def faults(self, name: str, changes: dict[str, Any]) -> dict[str, Any]:
+        """Switch faults of a stand-in, such as `kv`, `platform` or `planner-lm-1`."""
+        body = json.dumps(changes).encode()
+        return await self._ask("POST", f"{self.url(name)}/faults", body)
+
+    async def stats(self, name: str) -> dict[str, Any]:
+        """Return the counts of a stand-in."""
+        return await self._ask("GET", f"{self.url(name)}/stats")
+
+    async def executions(self) -> dict[str, int]:
+        """Return how often each key really ran at the plain service."""
+        return await self._ask("GET", f"{self.url(self.deployment.plain_service)}/executions")
+
+    async def admin(self, number: int, path: str) -> dict[str, Any]:
+        """Return what an operator path of an entry answers, such as `/admin/state`."""
+        return await self._ask("GET", self.operator_url(number) + path, b"", self._key_header())
+
+    async def submit(self, text: str, reason: str = "started") -> SubmitResult:
+        """Submit a configuration into the store."""
+        store = HttpKeyValueStore(self.url("kv"), CALL_TIMEOUT_S)
+        try:
+            return await submit(store, text, "fleet", reason)
+        finally:
+            await store.close()
+
+    async def restart_entry(self, number: int) -> None:
+        """Start an entry again that has ended, with its settings."""
+        await self.entry(number).start()
+
+    async def wait_ready(self, numbers: list[int] | None = None) -> None:
+        """Wait until entries are ready, all when none are named.
+
+        :raises FleetNotReady: not in time
+        """
+        wanted = numbers or list(range(1, self._entry_count + 1))
+        await asyncio.gather(*(self._wait_entry(number) for number in wanted))
+
+    async def end(self) -> None:
+        """End every process."""
+        # Entries end first, so that none sees its upstreams vanish.
+        entries = [p for n, p in self._processes.items() if n.startswith("entry-")]
+        others = [p for n, p in self._processes.items() if not n.startswith("entry-")]
+        for process in entries:
+            process.kill()
+        await asyncio.gather(*(process.end() for process in entries))
+        await asyncio.gather(*(process.end() for process in others))
+        await self._client.close()
+        self._folder.cleanup()
+
+    async def _start(self) -> None:
+        await asyncio.gather(
+            self._launch("kv", ["godwitpath_standin", "kv", "--seed", str(self._seed)]),
+            self._launch("platform", ["godwitpath_standin", "platform"]),
+        )
+        upstreams = [self._start_plain_service()]
+        place = 0
+        for service, count in self._engine_counts.items():
+            for number in range(1, count + 1):
+                upstreams.append(self._start_engine(service, number, place))
+                place += 1
+        await asyncio.gather(*upstreams)
+        await self.submit(self.deployment.configuration_text())
+        await self._register(self._offers(), self._versions())
+        await self._start_entries()
+        await self._register([], [])
+        await self.wait_ready()
+
+    async def _launch(self, name: str, arguments: list[str]) -> Process:
+        process = Process(name, arguments, self.log_folder)
+        self._processes[name] = process
+        await process.start()
+        return process
+
+    async def _start_plain_service(self) -> None:
+        name = self.deployment.plain_service
+        process = await self._launch(name, ["godwitpath_standin", "service"])
+        self._list(name, name, 0, process.announced["listening"], "plain")
+
+    async def _start_engine(self, service: str, number: int, place: int) -> None:
+        spec = self.deployment.configuration()["services"][service]
+        arguments = ["godwitpath_standin", "engine", "--seed", str(self._seed * 1000 + place)]
+        arguments += ["--service-name", service, "--model", spec["model"]["name"]]
+        arguments += ["--version", spec["model"]["version"], "--weights-url", self.url("platform")]
+        for adapter in spec["model"].get("adapters", []):
+            arguments += ["--adapter", adapter]
+        checks = spec.get("fleet", {}).get("checks_fencing", True)
+        arguments.append("--checks-fencing" if checks else "--no-checks-fencing")
+        name = f"{service}-{number}"
+        process = await self._launch(name, arguments + self._engine_options)
+        machine_class = (spec.get("fleet", {}).get("machine_classes") or ["gpu"])[0]
+        self._list(name, service, place, process.announced["listening"], machine_class)
+
+    async def _start_entries(self) -> None:
+        numbers = range(1, self._entry_count + 1)
+        pairs = [make_pair() for _ in numbers]
+        ports = _free_ports(self._entry_count)
+        seeds = [
+            {
+                "entry_id": f"entry-{number}",
+                "host": "127.0.0.1",
+                "port": port,
+                "public_key": pair.public_key,
+            }
+            for number, port, pair in zip(numbers, ports, pairs, strict=True)
+        ]
+        accepted = [pair.public_key for pair in pairs]
+        starts = []
+        for number, port, pair in zip(numbers, ports, pairs, strict=True):
+            region, zone = self._place(number - 1)
+            platform_url = self.url("platform")
+            settings = {
+                "entry_id": f"entry-{number}",
+                "region": region,
+                "availability_zone": zone,
+                "caller": {"port": 0},
+                "operator": {"port": 0, "key": self.operator_key},
+                "peer": {
+                    "port": port,
+                    "public_key": pair.public_key,
+                    "secret_key": pair.secret_key,
+                    "accepted_public_keys": accepted,
+                },
+                "platform": {
+                    "key_value_url": self.url("kv"),
+                    "cloud_url": platform_url,
+                    "instance_list_url": platform_url,
+                    "weight_store_url": platform_url,
+                },
+                "seeds": [seed for seed in seeds if seed["entry_id"] != f"entry-{number}"],
+                "seed": self._seed * 100 + number,
+            }
+            path = self.log_folder / f"entry-{number}.json"
+            path.write_text(json.dumps(settings), encoding="utf-8")
+            starts.append(self._start_entry(number, path))
+        await asyncio.gather(*starts)
+
+    async def _start_entry(self, number: int, settings_path: Path) -> None:
+        name = f"entry-{number}"
+        arguments = ["godwitpath", "serve", "--settings", str(settings_path)]
+        process = await self._launch(name, arguments)
+        self._list(name, "entry", number - 1, process.announced["caller"], "small")
+
+    async def _wait_entry(self, number: int) -> None:
+        url = f"{self.operator_url(number)}/admin/ready"
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + READY_TIMEOUT_S
+        while loop.time() < until_s:
+            try:
+                answer, _ = await self._client.call(
+                    "GET",
+                    url,
+                    self._key_header(),
+                    timeout_s=CALL_TIMEOUT_S,
+                    max_bytes=MAX_ANSWER_BYTES,
+                )
+                if answer.status == 200:
+                    return
+            except (NotSent, AnswerLost):
+                pass
+            await asyncio.sleep(READY_POLL_S)
+        raise FleetNotReady(f"entry-{number} is not ready")
+
+    async def _register(self, offers: list[Offer], versions: list[WeightVersion]) -> None:
+        state = PlatformState(list(self._instances.values()), [], offers, versions)
+        body = msgspec.json.encode(state)
+        await self._ask("POST", f"{self.url('platform')}/instances", body)
+
+    def _place(self, index: int) -> tuple[str, str]:
+        regions = self.deployment.regions
+        region = regions[index % len(regions)]
+        return region, f"{region}-{index // len(regions) % 2 + 1}"
+
+    def _list(self, name: str, purpose: str, place: int, listening: str, machine: str) -> None:
+        region, zone = self._place(place)
+        host, _, port = listening.rpartition(":")
+        self._instances[name] = Instance(
+            instance_id=name,
+            purpose=purpose,
+            region=region,
+            availability_zone=zone,
+            state="live",
+            machine_class=machine,
+            reclaimable=machine != "plain",
+            price_per_h=ENGINE_PRICE_PER_H,
+            address=Address(host, int(port)),
+        )
+
+    def _offers(self) -> list[Offer]:
+        places = [self._place(index) for index in range(2 * len(self.deployment.regions))]
+        classes = {i.machine_class for i in self._instances.values() if i.machine_class != "plain"}
+        return [
+            Offer(
+                region, zone, machine, reclaimable, ENGINE_PRICE_PER_H * (1 if reclaimable else 3)
+            )
+            for region, zone in places
+            for machine in sorted(classes)
+            for reclaimable in (True, False)
+        ]
+
+    def _versions(self) -> list[WeightVersion]:
+        services = self.deployment.configuration()["services"].values()
+        models = [service["model"] for service in services if service.get("model")]
+        return [
+            WeightVersion(model["name"], model["version"], WEIGHTS_BYTES, model.get("adapters", []))
+            for model in models
+        ]
+
+    def _key_header(self) -> list[tuple[str, str]]:
+        return [("authorization", f"Bearer {self.operator_key}")]
+
+    async def _ask(
+        self, method: str, url: str, body: bytes = b"", headers: list[tuple[str, str]] | None = None
+    ) -> Any:
+        _, content = await self._client.call(
+            method,
+            url,
+            headers or [],
+            body,
+            timeout_s=CALL_TIMEOUT_S,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+        return msgspec.json.decode(content)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
