--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from pathlib import Path
 from typing import Annotated
@@ -100,5 +101,38 @@
     run(lambda: PlatformStandin(state, list_lag_s).standin, port)
 
 
+Deployment = Annotated[str, typer.Option(help="`ramdin` or `regroupement`.")]
+
+
+@app.command()
+def demo(
+    deployment: Deployment = "ramdin",
+    generations: Annotated[int, typer.Option(help="Streamed requests.")] = 240,
+    calls: Annotated[int, typer.Option(help="Calls that may not be repeated.")] = 60,
+    rate_per_s: Annotated[float, typer.Option(help="Requests begun a second.")] = 15.0,
+    seed: Seed = 1,
+) -> None:
+    """Run a deployment under load while an entry and an engine die; exit 1 on any loss."""
+    from godwitpath_standin.demo import run_demo
+
+    report = asyncio.run(run_demo(deployment, generations, calls, rate_per_s, seed))
+    typer.echo(report.table())
+    for failure in report.failures:
+        typer.echo(failure, err=True)
+    raise typer.Exit(1 if report.failures else 0)
+
+
+@app.command()
+def fleet(
+    deployment: Deployment = "ramdin",
+    entries: Annotated[int, typer.Option(help="Entries to start.")] = 6,
+    seed: Seed = 1,
+) -> None:
+    """Start a deployment, print where it listens, and run until interrupted."""
+    from godwitpath_standin.fleet import run_fleet
+
+    asyncio.run(run_fleet(deployment, entries, seed))
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/godwitpath_standin/demo.py
@@ -0,0 +1,126 @@
+"""The main job from end to end: load on a whole deployment while an entry and an engine die."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from godwitpath_standin.fleet import Fleet
+from godwitpath_standin.load import Load, LoadPlan
+from godwitpath_standin.load_result import LoadResult, milliseconds
+
+KILL_ENTRY_AFTER_S = 4.0
+KILL_ENGINE_AFTER_S = 7.0
+
+
+@dataclass(slots=True)
+class DemoReport:
+    """What the demo showed.
+
+    :ivar engine_stats: counts of each engine that still lived at the end
+    :ivar executions: how often each key really ran
+    """
+
+    result: LoadResult
+    executions: dict[str, int]
+    engine_stats: list[dict[str, int]]
+    engine_hours: float
+    cost: float
+
+    @property
+    def failures(self) -> list[str]:
+        """What must not have happened and did."""
+        result = self.result
+        found = [f"lost after acceptance: {item.key}: {item.detail}" for item in result.lost]
+        found += [f"wrong answer: {item.key}: {item.detail}" for item in result.wrong]
+        found += [f"ran twice: {key}" for key in result.ran_twice(self.executions)]
+        refused = result.ran_though_refused(self.executions)
+        found += [f"said not run, and ran: {key}" for key in refused]
+        not_run = result.completed_without_run(self.executions)
+        found += [f"answered, and never ran: {key}" for key in not_run]
+        wrong = sum(stats["wrong_continuations"] for stats in self.engine_stats)
+        return found + ([f"{wrong} continuations from a wrong text"] if wrong else [])
+
+    def table(self) -> str:
+        """Return the figures as lines of text."""
+        result = self.result
+        recomputed = sum(stats["recomputed"] for stats in self.engine_stats)
+        generated = sum(stats["generated"] for stats in self.engine_stats)
+        rows = [
+            ("requests made", str(len(result.outcomes))),
+            ("accepted", str(result.accepted)),
+            ("generations completed", str(result.count("generation", "completed"))),
+            ("calls completed", str(result.count("plain", "completed"))),
+            ("refused in the end", str(sum(i.state == "refused" for i in result.outcomes))),
+            ("unknown in the end", str(sum(i.state == "unknown" for i in result.outcomes))),
+            ("lost after acceptance", str(len(result.lost))),
+            ("came back through another entry", str(_returned(result))),
+            ("ran twice", str(len(result.ran_twice(self.executions)))),
+            ("wrong answers", str(len(result.wrong))),
+            ("first token p50 / p95 / p99", _times(result.first_token_us)),
+            ("between tokens p50 / p95 / p99", _times(result.between_tokens_us)),
+            ("call p50 / p95 / p99", _times(result.plain_us)),
+            ("tokens generated (living engines)", str(generated)),
+            ("recomputed tokens (living engines)", str(recomputed)),
+            ("engine hours, cost", f"{self.engine_hours:.3f} h, {self.cost:.3f}"),
+            ("refused attempts by reason", str(dict(result.refusals) or "none")),
+            ("lost connections of callers", str(dict(result.errors) or "none")),
+        ]
+        width = max(len(name) for name, _ in rows)
+        return "\n".join(f"{name.ljust(width)}  {value}" for name, value in rows)
+
+
+async def run_demo(
+    deployment: str, generations: int, calls: int, rate_per_s: float, seed: int
+) -> DemoReport:
+    """Run the load on a fleet, kill an entry and an engine on the way, and judge the outcome."""
+    started_s = time.monotonic()
+    async with Fleet(deployment, seed=seed) as fleet:
+        print(f"{len(fleet.entries)} entries ready after {time.monotonic() - started_s:.1f} s")
+        load = Load(load_plan(fleet, generations, calls, rate_per_s, seed))
+        running = asyncio.create_task(load.run())
+        await asyncio.sleep(KILL_ENTRY_AFTER_S)
+        fleet.entry(2).kill()
+        print("killed entry-2")
+        await asyncio.sleep(KILL_ENGINE_AFTER_S - KILL_ENTRY_AFTER_S)
+        victim = fleet.engines[0]
+        victim.kill()
+        print(f"killed {victim.name}")
+        result = await running
+        living = [engine.name for engine in fleet.engines if engine.running]
+        stats = list(await asyncio.gather(*(fleet.stats(name) for name in living)))
+        hours = len(fleet.engines) * result.duration_s / 3600.0
+        cost = hours * fleet.engine_price_per_h
+        return DemoReport(result, await fleet.executions(), stats, hours, cost)
+
+
+def load_plan(fleet: Fleet, generations: int, calls: int, rate_per_s: float, seed: int) -> LoadPlan:
+    """Return a plan for all services of a fleet; callers reach its running entries."""
+    deployment = fleet.deployment
+    services = [*deployment.engines, deployment.plain_service]
+    numbers = range(1, len(fleet.entries) + 1)
+
+    def urls() -> list[str]:
+        return [fleet.caller_url(number) for number in numbers if fleet.entry(number).running]
+
+    return LoadPlan(
+        urls=urls,
+        models={service: deployment.model(service) for service in deployment.engines},
+        api_keys={service: list(deployment.api_keys(service).values()) for service in services},
+        plain_service=deployment.plain_service,
+        once_path=deployment.once_path,
+        generations=generations,
+        calls=calls,
+        rate_per_s=rate_per_s,
+        seed=seed,
+    )
+
+
+def _returned(result: LoadResult) -> int:
+    return sum(item.attempts > 1 for item in result.outcomes)
+
+
+def _times(histogram: object) -> str:
+    values = (milliseconds(histogram, percentile) for percentile in (50, 95, 99))
+    return " / ".join(f"{value:.1f}" for value in values) + " ms"
--- a/godwitpath_standin/fleet.py
+++ b/godwitpath_standin/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import secrets
+import signal
 import socket
 import tempfile
 from pathlib import Path
@@ -50,10 +51,12 @@
         seed: int = 1,
         engine_options: list[str] | None = None,
         engines: dict[str, int] | None = None,
+        configuration_text: str = "",
     ) -> None:
         self.deployment = DEPLOYMENTS[deployment]
         self.operator_key = secrets.token_hex(16)
         self._engine_counts = engines or self.deployment.engines
+        self._configuration_text = configuration_text or self.deployment.configuration_text()
         self._entry_count = entries
         self._seed = seed
         self._engine_options = engine_options or []
@@ -79,6 +82,11 @@
     ) -> None:
         await self.end()
 
+    @property
+    def engine_price_per_h(self) -> float:
+        """Price of an engine's hour."""
+        return ENGINE_PRICE_PER_H
+
     @property
     def kv(self) -> Process:
         """The key-value service."""
@@ -130,6 +138,12 @@
         """Return the base URL of a stand-in."""
         return f"http://{self._processes[name].announced['listening']}"
 
+    def addresses(self) -> dict[str, Any]:
+        """Return where each process listens, with the keys to present."""
+        announced = {name: process.announced for name, process in self._processes.items()}
+        keys = {"operator_key": self.operator_key, "api_keys": self.deployment.api_keys()}
+        return {**announced, **keys}
+
     async def faults(self, name: str, changes: dict[str, Any]) -> dict[str, Any]:
         """Switch faults of a stand-in, such as `kv`, `platform` or `planner-lm-1`."""
         body = json.dumps(changes).encode()
@@ -191,7 +205,7 @@
                 upstreams.append(self._start_engine(service, number, place))
                 place += 1
         await asyncio.gather(*upstreams)
-        await self.submit(self.deployment.configuration_text())
+        await self.submit(self._configuration_text)
         await self._register(self._offers(), self._versions())
         await self._start_entries()
         await self._register([], [])
@@ -354,6 +368,16 @@
         return msgspec.json.decode(content)
 
 
+async def run_fleet(deployment: str, entries: int, seed: int) -> None:
+    """Run a fleet until interrupted; prints where each process listens."""
+    async with Fleet(deployment, entries, seed) as fleet:
+        print(json.dumps(fleet.addresses(), indent=2), flush=True)
+        stopped = asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+        await stopped.wait()
+
+
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     try:
--- /dev/null
+++ b/godwitpath_standin/load.py
@@ -0,0 +1,263 @@
+"""Bounded load through several entries, with every answer checked.
+
+A caller that loses its entry comes back through another one with the same key and, for a stream,
+the last event that it saw.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from godwitpath.adapters.http_client import Answer, AnswerLost, HttpClient, NotSent
+from godwitpath_standin.load_result import CallOutcome, LoadResult
+from godwitpath_standin.service_app import request_digest
+from godwitpath_standin.text import expected_text
+
+MAX_BODY_BYTES = 4_194_304
+RETRY_PAUSE_S = 0.1
+MAX_RETRY_PAUSE_S = 2.0
+IDLE_TIMEOUT_S = 4.0
+
+
+@dataclass(slots=True)
+class LoadPlan:
+    """What a load does.
+
+    :ivar urls: returns the base URLs of the entries that callers may reach
+    :ivar models: model that each generation service runs, by service
+    :ivar api_keys: keys of the accounts that may call each service
+    :ivar plain_service: service of the calls that may not be repeated
+    :ivar rate_per_s: requests begun a second, both kinds together
+    :ivar prompt_characters: least and most length of a prompt
+    :ivar deadline_s: time after which a caller gives up
+    """
+
+    urls: Callable[[], list[str]]
+    models: dict[str, str]
+    api_keys: dict[str, list[str]]
+    plain_service: str = ""
+    once_path: str = ""
+    generations: int = 200
+    calls: int = 50
+    rate_per_s: float = 20.0
+    seed: int = 1
+    max_tokens: int = 40
+    prompt_characters: tuple[int, int] = (200, 2000)
+    deadline_s: float = 30.0
+
+
+@dataclass(slots=True)
+class _Stream:
+    """Text of a stream so far."""
+
+    text: str = ""
+    tokens: int = 0
+    last_event_id: str = ""
+    finished: bool = False
+    failed: str = ""
+    rest: bytes = b""
+    times_s: list[float] = field(default_factory=list)
+
+
+class Load:
+    """Runs a plan."""
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self._client = HttpClient()
+        # Keys of two loads against one fleet must differ although their seeds are the same.
+        self._run = secrets.token_hex(4)
+        self.result = LoadResult()
+
+    async def run(self) -> LoadResult:
+        """Make every request, and return what came of them."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        plan = self._plan
+        kinds = ["generation"] * plan.generations + ["plain"] * plan.calls
+        self._rng.shuffle(kinds)
+        async with asyncio.TaskGroup() as group:
+            for number, kind in enumerate(kinds):
+                due_s = started_s + number / plan.rate_per_s
+                await asyncio.sleep(max(0.0, due_s - loop.time()))
+                make = self._generation if kind == "generation" else self._plain
+                group.create_task(make(number))
+        self.result.duration_s = loop.time() - started_s
+        await self._client.close()
+        return self.result
+
+    async def _generation(self, number: int) -> None:
+        plan = self._plan
+        service = self._rng.choice(sorted(plan.models))
+        body = {
+            "model": service,
+            "messages": [{"role": "user", "content": self._prompt(number)}],
+            "max_tokens": plan.max_tokens,
+            "stream": True,
+        }
+        outcome = CallOutcome(f"load-{self._run}-{number}", "generation")
+        self.result.outcomes.append(outcome)
+        stream = _Stream()
+        headers = self._headers(service, outcome.key)
+        raw = json.dumps(body).encode()
+
+        async def attempt(url: str) -> bool:
+            resume = [("last-event-id", stream.last_event_id)] if stream.last_event_id else []
+            answer = await self._client.open(
+                "POST",
+                f"{url}/v1/chat/completions",
+                headers + resume,
+                raw,
+                timeout_s=plan.deadline_s,
+                idle_timeout_s=IDLE_TIMEOUT_S,
+            )
+            if answer.status != 200:
+                await self._refused(outcome, answer)
+                return False
+            outcome.accepted = True
+            await self._read_stream(answer, stream)
+            return stream.finished
+
+        started_s = asyncio.get_running_loop().time()
+        if await self._until_done(outcome, attempt):
+            right = expected_text(body, model=plan.models[service])
+            outcome.wrong = stream.text != right
+            if outcome.wrong:
+                outcome.detail = f"{stream.text[:60]!r} in place of {right[:60]!r}"
+        self._keep_times(stream, started_s)
+
+    async def _plain(self, number: int) -> None:
+        plan = self._plan
+        outcome = CallOutcome(f"load-{self._run}-{number}", "plain")
+        self.result.outcomes.append(outcome)
+        raw = json.dumps({"number": number, "text": self._prompt(number)}).encode()
+        headers = self._headers(plan.plain_service, outcome.key)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+
+        async def attempt(url: str) -> bool:
+            answer = await self._client.open(
+                "POST",
+                f"{url}/services/{plan.plain_service}{plan.once_path}",
+                headers,
+                raw,
+                timeout_s=plan.deadline_s,
+            )
+            if answer.status != 200:
+                await self._refused(outcome, answer)
+                return False
+            outcome.accepted = True
+            echoed = json.loads(await answer.whole(MAX_BODY_BYTES))
+            right = request_digest("POST", plan.once_path, raw)
+            outcome.wrong = echoed.get("digest") != right
+            return True
+
+        if await self._until_done(outcome, attempt):
+            self.result.plain_us.record_value(int((loop.time() - started_s) * 1e6))
+
+    async def _until_done(self, outcome: CallOutcome, attempt: Callable[[str], Any]) -> bool:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._plan.deadline_s
+        last_url = ""
+        while loop.time() < until_s:
+            outcome.attempts += 1
+            urls = [url for url in self._plan.urls() if url != last_url] or [last_url]
+            last_url = self._rng.choice(urls)
+            try:
+                async with asyncio.timeout_at(until_s):
+                    if await attempt(last_url):
+                        outcome.state = "completed"
+                        return True
+                pause_s = RETRY_PAUSE_S * 2 ** min(outcome.attempts, 6)
+                await asyncio.sleep(min(MAX_RETRY_PAUSE_S, pause_s) * self._rng.uniform(0.5, 1.0))
+            except (NotSent, AnswerLost, TimeoutError, ValueError) as error:
+                outcome.detail = f"{type(error).__name__}: {error}"
+                self.result.errors[type(error).__name__] += 1
+                # A caller cut off after it was answered does not know what became of its request.
+                if outcome.state == "refused" and not isinstance(error, NotSent):
+                    outcome.state = "lost"
+                await asyncio.sleep(RETRY_PAUSE_S * self._rng.random())
+        return False
+
+    async def _refused(self, outcome: CallOutcome, answer: Answer) -> None:
+        content = await answer.whole(MAX_BODY_BYTES)
+        error = json.loads(content).get("error", {})
+        self.result.refusals[str(error.get("code"))] += 1
+        outcome.detail = f"{answer.status}: {error.get('code')}: {error.get('message')}"
+        outcome.state = "refused" if error.get("ran") == "no" else "unknown"
+        if answer.retry_after_s:
+            await asyncio.sleep(min(answer.retry_after_s, MAX_RETRY_PAUSE_S))
+
+    async def _read_stream(self, answer: Answer, stream: _Stream) -> None:
+        loop = asyncio.get_running_loop()
+        stream.rest = b""
+        try:
+            while piece := await answer.read():
+                *events, stream.rest = (stream.rest + piece).split(b"\n\n")
+                for event in events:
+                    _take_event(stream, event, loop.time())
+                if stream.failed:
+                    raise AnswerLost(stream.failed)
+        finally:
+            answer.close()
+
+    def _keep_times(self, stream: _Stream, started_s: float) -> None:
+        self.result.tokens += stream.tokens
+        if not stream.times_s:
+            return
+        first_us = int((stream.times_s[0] - started_s) * 1e6)
+        self.result.first_token_us.record_value(max(1, first_us))
+        pairs = zip(stream.times_s, stream.times_s[1:], strict=False)
+        for earlier_s, later_s in pairs:
+            self.result.between_tokens_us.record_value(max(1, int((later_s - earlier_s) * 1e6)))
+
+    def _headers(self, service: str, key: str) -> list[tuple[str, str]]:
+        api_key = self._rng.choice(self._plan.api_keys[service])
+        return [
+            ("content-type", "application/json"),
+            ("authorization", f"Bearer {api_key}"),
+            ("idempotency-key", key),
+        ]
+
+    def _prompt(self, number: int) -> str:
+        least, most = self._plan.prompt_characters
+        length = self._rng.randint(least, most)
+        words = f"request {self._run} {number} " + "lorem ipsum dolor sit amet " * (
+            length // 27 + 1
+        )
+        return words[:length]
+
+
+def _take_event(stream: _Stream, event: bytes, now_s: float) -> None:
+    fields = dict(_fields(event))
+    data = fields.get(b"data", b"")
+    if fields.get(b"event") == b"error":
+        stream.failed = data.decode(errors="replace")[:200]
+        return
+    if not data:
+        return
+    if data == b"[DONE]":
+        stream.finished = True
+        return
+    choices = json.loads(data).get("choices") or [{}]
+    text = choices[0].get("delta", {}).get("content") or ""
+    if text:
+        stream.text += text
+        stream.times_s.append(now_s)
+    if b"id" in fields:
+        stream.last_event_id = fields[b"id"].decode()
+        stream.tokens = int(stream.last_event_id.rpartition(":")[2])
+
+
+def _fields(event: bytes) -> Iterator[tuple[bytes, bytes]]:
+    for line in event.split(b"\n"):
+        name, separator, value = line.partition(b":")
+        if separator and name:
+            yield name, value.removeprefix(b" ")
