--- a/godwitpath/adapters/engine_http.py
+++ b/godwitpath/adapters/engine_http.py
@@ -68,7 +68,7 @@
         return _joined(chunks) if chunks else None
 
     def _chunk(self, event: bytes) -> GenerationChunk | None:
-        if event.startswith(b":") or event == b"data: [DONE]":
+        if self.finished or event.startswith(b":") or event == b"data: [DONE]":
             return None
         if not event.startswith(b"data: "):
             raise ValueError("not a server-sent event")
@@ -77,7 +77,7 @@
         if extension.attempt_id != self._attempt_id:
             self.foreign += 1
             return None
-        if self.finished or extension.offset != self._next_offset != -1:
+        if extension.offset != self._next_offset != -1:
             raise ValueError("event out of order")
         self._next_offset = extension.offset + extension.tokens
         choice = decoded.choices[0]
