Measure the path at short and at long answers against one engine

Cause: with four engines the router's choice of home engines, not the relay, made the difference (batches of 40 against 10); at 50 short requests a second the cost is that of requests. Change: one engine with room for the batch; a second load with 318 tokens an answer.

--- a/godwitpath_bench/path.py
+++ b/godwitpath_bench/path.py
@@ -17,11 +17,19 @@
 from godwitpath_standin.load_result import LoadResult, milliseconds, new_histogram
 
 SERVICE = "planner-lm"
-ENGINES = 4
+# One engine takes the same batch either way; routing among several is measured elsewhere.
+ENGINES = 1
+ENGINE_OPTIONS = ["--max-batch", "256", "--step-per-sequence-s", "0.0001"]
+ENGINE_OPTIONS += ["--prefill-tokens-per-s", "400000"]
 RATE_PER_S = 50.0
 TOKENS = 20
+LONG_RATE_PER_S = 3.25
+LONG_TOKENS = 318
+LONG_REQUESTS = 45
+"""A daemon's share at the size in docs/CAPACITY.md: 1,030 tokens in 3.25 requests a second."""
+
 OPEN_STREAMS = 200
-OPEN_STREAM_TOKENS = 500
+OPEN_STREAM_TOKENS = 300
 RATE_SCALE = 1000.0
 IDLE_S = 2.0
 MIB = 1024.0 * 1024.0
@@ -50,6 +58,35 @@
     wall_s: float = 0.0
     tokens: int = 0
     requests: int = 0
+
+    async def measure(self, entry: psutil.Process, plan: LoadPlan) -> LoadResult:
+        """Run a load through the entry and add what it used."""
+        cpu_s = _cpu_s(entry)
+        result = await Load(plan).run()
+        self.cpu_s += _cpu_s(entry) - cpu_s
+        self.wall_s += result.duration_s
+        self.tokens += result.tokens
+        self.requests += len(result.outcomes)
+        return result
+
+    def lines(self, name: str) -> list[str]:
+        """Return the figures as text."""
+        at_target = 1030 * self.cpu_s / self.tokens
+        return [
+            f"{name}: {self.tokens / self.wall_s:.0f} tokens/s,"
+            f" {self.requests / self.wall_s:.1f} requests/s,"
+            f" {self.cpu_s / self.wall_s:.1%} of a core",
+            f"{name}: {self.cpu_s / self.tokens * 1e6:.0f} us of processor a token, requests"
+            f" included; {at_target:.1%} of a core at 1,030 tokens/s",
+            f"{name}: {self.tokens / self.cpu_s:.0f} tokens/s and"
+            f" {self.requests / self.cpu_s:.0f} requests/s per core",
+        ]
+
+
+@dataclass(slots=True)
+class EntryMemory:
+    """Resident memory of the entry."""
+
     idle_mib: float = 0.0
     open_mib: float = 0.0
     open_streams: int = 0
@@ -71,41 +108,52 @@
 
 async def run_path(requests: int, rounds: int, seed: int) -> list[str]:
     """Run both ways in turn and return the report's lines."""
-    direct, through, use = Side(), Side(), EntryUse()
+    direct, through = Side(), Side()
+    short, long, memory = EntryUse(), EntryUse(), EntryMemory()
     fleet = Fleet(
         "ramdin",
         entries=2,
         seed=seed,
+        engine_options=ENGINE_OPTIONS,
         engines={SERVICE: ENGINES},
         configuration_text=_without_limits(),
     )
     async with fleet:
         await asyncio.sleep(IDLE_S)
         entry = psutil.Process(fleet.entry(1).pid)
-        use.idle_mib = entry.memory_info().rss / MIB
+        memory.idle_mib = entry.memory_info().rss / MIB
         for number in range(rounds):
             plan = _plan(fleet, requests, seed * 100 + number)
             direct.add(await Load(_straight(plan, fleet)).run())
-            cpu_s = _cpu_s(entry)
-            result = await Load(plan).run()
-            use.cpu_s += _cpu_s(entry) - cpu_s
-            use.wall_s += result.duration_s
-            use.tokens += result.tokens
-            use.requests += len(result.outcomes)
-            through.add(result)
-        await _open_streams(fleet, entry, use, seed)
-    return _report(direct, through, use)
-
-
-async def _open_streams(fleet: Fleet, entry: psutil.Process, use: EntryUse, seed: int) -> None:
+            through.add(await short.measure(entry, plan))
+        plan = _plan(fleet, LONG_REQUESTS, seed)
+        plan.rate_per_s, plan.max_tokens = LONG_RATE_PER_S, LONG_TOKENS
+        await long.measure(entry, plan)
+        await _open_streams(fleet, entry, memory, seed)
+    lines = [f"{'':24}{'p50':>9}{'p95':>9}{'p99':>9}  ms"]
+    lines += _compared("first token", direct.first_token_us, through.first_token_us)
+    lines += _compared("between tokens", direct.between_tokens_us, through.between_tokens_us)
+    lines += short.lines(f"answers of {TOKENS} tokens")
+    lines += long.lines(f"answers of {LONG_TOKENS} tokens (aim 12% of a core)")
+    lines.append(
+        f"entry memory: {memory.idle_mib:.0f} MiB idle (aim 128), {memory.open_mib:.0f} MiB with"
+        f" {memory.open_streams} streams open (aim 160)"
+    )
+    lines.append(f"requests that failed: direct {direct.failed}, through {through.failed}")
+    return lines
+
+
+async def _open_streams(
+    fleet: Fleet, entry: psutil.Process, memory: EntryMemory, seed: int
+) -> None:
     plan = _plan(fleet, OPEN_STREAMS, seed)
     plan.rate_per_s = 100.0
     plan.max_tokens = OPEN_STREAM_TOKENS
     running = asyncio.create_task(Load(plan).run())
     while not running.done():
         await asyncio.sleep(0.5)
-        use.open_mib = max(use.open_mib, entry.memory_info().rss / MIB)
-    use.open_streams = sum(item.state == "completed" for item in (await running).outcomes)
+        memory.open_mib = max(memory.open_mib, entry.memory_info().rss / MIB)
+    memory.open_streams = sum(item.state == "completed" for item in (await running).outcomes)
 
 
 def _plan(fleet: Fleet, requests: int, seed: int) -> LoadPlan:
@@ -145,33 +193,15 @@
     return float(times.user + times.system)
 
 
-def _report(direct: Side, through: Side, use: EntryUse) -> list[str]:
-    lines = [f"{'':24}{'p50':>9}{'p95':>9}{'p99':>9}  ms"]
-    for name, attribute in (
-        ("first token", "first_token_us"),
-        ("between tokens", "between_tokens_us"),
-    ):
-        one = _percentiles(getattr(direct, attribute))
-        two = _percentiles(getattr(through, attribute))
-        lines.append(_row(f"{name}, direct", one))
-        lines.append(_row(f"{name}, through", two))
-        lines.append(_row(f"{name}, added", [b - a for a, b in zip(one, two, strict=True)]))
-        lines.append(_row(f"{name}, ratio", [b / a for a, b in zip(one, two, strict=True)]))
-    tokens_per_s = use.tokens / use.wall_s
-    core = use.cpu_s / use.wall_s
-    at_target = 1030 * use.cpu_s / use.tokens
-    lines += [
-        f"entry: {tokens_per_s:.0f} tokens/s and {use.requests / use.wall_s:.1f} requests/s"
-        f" at {core:.1%} of a core",
-        f"entry: {use.cpu_s / use.tokens * 1e6:.0f} us of processor a token, requests included;"
-        f" {at_target:.1%} of a core at 1,030 tokens/s (aim 12%)",
-        f"entry: {use.tokens / use.cpu_s:.0f} tokens/s and {use.requests / use.cpu_s:.0f}"
-        " requests/s per core",
-        f"entry memory: {use.idle_mib:.0f} MiB idle (aim 128), {use.open_mib:.0f} MiB with"
-        f" {use.open_streams} streams open (aim 160)",
-        f"requests that failed: direct {direct.failed}, through {through.failed}",
+def _compared(name: str, direct_us: Any, through_us: Any) -> list[str]:
+    one, two = _percentiles(direct_us), _percentiles(through_us)
+    pairs = list(zip(one, two, strict=True))
+    return [
+        _row(f"{name}, direct", one),
+        _row(f"{name}, through", two),
+        _row(f"{name}, added", [after - before for before, after in pairs]),
+        _row(f"{name}, ratio", [after / before for before, after in pairs]),
     ]
-    return lines
 
 
 def _percentiles(histogram: Any) -> list[float]:
--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -60,6 +60,9 @@
     checks_fencing: Annotated[bool, typer.Option(help="Refuse old fencing numbers.")] = True,
     weights_url: Annotated[str, typer.Option(help="Weight store, empty for a fixed time.")] = "",
     step_s: Annotated[float, typer.Option(help="Time of a decoding step.")] = 0.02,
+    step_per_sequence_s: Annotated[
+        float, typer.Option(help="Added to a step by each further sequence.")
+    ] = 0.0005,
     prefill_tokens_per_s: Annotated[float, typer.Option(help="Speed of prefilling.")] = 20_000.0,
     max_batch: Annotated[int, typer.Option(help="Sequences in a batch.")] = 48,
     max_waiting: Annotated[int, typer.Option(help="Sequences that may wait.")] = 200,
@@ -73,6 +76,7 @@
     loaded = LoadedModel(service_name, model, version, list(adapter or []))
     parameters = EngineParameters(
         step_s=step_s,
+        step_per_sequence_s=step_per_sequence_s,
         prefill_tokens_per_s=prefill_tokens_per_s,
         max_batch=max_batch,
         max_waiting=max_waiting,
