Prove one valid holder of a duty on the paused clock

Cause: a keeper whose generator was seeded as its predecessor's took the predecessor's key for its own, and two entries held a duty at once (found by the state machine at its first run). The key's value now names the lease, which the store never gives twice. The same doubt in the execution guard: an attempt is the same only with the same entry and incarnation.

--- a/godwitpath/duties/duty.py
+++ b/godwitpath/duties/duty.py
@@ -59,20 +59,22 @@
     """A duty as its keeper knows it.
 
     :ivar revision: revision of the holder's key, 0 while the duty is not held
-    :ivar token: value of the key, new for each time the duty is taken
+    :ivar token: part of the key's value, new for each time the duty is taken
     :ivar pause_s: time until the next try to take the duty
     :ivar try_at_s: loop time of that try
+    :ivar position: this entry's place in the ranking at the last look, -1 for none
     :ivar absent_looks: looks in a row at which nobody held the duty
     :ivar stood_in_for: entry that ranks first but left the duty without a holder
     :ivar store_calls: store calls made for this duty alone
     """
 
     duty: Duty
-    token: bytes
+    token: str
     pause_s: float
     revision: int = 0
     try_at_s: float = float("-inf")
     absent_looks: int = 0
+    position: int = -1
     stood_in_for: str = ""
     store_calls: int = 0
 
--- a/godwitpath/duties/keeper.py
+++ b/godwitpath/duties/keeper.py
@@ -50,7 +50,6 @@
         self._local = local
         self._live = live
         self._rng = rng
-        self._process = f"{local.entry_id}/{rng.getrandbits(64):016x}/".encode()
         self._duties: dict[Duty, HeldDuty] = {}
         self._lease_id = 0
         self._valid_until_s = float("-inf")
@@ -147,6 +146,9 @@
         names = self._ranked(held.duty)
         position = names.index(self._local.entry_id) if self._local.entry_id in names else -1
         wanted = held.duty not in self._unwanted and not self._leaving
+        if position == 0 and held.position != 0:
+            held.try_at_s = self._now_s()
+        held.position = position
         if held.revision:
             standing_in = position == 1 and names[0] == held.stood_in_for
             if not wanted or not (position == 0 or standing_in):
@@ -182,14 +184,14 @@
         key = held.duty.store_key
         self._call(held)
         try:
-            revision = await self._store.put(key, held.token, ABSENT, self._lease_id)
+            revision = await self._store.put(key, self._value(held), ABSENT, self._lease_id)
         except RevisionConflict as conflict:
             revision = await self._settle_conflict(held, conflict.current)
         except StoreUncertain:
             self.counters.settled_by_read += 1
             self._call(held)
             current = await self._store.get(key)
-            revision = current.revision if current and current.value == held.token else 0
+            revision = current.revision if current and current.value == self._value(held) else 0
         if revision and not self._leaving:
             held.revision = revision
             held.pause_s = FIRST_PAUSE_S
@@ -209,9 +211,9 @@
         """Return the revision of the duty's key if this very take wrote it, else 0."""
         if current is None:
             return 0
-        if current.value == held.token:
+        if current.value == self._value(held):
             return current.revision
-        if current.value.startswith(self._process):
+        if current.value.startswith(self._prefix()):
             # An own key that was handed back; its deletion may still be under way, so that the
             # key must not be held again under the same revision.
             await self._delete(held, current.revision)
@@ -233,8 +235,15 @@
         except RevisionConflict:
             return
 
-    def _new_token(self) -> bytes:
-        return self._process + f"{self._rng.getrandbits(64):016x}".encode()
+    def _value(self, held: HeldDuty) -> bytes:
+        """Return the value of the duty's key; the lease in it tells restarts apart for certain."""
+        return self._prefix() + held.token.encode()
+
+    def _prefix(self) -> bytes:
+        return f"{self._local.entry_id}/{self._lease_id}/".encode()
+
+    def _new_token(self) -> str:
+        return f"{self._rng.getrandbits(64):016x}"
 
     def _lapse(self) -> None:
         self._lease_id = 0
--- a/godwitpath/execution/guard.py
+++ b/godwitpath/execution/guard.py
@@ -164,7 +164,7 @@
         if current is None:
             return ABSENT
         standing = decode(current.value)
-        if standing.attempt_id == attempt.record.attempt_id:
+        if _same_attempt(standing, attempt.record):
             self.counters.lost_answers_settled += 1
             return Claim(attempt.store_key, attempt.record, current.revision)
         if standing.state == "released":
@@ -190,6 +190,14 @@
         )
 
 
+def _same_attempt(one: ExecutionRecord, other: ExecutionRecord) -> bool:
+    return (one.attempt_id, one.entry_id, one.incarnation) == (
+        other.attempt_id,
+        other.entry_id,
+        other.incarnation,
+    )
+
+
 @dataclass(slots=True)
 class _Attempt:
     """A claim under way.
--- /dev/null
+++ b/test/test_duty_keeper.py
@@ -0,0 +1,260 @@
+"""Duties: one valid holder at a time, whatever the store, the ranking and pauses do."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import looptime
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from godwitpath.duties.duty import Duty
+from godwitpath.duties.keeper import LEASE_TTL_S, DutyKeeper
+from godwitpath.membership.member import Member
+from godwitpath.ports.engine import Address
+from godwitpath.ranking import rank
+from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
+
+DUTIES = [Duty("capacity", "planner-lm@r0"), Duty("rollout", "planner-lm@r0")]
+MEMBERS = [Member(f"e{index}", "r0", f"r0-{index}", Address("test", index)) for index in range(3)]
+
+
+class Entry:
+    """A keeper with its own view of the store and of the live entries."""
+
+    def __init__(self, core: object, index: int, duties: list[Duty]) -> None:
+        self.store = FakeKeyValueStore(core, 0.002, 30.0)  # type: ignore[arg-type]
+        self.view = list(MEMBERS)
+        self.keeper = DutyKeeper(self.store, MEMBERS[index], lambda: self.view, Random(index))
+        self.keeper.set_duties(duties)
+        self.task = asyncio.create_task(self.keeper.run())
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+def entries_of(duties: list[Duty]) -> list[Entry]:
+    core = loop_core()
+    return [Entry(core, index, duties) for index in range(len(MEMBERS))]
+
+
+def holders(entries: list[Entry], duty: Duty) -> list[int]:
+    return [index for index, each in enumerate(entries) if each.keeper.holding(duty) is not None]
+
+
+def first_in_rank(duty: Duty) -> int:
+    return MEMBERS.index(rank(duty.store_key, MEMBERS, lambda member: member.entry_id)[0])
+
+
+@pytest.mark.looptime
+class TestKeeper:
+    async def test_the_first_in_rank_holds_and_renews_with_one_call_for_all(self) -> None:
+        duties = [Duty("capacity", f"s{index}") for index in range(12)]
+        entries = entries_of(duties)
+        await asyncio.sleep(5)
+        assert all(holders(entries, duty) == [first_in_rank(duty)] for duty in duties)
+        before = sum(each.keeper.counters.store_calls for each in entries)
+        await asyncio.sleep(100)
+        assert all(holders(entries, duty) == [first_in_rank(duty)] for duty in duties)
+        renewals = sum(each.keeper.counters.renewals for each in entries)
+        assert 60 <= renewals <= 100
+        # The second in rank looks at each duty once a lease's time.
+        looks = len(duties) * (100 / LEASE_TTL_S + 1)
+        calls = sum(each.keeper.counters.store_calls for each in entries)
+        assert calls - before <= renewals + looks
+        for each in entries:
+            await each.stop()
+
+    async def test_a_dead_holder_is_followed_with_a_greater_number(self) -> None:
+        duty = DUTIES[0]
+        entries = entries_of([duty])
+        await asyncio.sleep(2)
+        first = first_in_rank(duty)
+        fence = entries[first].keeper.holding(duty)
+        await entries[first].stop()
+        others = [each for index, each in enumerate(entries) if index != first]
+        for each in others:
+            each.view = [member for member in MEMBERS if member is not MEMBERS[first]]
+        await asyncio.sleep(LEASE_TTL_S + 12)
+        followers = [each.keeper.holding(duty) for each in others]
+        assert sum(each is not None for each in followers) == 1
+        assert fence is not None
+        assert all(each.number > fence.number for each in followers if each is not None)
+        # The former holder wakes up: its proof has run out on its own clock.
+        assert fence.valid_for_s(asyncio.get_running_loop().time()) == 0
+        assert entries[first].keeper.holding(duty) is None
+        for each in others:
+            await each.stop()
+
+    async def test_leaving_hands_back_at_once(self) -> None:
+        duty = DUTIES[0]
+        entries = entries_of([duty])
+        await asyncio.sleep(2)
+        first = first_in_rank(duty)
+        await entries[first].keeper.leave()
+        assert entries[first].keeper.holding(duty) is None
+        for each in entries:
+            each.view = [member for member in MEMBERS if member is not MEMBERS[first]]
+        await asyncio.sleep(4)
+        assert len(holders(entries, duty)) == 1
+        for each in entries:
+            await each.stop()
+
+    async def test_the_second_stands_in_when_the_first_cannot_reach_the_store(self) -> None:
+        duty = DUTIES[0]
+        entries = entries_of([duty])
+        first = first_in_rank(duty)
+        entries[first].store.outage = True
+        await asyncio.sleep(3 * LEASE_TTL_S)
+        assert len(holders(entries, duty)) == 1
+        entries[first].store.outage = False
+        await asyncio.sleep(3 * LEASE_TTL_S)
+        assert len(holders(entries, duty)) == 1
+        for each in entries:
+            await each.stop()
+
+    async def test_a_duty_that_is_no_longer_named_is_handed_back(self) -> None:
+        entries = entries_of(DUTIES)
+        await asyncio.sleep(2)
+        for each in entries:
+            each.keeper.set_duties(DUTIES[1:])
+        assert holders(entries, DUTIES[0]) == []
+        await asyncio.sleep(2)
+        assert await entries[0].store.get(DUTIES[0].store_key) is None
+        assert len(holders(entries, DUTIES[1])) == 1
+        for each in entries:
+            await each.stop()
+
+    async def test_the_lease_counts_from_before_its_renewal_was_sent(self) -> None:
+        duty = DUTIES[0]
+        entries = entries_of([duty])
+        await asyncio.sleep(2)
+        holder = entries[first_in_rank(duty)]
+        # A renewal takes effect after 4 s, and its answer comes after 8 s.
+        holder.store.slow_s = 8.0
+        await asyncio.sleep(LEASE_TTL_S)
+        assert holder.keeper.counters.renewals > 0
+        holder.store.outage = True
+        other = next(each for each in entries if each is not holder)
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            key = await other.store.get(duty.store_key)
+            assert holder.keeper.holding(duty) is None or key is not None
+        for each in entries:
+            await each.stop()
+
+    async def test_a_key_whose_deletion_is_under_way_is_not_held_again(self) -> None:
+        duty = DUTIES[0]
+        entries = entries_of([duty])
+        await asyncio.sleep(2)
+        holder = entries[first_in_rank(duty)]
+        holder.store.delay_effect_s = 7.0
+        holder.view = [MEMBERS[index] for index in range(3) if entries[index] is not holder]
+        await asyncio.sleep(2)
+        assert holder.keeper.holding(duty) is None
+        holder.store.delay_effect_s = 0.0
+        holder.view = list(MEMBERS)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            fence = holder.keeper.holding(duty)
+            key = await entries[0].store.get(duty.store_key)
+            assert fence is None or (key is not None and key.revision == fence.number)
+        assert fence is not None
+        for each in entries:
+            await each.stop()
+
+
+class OneHolder(RuleBasedStateMachine):
+    """Keepers with different views, slow and lost answers, outages, restarts and pauses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.greatest: dict[Duty, tuple[int, int]] = {}
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self) -> None:
+        self.entries = entries_of(DUTIES)
+
+    @rule(index=st.integers(0, 2), missing=st.lists(st.integers(0, 2), max_size=2))
+    def change_view(self, index: int, missing: list[int]) -> None:
+        self.entries[index].view = [
+            member for position, member in enumerate(MEMBERS) if position not in missing
+        ]
+
+    @rule(
+        index=st.integers(0, 2),
+        slow_s=st.sampled_from([0.0, 0.0, 3.0, 9.0, 25.0]),
+        fault=st.sampled_from(["none", "lost", "late", "outage"]),
+    )
+    def change_store(self, index: int, slow_s: float, fault: str) -> None:
+        store = self.entries[index].store
+        store.slow_s = slow_s
+        store.delay_effect_s = 7.0 if fault == "late" else 0.0
+        store.outage = fault == "outage"
+        if fault == "lost":
+            store.lose_next_answers(2)
+
+    @rule(index=st.integers(0, 2), duties=st.sampled_from([DUTIES, DUTIES[1:], DUTIES]))
+    def name_duties(self, index: int, duties: list[Duty]) -> None:
+        self.entries[index].keeper.set_duties(duties)
+
+    @rule(index=st.integers(0, 2))
+    def restart(self, index: int) -> None:
+        async def restart() -> None:
+            former = self.entries[index]
+            await former.stop()
+            self.entries[index] = Entry(former.store.core, index, DUTIES)
+
+        self.loop.run_until_complete(restart())
+
+    @rule(index=st.integers(0, 2), pause_s=st.sampled_from([1.0, 9.5, 30.0]))
+    def pause(self, index: int, pause_s: float) -> None:
+        """Stop an entry without a word, and look at what it believes when it wakes."""
+
+        async def pause() -> None:
+            entry = self.entries[index]
+            await entry.stop()
+            await asyncio.sleep(pause_s)
+            await self._check()
+            entry.task = asyncio.create_task(entry.keeper.run())
+
+        self.loop.run_until_complete(pause())
+
+    @rule(halves=st.integers(1, 30))
+    def advance(self, halves: int) -> None:
+        for _ in range(halves):
+            self.loop.run_until_complete(asyncio.sleep(0.5))
+            self.one_valid_holder()
+
+    @invariant()
+    def one_valid_holder(self) -> None:
+        self.loop.run_until_complete(self._check())
+
+    async def _check(self) -> None:
+        for duty in DUTIES:
+            fences = [(each.keeper.holding(duty), index) for index, each in enumerate(self.entries)]
+            valid = [(fence.number, index) for fence, index in fences if fence is not None]
+            assert len(valid) <= 1, f"{duty} is held by {valid}"
+            if valid:
+                # A later holder has a greater number, so that the old one's orders are refused.
+                assert valid[0] >= self.greatest.get(duty, (0, 0))
+                self.greatest[duty] = valid[0]
+
+    def teardown(self) -> None:
+        async def stop() -> None:
+            for each in self.entries:
+                await each.stop()
+
+        self.loop.run_until_complete(stop())
+        self.loop.close()
+
+
+TestOneHolder = OneHolder.TestCase
+TestOneHolder.settings = settings(
+    derandomize=True, max_examples=8, stateful_step_count=25, deadline=None
+)
--- a/test/test_record_delivery.py
+++ b/test/test_record_delivery.py
@@ -95,11 +95,14 @@
     @precondition(lambda self: self.frozen)
     @rule()
     def wake(self) -> None:
+        self.loop.run_until_complete(self._wake())
+        self.quiet_since_s = self.loop.time()
+
+    async def _wake(self) -> None:
         name, self.frozen = self.frozen, ""
-        self.loop.run_until_complete(asyncio.sleep(NOTICE_S))
+        await asyncio.sleep(NOTICE_S)
         self.fleet.network.wake(name)
         self.fleet.tell(self.fleet.nodes[name].member, "alive")
-        self.quiet_since_s = self.loop.time()
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 3.0]))
     def advance(self, seconds: float) -> None:
@@ -119,9 +122,7 @@
     def teardown(self) -> None:
         async def finish() -> None:
             if self.frozen:
-                await asyncio.sleep(NOTICE_S)
-                self.fleet.network.wake(self.frozen)
-                self.fleet.tell(self.fleet.nodes[self.frozen].member, "alive")
+                await self._wake()
             faults = self.fleet.network.faults
             faults.loss = faults.jitter_s = 0.0
             tasks = [task for _, _, task in self.readers]
