--- a/godwitpath/membership/merge.py
+++ b/godwitpath/membership/merge.py
@@ -12,15 +12,14 @@
 _RANKS: dict[MemberState, int] = {"alive": 0, "suspect": 1, "leaving": 2, "gone": 3}
 
 
-def judge(known: Member | None, fact: MemberFact, suspected: bool) -> Verdict:
+def judge(known: Member | None, fact: MemberFact) -> Verdict:
     """Return what to do with a fact about another member.
 
     A higher incarnation wins; within one, gone beats leaving beats suspect beats alive. The word
-    of a third entry that a member is gone only raises a suspicion here: after a cut heals, each
-    side says so of the other's members, who are well and must have time to refute.
+    of a third entry that a member is gone only raises or confirms a suspicion here: after a cut
+    heals, each side says so of the other's members, who are well and must have time to refute.
 
     :param known: the member as it is known here
-    :param suspected: whether it is already under suspicion here
     """
     if known is None:
         # One that is gone and forgotten here stays forgotten.
@@ -31,7 +30,7 @@
     if same and _RANKS[fact.state] <= _RANKS[known.state]:
         return "ignore"
     hearsay = fact.state == "gone" and not fact.from_itself
-    if hearsay and known.state != "gone" and not suspected:
+    if hearsay and known.state != "gone":
         return "suspect"
     return "accept"
 
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -81,6 +81,7 @@
         self._turn: list[str] = []
         self._probe_number = 0
         self._silent_helpers = 0
+        self._helping = 0
         self._indirect: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._met = asyncio.Event()
@@ -200,13 +201,13 @@
         if fact is None:
             self.counts["garbage_facts"] += 1
         elif fact.entry_id == self.local.entry_id:
-            self._hear_of_self(fact)
+            self._hear_of_self(sender, fact)
         else:
             self._hear_of_other(sender, fact)
 
     # Facts.
 
-    def _hear_of_self(self, fact: MemberFact) -> None:
+    def _hear_of_self(self, sender: str, fact: MemberFact) -> None:
         if not must_refute(self.local, fact):
             return
         self.local.incarnation = fact.incarnation + 1
@@ -214,20 +215,21 @@
         if fact.state in ("suspect", "gone"):
             self._health.worse()
         self._spread(self.local)
+        self._tell(sender, encode_member(self.local, True))
 
     def _hear_of_other(self, sender: str, fact: MemberFact) -> None:
         known = self._members.get(fact.entry_id)
-        suspected = fact.entry_id in self._suspicions
-        if fact.state == "suspect" and suspected and known is not None:
+        verdict = judge(known, fact)
+        accusation = fact.state == "suspect" or verdict == "suspect"
+        if accusation and known is not None and fact.entry_id in self._suspicions:
             self._confirm(sender, fact, known)
             return
-        verdict = judge(known, fact, suspected)
         if verdict == "ignore":
             return
         newer = known is None or fact.incarnation > known.incarnation
         if verdict == "accept" and (newer or fact.state != "suspect"):
             self._accept(fact)
-        if verdict == "suspect" or fact.state == "suspect":
+        if accusation:
             self._suspect(self._members[fact.entry_id], sender, fact.incarnation)
 
     def _accept(self, fact: MemberFact) -> None:
@@ -265,6 +267,8 @@
             incarnation, accuser, now_s, self._settings.suspicion_s, len(self.live())
         )
         self.counts["suspicions"] += 1
+        # The suspected entry hears of it at once, so that it can refute in time.
+        self._tell(member.entry_id, encode_member(replace(member, state="suspect")))
         if member.state == "alive":
             member.state = "suspect"
             self._spread(member)
@@ -288,6 +292,11 @@
         own = member is self.local or from_itself
         self.exchange.put(MEMBERS_TOPIC, member.entry_id, encode_member(member, own))
 
+    def _tell(self, entry_id: str, payload: bytes) -> None:
+        member = self._members.get(entry_id)
+        if member is not None:
+            self._start(self.exchange.send_now(MEMBERS_TOPIC, [payload], [member]))
+
     def _changed(self, member: Member) -> None:
         for callback in self._callbacks:
             try:
@@ -413,14 +422,18 @@
         return Ack(self.local.incarnation, self.local.config_revision, items, stranger)
 
     async def _on_ping_request(self, sender: str, request: PingRequest) -> None:
-        if len(self._tasks) >= HELPER_LIMIT:
+        if self._helping >= HELPER_LIMIT:
             self.counts["refused_ping_requests"] += 1
             return
+        self._helping += 1
         self._start(self._help(sender, request))
 
     async def _help(self, sender: str, request: PingRequest) -> None:
-        answered = await self._ping(request.target, self._settings.probe_timeout_s)
-        await self._transport.send(sender, IndirectAck(request.number, answered))
+        try:
+            answered = await self._ping(request.target, self._settings.probe_timeout_s)
+            await self._transport.send(sender, IndirectAck(request.number, answered))
+        finally:
+            self._helping -= 1
 
     async def _on_indirect_ack(self, sender: str, ack: IndirectAck) -> None:
         future = self._indirect.get(ack.number)
--- a/godwitpath/peers/zmq_transport.py
+++ b/godwitpath/peers/zmq_transport.py
@@ -60,10 +60,14 @@
 
 
 class ZmqPeerTransport(DispatchingTransport):
-    """The transport of an entry daemon."""
+    """The transport of an entry daemon.
+
+    :ivar address: where it listens once it was started
+    """
 
     def __init__(self, entry_id: str, settings: PeerSettings, incarnation: int = 0) -> None:
         super().__init__(entry_id, incarnation)
+        self.address = Address(settings.host, settings.port)
         self._settings = settings
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
@@ -86,11 +90,12 @@
         else:
             port = router.bind_to_random_port(f"tcp://{host}")
         self._router = router
+        self.address = Address(host, port)
         self._own_tasks = [
             asyncio.create_task(self._receive_all(router)),
             asyncio.create_task(self._sweep()),
         ]
-        return Address(host, port)
+        return self.address
 
     async def close(self) -> None:
         """Close every connection and end every task."""
--- a/test/test_config_sync.py
+++ b/test/test_config_sync.py
@@ -62,6 +62,25 @@
     await fleet.stop()
 
 
+async def test_an_entry_cut_off_catches_up_from_its_peers_while_the_store_is_down() -> None:
+    store = FakeKeyValueStore()
+    await write(store, 1)
+    fleet = Fleet(4, regions=1, store=store)
+    await until(fleet.all_alive, 5.0)
+    watchers = [name for name, entry in fleet.entries.items() if entry.config.dump()["watcher"]]
+    assert len(watchers) == 2
+    cut_off = next(name for name in fleet.entries if name not in watchers)
+    fleet.network.cut_groups([cut_off], [name for name in fleet.entries if name != cut_off])
+    await write(store, 2)
+    # Shorter than it takes the entry to count the others as gone and to watch by itself.
+    await asyncio.sleep(1.0)
+    assert fleet.entries[cut_off].config.revision == 1
+    store.outage = True
+    fleet.network.heal()
+    await until(lambda: all_have(fleet, 2), IN_FORCE_S)
+    await fleet.stop()
+
+
 async def test_without_store_and_peers_an_entry_is_not_ready() -> None:
     store = FakeKeyValueStore()
     store.outage = True
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -62,8 +62,14 @@
     fleet.network.cut_groups(lost, kept)
     await asyncio.sleep(60.0)
     assert all(fleet.entries[kept[0]].states()[name] == "gone" for name in lost)
+    seen: set[str] = set()
+    for name, entry in fleet.entries.items():
+        near = [n for n, region in fleet.region_of.items() if region == fleet.region_of[name]]
+        entry.membership.on_change(lambda m, near=near: seen.add(m.state * (m.entry_id in near)))
     fleet.network.heal()
     await until(fleet.all_alive, 30.0)
+    # What one side said of the other's members took none away from their own side.
+    assert "gone" not in seen
     await fleet.stop()
 
 
