--- a/godwitpath/membership/exchange.py
+++ b/godwitpath/membership/exchange.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from random import Random
 from typing import Any
 
 from godwitpath.membership.member import Member
@@ -31,13 +30,10 @@
     :ivar counts: events by name
     """
 
-    def __init__(
-        self, transport: PeerTransport, reachable: Callable[[], list[Member]], rng: Random
-    ) -> None:
+    def __init__(self, transport: PeerTransport, others: Callable[[], list[Member]]) -> None:
         self.counts: Counter[str] = Counter()
         self._transport = transport
-        self._reachable = reachable
-        self._rng = rng
+        self._others = others
         self._topics: dict[str, Topic] = {}
         self._queue = PiggybackQueue()
         transport.handle(SpreadNow, self._on_spread)
@@ -54,11 +50,7 @@
 
     def take(self) -> list[Item]:
         """Return the facts for one message."""
-        return self._queue.take(len(self._reachable()) + 1)
-
-    def item(self, topic: str, payload: bytes) -> Item:
-        """Return a fact that rides on one message only."""
-        return Item(topic, payload)
+        return self._queue.take(len(self._others()) + 1)
 
     def receive(self, sender: str, items: Iterable[Item]) -> None:
         """Pass facts to their topics."""
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -10,25 +10,20 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import replace
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
 
 from godwitpath.membership.exchange import Exchange
-from godwitpath.membership.member import Member
-from godwitpath.membership.merge import judge, must_refute
+from godwitpath.membership.member import Member, MemberState
 from godwitpath.membership.messages import (
     Ack,
     IndirectAck,
-    MemberFact,
+    Item,
     Ping,
     PingRequest,
-    decode_member,
-    encode_member,
-    member_of,
 )
-from godwitpath.membership.suspicion import LocalHealth, Suspicion, new_suspicion
+from godwitpath.membership.roster import Callback, Roster
 from godwitpath.ports.peers import Peer, PeerTransport, PeerUnreachable
 from godwitpath.settings import MembershipSettings
 
@@ -49,7 +44,6 @@
 GONE_KEEP_S = 900.0
 """How long an entry that is gone is remembered and tried."""
 
-Callback = Callable[[Member], None]
 RevisionCallback = Callable[[str, int], None]
 
 
@@ -73,42 +67,38 @@
         self._transport = transport
         self._settings = settings
         self._rng = rng
-        self._members: dict[str, Member] = {local.entry_id: local}
-        self._suspicions: dict[str, Suspicion] = {}
-        self._gone_at_s: dict[str, float] = {}
+        self._roster = Roster(local, settings.suspicion_s, self._spread, self._tell)
+        self._roster.on_change(self._connect)
         self._seeds: dict[str, Peer] = {}
-        self._health = LocalHealth()
         self._turn: list[str] = []
         self._probe_number = 0
         self._silent_helpers = 0
         self._helping = 0
         self._indirect: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._met = asyncio.Event()
-        self._callbacks: list[Callback] = []
         self._revision_callbacks: list[RevisionCallback] = []
-        self.exchange = Exchange(transport, self._reachable, rng)
-        self.exchange.add_topic(MEMBERS_TOPIC, self)
+        self.exchange = Exchange(transport, self._roster.others)
+        self.exchange.add_topic(MEMBERS_TOPIC, self._roster)
         transport.handle(Ping, self._on_ping)
         transport.handle(PingRequest, self._on_ping_request)
         transport.handle(IndirectAck, self._on_indirect_ack)
 
     def members(self) -> list[Member]:
         """Return every entry that is known, this one included."""
-        return list(self._members.values())
+        return self._roster.members()
 
     def live(self) -> list[Member]:
         """Return the entries that can be asked, this one first."""
-        others = [member for member in self._others() if member.live]
+        others = [member for member in self._roster.others() if member.live]
         return [self.local, *others]
 
     def get(self, entry_id: str) -> Member | None:
         """Return an entry by its name."""
-        return self._members.get(entry_id)
+        return self._roster.get(entry_id)
 
     def on_change(self, callback: Callback) -> None:
         """Call back with each entry whose state, address or incarnation changed."""
-        self._callbacks.append(callback)
+        self._roster.on_change(callback)
 
     def on_revision(self, callback: RevisionCallback) -> None:
         """Call back with the sender and the configuration revision of each ping and answer."""
@@ -119,7 +109,7 @@
         if peer.entry_id == self.local.entry_id:
             return
         self._seeds[peer.entry_id] = peer
-        if peer.entry_id not in self._members:
+        if self._roster.get(peer.entry_id) is None:
             self._transport.connect(peer)
 
     async def wait_for_others(self, timeout_s: float) -> None:
@@ -127,7 +117,7 @@
         if not self._seeds:
             return
         try:
-            await asyncio.wait_for(self._met.wait(), timeout_s)
+            await asyncio.wait_for(self._roster.met.wait(), timeout_s)
         except TimeoutError:
             return
 
@@ -152,172 +142,33 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state as plain data."""
-        now_s = asyncio.get_running_loop().time()
         return {
-            "local": self.local.entry_id,
-            "health_score": self._health.score,
-            "members": [
-                {
-                    "entry_id": member.entry_id,
-                    "region": member.region,
-                    "availability_zone": member.availability_zone,
-                    "address": str(member.address),
-                    "incarnation": member.incarnation,
-                    "state": member.state,
-                    "config_revision": member.config_revision,
-                }
-                for member in self.members()
-            ],
-            "suspicions": {
-                name: {"left_s": round(s.deadline_s - now_s, 3), "accusers": sorted(s.accusers)}
-                for name, s in self._suspicions.items()
-            },
+            **self._roster.dump(),
             "seeds": sorted(self._seeds),
-            "counts": dict(self.counts),
+            "counts": {**self.counts, **self._roster.counts},
             "exchange": self.exchange.dump(),
         }
 
-    # Topic of the members: what the exchange asks for.
-
-    def statements(self) -> Iterable[tuple[str, str]]:
-        """Yield each member's name and statement."""
-        for member in self._members.values():
-            # A suspicion passes by itself, and each entry forgets those gone in its own time.
-            if member.state != "gone":
-                state = "alive" if member.state == "suspect" else member.state
-                yield member.entry_id, f"{member.incarnation} {state}"
-
-    def names(self) -> Iterable[str]:
-        """Yield the name of every member."""
-        return list(self._members)
-
-    def payload(self, name: str) -> bytes:
-        """Return a member in its spread form."""
-        return encode_member(self._members[name], name == self.local.entry_id)
-
-    def receive(self, sender: str, payload: bytes) -> None:
-        """Take in a fact about a member."""
-        fact = decode_member(payload)
-        if fact is None:
-            self.counts["garbage_facts"] += 1
-        elif fact.entry_id == self.local.entry_id:
-            self._hear_of_self(sender, fact)
-        else:
-            self._hear_of_other(sender, fact)
+    async def _tell_own_state(self, state: MemberState) -> None:
+        payload = self._roster.set_own_state(state)
+        await self.exchange.send_now(MEMBERS_TOPIC, [payload], self._roster.others())
 
-    # Facts.
+    def _spread(self, name: str, payload: bytes) -> None:
+        self.exchange.put(MEMBERS_TOPIC, name, payload)
 
-    def _hear_of_self(self, sender: str, fact: MemberFact) -> None:
-        if not must_refute(self.local, fact):
-            return
-        self.local.incarnation = fact.incarnation + 1
-        self.counts["refutations"] += 1
-        if fact.state in ("suspect", "gone"):
-            self._health.worse()
-        self._spread(self.local)
-        self._tell(sender, encode_member(self.local, True))
-
-    def _hear_of_other(self, sender: str, fact: MemberFact) -> None:
-        known = self._members.get(fact.entry_id)
-        verdict = judge(known, fact)
-        accusation = fact.state == "suspect" or verdict == "suspect"
-        if accusation and known is not None and fact.entry_id in self._suspicions:
-            self._confirm(sender, fact, known)
-            return
-        if verdict == "ignore":
-            return
-        newer = known is None or fact.incarnation > known.incarnation
-        if verdict == "accept" and (newer or fact.state != "suspect"):
-            self._accept(fact)
-        if accusation:
-            self._suspect(self._members[fact.entry_id], sender, fact.incarnation)
-
-    def _accept(self, fact: MemberFact) -> None:
-        member = member_of(fact)
-        known = self._members.get(fact.entry_id)
-        if known is not None:
-            member.config_revision = known.config_revision
-        if member.state == "suspect":
-            member.state = "alive"
-        self._members[member.entry_id] = member
-        self._suspicions.pop(member.entry_id, None)
-        if member.state == "gone":
-            self._gone_at_s[member.entry_id] = asyncio.get_running_loop().time()
-            self.counts["gone"] += 1
-        else:
-            self._gone_at_s.pop(member.entry_id, None)
-        self._met.set()
-        self._transport.connect(_peer(member))
-        self._spread(member, fact.from_itself)
-        self._changed(member)
-
-    def _confirm(self, sender: str, fact: MemberFact, known: Member) -> None:
-        suspicion = self._suspicions[fact.entry_id]
-        if fact.incarnation != suspicion.incarnation or sender in suspicion.accusers:
-            return
-        if len(suspicion.accusers) <= suspicion.confirmations_wanted:
-            suspicion.accusers.add(sender)
-            self._spread(known)
+    def _tell(self, member: Member, payload: bytes) -> None:
+        self._start(self.exchange.send_now(MEMBERS_TOPIC, [payload], [member]))
 
-    def _suspect(self, member: Member, accuser: str, incarnation: int) -> None:
-        if member.entry_id in self._suspicions or member.state == "gone":
-            return
-        now_s = asyncio.get_running_loop().time()
-        self._suspicions[member.entry_id] = new_suspicion(
-            incarnation, accuser, now_s, self._settings.suspicion_s, len(self.live())
-        )
-        self.counts["suspicions"] += 1
-        # The suspected entry hears of it at once, so that it can refute in time.
-        self._tell(member.entry_id, encode_member(replace(member, state="suspect")))
-        if member.state == "alive":
-            member.state = "suspect"
-            self._spread(member)
-            self._changed(member)
-
-    def _end_suspicions(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        for entry_id, suspicion in list(self._suspicions.items()):
-            if suspicion.deadline_s > now_s:
-                continue
-            member = self._members[entry_id]
-            member.state = "gone"
-            member.incarnation = max(member.incarnation, suspicion.incarnation)
-            del self._suspicions[entry_id]
-            self._gone_at_s[entry_id] = now_s
-            self.counts["gone"] += 1
-            self._spread(member)
-            self._changed(member)
-
-    def _spread(self, member: Member, from_itself: bool = False) -> None:
-        own = member is self.local or from_itself
-        self.exchange.put(MEMBERS_TOPIC, member.entry_id, encode_member(member, own))
-
-    def _tell(self, entry_id: str, payload: bytes) -> None:
-        member = self._members.get(entry_id)
-        if member is not None:
-            self._start(self.exchange.send_now(MEMBERS_TOPIC, [payload], [member]))
-
-    def _changed(self, member: Member) -> None:
-        for callback in self._callbacks:
-            try:
-                callback(member)
-            except Exception:
-                # The failure detector goes on whatever its listeners do.
-                self.counts["callback_errors"] += 1
-
-    async def _tell_own_state(self, state: Any) -> None:
-        self.local.state = state
-        self._spread(self.local)
-        self._changed(self.local)
-        payload = encode_member(self.local, True)
-        await self.exchange.send_now(MEMBERS_TOPIC, [payload], self._reachable())
+    def _connect(self, member: Member) -> None:
+        if member is not self.local:
+            self._transport.connect(_peer(member))
 
     # Probes.
 
     async def _probe_forever(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            interval_s = self._settings.probe_interval_s * self._health.multiplier
+            interval_s = self._settings.probe_interval_s * self._roster.health.multiplier
             started_at_s = loop.time()
             target = self._next_target()
             if target is not None:
@@ -325,41 +176,40 @@
             left_s = started_at_s + interval_s - loop.time()
             await asyncio.sleep(max(0.0, left_s))
             self._excuse_pause(loop.time() - started_at_s - interval_s)
-            self._end_suspicions()
+            self._roster.end_suspicions()
 
     def _excuse_pause(self, late_s: float) -> None:
         # An entry that was paused has heard nothing meanwhile and must not judge by that.
         if late_s < self._settings.probe_interval_s:
             return
         self.counts["pauses"] += 1
-        self._health.worse(2)
-        for suspicion in self._suspicions.values():
-            suspicion.started_at_s += late_s
+        self._roster.health.worse(2)
+        self._roster.excuse(late_s)
 
     async def _probe(self, target: Member, interval_s: float) -> None:
         loop = asyncio.get_running_loop()
         started_at_s = loop.time()
-        timeout_s = min(self._settings.probe_timeout_s * self._health.multiplier, interval_s)
+        timeout_s = min(self._settings.probe_timeout_s * self._roster.health.multiplier, interval_s)
         self.counts["probes"] += 1
         if await self._ping(target.entry_id, timeout_s):
-            self._health.better()
+            self._roster.health.better()
             return
         left_s = started_at_s + interval_s - loop.time()
         if left_s <= -self._settings.probe_interval_s:
             return
         missing = await self._ping_indirectly(target, max(left_s, timeout_s))
         if missing is None:
-            self._health.better()
+            self._roster.health.better()
             return
-        self._health.worse(missing)
+        self._roster.health.worse(missing)
         late_s = loop.time() - started_at_s - interval_s - timeout_s
         if late_s < self._settings.probe_interval_s:
-            self._suspect(target, self.local.entry_id, target.incarnation)
+            self._roster.suspect(target, self.local.entry_id, target.incarnation)
 
     async def _ping(self, entry_id: str, timeout_s: float) -> bool:
         items = self.exchange.take()
-        suspect = self._members.get(entry_id)
-        if suspect is not None and entry_id in self._suspicions:
+        suspect = self._roster.get(entry_id)
+        if suspect is not None and self._roster.suspected(entry_id):
             # The suspected entry hears of it first, so that it can refute.
             items.append(self._accusation(suspect))
         ping = Ping(self.local.incarnation, self.local.config_revision, items)
@@ -375,9 +225,8 @@
             self._start(self.exchange.sync(entry_id))
         return True
 
-    def _accusation(self, member: Member) -> Any:
-        accused = replace(member, state="suspect")
-        return self.exchange.item(MEMBERS_TOPIC, encode_member(accused))
+    def _accusation(self, member: Member) -> Item:
+        return Item(MEMBERS_TOPIC, self._roster.accusation(member))
 
     async def _ping_indirectly(self, target: Member, timeout_s: float) -> int | None:
         """Return None when a helper reached the target, else the number of silent helpers."""
@@ -402,12 +251,12 @@
 
     def _next_target(self) -> Member | None:
         while self._turn:
-            member = self._members.get(self._turn.pop())
+            member = self._roster.get(self._turn.pop())
             if member is not None and member.state != "gone":
                 return member
-        self._turn = [m.entry_id for m in self._others() if m.state != "gone"]
+        self._turn = [member.entry_id for member in self._roster.others()]
         self._rng.shuffle(self._turn)
-        return self._members[self._turn.pop()] if self._turn else None
+        return self._roster.get(self._turn.pop()) if self._turn else None
 
     # Handlers.
 
@@ -415,8 +264,8 @@
         self._hear_heartbeat(sender, ping.member_incarnation, ping.config_revision)
         self.exchange.receive(sender, ping.items)
         items = self.exchange.take()
-        known = self._members.get(sender)
-        if known is not None and (sender in self._suspicions or known.state == "gone"):
+        known = self._roster.get(sender)
+        if known is not None and (self._roster.suspected(sender) or known.state == "gone"):
             items.append(self._accusation(known))
         stranger = known is None
         return Ack(self.local.incarnation, self.local.config_revision, items, stranger)
@@ -445,7 +294,7 @@
             self._silent_helpers -= 1
 
     def _hear_heartbeat(self, sender: str, incarnation: int, config_revision: int) -> None:
-        member = self._members.get(sender)
+        member = self._roster.get(sender)
         if member is not None and incarnation >= member.incarnation:
             member.config_revision = max(config_revision, member.config_revision)
         for callback in self._revision_callbacks:
@@ -464,37 +313,29 @@
         while True:
             self._forget_long_gone()
             lost = self._lost()
-            if len(self._members) == 1:
+            alone = len(self._roster.members()) == 1
+            if alone:
                 # Nobody is known yet: ask every seed at once.
                 await asyncio.gather(*(self.exchange.sync(name) for name in lost))
             elif lost:
                 await self.exchange.sync(self._rng.choice(lost))
-            wait_s = (
-                self._settings.probe_interval_s if len(self._members) == 1 else RETRY_INTERVAL_S
-            )
+            wait_s = self._settings.probe_interval_s if alone else RETRY_INTERVAL_S
             await asyncio.sleep(wait_s * self._rng.uniform(0.8, 1.2))
 
     def _lost(self) -> list[str]:
-        unheard = [name for name in self._seeds if name not in self._members]
+        unheard = [name for name in self._seeds if self._roster.get(name) is None]
         for name in unheard:
             self._transport.connect(self._seeds[name])
-        return unheard + list(self._gone_at_s)
+        return unheard + list(self._roster.gone_at_s)
 
     def _forget_long_gone(self) -> None:
         forgotten_s = asyncio.get_running_loop().time() - GONE_KEEP_S
-        for entry_id, gone_at_s in list(self._gone_at_s.items()):
+        for entry_id, gone_at_s in list(self._roster.gone_at_s.items()):
             if gone_at_s < forgotten_s:
-                del self._gone_at_s[entry_id]
-                del self._members[entry_id]
+                self._roster.forget(entry_id)
                 self._transport.forget(entry_id)
 
-    def _others(self) -> list[Member]:
-        return [member for member in self._members.values() if member is not self.local]
-
-    def _reachable(self) -> list[Member]:
-        return [member for member in self._others() if member.state != "gone"]
-
-    def _start(self, work: Any) -> None:
+    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
