Tell configuration changes from their history; one type for planned stops

A configuration change had no story unless an entry noted it. It is now built from the history in the store, at no write. The command's own type of a planned stop stood beside that of the upstreams; the commands use the latter, which gains the reason. The operator address takes subjects with a slash and the time near which to look.

--- a/godwitpath/commands/stop.py
+++ b/godwitpath/commands/stop.py
@@ -10,7 +10,8 @@
 from godwitpath.commands.console import JsonOption, print_json, print_table
 from godwitpath.commands.exit_codes import NotFound
 from godwitpath.commands.platform_store import SettingsOption, StoreOption, with_store
-from godwitpath.config.stops import StopKind, announce_stop, cancel_stop, list_stops
+from godwitpath.config.stops import announce_stop, cancel_stop, list_stops
+from godwitpath.upstreams.stops import StopKind
 
 app = typer.Typer(help="Planned stops of entries, upstreams and availability zones.")
 
--- a/godwitpath/entry/operator_app.py
+++ b/godwitpath/entry/operator_app.py
@@ -49,10 +49,10 @@
         return Response(body, media_type=content_type)
 
     async def explain(request: Request) -> Response:
-        story = await context.journal.find(request.path_params["subject_id"])
-        if story is None:
-            return _json({"error": "nothing is known of it"}, 404)
-        return _json(story)
+        around = request.query_params.get("around_s", "")
+        around_s = float(around) if around.isdecimal() else None
+        subject_id = request.path_params["subject_id"]
+        return _json(await context.journal.find(subject_id, around_s=around_s))
 
     return Starlette(
         routes=[
@@ -60,7 +60,7 @@
             Route("/admin/ready", ready),
             Route("/admin/state", guarded(state)),
             Route("/admin/status", guarded(status)),
-            Route("/admin/explain/{subject_id}", guarded(explain)),
+            Route("/admin/explain/{subject_id:path}", guarded(explain)),
             Route("/metrics", guarded(metrics)),
         ]
     )
--- /dev/null
+++ b/godwitpath/explain/configuration.py
@@ -0,0 +1,59 @@
+"""The story of a configuration change, told from the history that the store keeps of it."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+from godwitpath.config.check import parse_configuration
+from godwitpath.config.diff import diff_configurations
+from godwitpath.config.envelope import ConfigEnvelope
+from godwitpath.config.submit import kept_envelope
+from godwitpath.errors import FindingsError
+from godwitpath.explain.record import CONFIGURATION_SUBJECT, DecisionRecord
+from godwitpath.ports.kv import KeyValueStore
+
+MAX_DIFFERENCES = 50
+"""Most differences that a story lists."""
+
+
+async def configuration_records(store: KeyValueStore, subject_id: str) -> list[DecisionRecord]:
+    """Return the record of a configuration change, nothing for other subjects.
+
+    :raises StoreRefused: the store cannot be read
+    """
+    number = subject_id.removeprefix(CONFIGURATION_SUBJECT)
+    if number == subject_id or not number.isdecimal() or len(number) > 10:
+        return []
+    envelope = await kept_envelope(store, int(number))
+    if envelope is None:
+        return []
+    previous = await kept_envelope(store, envelope.revision - 1) if envelope.revision > 1 else None
+    return [_record(subject_id, envelope, previous)]
+
+
+def _record(
+    subject_id: str, envelope: ConfigEnvelope, previous: ConfigEnvelope | None
+) -> DecisionRecord:
+    known = {
+        "author": envelope.author,
+        "reason": envelope.reason,
+        "digest": envelope.digest,
+        "submission_id": envelope.submission_id,
+        "previous_revision": previous.revision if previous else 0,
+    }
+    for number, difference in enumerate(_differences(previous, envelope)[:MAX_DIFFERENCES], 1):
+        known[f"difference {number}"] = difference
+    at = datetime.fromisoformat(envelope.submitted_at).timestamp()
+    chosen = f"accepted as revision {envelope.revision}"
+    return DecisionRecord(subject_id, "", "configuration", at, chosen, known, [], "store")
+
+
+def _differences(previous: ConfigEnvelope | None, envelope: ConfigEnvelope) -> list[str]:
+    if previous is None:
+        return []
+    try:
+        old = parse_configuration("previous", previous.text)
+        new = parse_configuration("accepted", envelope.text)
+    except FindingsError:
+        return ["a text of another version of the program, not compared"]
+    return [str(difference) for difference in diff_configurations(old, new)]
--- a/godwitpath/explain/journal.py
+++ b/godwitpath/explain/journal.py
@@ -27,6 +27,7 @@
     encode_part,
     encode_records,
 )
+from godwitpath.explain.configuration import configuration_records
 from godwitpath.explain.held import HeldBatches
 from godwitpath.explain.pending import PendingBatches
 from godwitpath.explain.record import DecisionRecord, Story
@@ -172,6 +173,7 @@
         async with self._searches:
             try:
                 found = await Search(self._store, subject_id).run(self._wall(), around_s)
+                found.records += await configuration_records(self._store, subject_id)
             except StoreError as error:
                 story.complete = False
                 story.note = f"the key-value service cannot be read: {error}"
--- a/godwitpath/explain/record.py
+++ b/godwitpath/explain/record.py
@@ -44,6 +44,5 @@
     note: str = ""
 
 
-def configuration_subject(revision: int) -> str:
-    """Return the subject of a configuration change."""
-    return f"configuration/{revision}"
+CONFIGURATION_SUBJECT = "configuration/"
+"""Prefix of the subject of a configuration change, followed by its revision."""
--- a/godwitpath/upstreams/stops.py
+++ b/godwitpath/upstreams/stops.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+StopKind = Literal["entry", "upstream", "zone"]
+
 STOPS_PREFIX = "stops/"
 """Prefix of the keys of announced stops, followed by kind and name."""
 
@@ -16,11 +18,13 @@
     :ivar kind: what stops: one entry, one upstream, or everything in an availability zone
     :ivar name: name of the entry, upstream or availability zone
     :ivar announced_at: when, in RFC 3339 form
+    :ivar reason: why, in the operator's words
     """
 
-    kind: Literal["entry", "upstream", "zone"]
+    kind: StopKind
     name: str
     announced_at: str
+    reason: str = ""
 
     def covers_upstream(self, upstream_id: str, availability_zone: str) -> bool:
         """Return whether an upstream stops."""
--- a/test/test_explain_journal.py
+++ b/test/test_explain_journal.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from godwitpath.config.submit import submit
 from godwitpath.explain.batch import DamagedBatch, decode_part, decode_records, index_lists
 from godwitpath.explain.journal import INTERVAL_S, LEASE_SPAN_S, Journal
 from godwitpath.explain.pending import MAX_CLOSED_BYTES, MAX_RECORD_BYTES
@@ -56,6 +57,19 @@
     assert [item.chosen for item in story.records] == ["step 0", "step 1", "step 2"]
 
 
+async def test_a_configuration_change_is_told_from_its_history() -> None:
+    store = FakeKeyValueStore()
+    for timeout_s in (10, 20):
+        text = f'{{"services": {{"a": {{"kind": "plain", "request_timeout_s": {timeout_s}}}}}}}'
+        await submit(store, text, "ann", f"{timeout_s} s")
+    one = journal(store)
+    [told] = (await one.find("configuration/2")).records
+    assert told.known["author"] == "ann"
+    assert told.known["difference 1"] == "~ /services/a/request_timeout_s: 10.0 -> 20.0"
+    assert not (await one.find("configuration/2", "ann")).records
+    assert not (await one.find("configuration/9")).records
+
+
 async def test_an_account_sees_its_own_records_only() -> None:
     one = journal(FakeKeyValueStore())
     one.note(record("r1", "ann"))
