--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,6 +4,8 @@
 
 import typer
 
+from godwitpath_bench import overload, path, routing
+
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
 
@@ -12,5 +14,9 @@
     """Experiments, each with its baselines."""
 
 
+routing.register(app)
+overload.register(app)
+path.register(app)
+
 if __name__ == "__main__":
     app()
--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -2,15 +2,137 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
 import typer
 
+from godwitpath_standin.server import Standin, run
+
 app = typer.Typer(name="godwitpath-standin", no_args_is_help=True)
 
+Port = Annotated[int, typer.Option(help="Port to listen on; 0 takes any free one.")]
+Seed = Annotated[int, typer.Option(help="Seed of the random numbers.")]
+
 
 @app.callback()
 def root() -> None:
     """Stand-ins of the platform and of upstreams."""
 
 
+@app.command()
+def kv(
+    port: Port = 0,
+    seed: Seed = 0,
+    latency_s: Annotated[float, typer.Option(help="Time of each call.")] = 0.002,
+    reads_per_s: Annotated[float, typer.Option(help="Reads taken a second.")] = 2000.0,
+    writes_per_s: Annotated[float, typer.Option(help="Writes taken a second.")] = 500.0,
+) -> None:
+    """Run the key-value service."""
+    from godwitpath_standin.kv_app import KeyValueStandin
+
+    run(lambda: KeyValueStandin(latency_s, reads_per_s, writes_per_s).standin, port)
+
+
+@app.command()
+def service(
+    port: Port = 0,
+    seed: Seed = 0,
+    run_s: Annotated[float, typer.Option(help="Time that a call runs.")] = 0.02,
+) -> None:
+    """Run a plain service that counts what ran."""
+    from godwitpath_standin.service_app import PlainServiceStandin
+
+    run(lambda: PlainServiceStandin(run_s).standin, port)
+
+
+@app.command()
+def engine(
+    port: Port = 0,
+    seed: Seed = 0,
+    service_name: Annotated[str, typer.Option(help="Service that it belongs to.")] = "planner-lm",
+    model: Annotated[str, typer.Option(help="Model that it starts with.")] = "planner-7b",
+    version: Annotated[str, typer.Option(help="Version of the weights.")] = "1",
+    adapter: Annotated[list[str] | None, typer.Option(help="Adapter that it starts with.")] = None,
+    checks_fencing: Annotated[bool, typer.Option(help="Refuse old fencing numbers.")] = True,
+    weights_url: Annotated[str, typer.Option(help="Weight store, empty for a fixed time.")] = "",
+    step_s: Annotated[float, typer.Option(help="Time of a decoding step.")] = 0.02,
+    prefill_tokens_per_s: Annotated[float, typer.Option(help="Speed of prefilling.")] = 20_000.0,
+    max_batch: Annotated[int, typer.Option(help="Sequences in a batch.")] = 48,
+    max_waiting: Annotated[int, typer.Option(help="Sequences that may wait.")] = 200,
+    cache_tokens: Annotated[int, typer.Option(help="Room of the prefix cache.")] = 400_000,
+) -> None:
+    """Run a model engine."""
+    from godwitpath_standin.engine_app import EngineStandin
+    from godwitpath_standin.engine_core import EngineParameters
+    from godwitpath_standin.engine_orders import LoadedModel
+
+    loaded = LoadedModel(service_name, model, version, list(adapter or []))
+    parameters = EngineParameters(
+        step_s=step_s,
+        prefill_tokens_per_s=prefill_tokens_per_s,
+        max_batch=max_batch,
+        max_waiting=max_waiting,
+        cache_tokens=cache_tokens,
+    )
+    rng = random.Random(seed)
+
+    def start() -> Standin:
+        return EngineStandin(loaded, parameters, rng, checks_fencing, weights_url).standin
+
+    run(start, port)
+
+
+@app.command()
+def platform(
+    port: Port = 0,
+    seed: Seed = 0,
+    instances: Annotated[Path | None, typer.Option(help="JSON file of the first state.")] = None,
+    list_lag_s: Annotated[float, typer.Option(help="Age of the instance list.")] = 1.0,
+) -> None:
+    """Run the cloud API, the instance list and the weight store."""
+    from godwitpath_standin.platform_app import PlatformStandin, PlatformState
+
+    text = instances.read_bytes() if instances else b"{}"
+    state = msgspec.json.decode(text, type=PlatformState)
+    run(lambda: PlatformStandin(state, list_lag_s).standin, port)
+
+
+Deployment = Annotated[str, typer.Option(help="`ramdin` or `regroupement`.")]
+
+
+@app.command()
+def demo(
+    deployment: Deployment = "ramdin",
+    generations: Annotated[int, typer.Option(help="Streamed requests.")] = 240,
+    calls: Annotated[int, typer.Option(help="Calls that may not be repeated.")] = 60,
+    rate_per_s: Annotated[float, typer.Option(help="Requests begun a second.")] = 15.0,
+    seed: Seed = 1,
+) -> None:
+    """Run a deployment under load while an entry and an engine die; exit 1 on any loss."""
+    from godwitpath_standin.demo import run_demo
+
+    report = asyncio.run(run_demo(deployment, generations, calls, rate_per_s, seed))
+    typer.echo(report.table())
+    for failure in report.failures:
+        typer.echo(failure, err=True)
+    raise typer.Exit(1 if report.failures else 0)
+
+
+@app.command()
+def fleet(
+    deployment: Deployment = "ramdin",
+    entries: Annotated[int, typer.Option(help="Entries to start.")] = 6,
+    seed: Seed = 1,
+) -> None:
+    """Start a deployment, print where it listens, and run until interrupted."""
+    from godwitpath_standin.fleet import run_fleet
+
+    asyncio.run(run_fleet(deployment, entries, seed))
+
+
 if __name__ == "__main__":
     app()
