Never take an earlier process's claim for an own one

Cause: with a seed in its settings, a restarted entry draws its predecessor's incarnation, request identifiers and attempt identifiers again. Its first write of an execution record then met the predecessor's record, found its own attempt in it, and would have sent the call a second time (test_a_restart_that_draws_the_same_numbers_does_not_run_again fails before).

A claim now takes a conflict for its own only after a write of its own whose answer was lost. The daemon's incarnation is the wall clock at its start, and its generator is seeded with it beside the setting. Incarnations were random before: a restart with a lower one was also dropped by its peers for 30 s as stale.

--- a/godwitpath/entry/daemon.py
+++ b/godwitpath/entry/daemon.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -62,8 +63,10 @@
 
     def __init__(self, settings: ProcessSettings) -> None:
         self._settings = settings
-        self._rng = random.Random(settings.seed or None)
-        self._incarnation = self._rng.getrandbits(31)
+        # Each start must be told from the one before it, with a fixed seed as well: a restart that
+        # drew its predecessor's identifiers would take the predecessor's work for its own.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._rng = random.Random(f"{settings.seed} {self._incarnation}" if settings.seed else None)
         platform = settings.platform
         self._store = HttpKeyValueStore(platform.key_value_url, platform.timeout_s)
         self._instances = HttpInstanceList(platform.instance_list_url, platform.timeout_s)
--- a/godwitpath/execution/guard.py
+++ b/godwitpath/execution/guard.py
@@ -164,7 +164,8 @@
         if current is None:
             return ABSENT
         standing = decode(current.value)
-        if _same_attempt(standing, attempt.record):
+        # A first write cannot have met itself, whatever identifiers an earlier process drew.
+        if attempt.uncertain and _same_attempt(standing, attempt.record):
             self.counters.lost_answers_settled += 1
             return Claim(attempt.store_key, attempt.record, current.revision)
         if standing.state == "released":
--- a/test/record_fleet.py
+++ b/test/record_fleet.py
@@ -111,6 +111,19 @@
         await self.transport.close()
 
 
+def close_loop(loop: asyncio.AbstractEventLoop) -> None:
+    """End every task of a loop and close it."""
+
+    async def end() -> None:
+        tasks = asyncio.all_tasks(loop) - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    loop.run_until_complete(end())
+    loop.close()
+
+
 class RecordFleet:
     """Entries in two regions with two availability zones each."""
 
--- a/test/test_execution_guard.py
+++ b/test/test_execution_guard.py
@@ -67,6 +67,14 @@
         assert guard.counters.lost_answers_settled == 1
         assert await guard.finish(claim, Outcome(200))
 
+    async def test_a_restart_that_draws_the_same_numbers_does_not_run_again(self) -> None:
+        core = loop_core()
+        before = guard_of(FakeKeyValueStore(core), "e1", 1)
+        await before.claim("a", "k", "d", "r1")
+        after = guard_of(FakeKeyValueStore(core), "e1", 1)
+        with pytest.raises(ExecutionExists):
+            await after.claim("a", "k", "d", "r1")
+
     async def test_refused_while_the_store_is_down_and_free_afterwards(self) -> None:
         store = FakeKeyValueStore(timeout_s=0.1)
         guard = guard_of(store)
--- a/test/test_record_delivery.py
+++ b/test/test_record_delivery.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from godwitpath.records.record import RequestRecord
-from test.record_fleet import NOTICE_S, Reader, RecordFleet, whole_answer
+from test.record_fleet import NOTICE_S, Reader, RecordFleet, close_loop, whole_answer
 
 SIZE = 8
 NAMES = [f"e{index}" for index in range(SIZE)]
@@ -133,8 +133,10 @@
             for record, reader, _ in self.readers:
                 assert reader.text == whole_answer(record)
 
-        self.loop.run_until_complete(finish())
-        self.loop.close()
+        try:
+            self.loop.run_until_complete(finish())
+        finally:
+            close_loop(self.loop)
 
 
 TestWholeDelivery = WholeDelivery.TestCase
