--- a/godwitpath_standin/engine_app.py
+++ b/godwitpath_standin/engine_app.py
@@ -29,6 +29,7 @@
 from godwitpath_standin.text import answer_tokens, text_between
 
 ALIVE_S = 0.5
+DRAIN_S = 60
 KV_BYTES_PER_TOKEN = 64
 
 
@@ -68,7 +69,7 @@
             Route("/stop", self._stop, methods=["POST"]),
             Route("/stats", self._stats, methods=["GET"]),
         ]
-        self.standin = Standin(routes)
+        self.standin = Standin(routes, grace_s=DRAIN_S)
 
     async def _chat(self, request: Request) -> Response:
         return await self._generate(request, chat=True)
--- a/godwitpath_standin/engine_orders.py
+++ b/godwitpath_standin/engine_orders.py
@@ -59,6 +59,8 @@
 
     def refusal(self, model: str) -> str:
         """Return why a generation of a model is refused, empty for taken."""
+        if not self._loaded.model:
+            return "the engine runs no model"
         if self._state != "serving":
             return f"the engine is {self._state}"
         if model not in (self._loaded.model, *self._loaded.adapters):
--- a/godwitpath_standin/faults.py
+++ b/godwitpath_standin/faults.py
@@ -27,7 +27,7 @@
     :ivar refuse_instances: whether the cloud gives no instance
     :ivar reclaim: zone, or instance names, to reclaim
     :ivar notice_s: notice given before a reclaim
-    :ivar lose_effect_s: delay of the effect of writes whose answer is lost
+    :ivar lose_effect_s: when above 0, writes to the store get no answer and take effect later
     :ivar fail_version: version whose load fails
     """
 
@@ -45,6 +45,7 @@
     refuse_instances: bool = False
     reclaim: str | list[str] = ""
     notice_s: float = 30.0
+    lose_effect_s: float = 0.0
     fail_version: str = ""
 
 
--- a/godwitpath_standin/fleet.py
+++ b/godwitpath_standin/fleet.py
@@ -22,6 +22,7 @@
 from godwitpath.security.curve import make_pair
 from godwitpath_standin.deployments import DEPLOYMENTS
 from godwitpath_standin.platform_app import PlatformState
+from godwitpath_standin.platform_core import Spare
 from godwitpath_standin.process import Process
 
 READY_TIMEOUT_S = 30.0
@@ -39,6 +40,7 @@
 class Fleet:
     """A running deployment; entries and engines are counted from 1.
 
+    :param spares: engines without a model that the cloud can give, for each generation service
     :ivar deployment: what is started
     :ivar operator_key: key of the operator addresses
     :ivar log_folder: where each process's error output goes
@@ -52,12 +54,15 @@
         engine_options: list[str] | None = None,
         engines: dict[str, int] | None = None,
         configuration_text: str = "",
+        spares: int = 0,
     ) -> None:
         self.deployment = DEPLOYMENTS[deployment]
         self.operator_key = secrets.token_hex(16)
         self._engine_counts = engines or self.deployment.engines
         self._configuration_text = configuration_text or self.deployment.configuration_text()
         self._entry_count = entries
+        self._spare_count = spares
+        self._spares: list[Spare] = []
         self._seed = seed
         self._engine_options = engine_options or []
         self._folder = tempfile.TemporaryDirectory(prefix="godwitpath-fleet-")
@@ -204,11 +209,13 @@
             for number in range(1, count + 1):
                 upstreams.append(self._start_engine(service, number, place))
                 place += 1
+            for number in range(1, self._spare_count + 1):
+                upstreams.append(self._start_spare(service, number, place + number))
         await asyncio.gather(*upstreams)
         await self.submit(self._configuration_text)
-        await self._register(self._offers(), self._versions())
+        await self._register(self._offers(), self._versions(), self._spares)
         await self._start_entries()
-        await self._register([], [])
+        await self._register([], [], [])
         await self.wait_ready()
 
     async def _launch(self, name: str, arguments: list[str]) -> Process:
@@ -236,6 +243,20 @@
         machine_class = (spec.get("fleet", {}).get("machine_classes") or ["gpu"])[0]
         self._list(name, service, place, process.announced["listening"], machine_class)
 
+    async def _start_spare(self, service: str, number: int, place: int) -> None:
+        spec = self.deployment.configuration()["services"][service]
+        checks = spec.get("fleet", {}).get("checks_fencing", True)
+        arguments = ["godwitpath_standin", "engine", "--service-name", "", "--model", ""]
+        arguments += ["--version", "", "--weights-url", self.url("platform")]
+        arguments += ["--seed", str(self._seed * 1000 + 500 + place)]
+        arguments.append("--checks-fencing" if checks else "--no-checks-fencing")
+        name = f"spare-{service}-{number}"
+        process = await self._launch(name, arguments + self._engine_options)
+        machine_class = (spec.get("fleet", {}).get("machine_classes") or ["gpu"])[0]
+        host, _, port = process.announced["listening"].rpartition(":")
+        region, zone = self._place(place)
+        self._spares.append(Spare(name, region, zone, machine_class, Address(host, int(port))))
+
     async def _start_entries(self) -> None:
         numbers = range(1, self._entry_count + 1)
         pairs = [make_pair() for _ in numbers]
@@ -306,8 +327,10 @@
             await asyncio.sleep(READY_POLL_S)
         raise FleetNotReady(f"entry-{number} is not ready")
 
-    async def _register(self, offers: list[Offer], versions: list[WeightVersion]) -> None:
-        state = PlatformState(list(self._instances.values()), [], offers, versions)
+    async def _register(
+        self, offers: list[Offer], versions: list[WeightVersion], spares: list[Spare]
+    ) -> None:
+        state = PlatformState(list(self._instances.values()), spares, offers, versions)
         body = msgspec.json.encode(state)
         await self._ask("POST", f"{self.url('platform')}/instances", body)
 
--- a/godwitpath_standin/kv_app.py
+++ b/godwitpath_standin/kv_app.py
@@ -102,6 +102,10 @@
                 return Json({"error": "rate exceeded"}, 429, {"retry-after": "1"})
             if self._latency_s:
                 await asyncio.sleep(self._latency_s)
+            delay_s = self.standin.faults.lose_effect_s
+            if delay_s > 0 and rate == "writes":
+                self._loop.call_later(delay_s, _applied, lambda: operation(decoder.decode(body)))
+                return Json({"error": "the answer was lost"}, 500)
             answer = _applied(lambda: operation(decoder.decode(body)))
             self._counts["read_bytes"] += len(answer.body)
             return answer
--- a/godwitpath_standin/server.py
+++ b/godwitpath_standin/server.py
@@ -36,13 +36,18 @@
 
     :param routes: paths of the stand-in
     :param on_faults: called with the faults after each change
+    :param grace_s: time that calls in progress have when the program is told to stop
     :ivar faults: what goes wrong now
     """
 
     def __init__(
-        self, routes: list[Route], on_faults: Callable[[Faults], None] | None = None
+        self,
+        routes: list[Route],
+        on_faults: Callable[[Faults], None] | None = None,
+        grace_s: int = GRACE_S,
     ) -> None:
         self.faults = Faults()
+        self._grace_s = grace_s
         self._on_faults = on_faults
         own = [
             Route("/faults", self._get_faults, methods=["GET"]),
@@ -62,7 +67,7 @@
             access_log=False,
             lifespan="off",
             timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=GRACE_S,
+            timeout_graceful_shutdown=self._grace_s,
         )
         server = uvicorn.Server(config)
         self.app.server = server
