Run scenario files on real processes, with golden sessions

One step a line in a small grammar (lark), typed steps performed by singledispatch on a fleet of separate processes, checked by the stand-ins' own counts. Seven scenarios, one for each property that must hold. The configuration scenario failed first: a lost answer was used up by a read of the submission, which then refused honestly; counted faults can be kept to the paths of one kind now (only_path).

--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -122,6 +122,28 @@
     raise typer.Exit(1 if report.failures else 0)
 
 
+@app.command()
+def scenario(
+    files: Annotated[list[Path], typer.Argument(help="Scenario files.")],
+    seed: Seed = 1,
+    write_golden: Annotated[
+        bool, typer.Option(help="Keep the transcripts as golden files.")
+    ] = False,
+) -> None:
+    """Run scenario files on real processes; exit 1 when an expectation does not hold."""
+    from godwitpath_standin.scenario.run import golden_path, run_scenario
+
+    failed = 0
+    for path in files:
+        outcome = asyncio.run(run_scenario(path, seed))
+        typer.echo(f"{path.name}: {outcome.failure or 'holds'} ({outcome.duration_s:.1f} s)")
+        typer.echo(outcome.transcript)
+        if write_golden and not outcome.failure:
+            golden_path(path).write_text(outcome.transcript, encoding="utf-8")
+        failed += bool(outcome.failure)
+    raise typer.Exit(1 if failed else 0)
+
+
 @app.command()
 def fleet(
     deployment: Deployment = "ramdin",
--- a/godwitpath_standin/faults.py
+++ b/godwitpath_standin/faults.py
@@ -28,6 +28,7 @@
     :ivar reclaim: zone, or instance names, to reclaim
     :ivar notice_s: notice given before a reclaim
     :ivar lose_effect_s: delay of the effect of writes whose answer is lost
+    :ivar only_path: start of the paths whose calls the counted faults hit, empty for all
     :ivar fail_version: version whose load fails
     """
 
@@ -45,6 +46,7 @@
     refuse_instances: bool = False
     reclaim: str | list[str] = ""
     notice_s: float = 30.0
+    only_path: str = ""
     fail_version: str = ""
 
 
@@ -83,20 +85,21 @@
             await self._stay_silent(receive)
         if faults.slow_s > 0:
             await asyncio.sleep(faults.slow_s)
-        if faults.drop or _take(faults, "drop_next"):
+        counted = scope["path"].startswith(faults.only_path)
+        if faults.drop or (counted and _take(faults, "drop_next")):
             raise _Cut
         if faults.outage:
             await _refuse(send)
             return
-        if _take(faults, "garbage"):
+        if counted and _take(faults, "garbage"):
             transport = self._transport(client)
             if transport is not None:
                 transport.write(b"\x16\x03 garbage \x00\xff\r\n\r\n")
             raise _Cut
-        lost = _take(faults, "lose_next_answer")
-        cut = faults.cut_after >= 0 and _take(faults, "cut_next")
+        lost = counted and _take(faults, "lose_next_answer")
+        cut = counted and faults.cut_after >= 0 and _take(faults, "cut_next")
         limit_bytes = faults.cut_after if cut else -1
-        half_chunk = _take(faults, "half_chunk")
+        half_chunk = counted and _take(faults, "half_chunk")
         sent_bytes = 0
 
         async def send_faulty(message: Message) -> None:
--- /dev/null
+++ b/godwitpath_standin/scenario/check.py
@@ -0,0 +1,159 @@
+"""Checks the expectations of a scenario; the stand-ins' own counts are the judge."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from godwitpath_standin.load_result import LoadResult
+from godwitpath_standin.scenario.session import ScenarioFailed, Session
+from godwitpath_standin.scenario.steps import Expect, Target
+
+DEFAULT_LOAD_S = 60.0
+"""Time that a load has to end when the step names none."""
+
+POLL_S = 0.1
+"""Time between two looks at something that is expected within a time."""
+
+QUIET_S = 2.0
+"""Time over which an upstream must get no new work."""
+
+Check = Callable[[Session, Expect], Awaitable[None]]
+
+
+async def check(step: Expect, session: Session) -> None:
+    """Check an expectation, until it holds where a time is given.
+
+    :raises ScenarioFailed: it does not hold
+    """
+    await _CHECKS[step.what](session, step)
+
+
+def _require(holds: bool, step: Expect, seen: object) -> None:
+    if not holds:
+        raise ScenarioFailed(f"{step.text}: seen {seen}")
+
+
+async def _until(step: Expect, look: Callable[[], Awaitable[tuple[bool, object]]]) -> None:
+    """Look again and again until something holds or the time is over."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + step.within_s
+    while True:
+        holds, seen = await look()
+        if holds:
+            return
+        if loop.time() >= until_s:
+            _require(False, step, seen)
+        await asyncio.sleep(POLL_S)
+
+
+async def _load(session: Session, step: Expect) -> LoadResult:
+    return await session.load_result(str(step.arguments[0]), step.within_s or DEFAULT_LOAD_S)
+
+
+async def _lost(session: Session, step: Expect) -> None:
+    result = await _load(session, step)
+    unfinished = [item for item in result.outcomes if item.state != "completed"]
+    _require(len(unfinished) == step.arguments[1], step, [item.detail for item in unfinished])
+
+
+async def _wrong(session: Session, step: Expect) -> None:
+    result = await _load(session, step)
+    _require(len(result.wrong) == step.arguments[1], step, [i.detail for i in result.wrong])
+
+
+async def _cut(session: Session, step: Expect) -> None:
+    """Count the connections that broke under a caller, retried or not."""
+    result = await _load(session, step)
+    _require(result.errors.total() == step.arguments[1], step, dict(result.errors))
+
+
+async def _status(session: Session, step: Expect) -> None:
+    results = session.results[str(step.arguments[0])]
+    seen = [result.status for result in results]
+    _require(all(status == step.arguments[1] for status in seen), step, seen)
+
+
+async def _ran(session: Session, step: Expect) -> None:
+    seen = [result.ran for result in session.results[str(step.arguments[0])]]
+    _require(all(ran == step.arguments[1] for ran in seen), step, seen)
+
+
+async def _executions_at_most(session: Session, step: Expect) -> None:
+    executions = await session.fleet.executions()
+    most = max(executions.values(), default=0)
+    _require(most <= int(str(step.arguments[0])), step, most)
+
+
+async def _executions_of(session: Session, step: Expect) -> None:
+    async def look() -> tuple[bool, object]:
+        count = (await session.fleet.executions()).get(str(step.arguments[0]), 0)
+        return count == step.arguments[1], count
+
+    await _until(step, look)
+
+
+def _running(session: Session) -> list[int]:
+    numbers = range(1, len(session.fleet.entries) + 1)
+    return [number for number in numbers if session.fleet.entry(number).running]
+
+
+async def _revision(session: Session, step: Expect) -> None:
+    async def look() -> tuple[bool, object]:
+        asked = (_admin(session, number, "/admin/ready") for number in _running(session))
+        seen = [state.get("config_revision") for state in await asyncio.gather(*asked)]
+        return all(revision == step.arguments[0] for revision in seen), seen
+
+    await _until(step, look)
+
+
+async def _admin(session: Session, number: int, path: str) -> dict[str, Any]:
+    try:
+        return await session.fleet.admin(number, path)
+    except Exception as error:
+        # A process that ends while it is asked has no state to tell.
+        return {"error": repr(error)}
+
+
+async def _ready(session: Session, step: Expect) -> None:
+    async def look() -> tuple[bool, object]:
+        state = await _admin(session, int(str(step.arguments[0])), "/admin/ready")
+        return state.get("ready") is True, state
+
+    await _until(step, look)
+
+
+async def _ended(session: Session, step: Expect) -> None:
+    async def look() -> tuple[bool, object]:
+        process = session.fleet.entry(int(str(step.arguments[0])))
+        return not process.running, "running"
+
+    await _until(step, look)
+
+
+async def _no_new_work(session: Session, step: Expect) -> None:
+    """After the time given, nothing new may reach the upstream."""
+    target = step.arguments[0]
+    assert isinstance(target, Target)
+    await asyncio.sleep(step.within_s)
+    name = session.process(target).name
+    before = await session.fleet.stats(name)
+    await asyncio.sleep(QUIET_S)
+    after = await session.fleet.stats(name)
+    _require(after["requests"] == before["requests"], step, after["requests"] - before["requests"])
+
+
+_CHECKS: dict[str, Check] = {
+    "lost": _lost,
+    "wrong": _wrong,
+    "cut": _cut,
+    "status": _status,
+    "ran": _ran,
+    "executions_at_most": _executions_at_most,
+    "executions_of": _executions_of,
+    "revision": _revision,
+    "no_new_work": _no_new_work,
+    "ready": _ready,
+    "ended": _ended,
+}
--- /dev/null
+++ b/test/test_scenarios.py
@@ -0,0 +1,30 @@
+"""Every scenario file holds on real processes, and its session is the golden one."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from godwitpath.errors import FindingsError
+from godwitpath_standin.scenario.parse import parse_scenario
+from godwitpath_standin.scenario.run import golden_path, run_scenario
+
+FOLDER = Path(__file__).parent / "scenarios"
+FILES = sorted(FOLDER.glob("*.scenario"))
+
+
+@pytest.mark.xdist_group("fleet")
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+async def test_scenario_holds(path: Path) -> None:
+    outcome = await run_scenario(path)
+    assert outcome.failure == ""
+    assert outcome.transcript == golden_path(path).read_text(encoding="utf-8")
+
+
+def test_every_line_that_is_no_step_is_found(tmp_path: Path) -> None:
+    path = tmp_path / "wrong.scenario"
+    path.write_text("start ramdin entries 3\nstrat ramdin\nwait 1 s\nkill everything\n")
+    with pytest.raises(FindingsError) as caught:
+        parse_scenario(path)
+    assert [finding.line for finding in caught.value.findings] == [2, 4]
