--- a/godwitpath/peers/dispatch.py
+++ b/godwitpath/peers/dispatch.py
@@ -204,7 +204,8 @@
         if frame is not None:
             await reply(frame)
 
-    async def _end_tasks(self) -> None:
+    async def close(self) -> None:
+        """End every task."""
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
--- a/godwitpath/peers/zmq_transport.py
+++ b/godwitpath/peers/zmq_transport.py
@@ -102,7 +102,7 @@
         for task in self._own_tasks:
             task.cancel()
         await asyncio.gather(*self._own_tasks, return_exceptions=True)
-        await self._end_tasks()
+        await super().close()
         for entry_id in list(self._links):
             self._disconnect(entry_id)
         if self._router is not None:
--- a/test/peer_fleet.py
+++ b/godwitpath_standin/fakes/peer_fleet.py
@@ -1,8 +1,10 @@
-"""A fleet of entries on the fake network, for the tests of what entries tell one another."""
+"""Entries with all that they tell one another, alone or as a fleet on the fake network."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from godwitpath.config.envelope import ConfigEnvelope, text_digest
@@ -10,6 +12,7 @@
 from godwitpath.config_sync.in_force import ConfigInForce
 from godwitpath.membership.member import Member
 from godwitpath.membership.swim import Membership
+from godwitpath.peers.dispatch import DispatchingTransport
 from godwitpath.ports.engine import Address
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.peers import Peer
@@ -20,9 +23,10 @@
 from godwitpath_standin.fakes.peers import FakePeerNetwork
 
 
-def envelope(revision: int) -> ConfigEnvelope:
+def envelope(revision: int, size_bytes: int = 0) -> ConfigEnvelope:
     """Return a configuration of a revision."""
-    text = f'{{"services": {{}}, "revision": {revision}}}'
+    filling = Random(revision).randbytes(size_bytes // 2).hex()
+    text = f'{{"services": {{}}, "revision": {revision}, "filling": "{filling}"}}'
     return ConfigEnvelope(revision, text, text_digest(text), "ops", "", "", f"s{revision}")
 
 
@@ -31,34 +35,50 @@
     return Configuration(services={})
 
 
+FAKE_ADDRESS = Address("fake", 1)
+SEEDS = 6
+"""Entries that the others know from the start."""
+
+
+@dataclass(slots=True)
+class Ports:
+    """The platform as an entry sees it."""
+
+    store: KeyValueStore | None = None
+    instance_list: InstanceList | None = None
+    cloud: Cloud | None = None
+
+
 class FleetEntry:
-    """One entry with everything that entries tell one another."""
+    """One entry with everything that entries tell one another.
+
+    :ivar revisions: revisions that came into force, in order
+    """
 
     def __init__(
         self,
-        network: FakePeerNetwork,
-        entry_id: str,
+        transport: DispatchingTransport,
         region: str,
-        store: KeyValueStore | None = None,
-        instance_list: InstanceList | None = None,
-        cloud: Cloud | None = None,
-        incarnation: int = 0,
+        address: Address,
+        ports: Ports,
+        seed: int = 0,
     ) -> None:
-        rng = Random(f"{entry_id} {incarnation}")
-        self.entry_id = entry_id
-        self.transport = network.transport(entry_id, incarnation)
+        rng = Random(f"{transport.entry_id} {transport.incarnation} {seed}")
+        self.entry_id = transport.entry_id
+        self.transport = transport
         self.local = Member(
-            entry_id, region, f"{region}-a", Address("test", 1), incarnation=incarnation
+            self.entry_id, region, f"{region}-a", address, incarnation=transport.incarnation
         )
-        self.membership = Membership(self.local, self.transport, MembershipSettings(), rng)
+        self.membership = Membership(self.local, transport, MembershipSettings(), rng)
         self.table = UpstreamTable()
-        self.feed = UpstreamFeed(self.table, self.membership, rng, instance_list, cloud, store)
-        self.config = ConfigInForce(store, self.transport, self.membership, parse, rng)
+        self.feed = UpstreamFeed(
+            self.table, self.membership, rng, ports.instance_list, ports.cloud, ports.store
+        )
+        self.config = ConfigInForce(ports.store, transport, self.membership, parse, rng)
         self.revisions: list[int] = []
         self.config.on_change(lambda env, _: self.revisions.append(env.revision))
         self.tasks: list[asyncio.Task[None]] = []
-
-        if store is None:
+        if ports.store is None:
             self.config.offer(envelope(1))
 
     def start(self) -> None:
@@ -84,9 +104,18 @@
 class Fleet:
     """Entries in several regions that know one another from the start through one seed."""
 
-    def __init__(self, size: int, regions: int = 2, seed: int = 1, **ports: object) -> None:
+    def __init__(
+        self,
+        size: int,
+        regions: int = 2,
+        seed: int = 1,
+        store: KeyValueStore | None = None,
+        instance_list: InstanceList | None = None,
+        cloud: Cloud | None = None,
+    ) -> None:
         self.network = FakePeerNetwork(Random(seed))
-        self.ports = ports
+        self.seed = seed
+        self.ports = Ports(store, instance_list, cloud)
         self.region_of = {f"e{i}": f"r{i % regions}" for i in range(size)}
         self.entries: dict[str, FleetEntry] = {}
         for entry_id in self.region_of:
@@ -94,12 +123,11 @@
 
     def add(self, entry_id: str, incarnation: int = 0) -> FleetEntry:
         """Make and run an entry, in place of an earlier one of its name."""
+        transport = self.network.transport(entry_id, incarnation)
         region = self.region_of[entry_id]
-        entry = FleetEntry(
-            self.network, entry_id, region, incarnation=incarnation, **self.ports  # type: ignore
-        )
-        for seed_id in self.region_of:
-            entry.membership.add_seed(Peer(seed_id, Address("test", 1)))
+        entry = FleetEntry(transport, region, FAKE_ADDRESS, self.ports, self.seed)
+        for seed_id in list(self.region_of)[:SEEDS]:
+            entry.membership.add_seed(Peer(seed_id, FAKE_ADDRESS))
         self.entries[entry_id] = entry
         entry.start()
         return entry
@@ -124,11 +152,11 @@
         return all(self.all_see(entry_id, "alive") for entry_id in self.entries)
 
 
-async def until(condition: object, within_s: float, step_s: float = 0.05) -> float:
+async def until(condition: Callable[[], bool], within_s: float, step_s: float = 0.05) -> float:
     """Wait on the loop's clock until a condition holds; returns how long it took."""
     loop = asyncio.get_running_loop()
     started_at_s = loop.time()
-    while not condition():  # type: ignore[operator]
+    while not condition():
         if loop.time() - started_at_s > within_s:
             raise AssertionError(f"not within {within_s} s")
         await asyncio.sleep(step_s)
--- a/godwitpath_standin/fakes/peers.py
+++ b/godwitpath_standin/fakes/peers.py
@@ -110,10 +110,6 @@
         self._network = network
         self.peers: dict[str, Peer] = {}
 
-    async def close(self) -> None:
-        """End every task."""
-        await self._end_tasks()
-
     def connect(self, peer: Peer) -> None:
         """Make a peer known, or change its address."""
         self.peers[peer.entry_id] = peer
--- a/test/test_config_sync.py
+++ b/test/test_config_sync.py
@@ -8,7 +8,7 @@
 
 from godwitpath.config.envelope import CURRENT_KEY, encode_envelope
 from godwitpath_standin.fakes.kv import FakeKeyValueStore
-from test.peer_fleet import Fleet, envelope, until
+from godwitpath_standin.fakes.peer_fleet import Fleet, envelope, until
 
 pytestmark = pytest.mark.looptime
 
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from test.peer_fleet import Fleet, until
+from godwitpath_standin.fakes.peer_fleet import Fleet, until
 
 pytestmark = pytest.mark.looptime
 
--- a/test/test_peer_protocols.py
+++ b/test/test_peer_protocols.py
@@ -22,7 +22,7 @@
 from godwitpath.upstreams.stops import Stop, encode_stop, stop_key
 from godwitpath.upstreams.table import Upstream
 from godwitpath_standin.fakes.kv import FakeKeyValueStore
-from test.peer_fleet import Fleet, envelope, until
+from godwitpath_standin.fakes.peer_fleet import Fleet, envelope, until
 from test.test_upstreams import FixedList, NoticeCloud, instance
 
 # Shrinking a failure of a whole fleet takes minutes; the steps of the first one are short enough.
--- a/test/test_upstreams.py
+++ b/test/test_upstreams.py
@@ -20,7 +20,7 @@
 from godwitpath.upstreams.stops import Stop, encode_stop, stop_key
 from godwitpath.upstreams.table import UpstreamTable
 from godwitpath_standin.fakes.kv import FakeKeyValueStore
-from test.peer_fleet import Fleet, until
+from godwitpath_standin.fakes.peer_fleet import Fleet, until
 
 pytestmark = pytest.mark.looptime
 
