--- a/godwitpath/config_sync/in_force.py
+++ b/godwitpath/config_sync/in_force.py
@@ -20,6 +20,7 @@
 from godwitpath.config_sync.messages import ConfigPull, ConfigPush, ConfigReply, pack, unpack
 from godwitpath.config_sync.tree import pushes_to
 from godwitpath.errors import GodwitpathError
+from godwitpath.listeners import Listeners
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.peers import PeerTransport, PeerUnreachable
@@ -76,7 +77,7 @@
         self._parse = parse
         self._rng = rng
         self._ready = asyncio.Event()
-        self._callbacks: list[Callback] = []
+        self._listeners: Listeners[[ConfigEnvelope, Configuration]] = Listeners(self.counts)
         self._behind: dict[str, int] = {}
         self._behind_heard = asyncio.Event()
         self._to_push: bool | None = None
@@ -102,7 +103,7 @@
 
     def on_change(self, callback: Callback) -> None:
         """Call back with each envelope that comes into force and its typed configuration."""
-        self._callbacks.append(callback)
+        self._listeners.add(callback)
 
     def offer(self, envelope: ConfigEnvelope, from_tree: bool = False) -> bool:
         """Put a configuration in force if its revision is greater; returns whether it is now.
@@ -117,7 +118,7 @@
             return False
         try:
             configuration = self._parse(envelope.text)
-        except GodwitpathError:
+        except Exception:
             # Accepted by a newer version of the program; this one keeps what it understands.
             self.counts["unreadable_texts"] += 1
             return False
@@ -127,8 +128,7 @@
         self._ready.set()
         self.counts["changes"] += 1
         self._want_push(is_source=not from_tree)
-        for callback in self._callbacks:
-            callback(envelope, configuration)
+        self._listeners.notify(envelope, configuration)
         return True
 
     def _count_refused(self, offered: ConfigEnvelope) -> None:
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Any
 
+from godwitpath.listeners import Listeners
 from godwitpath.membership.exchange import Exchange
 from godwitpath.membership.member import Member, MemberState
 from godwitpath.membership.messages import (
@@ -76,7 +77,7 @@
         self._helping = 0
         self._indirect: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._revision_callbacks: list[RevisionCallback] = []
+        self._revision_listeners: Listeners[[str, int]] = Listeners(self.counts)
         self.exchange = Exchange(transport, self._roster.others)
         self.exchange.add_topic(MEMBERS_TOPIC, self._roster)
         transport.handle(Ping, self._on_ping)
@@ -102,7 +103,7 @@
 
     def on_revision(self, callback: RevisionCallback) -> None:
         """Call back with the sender and the configuration revision of each ping and answer."""
-        self._revision_callbacks.append(callback)
+        self._revision_listeners.add(callback)
 
     def add_seed(self, peer: Peer) -> None:
         """Make an entry known by its address, to be asked until it answers."""
@@ -297,8 +298,7 @@
         member = self._roster.get(sender)
         if member is not None and incarnation >= member.incarnation:
             member.config_revision = max(config_revision, member.config_revision)
-        for callback in self._revision_callbacks:
-            callback(sender, config_revision)
+        self._revision_listeners.notify(sender, config_revision)
 
     # Entries that are gone, and comparisons.
 
--- a/godwitpath/peers/zmq_transport.py
+++ b/godwitpath/peers/zmq_transport.py
@@ -35,6 +35,9 @@
 SWEEP_INTERVAL_S = 2.0
 """Time between two looks for idle connections."""
 
+RECEIVE_RETRY_S = 0.1
+"""Pause after the bound socket failed to receive."""
+
 SILENT_REQUESTS = 2
 """Unanswered requests in a row, nothing heard between them, that replace a connection."""
 
@@ -207,7 +210,12 @@
 
     async def _receive_all(self, router: zmq.asyncio.Socket) -> None:
         while True:
-            parts = await router.recv_multipart()
+            try:
+                parts = await router.recv_multipart()
+            except zmq.ZMQError:
+                self.counts["receive_errors"] += 1
+                await asyncio.sleep(RECEIVE_RETRY_S)
+                continue
             if len(parts) != 2:
                 self.counts["dropped_garbage"] += 1
                 continue
--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from godwitpath.errors import GodwitpathError
+from godwitpath.listeners import Listeners
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.platform import Cloud, InstanceList, ReclaimNotice
@@ -71,7 +72,7 @@
         self._store = store
         self._list_view = InstanceListView()
         self._stop_view = StopView()
-        self._stop_callbacks: list[Callable[[Stop], None]] = []
+        self._stop_listeners: Listeners[[Stop]] = Listeners(self.counts)
         self._notice_callbacks: list[Callable[[ReclaimNotice], None]] = []
         self._gone_at_s: dict[str, float] = {}
         self._outbox: list[tuple[UpstreamFact, str]] = []
@@ -80,7 +81,7 @@
 
     def on_stop(self, callback: Callable[[Stop], None]) -> None:
         """Call back with each newly announced stop, whatever it stops."""
-        self._stop_callbacks.append(callback)
+        self._stop_listeners.add(callback)
 
     def on_notice(self, callback: Callable[[ReclaimNotice], None]) -> None:
         """Call back with each reclaim notice that this entry hears, whatever it is about."""
@@ -215,8 +216,7 @@
         decoded = (decode_stop(value.value) for value in values)
         stops = {stop for stop in decoded if stop is not None}
         for stop in self._stop_view.fresh(stops):
-            for callback in self._stop_callbacks:
-                callback(stop)
+            self._stop_listeners.notify(stop)
         for fact in self._stop_view.observe(stops, self.table):
             self.learn(fact)
 
--- a/godwitpath_bench/gossip.py
+++ b/godwitpath_bench/gossip.py
@@ -170,3 +170,8 @@
         values = [result[name] for result in results]
         spread = f"({min(values):.4g} to {max(values):.4g})"
         print(f"  {name:48} {statistics.median(values):>10.4g}  {spread}", flush=True)
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command."""
+    app.command("gossip")(gossip)
