--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -298,7 +298,7 @@
     def _hear_heartbeat(self, sender: str, incarnation: int, config_revision: int) -> None:
         member = self._roster.get(sender)
         if member is not None and incarnation >= member.incarnation:
-            member.config_revision = max(config_revision, member.config_revision)
+            member.config_revision = config_revision
         self._revision_listeners.notify(sender, config_revision)
 
     # Entries that are gone, and comparisons.
