Bring a store restored from an old copy up to what is in force

Cause: after a restore to revision 5 under a fleet at 9, a submission was accepted as 6 and not in force anywhere, since nothing goes back. A watcher that reads a lower revision now writes the one in force again by compare-and-swap on what it read; a text submitted later than the one in force becomes the revision after it. Ruled out: taking the lower revision (goes back), and leaving it to the operator (accepted but not in force). Both cases have a test that fails without the repair.

--- a/godwitpath/config_sync/in_force.py
+++ b/godwitpath/config_sync/in_force.py
@@ -15,14 +15,21 @@
 
 import msgspec
 
-from godwitpath.config.envelope import CURRENT_KEY, ConfigEnvelope, decode_envelope, text_digest
+from godwitpath.config.envelope import (
+    CURRENT_KEY,
+    ConfigEnvelope,
+    decode_envelope,
+    encode_envelope,
+    text_digest,
+)
 from godwitpath.config.model import Configuration
 from godwitpath.config_sync.messages import ConfigPull, ConfigPush, ConfigReply, pack, unpack
+from godwitpath.config_sync.repair import repaired
 from godwitpath.config_sync.tree import pushes_to
 from godwitpath.errors import GodwitpathError
 from godwitpath.listeners import Listeners
 from godwitpath.membership.swim import Membership
-from godwitpath.ports.kv import KeyValueStore
+from godwitpath.ports.kv import KeyValue, KeyValueStore
 from godwitpath.ports.peers import PeerTransport, PeerUnreachable
 from godwitpath.streams import until_silent
 from godwitpath.upstreams.receivers import follows
@@ -167,8 +174,8 @@
         wait_s = START_RETRY_S
         while True:
             # The peers are asked although the store answers: it may have been restored late.
-            stored, heard = await asyncio.gather(self._read(), self._ask_some_peers())
-            self._offer_all(stored, *heard)
+            value, heard = await asyncio.gather(self._read(), self._ask_some_peers())
+            self._offer_all(self._stored(value), *heard)
             if self.ready:
                 return
             await asyncio.sleep(wait_s * self._rng.uniform(0.8, 1.2))
@@ -185,20 +192,21 @@
     def _watcher(self) -> bool:
         return follows("config", self._membership.local, self._membership.live())
 
-    async def _read(self) -> ConfigEnvelope | None:
+    async def _read(self) -> KeyValue | None:
         if self._store is None:
             return None
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
-                value = await self._store.get(CURRENT_KEY)
+                return await self._store.get(CURRENT_KEY)
         except (GodwitpathError, TimeoutError):
             self.counts["read_failures"] += 1
             return None
-        return self._stored(value.value) if value is not None else None
 
-    def _stored(self, value: bytes) -> ConfigEnvelope | None:
+    def _stored(self, value: KeyValue | None) -> ConfigEnvelope | None:
+        if value is None:
+            return None
         try:
-            envelope = decode_envelope(value)
+            envelope = decode_envelope(value.value)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             self.counts["garbage_in_store"] += 1
             return None
@@ -223,12 +231,11 @@
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 value = await store.get(CURRENT_KEY)
-            if value is not None:
-                self._offer_all(self._stored(value.value))
+            self._offer_all(self._stored(value))
             events = store.watch(CURRENT_KEY, value.revision if value else 0)
             async for event in until_silent(events, WATCH_RENEW_S):
                 if event.key == CURRENT_KEY and event.value is not None:
-                    self._offer_all(self._stored(event.value))
+                    self._offer_all(self._stored(KeyValue(event.key, event.value, event.revision)))
         except (GodwitpathError, TimeoutError):
             self.counts["watches_ended"] += 1
 
@@ -236,7 +243,24 @@
         while True:
             await asyncio.sleep(REREAD_INTERVAL_S * self._rng.uniform(0.8, 1.0))
             if self._watcher():
-                self._offer_all(await self._read())
+                value = await self._read()
+                stored = self._stored(value)
+                self._offer_all(stored)
+                if value is not None and stored is not None:
+                    await self._repair(store, value, stored)
+
+    async def _repair(self, store: KeyValueStore, value: KeyValue, stored: ConfigEnvelope) -> None:
+        wanted = repaired(self.envelope, stored) if self.envelope else None
+        if wanted is None:
+            return
+        self.counts["repairs"] += 1
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await store.put(CURRENT_KEY, encode_envelope(wanted), value.revision)
+        except (GodwitpathError, TimeoutError):
+            # The next read shows what became of the write.
+            return
+        self.offer(wanted)
 
     # Peers.
 
--- a/test/test_config_sync.py
+++ b/test/test_config_sync.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from godwitpath.config.envelope import CURRENT_KEY, encode_envelope
+from godwitpath.config.envelope import CURRENT_KEY, decode_envelope, encode_envelope
 from godwitpath_standin.fakes.kv import FakeKeyValueStore
 from godwitpath_standin.fakes.peer_fleet import Fleet, envelope, until
 
@@ -94,6 +95,22 @@
     await fleet.stop()
 
 
+async def test_what_is_submitted_on_an_old_copy_of_the_store_comes_into_force() -> None:
+    store = FakeKeyValueStore()
+    await write(store, 9)
+    fleet = Fleet(4, store=store)
+    await until(lambda: all_have(fleet, 9), IN_FORCE_S)
+    await write(store, 5)
+    submitted = msgspec.structs.replace(envelope(6), submitted_at="2026-01-01T00:00:00Z")
+    current = await store.get(CURRENT_KEY)
+    assert current is not None
+    await store.put(CURRENT_KEY, encode_envelope(submitted), current.revision)
+    await until(lambda: all_have(fleet, 10), IN_FORCE_S)
+    in_force = {entry.config.envelope.text for entry in fleet.entries.values()}
+    assert in_force == {submitted.text}
+    await fleet.stop()
+
+
 async def test_a_store_restored_late_takes_nobody_back() -> None:
     store = FakeKeyValueStore()
     await write(store, 9)
@@ -105,4 +122,8 @@
     await asyncio.sleep(20.0)
     assert all_have(fleet, 9)
     assert fleet.entries["e0"].revisions == [9]
+    # The store is brought up to what is in force, so that the next submission builds on it.
+    current = await store.get(CURRENT_KEY)
+    assert current is not None
+    assert decode_envelope(current.value).revision == 9
     await fleet.stop()
