--- a/godwitpath/config_sync/in_force.py
+++ b/godwitpath/config_sync/in_force.py
@@ -28,11 +28,11 @@
 from godwitpath.config_sync.tree import pushes_to
 from godwitpath.errors import GodwitpathError
 from godwitpath.listeners import Listeners
+from godwitpath.membership.followers import follows
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValue, KeyValueStore
 from godwitpath.ports.peers import PeerTransport, PeerUnreachable
 from godwitpath.streams import until_silent
-from godwitpath.upstreams.receivers import follows
 
 REREAD_INTERVAL_S = 3.0
 """Time between two reads of a watcher, which find what a silent watch does not tell."""
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -72,6 +72,7 @@
         self._roster = Roster(local, settings.suspicion_s, self._spread, self._tell)
         self._roster.on_change(self._connect)
         self._seeds: dict[str, Peer] = {}
+        self._found_seeds: dict[str, Peer] = {}
         self._turn: list[str] = []
         self._probe_number = 0
         self._silent_helpers = 0
@@ -108,15 +109,17 @@
 
     def add_seed(self, peer: Peer) -> None:
         """Make an entry known by its address, to be asked until it answers."""
-        if peer.entry_id == self.local.entry_id:
-            return
-        self._seeds[peer.entry_id] = peer
-        if self._roster.get(peer.entry_id) is None:
-            self._transport.connect(peer)
+        if peer.entry_id != self.local.entry_id:
+            self._seeds[peer.entry_id] = peer
+
+    def set_found_seeds(self, peers: list[Peer]) -> None:
+        """Ask these entries too, in place of those that were found before."""
+        others = (peer for peer in peers if peer.entry_id != self.local.entry_id)
+        self._found_seeds = {peer.entry_id: peer for peer in others}
 
     async def wait_for_others(self, timeout_s: float) -> None:
         """Wait until another entry was heard of, at most for a time; not without seeds."""
-        if not self._seeds:
+        if not self._seeds and not self._found_seeds:
             return
         try:
             await asyncio.wait_for(self._roster.met.wait(), timeout_s)
@@ -146,7 +149,7 @@
         """Return the state as plain data."""
         return {
             **self._roster.dump(),
-            "seeds": sorted(self._seeds),
+            "seeds": sorted({**self._seeds, **self._found_seeds}),
             "counts": {**self.counts, **self._roster.counts},
             "exchange": self.exchange.dump(),
         }
@@ -327,9 +330,10 @@
             await asyncio.sleep(wait_s * self._rng.uniform(0.8, 1.2))
 
     def _lost(self) -> list[str]:
-        unheard = [name for name in self._seeds if self._roster.get(name) is None]
+        seeds = {**self._seeds, **self._found_seeds}
+        unheard = [name for name in seeds if self._roster.get(name) is None]
         for name in unheard:
-            self._transport.connect(self._seeds[name])
+            self._transport.connect(seeds[name])
         return unheard + list(self._roster.gone_at_s)
 
     def _forget_long_gone(self) -> None:
--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -15,13 +15,14 @@
 
 from godwitpath.errors import GodwitpathError
 from godwitpath.listeners import Listeners
+from godwitpath.membership.followers import follows
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.platform import Cloud, InstanceList, ReclaimNotice
 from godwitpath.streams import until_silent
 from godwitpath.upstreams.facts import UpstreamFact, decode_fact, encode_fact
 from godwitpath.upstreams.list_view import InstanceListView
-from godwitpath.upstreams.receivers import follows, receivers
+from godwitpath.upstreams.receivers import receivers
 from godwitpath.upstreams.stop_view import StopView
 from godwitpath.upstreams.stops import STOPS_PREFIX, Stop, decode_stop
 from godwitpath.upstreams.table import UpstreamTable, fact_of, with_state
--- a/godwitpath/upstreams/receivers.py
+++ b/godwitpath/upstreams/receivers.py
@@ -12,9 +12,6 @@
 RELAYS_PER_REGION = 2
 """Entries of another region that are told."""
 
-FOLLOWERS_PER_REGION = 2
-"""Entries of a region that follow what the platform tells."""
-
 
 def receivers(local: Member, live: list[Member], from_region: str) -> list[Member]:
     """Return whom to tell.
@@ -34,17 +31,5 @@
     return told
 
 
-def follows(purpose: str, local: Member, live: list[Member]) -> bool:
-    """Return whether this entry is one of those in its region that follow a source.
-
-    :param purpose: name of the source, so that the work falls to different entries
-    """
-    of_region = [m for m in live if m.region == local.region and m.state == "alive"]
-    if local not in of_region:
-        of_region.append(local)
-    ranked = rank(f"follow/{purpose}/{local.region}", of_region, _name)
-    return local in ranked[:FOLLOWERS_PER_REGION]
-
-
 def _name(member: Member) -> str:
     return member.entry_id
--- a/godwitpath_standin/fakes/peer_fleet.py
+++ b/godwitpath_standin/fakes/peer_fleet.py
@@ -112,7 +112,9 @@
         store: KeyValueStore | None = None,
         instance_list: InstanceList | None = None,
         cloud: Cloud | None = None,
+        seeds: int = SEEDS,
     ) -> None:
+        self.seeds = seeds
         self.network = FakePeerNetwork(Random(seed))
         self.seed = seed
         self.ports = Ports(store, instance_list, cloud)
@@ -126,7 +128,7 @@
         transport = self.network.transport(entry_id, incarnation)
         region = self.region_of[entry_id]
         entry = FleetEntry(transport, region, FAKE_ADDRESS, self.ports, self.seed)
-        for seed_id in list(self.region_of)[:SEEDS]:
+        for seed_id in list(self.region_of)[: self.seeds]:
             entry.membership.add_seed(Peer(seed_id, FAKE_ADDRESS))
         self.entries[entry_id] = entry
         entry.start()
