--- a/godwitpath/entry/daemon.py
+++ b/godwitpath/entry/daemon.py
@@ -42,6 +42,7 @@
 from godwitpath.explain.journal import Journal
 from godwitpath.limits.limiter import AccountLimiter
 from godwitpath.membership.member import Member
+from godwitpath.membership.registration import Registrar
 from godwitpath.membership.swim import Membership
 from godwitpath.peers.zmq_transport import ZmqPeerTransport
 from godwitpath.ports.engine import Address
@@ -106,6 +107,7 @@
         await drain.leave()
         await drain.finish()
         await callers.stop()
+        await self._registrar.withdraw()
         await context.membership.depart()
         await operators.stop()
         await self._close(context)
@@ -128,6 +130,7 @@
         self._feed = UpstreamFeed(
             table, membership, self._rng, self._instances, self._cloud, self._store
         )
+        self._registrar = Registrar(self._store, membership, self._rng)
         config = ConfigInForce(self._store, self._transport, membership, _parse, self._rng)
         metrics = EntryMetrics(Metrics(settings.entry_id, __version__))
         journal = Journal(self._store, settings.entry_id, str(self._incarnation), self._rng)
@@ -181,6 +184,7 @@
             config=context.config.dump,
             limits=context.limiter.dump,
             membership=context.membership.dump,
+            registration=self._registrar.dump,
             recovery=context.mover.dump,
             execution=context.guard.dump,
             feed=self._feed.dump,
@@ -204,6 +208,7 @@
             asyncio.create_task(_kept_alive(name, work))
             for name, work in {
                 "membership": context.membership.run,
+                "registration": self._registrar.run,
                 "configuration": context.config.run,
                 "upstreams": self._feed.run,
                 "records": context.records.run,
