--- a/godwitpath_bench/gossip_fakes.py
+++ b/godwitpath_bench/gossip_fakes.py
@@ -29,7 +29,8 @@
 
 LOSS = 0.02
 STEADY_S = 20.0
-WAVE_S = 8.0
+WAVE_S = 20.0
+QUIET_S = 300.0
 STEP_S = 0.05
 LOST_S = 15.0
 """News that is not where it is needed by then counts as lost."""
@@ -66,7 +67,8 @@
             if way == WAYS[2]:
                 _keep_off_pings(entry)
         figures = {"until all know all, s": await until(fleet.all_alive, 60.0, STEP_S)}
-        await asyncio.sleep(10.0)
+        # What the start left to be told rides on pings for a while.
+        await until(lambda: _quiet(fleet), QUIET_S, 1.0)
         fleet.network.faults.loss = LOSS
         figures |= await _wave(fleet)
         if way == WAYS[0]:
@@ -120,6 +122,11 @@
     }
 
 
+def _quiet(fleet: Fleet) -> bool:
+    dumps = (entry.membership.exchange.dump() for entry in fleet.entries.values())
+    return not any(dump["queued_facts"] for dump in dumps)
+
+
 def _sent(fleet: Fleet) -> int:
     return sum(entry.transport.counts["sent_bytes"] for entry in fleet.entries.values())
 
