--- a/godwitpath/membership/roster.py
+++ b/godwitpath/membership/roster.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
+from godwitpath.listeners import Listeners
 from godwitpath.membership.member import Member, MemberState
 from godwitpath.membership.merge import judge, must_refute
 from godwitpath.membership.messages import MemberFact, decode_member, encode_member, member_of
@@ -46,7 +47,7 @@
         self._tell_payload = tell
         self._members: dict[str, Member] = {local.entry_id: local}
         self._suspicions: dict[str, Suspicion] = {}
-        self._callbacks: list[Callback] = []
+        self._listeners: Listeners[[Member]] = Listeners(self.counts)
 
     def get(self, entry_id: str) -> Member | None:
         """Return a member by its name."""
@@ -67,13 +68,13 @@
 
     def on_change(self, callback: Callback) -> None:
         """Call back with each member whose state, address or incarnation changed."""
-        self._callbacks.append(callback)
+        self._listeners.add(callback)
 
     def set_own_state(self, state: MemberState) -> bytes:
         """Change this entry's own state; returns the statement that says so."""
         self.local.state = state
         self._spread(self.local)
-        self._changed(self.local)
+        self._listeners.notify(self.local)
         return encode_member(self.local, True)
 
     def suspect(self, member: Member, accuser: str, incarnation: int) -> None:
@@ -90,7 +91,7 @@
         if member.state == "alive":
             member.state = "suspect"
             self._spread(member)
-            self._changed(member)
+            self._listeners.notify(member)
 
     def accusation(self, member: Member) -> bytes:
         """Return the statement that a member is suspected."""
@@ -109,7 +110,7 @@
             self.gone_at_s[entry_id] = now_s
             self.counts["gone"] += 1
             self._spread(member)
-            self._changed(member)
+            self._listeners.notify(member)
 
     def excuse(self, late_s: float) -> None:
         """Give every suspected member as much more time as this entry was paused."""
@@ -217,7 +218,7 @@
             self.gone_at_s.pop(member.entry_id, None)
         self.met.set()
         self._spread(member, fact.from_itself)
-        self._changed(member)
+        self._listeners.notify(member)
 
     def _confirm(self, sender: str, fact: MemberFact, suspicion: Suspicion) -> None:
         if fact.incarnation != suspicion.incarnation or sender in suspicion.accusers:
@@ -229,11 +230,3 @@
     def _spread(self, member: Member, from_itself: bool = False) -> None:
         own = member is self.local or from_itself
         self._spread_payload(member.entry_id, encode_member(member, own))
-
-    def _changed(self, member: Member) -> None:
-        for callback in self._callbacks:
-            try:
-                callback(member)
-            except Exception:
-                # The failure detector goes on whatever its listeners do.
-                self.counts["callback_errors"] += 1
