--- a/godwitpath/records/backup.py
+++ b/godwitpath/records/backup.py
@@ -58,6 +58,8 @@
         self._limit = asyncio.Semaphore(MENDED_AT_ONCE)
         self._adopted_from: dict[str, set[str]] = {}
         self._adopting: set[str] = set()
+        self._placing: set[str] = set()
+        self._closed = False
         self.on_adopt: Callable[[RequestRecord], Awaitable[None]] | None = None
         self.on_fenced: Callable[[RequestRecord], None] | None = None
         sender.on_fenced = self.demote
@@ -169,10 +171,16 @@
         return not record.held and record.backup == self._local_id
 
     async def _place_anew(self, record: RequestRecord) -> None:
-        async with self._limit:
-            if record.held and self._table.get(record.request_id) is record:
-                record.epoch += 1
-                await self.place(record)
+        if record.request_id in self._placing:
+            return
+        self._placing.add(record.request_id)
+        try:
+            async with self._limit:
+                if record.held and self._table.get(record.request_id) is record:
+                    record.epoch += 1
+                    await self.place(record)
+        finally:
+            self._placing.discard(record.request_id)
 
     async def _adopt(self, record: RequestRecord) -> None:
         if record.request_id in self._adopting:
@@ -307,10 +315,14 @@
 
     def close(self) -> None:
         """End the tasks of this keeper."""
+        self._closed = True
         for task in self._tasks:
             task.cancel()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        if self._closed:
+            work.close()
+            return
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
