Learn an engine's batch limit and hold fresh calls below it

Cause: interactive calls waited for room in full batches, which neither the prompts waiting nor the time between tokens shows. Ruled out: two full reports in a row (never seen, the batch swings between them) and the largest batch with any call waiting (taken as full at 16 to 32 calls). Change: many short prompts waiting mark a full batch; time to first token is corrected by what was late lately; promises redeemed elsewhere are told; waiting is decided on measured releases.

--- a/godwitpath/admission/decide.py
+++ b/godwitpath/admission/decide.py
@@ -6,18 +6,22 @@
 from typing import Any
 
 from godwitpath.admission.promises import PromiseBook
+from godwitpath.admission.rate import RateMeter
 from godwitpath.config.model import LatencyTarget
 from godwitpath.routing.choose import PATIENCE, RouteChoice
 
-DRAIN_WINDOW_S = 5.0
-"""Time over which the rate of finished calls is measured."""
-
-FRESH_MARGINS = (0.9, 0.8, 0.7)
+FRESH_MARGINS = (0.75, 0.6, 0.5)
 """Part of the target that a fresh call of each priority level may fill; a promised one may fill
 all of it. What one level leaves is room for those above it and for promises."""
 
-QUEUE_DRAIN_SHARE = 0.5
-"""Part of the finished calls whose room goes to the queue; the rest goes to others."""
+QUEUE_MARGIN = 0.7
+"""Part of the time that a call can wait which its predicted wait may take."""
+
+QUEUE_TARGET_PART = 0.8
+"""Part of the target at which a call that waits goes at the latest."""
+
+PROBE_WAITING = 2
+"""Calls that may wait although none found room lately."""
 
 DEADLINE_MARGIN = 1.15
 """Factor on the predicted time of a call when it is held against its deadline."""
@@ -50,12 +54,14 @@
     :ivar between_tokens_s: time between tokens
     :ivar first_token_per_call_s: growth of the former with one more call anywhere
     :ivar between_per_call_s: growth of the latter with one more call anywhere
+    :ivar batch_share: part of the engine's batch that is taken with the call, 0 when not known
     """
 
     first_token_s: float
     between_tokens_s: float
     first_token_per_call_s: float = 0.0
     between_per_call_s: float = 0.0
+    batch_share: float = 0.0
 
     @classmethod
     def of(cls, choice: RouteChoice) -> Prediction:
@@ -65,6 +71,7 @@
             choice.predicted_between_tokens_s,
             choice.first_token_per_call_s,
             choice.between_per_call_s,
+            choice.batch_share,
         )
 
 
@@ -75,11 +82,13 @@
     :ivar waiting: calls that wait
     :ivar ahead: those of them that go before the call
     :ivar capacity: most calls that may wait
+    :ivar released_per_s: waiting calls that found room in a second, as measured
     """
 
     waiting: int = 0
     ahead: int = 0
     capacity: int = 0
+    released_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,9 +145,7 @@
     def __init__(self) -> None:
         self.promises = PromiseBook()
         self.counters = AdmissionCounters()
-        self._drain_per_s = 0.0
-        self._finished = 0
-        self._window_start_s: float | None = None
+        self._drain = RateMeter()
 
     def decide(
         self, query: AdmissionQuery, prediction: Prediction, queue: QueueState, now_s: float
@@ -162,25 +169,19 @@
         first_s = prediction.first_token_s + held * prediction.first_token_per_call_s
         between_s = prediction.between_tokens_s + held * prediction.between_per_call_s
         return (
-            first_s <= margin * _first_token_target_s(query)
+            prediction.batch_share <= margin
+            and first_s <= margin * _first_token_target_s(query)
             and between_s <= margin * query.latency.between_tokens_s
         )
 
     def finished(self, now_s: float) -> None:
         """Note the end of an admitted call; the rate of them is what promises are booked on."""
-        if self._window_start_s is None:
-            self._window_start_s = now_s
-        self._finished += 1
-        spent_s = now_s - self._window_start_s
-        if spent_s >= DRAIN_WINDOW_S:
-            sample = self._finished / spent_s
-            self._drain_per_s += 0.5 * (sample - self._drain_per_s)
-            self._finished, self._window_start_s = 0, now_s
+        self._drain.add(now_s)
 
     @property
     def drain_per_s(self) -> float:
         """Calls that this entry finishes in a second."""
-        return self._drain_per_s or 1.0
+        return self._drain.per_s or 1.0
 
     def dump(self) -> dict[str, Any]:
         """Return the state for the state dump."""
@@ -212,10 +213,11 @@
         if (promised or not queue.ahead) and self.fits(query, prediction, promised, now_s):
             return Admit(promised)
         # A call that waits is accepted; it must still meet its target when its turn comes.
-        target_spare_s = _first_token_target_s(query) - prediction.first_token_s
+        target_spare_s = QUEUE_TARGET_PART * _first_token_target_s(query) - prediction.first_token_s
         max_wait_s = min(spare_s, target_spare_s)
-        wait_s = (queue.waiting + 1) / (self.drain_per_s * QUEUE_DRAIN_SHARE)
-        if queue.waiting < queue.capacity and DEADLINE_MARGIN * wait_s <= max_wait_s:
+        wait_s = (queue.waiting + 1) / max(queue.released_per_s, 1e-3)
+        fitting = queue.waiting < PROBE_WAITING or wait_s <= QUEUE_MARGIN * max_wait_s
+        if max_wait_s > 0 and queue.waiting < queue.capacity and fitting:
             return Queue(max_wait_s=max_wait_s, expected_wait_s=wait_s)
         return self._refuse(query, "the latency target cannot be met", now_s)
 
--- a/godwitpath/admission/promises.py
+++ b/godwitpath/admission/promises.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 BOOKED_SHARES = (0.5, 0.2, 0.1)
 """Part of the calls finished in a second that is promised to each priority level."""
@@ -38,6 +38,21 @@
     due_s: float
 
 
+@dataclass(slots=True)
+class PromiseNews:
+    """What peers have not been told yet.
+
+    :ivar made: new promises
+    :ivar redeemed: digests of promises whose callers came
+    """
+
+    made: list[Promise] = field(default_factory=list)
+    redeemed: list[str] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.made or self.redeemed)
+
+
 class PromiseBook:
     """Promises of this entry and, as far as heard, of its peers."""
 
@@ -48,7 +63,7 @@
         self._due: dict[str, float] = {}
         self._slots: Counter[int] = Counter()
         self._next_free_s = [0.0] * len(BOOKED_SHARES)
-        self._unsent: list[Promise] = []
+        self._news = PromiseNews()
 
     def __len__(self) -> int:
         return len(self._due)
@@ -69,7 +84,7 @@
         promise = Promise(digest, now_s + retry_after_s)
         self.made += 1
         self.learn([promise])
-        self._unsent.append(promise)
+        self._news.made.append(promise)
         return retry_after_s
 
     def learn(self, promises: Iterable[Promise]) -> None:
@@ -87,12 +102,15 @@
         if due_s is None or now_s < due_s - EARLY_S:
             return False
         self._drop(digest)
+        self._news.redeemed.append(digest)
         self.redeemed += 1
         return True
 
-    def withdraw(self, digest: str) -> None:
-        """Drop a promise that was redeemed at another entry."""
-        self._drop(digest)
+    def hear(self, news: PromiseNews) -> None:
+        """Take in what a peer tells."""
+        self.learn(news.made)
+        for digest in news.redeemed:
+            self._drop(digest)
 
     def falling_due(self, now_s: float) -> int:
         """Return how many promises fall due now; their callers may come at any moment."""
@@ -106,10 +124,10 @@
             self._drop(digest)
         self.expired += len(old)
 
-    def take_unsent(self) -> list[Promise]:
-        """Return the promises that the peers have not been told, once."""
-        unsent, self._unsent = self._unsent, []
-        return unsent
+    def take_news(self) -> PromiseNews:
+        """Return what the peers have not been told, once."""
+        news, self._news = self._news, PromiseNews()
+        return news
 
     def _drop(self, digest: str) -> None:
         due_s = self._due.pop(digest, None)
--- a/godwitpath/admission/queue.py
+++ b/godwitpath/admission/queue.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from godwitpath.admission.decide import QueueState
+from godwitpath.admission.rate import RateMeter
 from godwitpath.errors import GodwitpathError
 
 LEVEL_WAIT_S = (0.0, 4.0, 20.0)
@@ -49,15 +50,17 @@
         self.capacity = capacity
         self._heap: list[Waiting] = []
         self._numbers = itertools.count()
+        self._released = RateMeter()
 
     def __len__(self) -> int:
         return len(self._heap)
 
     def state(self, priority: int, now_s: float) -> QueueState:
         """Return the queue as a call that arrives now sees it."""
+        self._released.roll(now_s)
         turn_s = _turn_s(priority, now_s, float("inf"))
         ahead = sum(1 for waiting in self._heap if waiting.turn_s <= turn_s)
-        return QueueState(len(self._heap), ahead, self.capacity)
+        return QueueState(len(self._heap), ahead, self.capacity, self._released.per_s)
 
     def add(self, priority: int, max_wait_s: float, now_s: float, call: Any = None) -> Waiting:
         """Add a call; the caller has checked that there is room."""
@@ -71,8 +74,9 @@
         """Return the call that goes next."""
         return self._heap[0] if self._heap else None
 
-    def pop(self) -> Waiting:
-        """Remove and return the call that goes next."""
+    def pop(self, now_s: float) -> Waiting:
+        """Remove and return the call that goes next, as there is room for it."""
+        self._released.add(now_s)
         return heapq.heappop(self._heap)
 
     def remove(self, waiting: Waiting) -> None:
@@ -127,7 +131,7 @@
         """
         went = 0
         while went < most and (first := self.line.first()) is not None and fits(first.priority):
-            self.line.pop()
+            self.line.pop(asyncio.get_running_loop().time())
             if not first.call.done():
                 first.call.set_result(None)
                 went += 1
--- a/godwitpath/routing/book.py
+++ b/godwitpath/routing/book.py
@@ -9,8 +9,9 @@
 
 from godwitpath.ports.engine import LoadReport
 from godwitpath.routing import outliers
-from godwitpath.routing.choose import SLOW_START_S
-from godwitpath.routing.learning import Line, MovingAverage, PrefixMemory
+from godwitpath.routing.batch_limit import BatchLimit
+from godwitpath.routing.choose import PATIENCE, SLOW_START_S
+from godwitpath.routing.learning import FadingAverage, Line, MovingAverage, PrefixMemory
 from godwitpath.routing.outliers import OutlierState
 from godwitpath.routing.prefix import BLOCK_TOKENS
 from godwitpath.routing.views import (
@@ -49,6 +50,7 @@
     :ivar tokens: prompt tokens
     :ivar to_compute: those of them that are expected to be computed
     :ivar sent_at_s: when it was sent
+    :ivar predicted_s: time to first token as the load alone predicted it
     :ivar first_at_s: when its first token came, 0 before
     :ivar running_then: calls that the engine had when the first token came
     """
@@ -57,6 +59,7 @@
     tokens: int
     to_compute: int
     sent_at_s: float
+    predicted_s: float
     priority: int = 0
     blocks: Sequence[str] = ()
     rank: int = -1
@@ -88,6 +91,9 @@
     other_running: MovingAverage = field(default_factory=lambda: MovingAverage(0.0, 0.5))
     prefill: MovingAverage = field(default_factory=lambda: MovingAverage(PREFILL_TOKENS_PER_S))
     between: Line = field(default_factory=lambda: Line(1.0, BETWEEN_TOKENS_S, BETWEEN_PER_CALL_S))
+    batch: BatchLimit = field(default_factory=BatchLimit)
+    call_s: MovingAverage = field(default_factory=lambda: MovingAverage(5.0))
+    excess: list[FadingAverage] = field(default_factory=lambda: [FadingAverage() for _ in PATIENCE])
     held: PrefixMemory = field(default_factory=lambda: PrefixMemory(MEMORY_BLOCKS))
     outlier: OutlierState = field(default_factory=OutlierState)
 
@@ -128,7 +134,12 @@
         self._count(blocks)
         to_compute = max(1, tokens - predicted_cached_tokens)
         state.own_tokens += to_compute
-        return Outstanding(upstream_id, tokens, to_compute, now_s, priority, blocks, rank)
+        waiting_tokens = state.own_tokens + state.other_tokens.value
+        running = state.own_running + state.other_running.value
+        predicted_s = waiting_tokens / state.prefill.value + state.between.at(running)
+        return Outstanding(
+            upstream_id, tokens, to_compute, now_s, predicted_s, priority, blocks, rank
+        )
 
     def first_token(self, call: Outstanding, cached_tokens: int, now_s: float) -> None:
         """Note the first token, with the prompt tokens that came from the engine's cache."""
@@ -141,6 +152,9 @@
         self.counters.cached_tokens += cached_tokens
         self._learn_prefill(state, call, cached_tokens, now_s)
         self._learn_cache(state, call, cached_tokens)
+        missed_tokens = max(0, call.tokens - cached_tokens - call.to_compute)
+        late_s = now_s - call.sent_at_s - call.predicted_s - missed_tokens / state.prefill.value
+        state.excess[min(call.priority, len(PATIENCE) - 1)].add(max(0.0, late_s), now_s)
         state.own_tokens = max(0, state.own_tokens - call.to_compute)
 
     def finished(self, call: Outstanding, now_s: float, tokens: int = 0) -> None:
@@ -153,6 +167,8 @@
         state = self._end(call, now_s)
         state.outlier.succeeded()
         self.counters.finished += 1
+        if call.first_at_s:
+            state.call_s.add(now_s - call.first_at_s)
         if call.first_at_s and tokens > 1:
             between_s = (now_s - call.first_at_s) / (tokens - 1)
             running_now = state.own_running + 1 + state.other_running.value
@@ -174,6 +190,7 @@
     def report(self, upstream_id: str, report: LoadReport, now_s: float) -> None:
         """Take in a load report; own work in it is told from that of others."""
         state = self._state(upstream_id, now_s)
+        state.batch.add(report)
         state.report = report
         state.other_tokens.add(max(0.0, report.waiting_tokens - state.own_tokens))
         total = report.running + report.waiting
@@ -203,7 +220,7 @@
         states = {facts.upstream_id: self._state(facts.upstream_id, now_s) for facts in known}
         outlier_states = {name: state.outlier for name, state in states.items()}
         out = outliers.ejected(outlier_states, now_s)
-        return [self._view(facts, states[facts.upstream_id], out) for facts in known]
+        return [self._view(facts, states[facts.upstream_id], out, now_s) for facts in known]
 
     def forget(self, upstream_id: str) -> None:
         """Drop an upstream that is gone."""
@@ -243,7 +260,9 @@
         found = now_s - self._opened_at_s < OPENING_S
         return now_s - SLOW_START_S if found else now_s
 
-    def _view(self, facts: UpstreamFacts, state: _EngineState, out: set[str]) -> EngineView:
+    def _view(
+        self, facts: UpstreamFacts, state: _EngineState, out: set[str], now_s: float
+    ) -> EngineView:
         running = state.own_running + state.other_running.value
         return EngineView(
             upstream_id=facts.upstream_id,
@@ -260,6 +279,9 @@
             prefill_tokens_per_s=state.prefill.value,
             between_tokens_s=state.between.at(running),
             between_per_call_s=state.between.slope,
+            batch_limit=state.batch.limit,
+            call_s=state.call_s.value,
+            excess_s=[average.at(now_s) for average in state.excess],
             held=state.held,
         )
 
--- a/godwitpath/routing/choose.py
+++ b/godwitpath/routing/choose.py
@@ -93,6 +93,7 @@
     :ivar rank: place of the engine in the prefix's ranking, -1 outside it
     :ivar first_token_per_call_s: growth of the time to first token with one more call anywhere
     :ivar between_per_call_s: growth of the time between tokens with one more call anywhere
+    :ivar batch_share: part of the engine's batch that is then taken, 0 when not known
     """
 
     upstream_id: str
@@ -104,6 +105,7 @@
     rank: int
     first_token_per_call_s: float = 0.0
     between_per_call_s: float = 0.0
+    batch_share: float = 0.0
 
 
 def choose(query: RouteQuery, views: Sequence[EngineView], now_s: float) -> RouteChoice:
@@ -134,6 +136,7 @@
         rank=best.rank,
         first_token_per_call_s=query.prompt_tokens / view.prefill_tokens_per_s / len(sound),
         between_per_call_s=view.between_per_call_s / len(sound),
+        batch_share=view.batch_share,
     )
 
 
@@ -176,6 +179,8 @@
         view.waiting_tokens / rate
         + prefill_s
         + view.between_tokens_s
+        + view.batch_wait_s
+        + view.excess_s[min(query.priority, len(view.excess_s) - 1)]
         + away * CROSS_REGION_ROUND_TRIP_S
     )
     return Alternative(
--- a/godwitpath/routing/learning.py
+++ b/godwitpath/routing/learning.py
@@ -23,6 +23,27 @@
         self.value += self.weight * (sample - self.value)
 
 
+@dataclass(slots=True)
+class FadingAverage:
+    """Average that fades to zero while no samples come, so that it never bars the next one."""
+
+    weight: float = 0.25
+    half_life_s: float = 1.0
+    _value: float = 0.0
+    _at_s: float = 0.0
+
+    def at(self, now_s: float) -> float:
+        """Return the average, faded by its age."""
+        age_s = max(0.0, now_s - self._at_s)
+        return self._value * 0.5 ** (age_s / self.half_life_s)
+
+    def add(self, sample: float, now_s: float) -> None:
+        """Take in a sample."""
+        faded = self.at(now_s)
+        self._value = faded + self.weight * (sample - faded)
+        self._at_s = now_s
+
+
 @dataclass(slots=True)
 class Line:
     """Least squares through samples (x, y) that count less the older they are.
--- a/godwitpath/routing/views.py
+++ b/godwitpath/routing/views.py
@@ -56,6 +56,9 @@
     :ivar prefill_tokens_per_s: learned rate of computing prompts
     :ivar between_tokens_s: learned time between tokens with the present batch
     :ivar between_per_call_s: growth of the time between tokens with one more call
+    :ivar batch_limit: calls that fit in the engine's batch, 0 until it was seen full
+    :ivar call_s: time that a call spends in the batch
+    :ivar excess_s: how much later than predicted the first token came lately, by priority level
     :ivar held: prefixes it probably holds, None when nothing is known
     """
 
@@ -73,6 +76,9 @@
     prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S
     between_tokens_s: float = BETWEEN_TOKENS_S
     between_per_call_s: float = 0.0
+    batch_limit: float = 0.0
+    call_s: float = 0.0
+    excess_s: Sequence[float] = (0.0, 0.0, 0.0)
     held: HeldPrefixes | None = None
 
     @property
@@ -84,3 +90,16 @@
     def running(self) -> float:
         """Calls in progress at the engine, own and others'."""
         return self.own_running + self.other_running
+
+    @property
+    def batch_share(self) -> float:
+        """Part of the batch that is taken with one more call, 0 while its limit is not known."""
+        return (self.running + 1.0) / self.batch_limit if self.batch_limit else 0.0
+
+    @property
+    def batch_wait_s(self) -> float:
+        """Time until the batch has room for one more call."""
+        if not self.batch_limit:
+            return 0.0
+        over = max(0.0, self.running + 1.0 - self.batch_limit)
+        return over * self.call_s / self.batch_limit
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import overload, routing
+from godwitpath_bench import overload, retries, routing
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -16,6 +16,7 @@
 
 routing.register(app)
 overload.register(app)
+retries.register(app)
 
 if __name__ == "__main__":
     app()
