Reserve the peers' ports below the range of outgoing connections

Cause: a scenario failed once in 276 tests at load average 31: the peer port that was found free was taken by an outgoing connection before the entry listened (Address already in use). Change: ports come from below the ephemeral range and stay locked by the fleet while it runs. Conclusion: no two fleets and no outgoing connection can take them.

--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -155,7 +155,7 @@
     seed: Seed = 1,
 ) -> None:
     """Start a deployment, print where it listens, and run until interrupted."""
-    from godwitpath_standin.fleet import run_fleet
+    from godwitpath_standin.fleet_run import run_fleet
 
     asyncio.run(run_fleet(deployment, entries, seed))
 
--- a/godwitpath_standin/fleet.py
+++ b/godwitpath_standin/fleet.py
@@ -5,8 +5,6 @@
 import asyncio
 import json
 import secrets
-import signal
-import socket
 import tempfile
 from pathlib import Path
 from types import TracebackType
@@ -23,6 +21,7 @@
 from godwitpath_standin.deployments import DEPLOYMENTS
 from godwitpath_standin.platform_app import PlatformState
 from godwitpath_standin.platform_core import Spare
+from godwitpath_standin.ports import ReservedPorts
 from godwitpath_standin.process import Process
 
 READY_TIMEOUT_S = 30.0
@@ -63,6 +62,7 @@
         self._entry_count = entries
         self._spare_count = spares
         self._spares: list[Spare] = []
+        self._ports: ReservedPorts | None = None
         self._seed = seed
         self._engine_options = engine_options or []
         self._folder = tempfile.TemporaryDirectory(prefix="godwitpath-fleet-")
@@ -195,6 +195,8 @@
             process.kill()
         await asyncio.gather(*(process.end() for process in entries))
         await asyncio.gather(*(process.end() for process in others))
+        if self._ports is not None:
+            self._ports.release()
         await self._client.close()
         self._folder.cleanup()
 
@@ -260,7 +262,8 @@
     async def _start_entries(self) -> None:
         numbers = range(1, self._entry_count + 1)
         pairs = [make_pair() for _ in numbers]
-        ports = _free_ports(self._entry_count)
+        self._ports = ReservedPorts(self._entry_count)
+        ports = self._ports.ports
         seeds = [
             {
                 "entry_id": f"entry-{number}",
@@ -389,24 +392,3 @@
             max_bytes=MAX_ANSWER_BYTES,
         )
         return msgspec.json.decode(content)
-
-
-async def run_fleet(deployment: str, entries: int, seed: int) -> None:
-    """Run a fleet until interrupted; prints where each process listens."""
-    async with Fleet(deployment, entries, seed) as fleet:
-        print(json.dumps(fleet.addresses(), indent=2), flush=True)
-        stopped = asyncio.Event()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, stopped.set)
-        await stopped.wait()
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- /dev/null
+++ b/godwitpath_standin/ports.py
@@ -0,0 +1,58 @@
+"""Ports that processes can be told before they listen, without two fleets taking the same."""
+
+from __future__ import annotations
+
+import fcntl
+import random
+import socket
+import tempfile
+from pathlib import Path
+from typing import IO
+
+FIRST_PORT = 10_000
+DEFAULT_EPHEMERAL_PORT = 32_768
+EPHEMERAL_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+class ReservedPorts:
+    """Ports below the range that outgoing connections use, locked against other fleets.
+
+    :ivar ports: the ports
+    """
+
+    def __init__(self, count: int) -> None:
+        self.ports: list[int] = []
+        self._locks: list[IO[str]] = []
+        folder = Path(tempfile.gettempdir()) / "godwitpath-ports"
+        folder.mkdir(exist_ok=True)
+        candidates = list(range(FIRST_PORT, _first_ephemeral_port()))
+        random.SystemRandom().shuffle(candidates)
+        for port in candidates:
+            if len(self.ports) == count:
+                break
+            self._try(folder, port)
+
+    def release(self) -> None:
+        """Let others take the ports."""
+        for lock in self._locks:
+            lock.close()
+        self._locks.clear()
+
+    def _try(self, folder: Path, port: int) -> None:
+        lock = (folder / str(port)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            lock.close()
+            return
+        self._locks.append(lock)
+        self.ports.append(port)
+
+
+def _first_ephemeral_port() -> int:
+    try:
+        return int(EPHEMERAL_RANGE.read_text(encoding="ascii").split()[0])
+    except (OSError, ValueError):
+        return DEFAULT_EPHEMERAL_PORT
