Measure a bare relay of the same libraries beside the entry

Cause: the machine's load moves processor figures by half, so a floor in the same run is needed. The profile shows the kernel's send on the caller's socket as the largest part, then the chain of ASGI layers for each event.

--- a/godwitpath_bench/path.py
+++ b/godwitpath_bench/path.py
@@ -15,6 +15,7 @@
 from godwitpath_standin.fleet import Fleet
 from godwitpath_standin.load import Load, LoadPlan
 from godwitpath_standin.load_result import LoadResult, milliseconds, new_histogram
+from godwitpath_standin.process import Process
 
 SERVICE = "planner-lm"
 # One engine takes the same batch either way; routing among several is measured elsewhere.
@@ -109,7 +110,7 @@
 async def run_path(requests: int, rounds: int, seed: int) -> list[str]:
     """Run both ways in turn and return the report's lines."""
     direct, through = Side(), Side()
-    short, long, memory = EntryUse(), EntryUse(), EntryMemory()
+    short, long, bare, memory = EntryUse(), EntryUse(), EntryUse(), EntryMemory()
     fleet = Fleet(
         "ramdin",
         entries=2,
@@ -129,12 +130,14 @@
         plan = _plan(fleet, LONG_REQUESTS, seed)
         plan.rate_per_s, plan.max_tokens = LONG_RATE_PER_S, LONG_TOKENS
         await long.measure(entry, plan)
+        await _measure_bare(fleet, bare, plan)
         await _open_streams(fleet, entry, memory, seed)
     lines = [f"{'':24}{'p50':>9}{'p95':>9}{'p99':>9}  ms"]
     lines += _compared("first token", direct.first_token_us, through.first_token_us)
     lines += _compared("between tokens", direct.between_tokens_us, through.between_tokens_us)
     lines += short.lines(f"answers of {TOKENS} tokens")
     lines += long.lines(f"answers of {LONG_TOKENS} tokens (aim 12% of a core)")
+    lines += bare.lines(f"bare relay, {LONG_TOKENS} tokens")
     lines.append(
         f"entry memory: {memory.idle_mib:.0f} MiB idle (aim 128), {memory.open_mib:.0f} MiB with"
         f" {memory.open_streams} streams open (aim 160)"
@@ -143,6 +146,20 @@
     return lines
 
 
+async def _measure_bare(fleet: Fleet, bare: EntryUse, plan: LoadPlan) -> None:
+    target = fleet.url(fleet.engines[0].name)
+    relay = Process("relay", ["godwitpath_bench.bare_relay", target], fleet.log_folder)
+    await relay.start()
+    try:
+        straight = _straight(plan, fleet)
+        straight.urls = lambda: [f"http://{relay.announced['listening']}"]
+        await bare.measure(psutil.Process(relay.pid), straight)
+        # The relay passes no token counts on.
+        bare.tokens = plan.generations * plan.max_tokens
+    finally:
+        await relay.end()
+
+
 async def _open_streams(
     fleet: Fleet, entry: psutil.Process, memory: EntryMemory, seed: int
 ) -> None:
