Answer every accuser, also one whose accusation another's has made old

Cause: a run of processes showed an entry gone for one other after a pause of 1 s. On waking it refuted the first accusation; the others then named an older incarnation and were not answered, so their senders learned of the refutation by pings only. The new test fails without the change.

--- a/godwitpath/membership/roster.py
+++ b/godwitpath/membership/roster.py
@@ -175,13 +175,16 @@
             self._hear_of_other(sender, fact)
 
     def _hear_of_self(self, sender: str, fact: MemberFact) -> None:
-        if not must_refute(self.local, fact):
+        accused = fact.state in ("suspect", "gone")
+        if must_refute(self.local, fact):
+            self.local.incarnation = fact.incarnation + 1
+            self.counts["refutations"] += 1
+            if accused:
+                self.health.worse()
+            self._spread(self.local)
+        elif not accused or fact.incarnation >= self.local.incarnation:
             return
-        self.local.incarnation = fact.incarnation + 1
-        self.counts["refutations"] += 1
-        if fact.state in ("suspect", "gone"):
-            self.health.worse()
-        self._spread(self.local)
+        # Each accuser is told, also one whose accusation another one's has made old.
         accuser = self._members.get(sender)
         if accuser is not None:
             self._tell_payload(accuser, encode_member(self.local, True))
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitpath.settings import MembershipSettings
 from godwitpath_standin.fakes.peer_fleet import Fleet, until
 
 pytestmark = pytest.mark.looptime
@@ -43,6 +44,22 @@
     await fleet.stop()
 
 
+async def test_a_pause_shorter_than_the_suspicion_makes_nobody_gone() -> None:
+    for seed in range(6):
+        fleet = Fleet(8, regions=3, seed=seed)
+        await until(fleet.all_alive, 5.0)
+        await asyncio.sleep(2.0 + 0.13 * seed)
+        seen: set[str] = set()
+        for entry in fleet.entries.values():
+            entry.membership.on_change(lambda member, seen=seen: seen.add(member.state))
+        fleet.network.pause("e1")
+        await asyncio.sleep(MembershipSettings().suspicion_s)
+        fleet.network.wake("e1")
+        await asyncio.sleep(5.0)
+        assert "gone" not in seen
+        await fleet.stop()
+
+
 async def test_a_cut_link_alone_makes_nobody_gone() -> None:
     fleet = Fleet(8)
     await until(fleet.all_alive, 5.0)
