Look at a long instance list less often

The list comes whole, about 200 bytes an instance: at 1,100 upstreams a look each second would cost a follower some 220 kB/s and one each 8 s the others 27 kB/s, against 6 kB/s for everything. A follower now reads at most 100 listed instances a second on average and the others 4; nothing changes at today's sizes.

--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
 from typing import Any
 
@@ -22,6 +23,7 @@
 from godwitpath.streams import until_silent
 from godwitpath.upstreams.facts import UpstreamFact, decode_fact, encode_fact
 from godwitpath.upstreams.list_view import InstanceListView
+from godwitpath.upstreams.pace import FOLLOWER_INTERVAL_S, list_interval_s, stops_interval_s
 from godwitpath.upstreams.receivers import receivers
 from godwitpath.upstreams.stop_view import StopView
 from godwitpath.upstreams.stops import STOPS_PREFIX, Stop, decode_stop
@@ -29,12 +31,6 @@
 
 UPSTREAMS_TOPIC = "upstreams"
 
-FOLLOWER_POLL_S = 1.0
-"""Time between two looks of a follower at the instance list and the announced stops."""
-
-OTHERS_POLL_S = 8.0
-"""Time between two looks of the other entries."""
-
 CALL_TIMEOUT_S = 2.0
 """Longest time that a call of the platform may take."""
 
@@ -116,7 +112,8 @@
         """Follow the platform and spread what it tells until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._push_forever())
-            group.create_task(self._poll_forever())
+            group.create_task(self._look_forever(self._look_at_list, self._list_interval_s))
+            group.create_task(self._look_forever(self._look_at_stops, stops_interval_s))
             if self._cloud is not None:
                 group.create_task(self._notices_forever(self._cloud))
 
@@ -181,18 +178,24 @@
     def _follower(self) -> bool:
         return follows("upstreams", self._membership.local, self._membership.live())
 
-    async def _poll_forever(self) -> None:
+    async def _look_forever(
+        self, look: Callable[[], Coroutine[Any, Any, None]], interval_s: Callable[[bool], float]
+    ) -> None:
         loop = asyncio.get_running_loop()
-        due_at_s = loop.time()
+        looked_at_s = -math.inf
         while True:
             # An entry becomes a follower when one that ranked before it is gone.
-            if self._follower() or loop.time() >= due_at_s:
-                await asyncio.gather(self._poll_list(), self._poll_stops())
-                due_at_s = loop.time() + OTHERS_POLL_S * self._rng.uniform(0.8, 1.2)
-            self._forget_long_gone()
-            await asyncio.sleep(FOLLOWER_POLL_S * self._rng.uniform(0.8, 1.0))
+            due_s = interval_s(self._follower()) * self._rng.uniform(0.7, 1.0)
+            if loop.time() - looked_at_s >= due_s:
+                looked_at_s = loop.time()
+                await look()
+            await asyncio.sleep(FOLLOWER_INTERVAL_S / 2)
+
+    def _list_interval_s(self, follower: bool) -> float:
+        return list_interval_s(follower, len(self.table))
 
-    async def _poll_list(self) -> None:
+    async def _look_at_list(self) -> None:
+        self._forget_long_gone()
         if self._instance_list is None:
             return
         try:
@@ -205,7 +208,7 @@
         for fact in self._list_view.observe(instances, self.table, now_s):
             self.learn(fact)
 
-    async def _poll_stops(self) -> None:
+    async def _look_at_stops(self) -> None:
         if self._store is None:
             return
         try:
@@ -225,7 +228,7 @@
         while True:
             if self._follower():
                 await self._follow_notices(cloud)
-            await asyncio.sleep(FOLLOWER_POLL_S)
+            await asyncio.sleep(FOLLOWER_INTERVAL_S)
 
     async def _follow_notices(self, cloud: Cloud) -> None:
         try:
