--- a/godwitpath/settings.py
+++ b/godwitpath/settings.py
@@ -24,7 +24,11 @@
 
 @dataclass(slots=True)
 class ListenSettings(StrictFields):
-    """Where a process listens; port 0 takes any free one."""
+    """Where a process listens; port 0 takes any free one.
+
+    :ivar host: IP number to listen on
+    :ivar port: port to listen on
+    """
 
     host: str = "127.0.0.1"
     port: int = 0
@@ -32,7 +36,11 @@
 
 @dataclass(slots=True)
 class TlsSettings(StrictFields):
-    """TLS towards callers; empty files mean plain HTTP."""
+    """TLS towards callers; empty files mean plain HTTP.
+
+    :ivar certificate_file: PEM file of the certificate and its chain
+    :ivar key_file: PEM file of the private key
+    """
 
     certificate_file: str = ""
     key_file: str = ""
@@ -42,6 +50,9 @@
 class CallerSettings(ListenSettings):
     """The address for callers, with its bounds.
 
+    :ivar host: IP number to listen on
+    :ivar port: port to listen on
+    :ivar tls: certificate and key
     :ivar header_timeout_s: longest time to receive the headers and the body of a request
     :ivar max_connections: most open connections
     """
@@ -53,7 +64,12 @@
 
 @dataclass(slots=True)
 class OperatorSettings(ListenSettings):
-    """The address for operators and the key they present."""
+    """The address for operators and the key they present.
+
+    :ivar host: IP number to listen on
+    :ivar port: port to listen on
+    :ivar key: operator key; nobody is let in while it is empty
+    """
 
     key: str = ""
 
@@ -62,6 +78,8 @@
 class PeerSettings(ListenSettings):
     """The address for peers and the CURVE keys.
 
+    :ivar host: IP number to listen on
+    :ivar port: port to listen on
     :ivar public_key: own public key in Z85 form, empty for links without encryption
     :ivar secret_key: own secret key in Z85 form
     :ivar accepted_public_keys: public keys of peers that may connect, old and new side by side
@@ -74,7 +92,14 @@
 
 @dataclass(slots=True)
 class PlatformSettings(StrictFields):
-    """Base URLs of the platform's services; empty where there is none."""
+    """Base URLs of the platform's services; empty where there is none.
+
+    :ivar key_value_url: the key-value service
+    :ivar cloud_url: the cloud API
+    :ivar instance_list_url: the list of live and leaving instances
+    :ivar weight_store_url: the weight store
+    :ivar timeout_s: longest time of one call
+    """
 
     key_value_url: str = ""
     cloud_url: str = ""
@@ -85,7 +110,13 @@
 
 @dataclass(slots=True)
 class SeedSettings(StrictFields):
-    """A peer known from the start."""
+    """A peer known from the start.
+
+    :ivar entry_id: name of the entry
+    :ivar host: IP number of its peer address
+    :ivar port: port of its peer address
+    :ivar public_key: its CURVE public key, empty for links without encryption
+    """
 
     entry_id: str
     host: str
@@ -109,7 +140,20 @@
 
 @dataclass(slots=True)
 class ProcessSettings(StrictFields):
-    """Everything that one entry daemon must be told."""
+    """Everything that one entry daemon must be told.
+
+    :ivar entry_id: name of the entry, unique in the fleet
+    :ivar region: region that it runs in
+    :ivar availability_zone: availability zone that it runs in
+    :ivar caller: address for callers
+    :ivar operator: address for operators
+    :ivar peer: address for the other entries
+    :ivar platform: the platform's services
+    :ivar membership: times of the failure detector
+    :ivar seeds: entries to join
+    :ivar drain_timeout_s: longest time that a planned stop waits for what is in progress
+    :ivar seed: seed of the random numbers, 0 for a random one
+    """
 
     entry_id: str
     region: str
--- a/godwitpath/telemetry/metrics.py
+++ b/godwitpath/telemetry/metrics.py
@@ -100,6 +100,10 @@
 
         self._meter.create_observable_gauge(name, [observe], unit, description)
 
+    def names(self) -> list[str]:
+        """Return the names of the counters and histograms."""
+        return [*self._counters, *self._histograms]
+
     def render(self) -> tuple[bytes, str]:
         """Return all metrics in the text form of Prometheus, and its content type."""
         return generate_latest(self._registry), CONTENT_TYPE_LATEST
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import overload, routing
+from godwitpath_bench import explain, overload, routing
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -15,6 +15,7 @@
 
 
 routing.register(app)
+explain.register(app)
 overload.register(app)
 
 if __name__ == "__main__":
