--- a/godwitpath/peers/zmq_transport.py
+++ b/godwitpath/peers/zmq_transport.py
@@ -35,6 +35,9 @@
 SWEEP_INTERVAL_S = 2.0
 """Time between two looks for idle connections."""
 
+RECEIVE_RETRY_S = 0.1
+"""Pause after the bound socket failed to receive."""
+
 SILENT_REQUESTS = 2
 """Unanswered requests in a row, nothing heard between them, that replace a connection."""
 
@@ -60,10 +63,14 @@
 
 
 class ZmqPeerTransport(DispatchingTransport):
-    """The transport of an entry daemon."""
+    """The transport of an entry daemon.
+
+    :ivar address: where it listens once it was started
+    """
 
     def __init__(self, entry_id: str, settings: PeerSettings, incarnation: int = 0) -> None:
         super().__init__(entry_id, incarnation)
+        self.address = Address(settings.host, settings.port)
         self._settings = settings
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
@@ -86,18 +93,19 @@
         else:
             port = router.bind_to_random_port(f"tcp://{host}")
         self._router = router
+        self.address = Address(host, port)
         self._own_tasks = [
             asyncio.create_task(self._receive_all(router)),
             asyncio.create_task(self._sweep()),
         ]
-        return Address(host, port)
+        return self.address
 
     async def close(self) -> None:
         """Close every connection and end every task."""
         for task in self._own_tasks:
             task.cancel()
         await asyncio.gather(*self._own_tasks, return_exceptions=True)
-        await self._end_tasks()
+        await super().close()
         for entry_id in list(self._links):
             self._disconnect(entry_id)
         if self._router is not None:
@@ -202,7 +210,12 @@
 
     async def _receive_all(self, router: zmq.asyncio.Socket) -> None:
         while True:
-            parts = await router.recv_multipart()
+            try:
+                parts = await router.recv_multipart()
+            except zmq.ZMQError:
+                self.counts["receive_errors"] += 1
+                await asyncio.sleep(RECEIVE_RETRY_S)
+                continue
             if len(parts) != 2:
                 self.counts["dropped_garbage"] += 1
                 continue
--- a/godwitpath/upstreams/table.py
+++ b/godwitpath/upstreams/table.py
@@ -11,6 +11,7 @@
 import msgspec
 from transitions import Machine
 
+from godwitpath.listeners import Listeners
 from godwitpath.ports.engine import Address
 from godwitpath.upstreams.facts import UpstreamFact
 from godwitpath.upstreams.merge import UpstreamState, supersedes
@@ -65,7 +66,7 @@
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
         self._upstreams: dict[str, Upstream] = {}
-        self._callbacks: list[Callback] = []
+        self._listeners: Listeners[[Upstream]] = Listeners(self.counts)
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -88,7 +89,7 @@
 
     def on_change(self, callback: Callback) -> None:
         """Call back with each upstream that is new or changed."""
-        self._callbacks.append(callback)
+        self._listeners.add(callback)
 
     def apply(self, fact: UpstreamFact) -> bool:
         """Take in a fact; returns whether it was news."""
@@ -105,8 +106,7 @@
             self.counts["known_or_older_facts"] += 1
             return False
         self.counts[f"now_{changed.state}"] += 1
-        for callback in self._callbacks:
-            callback(changed)
+        self._listeners.notify(changed)
         return True
 
     def forget(self, upstream_id: str) -> None:
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import explain, overload, routing
+from godwitpath_bench import explain, gossip, overload, path, retries, routing
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -17,6 +17,9 @@
 routing.register(app)
 explain.register(app)
 overload.register(app)
+path.register(app)
+gossip.register(app)
+retries.register(app)
 
 if __name__ == "__main__":
     app()
--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
-from godwitpath_standin.server import run
+from godwitpath_standin.server import Standin, run
 
 app = typer.Typer(name="godwitpath-standin", no_args_is_help=True)
 
@@ -45,5 +49,116 @@
     run(lambda: PlainServiceStandin(run_s).standin, port)
 
 
+@app.command()
+def engine(
+    port: Port = 0,
+    seed: Seed = 0,
+    service_name: Annotated[str, typer.Option(help="Service that it belongs to.")] = "planner-lm",
+    model: Annotated[str, typer.Option(help="Model that it starts with.")] = "planner-7b",
+    version: Annotated[str, typer.Option(help="Version of the weights.")] = "1",
+    adapter: Annotated[list[str] | None, typer.Option(help="Adapter that it starts with.")] = None,
+    checks_fencing: Annotated[bool, typer.Option(help="Refuse old fencing numbers.")] = True,
+    weights_url: Annotated[str, typer.Option(help="Weight store, empty for a fixed time.")] = "",
+    step_s: Annotated[float, typer.Option(help="Time of a decoding step.")] = 0.02,
+    step_per_sequence_s: Annotated[
+        float, typer.Option(help="Added to a step by each further sequence.")
+    ] = 0.0005,
+    prefill_tokens_per_s: Annotated[float, typer.Option(help="Speed of prefilling.")] = 20_000.0,
+    max_batch: Annotated[int, typer.Option(help="Sequences in a batch.")] = 48,
+    max_waiting: Annotated[int, typer.Option(help="Sequences that may wait.")] = 200,
+    cache_tokens: Annotated[int, typer.Option(help="Room of the prefix cache.")] = 400_000,
+) -> None:
+    """Run a model engine."""
+    from godwitpath_standin.engine_app import EngineStandin
+    from godwitpath_standin.engine_core import EngineParameters
+    from godwitpath_standin.engine_orders import LoadedModel
+
+    loaded = LoadedModel(service_name, model, version, list(adapter or []))
+    parameters = EngineParameters(
+        step_s=step_s,
+        step_per_sequence_s=step_per_sequence_s,
+        prefill_tokens_per_s=prefill_tokens_per_s,
+        max_batch=max_batch,
+        max_waiting=max_waiting,
+        cache_tokens=cache_tokens,
+    )
+    rng = random.Random(seed)
+
+    def start() -> Standin:
+        return EngineStandin(loaded, parameters, rng, checks_fencing, weights_url).standin
+
+    run(start, port)
+
+
+@app.command()
+def platform(
+    port: Port = 0,
+    seed: Seed = 0,
+    instances: Annotated[Path | None, typer.Option(help="JSON file of the first state.")] = None,
+    list_lag_s: Annotated[float, typer.Option(help="Age of the instance list.")] = 1.0,
+) -> None:
+    """Run the cloud API, the instance list and the weight store."""
+    from godwitpath_standin.platform_app import PlatformStandin, PlatformState
+
+    text = instances.read_bytes() if instances else b"{}"
+    state = msgspec.json.decode(text, type=PlatformState)
+    run(lambda: PlatformStandin(state, list_lag_s).standin, port)
+
+
+Deployment = Annotated[str, typer.Option(help="`ramdin` or `regroupement`.")]
+
+
+@app.command()
+def demo(
+    deployment: Deployment = "ramdin",
+    generations: Annotated[int, typer.Option(help="Streamed requests.")] = 240,
+    calls: Annotated[int, typer.Option(help="Calls that may not be repeated.")] = 60,
+    rate_per_s: Annotated[float, typer.Option(help="Requests begun a second.")] = 15.0,
+    seed: Seed = 1,
+) -> None:
+    """Run a deployment under load while an entry and an engine die; exit 1 on any loss."""
+    from godwitpath_standin.demo import run_demo
+
+    report = asyncio.run(run_demo(deployment, generations, calls, rate_per_s, seed))
+    typer.echo(report.table())
+    for failure in report.failures:
+        typer.echo(failure, err=True)
+    raise typer.Exit(1 if report.failures else 0)
+
+
+@app.command()
+def scenario(
+    files: Annotated[list[Path], typer.Argument(help="Scenario files.")],
+    seed: Seed = 1,
+    write_golden: Annotated[
+        bool, typer.Option(help="Keep the transcripts as golden files.")
+    ] = False,
+) -> None:
+    """Run scenario files on real processes; exit 1 when an expectation does not hold."""
+    from godwitpath_standin.scenario.run import golden_path, run_scenario
+
+    failed = 0
+    for path in files:
+        outcome = asyncio.run(run_scenario(path, seed))
+        typer.echo(f"{path.name}: {outcome.failure or 'holds'} ({outcome.duration_s:.1f} s)")
+        typer.echo(outcome.transcript)
+        if write_golden and not outcome.failure:
+            golden_path(path).write_text(outcome.transcript, encoding="utf-8")
+        failed += bool(outcome.failure)
+    raise typer.Exit(1 if failed else 0)
+
+
+@app.command()
+def fleet(
+    deployment: Deployment = "ramdin",
+    entries: Annotated[int, typer.Option(help="Entries to start.")] = 6,
+    seed: Seed = 1,
+) -> None:
+    """Start a deployment, print where it listens, and run until interrupted."""
+    from godwitpath_standin.fleet import run_fleet
+
+    asyncio.run(run_fleet(deployment, entries, seed))
+
+
 if __name__ == "__main__":
     app()
--- a/test/test_config_sync.py
+++ b/test/test_config_sync.py
@@ -4,11 +4,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from godwitpath.config.envelope import CURRENT_KEY, encode_envelope
+from godwitpath.config.envelope import CURRENT_KEY, decode_envelope, encode_envelope
 from godwitpath_standin.fakes.kv import FakeKeyValueStore
-from test.peer_fleet import Fleet, envelope, until
+from godwitpath_standin.fakes.peer_fleet import Fleet, envelope, until
 
 pytestmark = pytest.mark.looptime
 
@@ -62,6 +63,25 @@
     await fleet.stop()
 
 
+async def test_an_entry_cut_off_catches_up_from_its_peers_while_the_store_is_down() -> None:
+    store = FakeKeyValueStore()
+    await write(store, 1)
+    fleet = Fleet(4, regions=1, store=store)
+    await until(fleet.all_alive, 5.0)
+    watchers = [name for name, entry in fleet.entries.items() if entry.config.dump()["watcher"]]
+    assert len(watchers) == 2
+    cut_off = next(name for name in fleet.entries if name not in watchers)
+    fleet.network.cut_groups([cut_off], [name for name in fleet.entries if name != cut_off])
+    await write(store, 2)
+    # Shorter than it takes the entry to count the others as gone and to watch by itself.
+    await asyncio.sleep(1.0)
+    assert fleet.entries[cut_off].config.revision == 1
+    store.outage = True
+    fleet.network.heal()
+    await until(lambda: all_have(fleet, 2), IN_FORCE_S)
+    await fleet.stop()
+
+
 async def test_without_store_and_peers_an_entry_is_not_ready() -> None:
     store = FakeKeyValueStore()
     store.outage = True
@@ -75,6 +95,22 @@
     await fleet.stop()
 
 
+async def test_what_is_submitted_on_an_old_copy_of_the_store_comes_into_force() -> None:
+    store = FakeKeyValueStore()
+    await write(store, 9)
+    fleet = Fleet(4, store=store)
+    await until(lambda: all_have(fleet, 9), IN_FORCE_S)
+    await write(store, 5)
+    submitted = msgspec.structs.replace(envelope(6), submitted_at="2026-01-01T00:00:00Z")
+    current = await store.get(CURRENT_KEY)
+    assert current is not None
+    await store.put(CURRENT_KEY, encode_envelope(submitted), current.revision)
+    await until(lambda: all_have(fleet, 10), IN_FORCE_S)
+    in_force = {entry.config.envelope.text for entry in fleet.entries.values()}
+    assert in_force == {submitted.text}
+    await fleet.stop()
+
+
 async def test_a_store_restored_late_takes_nobody_back() -> None:
     store = FakeKeyValueStore()
     await write(store, 9)
@@ -86,4 +122,8 @@
     await asyncio.sleep(20.0)
     assert all_have(fleet, 9)
     assert fleet.entries["e0"].revisions == [9]
+    # The store is brought up to what is in force, so that the next submission builds on it.
+    current = await store.get(CURRENT_KEY)
+    assert current is not None
+    assert decode_envelope(current.value).revision == 9
     await fleet.stop()
