Prove each property by scenarios, trial after trial

scripts/prove [N|all] runs the scenario files of a property with one seed after the other and prints property, fault scenario, trials, violations and the worst time.

--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -148,6 +148,25 @@
     raise typer.Exit(1 if failed else 0)
 
 
+@app.command()
+def prove(
+    which: Annotated[str, typer.Argument(help="Number of a property, or all.")] = "all",
+    seed: Seed = 1,
+    trials: Annotated[int, typer.Option(help="Runs of each scenario.")] = 2,
+) -> None:
+    """Prove the properties that must hold on real processes; exit 1 on a violation."""
+    from godwitpath_standin import prove as proofs
+
+    violations = 0
+    typer.echo(proofs.HEADER)
+    for row in proofs.prove(proofs.chosen(which), seed, trials):
+        typer.echo(str(row))
+        for violation in row.violations:
+            typer.echo(f"     {violation}", err=True)
+        violations += len(row.violations)
+    raise typer.Exit(1 if violations else 0)
+
+
 @app.command()
 def fleet(
     deployment: Deployment = "ramdin",
--- /dev/null
+++ b/godwitpath_standin/prove.py
@@ -0,0 +1,84 @@
+"""Proofs of the properties that must always hold: scenario files, run again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from godwitpath_standin.process import ROOT
+from godwitpath_standin.scenario.run import ScenarioOutcome, run_scenario
+
+SCENARIOS = ROOT / "test" / "scenarios"
+
+
+@dataclass(slots=True, frozen=True)
+class Property:
+    """A property with the scenario files that prove it.
+
+    :ivar number: as the proofs are asked for
+    """
+
+    number: int
+    name: str
+    files: tuple[str, ...]
+
+
+PROPERTIES = (
+    Property(1, "accepted completes", ("accepted-completes", "zone-dies-in-reclaim")),
+    Property(2, "own answer, whole", ("own-answer",)),
+    Property(3, "not run is true", ("not-run-is-true", "cut-calls")),
+    Property(4, "at most once", ("at-most-once", "frozen-holder")),
+    Property(5, "leaving upstreams get no new work", ("leaving-upstream",)),
+    Property(6, "planned stops are graceful", ("planned-stop", "stop-of-a-zone")),
+    Property(7, "configuration in force, never back", ("configuration",)),
+    Property(8, "silent connections", ("silent-connections",)),
+)
+"""Every property; the eighth are the open connections that go silent for good."""
+
+
+@dataclass(slots=True)
+class ProofRow:
+    """What came of one scenario file over all trials."""
+
+    property: Property
+    file: str
+    trials: int = 0
+    violations: list[str] = field(default_factory=list)
+    worst_s: float = 0.0
+
+    def add(self, outcome: ScenarioOutcome, seed: int) -> None:
+        """Count a trial."""
+        self.trials += 1
+        self.worst_s = max(self.worst_s, outcome.duration_s)
+        if outcome.failure:
+            self.violations.append(f"seed {seed}: {outcome.failure}")
+
+    def __str__(self) -> str:
+        head = f"{self.property.number}  {self.property.name:36s} {self.file:24s}"
+        return f"{head} {self.trials:6d} {len(self.violations):10d} {self.worst_s:9.1f} s"
+
+
+HEADER = f"{'':2s} {'property':36s} {'fault scenario':24s} {'trials':>6s} {'violations':>10s} worst"
+
+
+def chosen(which: str) -> Iterator[Property]:
+    """Yield the properties that are asked for.
+
+    :param which: a number, or `all`
+    """
+    for one in PROPERTIES:
+        if which in ("all", str(one.number)):
+            yield one
+
+
+def prove(properties: Iterator[Property], seed: int, trials: int) -> Iterator[ProofRow]:
+    """Run the proofs and yield a row for each scenario file as it ends."""
+    for one in properties:
+        for name in one.files:
+            row = ProofRow(one, name)
+            path: Path = SCENARIOS / f"{name}.scenario"
+            for trial in range(trials):
+                row.add(asyncio.run(run_scenario(path, seed + trial)), seed + trial)
+            yield row
--- a/godwitpath_standin/scenario/perform.py
+++ b/godwitpath_standin/scenario/perform.py
@@ -134,7 +134,10 @@
         await store.put(stop_key(stop), encode_stop(stop), ABSENT)
     finally:
         await store.close()
-    if step.kind == "entry":
+    if step.kind == "zone":
+        # The balancer belongs to the platform and knows of the stop.
+        session.stopped.update(await session.instances_of_zone(step.name))
+    else:
         session.stopped.add(step.name)
 
 
