Measure what records and execution records cost, and copy with less

Cause: an update named its record by its identifier of 52 characters, most of what a token cost, and each batch made a compressor.

Change: holder and backup name a record by a handle of 64 bits; one compressor for the process. Two commands: godwitpath_bench records, godwitpath_bench execution. Segments as an experiment that no daemon uses.

Segments seen to fail with the mechanism off: what a rival wrote not taken in, and gaps not read again, each grant a key two and three times.

--- a/godwitpath/records/copies.py
+++ b/godwitpath/records/copies.py
@@ -141,7 +141,7 @@
         if not isinstance(reply, UpdateResults):
             return
         for result in reply.results:
-            record = self._table.get(result.request_id)
+            record = self._table.by_handle(result.handle)
             if record is not None and record.held and record.backup == entry_id:
                 await self._take_result(record, result)
 
@@ -174,7 +174,7 @@
     first = record.copied_pieces
     known = record.copied_version >= record.version
     return RecordUpdate(
-        request_id=record.request_id,
+        handle=record.handle,
         epoch=record.epoch,
         attempt=None if known else (record.attempt_id, record.upstream_id, record.stream_id),
         first_piece=first,
--- a/godwitpath/records/copy_intake.py
+++ b/godwitpath/records/copy_intake.py
@@ -64,14 +64,14 @@
         return UpdateResults([self._take_update(sender, update) for update in updates])
 
     def _take_update(self, sender: str, update: RecordUpdate) -> UpdateResult:
-        record = self._table.get(update.request_id)
+        record = self._table.by_handle(update.handle)
         self._counters.updates_received += 1
         if record is None:
-            return UpdateResult(update.request_id, -1)
+            return UpdateResult(update.handle, -1)
         if (record.epoch, record.holder) > (update.epoch, sender):
             return _refusal(record)
         if record.held or (record.epoch, record.holder) != (update.epoch, sender):
-            return UpdateResult(update.request_id, -1)
+            return UpdateResult(update.handle, -1)
         record.heard_at_s = self._now_s()
         self._merge(record, update)
         return _result(record)
@@ -111,12 +111,12 @@
 
 
 def _refusal(current: RequestRecord) -> UpdateResult:
-    return UpdateResult(current.request_id, -1, current.holder, current.epoch)
+    return UpdateResult(current.handle, -1, current.holder, current.epoch)
 
 
 def _result(record: RequestRecord) -> UpdateResult:
     return UpdateResult(
-        record.request_id,
+        record.handle,
         len(record.pieces),
         version=record.version,
         finished=record.finished,
--- a/godwitpath/records/ids.py
+++ b/godwitpath/records/ids.py
@@ -15,6 +15,7 @@
 from godwitpath.membership.member import Member
 
 _PREFIX = "req-"
+_RANDOM_DIGITS = 16
 _FORM = re.compile(r"req-([0-9a-f]{8})([0-9a-f]{4})([0-9a-f]{4})([0-9a-f]{16})[0-9a-f]{16}")
 
 
@@ -57,6 +58,13 @@
     return f"{_PREFIX}{holder}{place}{key}{rng.getrandbits(64):016x}"
 
 
+def handle_of(request_id: str) -> int:
+    """Return a number of 64 bits that stands for the identifier between holder and backup."""
+    if _FORM.fullmatch(request_id):
+        return int(request_id[-_RANDOM_DIGITS:], 16)
+    return xxhash.xxh3_64_intdigest(request_id.encode())
+
+
 def placement_of(request_id: str) -> Placement:
     """Return what an identifier tells; one of another form is its own ranking key."""
     match = _FORM.fullmatch(request_id)
--- a/godwitpath/records/messages.py
+++ b/godwitpath/records/messages.py
@@ -19,6 +19,10 @@
 _PLAIN = b"\x00"
 _ZSTANDARD = b"\x01"
 
+# The process has one thread, and none of the calls awaits.
+_compressor = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL)
+_decompressor = zstandard.ZstdDecompressor()
+
 T = TypeVar("T")
 
 
@@ -53,12 +57,13 @@
 class RecordUpdate(msgspec.Struct, array_like=True):
     """What is new in a record since the backup's last acknowledgement.
 
+    :ivar handle: the record's handle, a third of its identifier's length
     :ivar first_piece: index of the first of the pieces in the record
     :ivar attempt: attempt, upstream and stream, None when the backup knows them
     :ivar version: number of the change of attempt or stream
     """
 
-    request_id: str
+    handle: int
     epoch: int
     first_piece: int
     pieces: list[Piece]
@@ -68,8 +73,9 @@
 
 
 class UpdateResult(msgspec.Struct, array_like=True):
-    """What the backup did with an update.
+    """What the backup did with a copy or an update.
 
+    :ivar handle: the record's handle
     :ivar pieces: number of pieces it has now, -1 when it needs the whole record
     :ivar holder: entry that holds a newer epoch, empty when the update was taken
     :ivar epoch: that epoch
@@ -77,7 +83,7 @@
     :ivar finished: whether the backup has the outcome
     """
 
-    request_id: str
+    handle: int
     pieces: int
     holder: str = ""
     epoch: int = 0
@@ -270,16 +276,14 @@
     data = msgspec.msgpack.encode(value)
     if len(data) < COMPRESS_FROM_BYTES:
         return _PLAIN + data
-    return _ZSTANDARD + zstandard.ZstdCompressor(level=COMPRESSION_LEVEL).compress(data)
+    return _ZSTANDARD + _compressor.compress(data)
 
 
 def unpack(data: bytes, kind: type[T]) -> T:
     """Decode what :func:`pack` made."""
     content = data[1:]
     if data[:1] == _ZSTANDARD:
-        content = zstandard.ZstdDecompressor().decompress(
-            content, max_output_size=MAX_UNPACKED_BYTES
-        )
+        content = _decompressor.decompress(content, max_output_size=MAX_UNPACKED_BYTES)
     return msgspec.msgpack.decode(content, type=kind)
 
 
--- a/godwitpath/records/record.py
+++ b/godwitpath/records/record.py
@@ -141,6 +141,7 @@
     :ivar held: whether this process works on the request
     :ivar since_s: loop time at which this process made or got the record
     :ivar heard_at_s: loop time of the last news from the holder; copies only
+    :ivar handle: number that stands for the identifier between holder and backup
     :ivar finished_at_s: loop time of the outcome, 0 while there is none
     """
 
@@ -175,6 +176,7 @@
     heard_at_s: float = 0.0
     finished_at_s: float = 0.0
     size_bytes: int = 0
+    handle: int = 0
     _waiters: list[asyncio.Future[None]] = field(default_factory=list, repr=False)
 
     @property
--- a/godwitpath/records/table.py
+++ b/godwitpath/records/table.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from godwitpath.records.ids import handle_of
 from godwitpath.records.record import RequestRecord
 
 MAX_RECORDS_BYTES = 64 * 1024 * 1024
@@ -46,6 +47,7 @@
         self._max_bytes = max_bytes
         self._by_id: dict[str, RequestRecord] = {}
         self._by_key: dict[tuple[str, str], str] = {}
+        self._by_handle: dict[int, str] = {}
         self.size_bytes = 0
 
     def __len__(self) -> int:
@@ -58,6 +60,10 @@
         """Return a record whatever its account; for messages about copies only."""
         return self._by_id.get(request_id)
 
+    def by_handle(self, handle: int) -> RequestRecord | None:
+        """Return the record that a holder or a backup names by its handle."""
+        return self._by_id.get(self._by_handle.get(handle, ""))
+
     def find(
         self, account: str, request_id: str = "", idempotency_key: str = ""
     ) -> RequestRecord | None:
@@ -71,6 +77,8 @@
         """Add a record, or put it in the place of an older state of itself."""
         self.remove(record.request_id)
         self._by_id[record.request_id] = record
+        record.handle = handle_of(record.request_id)
+        self._by_handle[record.handle] = record.request_id
         if record.idempotency_key:
             self._by_key[record.account, record.idempotency_key] = record.request_id
         record.size_bytes = record.measure()
@@ -88,6 +96,7 @@
         if record is None:
             return
         self.size_bytes -= record.size_bytes
+        self._by_handle.pop(record.handle, None)
         key = (record.account, record.idempotency_key)
         if self._by_key.get(key) == request_id:
             del self._by_key[key]
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import overload, path, routing
+from godwitpath_bench import execution, overload, path, records, routing
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -17,6 +17,8 @@
 routing.register(app)
 overload.register(app)
 path.register(app)
+execution.register(app)
+records.register(app)
 
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/test/test_execution_segments.py
@@ -0,0 +1,66 @@
+"""Segments of execution records: two writers never grant one key twice."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+import pytest
+
+from godwitpath.execution.record import ExecutionExists, ExecutionRecord
+from godwitpath.execution.segments import SegmentLog
+from godwitpath.ports.kv import StoreError
+from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
+
+pytestmark = pytest.mark.looptime
+
+
+def record(attempt_id: str, state: str = "sent") -> ExecutionRecord:
+    return ExecutionRecord(state, "a", "d", attempt_id, "e1", "i", "r", 0.0)  # type: ignore[arg-type]
+
+
+async def granted(log: SegmentLog, key: str, attempt_id: str) -> bool:
+    try:
+        await log.claim(key, record(attempt_id))
+    except (ExecutionExists, StoreError):
+        return False
+    return True
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_rival_writers_grant_each_key_once(seed: int) -> None:
+    core, rng = loop_core(), random.Random(seed)
+    stores = [FakeKeyValueStore(core, 0.003) for _ in range(3)]
+    logs = [SegmentLog(store, 1, random.Random(index)) for index, store in enumerate(stores)]
+    writers = [asyncio.create_task(log.run()) for log in logs]
+    grants: Counter[str] = Counter()
+
+    async def call(number: int) -> None:
+        await asyncio.sleep(rng.random() * 5)
+        key, position = f"k{number % 30}", rng.randrange(3)
+        if rng.random() < 0.2:
+            stores[position].lose_next_answers(1)
+        grants[key] += await granted(logs[position], key, f"attempt-{number}")
+
+    await asyncio.gather(*(call(number) for number in range(120)))
+    assert max(grants.values()) == 1
+    assert sum(grants.values()) >= 25
+    for writer in writers:
+        writer.cancel()
+
+
+async def test_a_new_writer_reads_what_was_granted() -> None:
+    core = loop_core()
+    first = SegmentLog(FakeKeyValueStore(core), 1, random.Random(1))
+    writer = asyncio.create_task(first.run())
+    for number in range(10):
+        await first.claim(f"k{number}", record(f"a{number}"))
+    await first.change("k3", record("a3", "released"))
+    writer.cancel()
+    second = SegmentLog(FakeKeyValueStore(core), 1, random.Random(2))
+    await second.load()
+    writer = asyncio.create_task(second.run())
+    claims = [await granted(second, f"k{number}", "b") for number in range(11)]
+    assert [number for number, ok in enumerate(claims) if ok] == [3, 10]
+    writer.cancel()
