--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Any
 
+from godwitpath.listeners import Listeners
 from godwitpath.membership.exchange import Exchange
 from godwitpath.membership.member import Member, MemberState
 from godwitpath.membership.messages import (
@@ -38,8 +39,9 @@
 RETRY_INTERVAL_S = 4.0
 """Time between two tries to reach an entry that is gone or a seed that was never heard."""
 
+FIRST_SYNC_S = 0.5
 SYNC_INTERVAL_S = 10.0
-"""Time between two comparisons with a random entry."""
+"""Time between two comparisons with a random entry, first and at most."""
 
 GONE_KEEP_S = 900.0
 """How long an entry that is gone is remembered and tried."""
@@ -70,13 +72,14 @@
         self._roster = Roster(local, settings.suspicion_s, self._spread, self._tell)
         self._roster.on_change(self._connect)
         self._seeds: dict[str, Peer] = {}
+        self._found_seeds: dict[str, Peer] = {}
         self._turn: list[str] = []
         self._probe_number = 0
         self._silent_helpers = 0
         self._helping = 0
         self._indirect: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._revision_callbacks: list[RevisionCallback] = []
+        self._revision_listeners: Listeners[[str, int]] = Listeners(self.counts)
         self.exchange = Exchange(transport, self._roster.others)
         self.exchange.add_topic(MEMBERS_TOPIC, self._roster)
         transport.handle(Ping, self._on_ping)
@@ -102,19 +105,21 @@
 
     def on_revision(self, callback: RevisionCallback) -> None:
         """Call back with the sender and the configuration revision of each ping and answer."""
-        self._revision_callbacks.append(callback)
+        self._revision_listeners.add(callback)
 
     def add_seed(self, peer: Peer) -> None:
         """Make an entry known by its address, to be asked until it answers."""
-        if peer.entry_id == self.local.entry_id:
-            return
-        self._seeds[peer.entry_id] = peer
-        if self._roster.get(peer.entry_id) is None:
-            self._transport.connect(peer)
+        if peer.entry_id != self.local.entry_id:
+            self._seeds[peer.entry_id] = peer
+
+    def set_found_seeds(self, peers: list[Peer]) -> None:
+        """Ask these entries too, in place of those that were found before."""
+        others = (peer for peer in peers if peer.entry_id != self.local.entry_id)
+        self._found_seeds = {peer.entry_id: peer for peer in others}
 
     async def wait_for_others(self, timeout_s: float) -> None:
         """Wait until another entry was heard of, at most for a time; not without seeds."""
-        if not self._seeds:
+        if not self._seeds and not self._found_seeds:
             return
         try:
             await asyncio.wait_for(self._roster.met.wait(), timeout_s)
@@ -144,7 +149,7 @@
         """Return the state as plain data."""
         return {
             **self._roster.dump(),
-            "seeds": sorted(self._seeds),
+            "seeds": sorted({**self._seeds, **self._found_seeds}),
             "counts": {**self.counts, **self._roster.counts},
             "exchange": self.exchange.dump(),
         }
@@ -296,15 +301,17 @@
     def _hear_heartbeat(self, sender: str, incarnation: int, config_revision: int) -> None:
         member = self._roster.get(sender)
         if member is not None and incarnation >= member.incarnation:
-            member.config_revision = max(config_revision, member.config_revision)
-        for callback in self._revision_callbacks:
-            callback(sender, config_revision)
+            member.config_revision = config_revision
+        self._revision_listeners.notify(sender, config_revision)
 
     # Entries that are gone, and comparisons.
 
     async def _sync_forever(self) -> None:
+        interval_s = FIRST_SYNC_S
         while True:
-            await asyncio.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+            # An entry that starts while many others do finds them by comparing more often.
+            interval_s = min(SYNC_INTERVAL_S, 2 * interval_s)
             others = self.live()[1:]
             if others:
                 await self.exchange.sync(self._rng.choice(others).entry_id)
@@ -323,9 +330,10 @@
             await asyncio.sleep(wait_s * self._rng.uniform(0.8, 1.2))
 
     def _lost(self) -> list[str]:
-        unheard = [name for name in self._seeds if self._roster.get(name) is None]
+        seeds = {**self._seeds, **self._found_seeds}
+        unheard = [name for name in seeds if self._roster.get(name) is None]
         for name in unheard:
-            self._transport.connect(self._seeds[name])
+            self._transport.connect(seeds[name])
         return unheard + list(self._roster.gone_at_s)
 
     def _forget_long_gone(self) -> None:
--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -60,6 +60,9 @@
     checks_fencing: Annotated[bool, typer.Option(help="Refuse old fencing numbers.")] = True,
     weights_url: Annotated[str, typer.Option(help="Weight store, empty for a fixed time.")] = "",
     step_s: Annotated[float, typer.Option(help="Time of a decoding step.")] = 0.02,
+    step_per_sequence_s: Annotated[
+        float, typer.Option(help="Added to a step by each further sequence.")
+    ] = 0.0005,
     prefill_tokens_per_s: Annotated[float, typer.Option(help="Speed of prefilling.")] = 20_000.0,
     max_batch: Annotated[int, typer.Option(help="Sequences in a batch.")] = 48,
     max_waiting: Annotated[int, typer.Option(help="Sequences that may wait.")] = 200,
@@ -73,6 +76,7 @@
     loaded = LoadedModel(service_name, model, version, list(adapter or []))
     parameters = EngineParameters(
         step_s=step_s,
+        step_per_sequence_s=step_per_sequence_s,
         prefill_tokens_per_s=prefill_tokens_per_s,
         max_batch=max_batch,
         max_waiting=max_waiting,
@@ -122,6 +126,28 @@
     raise typer.Exit(1 if report.failures else 0)
 
 
+@app.command()
+def scenario(
+    files: Annotated[list[Path], typer.Argument(help="Scenario files.")],
+    seed: Seed = 1,
+    write_golden: Annotated[
+        bool, typer.Option(help="Keep the transcripts as golden files.")
+    ] = False,
+) -> None:
+    """Run scenario files on real processes; exit 1 when an expectation does not hold."""
+    from godwitpath_standin.scenario.run import golden_path, run_scenario
+
+    failed = 0
+    for path in files:
+        outcome = asyncio.run(run_scenario(path, seed))
+        typer.echo(f"{path.name}: {outcome.failure or 'holds'} ({outcome.duration_s:.1f} s)")
+        typer.echo(outcome.transcript)
+        if write_golden and not outcome.failure:
+            golden_path(path).write_text(outcome.transcript, encoding="utf-8")
+        failed += bool(outcome.failure)
+    raise typer.Exit(1 if failed else 0)
+
+
 @app.command()
 def fleet(
     deployment: Deployment = "ramdin",
