--- a/godwitpath/execution/sweep.py
+++ b/godwitpath/execution/sweep.py
@@ -11,11 +11,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from godwitpath.duties.duty import Duty
+from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.execution.record import PREFIX, decode
 from godwitpath.ports.kv import KeyValueStore, RevisionConflict, StoreError
 
 PAGE_KEYS = 200
 PAUSE_S = 0.5
+SWEEP_INTERVAL_S = 600.0
+SWEEP_DUTY = Duty("sweep", "executions")
 
 
 @dataclass(slots=True)
@@ -32,6 +36,29 @@
     complete: bool = False
 
 
+class ExecutionSweeper:
+    """Sweeps now and then while this entry holds the duty.
+
+    :ivar last: result of the last sweep here, None before the first
+    """
+
+    def __init__(self, store: KeyValueStore, keeper: DutyKeeper, keep_s: float) -> None:
+        self._store = store
+        self._keeper = keeper
+        self._keep_s = keep_s
+        self.last: SweepResult | None = None
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            if self._may_act():
+                self.last = await sweep(self._store, self._keep_s, self._may_act)
+
+    def _may_act(self) -> bool:
+        return self._keeper.holding(SWEEP_DUTY) is not None
+
+
 async def sweep(
     store: KeyValueStore,
     keep_s: float,
--- a/test/test_execution_guard.py
+++ b/test/test_execution_guard.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.execution.guard import ExecutionGuard
 from godwitpath.execution.record import (
     BodyMismatch,
@@ -20,7 +21,14 @@
     decode,
     store_key,
 )
-from godwitpath.execution.sweep import sweep
+from godwitpath.execution.sweep import (
+    SWEEP_DUTY,
+    SWEEP_INTERVAL_S,
+    ExecutionSweeper,
+    sweep,
+)
+from godwitpath.membership.member import Member
+from godwitpath.ports.engine import Address
 from godwitpath.records.record import Outcome
 from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
 
@@ -160,6 +168,21 @@
         assert await guard.read("a", "done") is None
         assert await guard.read("a", "open") is not None
 
+    async def test_only_the_holder_of_the_duty_sweeps(self) -> None:
+        store = FakeKeyValueStore()
+        member = Member("e1", "r", "z", Address("test", 1))
+        keeper = DutyKeeper(store, member, lambda: [member], random.Random(1))
+        sweeper = ExecutionSweeper(store, keeper, KEEP_S)
+        tasks = [asyncio.create_task(keeper.run()), asyncio.create_task(sweeper.run())]
+        await asyncio.sleep(SWEEP_INTERVAL_S + 1)
+        assert sweeper.last is None
+        keeper.set_duties([SWEEP_DUTY])
+        await asyncio.sleep(SWEEP_INTERVAL_S + 1)
+        assert sweeper.last is not None
+        assert sweeper.last.complete
+        for task in tasks:
+            task.cancel()
+
 
 class AtMostOnce(RuleBasedStateMachine):
     """Entries that claim, pause, crash, send and finish over a store with faults.
