--- a/test/record_fleet.py
+++ b/test/record_fleet.py
@@ -186,12 +186,20 @@
         while self.outcome is None:
             node = self.fleet.nodes.get(entry_id)
             if node is not None:
-                ref = await node.store.find(self.account, self.request_id)
-                if ref is not None:
-                    await self._read_through(node, ref)
+                try:
+                    await self._visit(node)
+                except asyncio.CancelledError:
+                    # The entry's process died; that ends its requests, and not the caller.
+                    if entry_id in self.fleet.nodes:
+                        raise
             await asyncio.sleep(0.2)
             entry_id = self.fleet.rng.choice(list(self.fleet.nodes))
 
+    async def _visit(self, node: Node) -> None:
+        ref = await node.store.find(self.account, self.request_id)
+        if ref is not None:
+            await self._read_through(node, ref)
+
     async def _read_through(self, node: Node, ref: RecordRef) -> None:
         batches = node.store.follow(ref, self.tokens, self.seen)
         take = asyncio.create_task(self._take(batches))
