--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import explain, gossip, overload, path, retries, routing
+from godwitpath_bench import execution, explain, gossip, overload, path, records, retries, routing
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -20,6 +20,8 @@
 path.register(app)
 gossip.register(app)
 retries.register(app)
+execution.register(app)
+records.register(app)
 
 if __name__ == "__main__":
     app()
