Add the experiments on retries and on account limits; renew loans of shares

Cause: neither decision had been measured; a loan lapsed before it could be lent again. Change: a lender extends a loan, the largest of a borrower's loans counts until all have ended.

--- a/godwitpath/limits/limiter.py
+++ b/godwitpath/limits/limiter.py
@@ -40,7 +40,7 @@
 
 
 class ShareRequest(PeerMessage):
-    """Asks for a part of an account's limit."""
+    """Asks for a part of an account's limit, with what was borrowed there already."""
 
     account: str
     share: float
@@ -83,7 +83,6 @@
     shares: ShareBook = field(default_factory=ShareBook)
     offered: float = 0.0
     demand: float = 0.0
-    lenders: list[str] = field(default_factory=list)
 
 
 class AccountLimiter:
@@ -149,32 +148,39 @@
                 requests.append(ShareRequest(account, lacking))
         return requests
 
-    def lend(self, request: ShareRequest, now_s: float) -> ShareGrant:
+    def lend(self, borrower: str, request: ShareRequest, now_s: float) -> ShareGrant:
         """Answer a peer that lacks a part of a limit."""
         state = self._accounts.get(request.account)
         if state is None:
             state = self._accounts[request.account] = self._idle_state(now_s)
         self._fill(state, now_s)
         own = max(HEADROOM * state.demand, RESERVE * self._base)
-        share = state.shares.lend(request.share, own, self._base, now_s)
+        share = state.shares.lend(borrower, request.share, own, self._base, now_s)
         self.counters.share_grants += share > 0.0
         return ShareGrant(request.account, share)
 
-    def borrow(self, grant: ShareGrant, asked_at_s: float, now_s: float) -> None:
+    def request(self, lender: str, account: str, lacking: float, now_s: float) -> ShareRequest:
+        """Return what to ask a peer for."""
+        state = self._accounts.get(account)
+        has = state.shares.lasting_from(lender, now_s) if state else 0.0
+        return ShareRequest(account, lacking + has)
+
+    def borrow(self, lender: str, grant: ShareGrant, asked_at_s: float, now_s: float) -> None:
         """Take in a peer's answer."""
         state = self._accounts.get(grant.account)
         if state is not None:
             self._fill(state, now_s)
-            state.shares.borrow(grant.share, asked_at_s, now_s)
+            state.shares.borrow(lender, grant.share, asked_at_s, now_s)
 
-    def peers_to_ask(self, account: str, live: Sequence[str]) -> list[str]:
-        """Return the peers to ask in a round: lately lenders first, then others at random."""
+    def peers_to_ask(self, account: str, live: Sequence[str], now_s: float) -> list[str]:
+        """Return the peers to ask in a round: lenders of loans that end, then any at random."""
         others = [entry_id for entry_id in live if entry_id != self.entry_id]
         state = self._accounts.get(account)
-        lenders = [name for name in (state.lenders if state else []) if name in others]
-        rest = [name for name in others if name not in lenders]
+        ending = state.shares.ending(now_s) if state else []
+        first = [name for name in ending if name in others]
+        rest = [name for name in others if name not in first]
         self._rng.shuffle(rest)
-        return [*lenders, *rest][:PEERS_ASKED]
+        return [*first, *rest][: max(PEERS_ASKED, len(first))]
 
     async def run(self, transport: PeerTransport, live: Callable[[], Sequence[str]]) -> None:
         """Exchange shares with the peers until cancelled.
@@ -184,7 +190,7 @@
         loop = asyncio.get_running_loop()
 
         async def answer(sender: str, request: ShareRequest) -> ShareGrant:
-            return self.lend(request, loop.time())
+            return self.lend(sender, request, loop.time())
 
         transport.handle(ShareRequest, answer)
         while True:
@@ -217,33 +223,22 @@
         self, transport: PeerTransport, request: ShareRequest, live: Sequence[str]
     ) -> None:
         loop = asyncio.get_running_loop()
-        lacking = request.share
-        for peer in self.peers_to_ask(request.account, live):
+        account, lacking = request.account, request.share
+        for peer in self.peers_to_ask(account, live, loop.time()):
             asked_at_s = loop.time()
-            message = ShareRequest(request.account, lacking)
+            message = self.request(peer, account, lacking, asked_at_s)
             self.counters.share_requests += 1
             try:
                 reply = await transport.request(peer, message, REQUEST_TIMEOUT_S)
             except PeerUnreachable:
-                self._note_lender(request.account, peer, 0.0)
                 continue
-            if not isinstance(reply, ShareGrant) or reply.account != request.account:
+            if not isinstance(reply, ShareGrant) or reply.account != account:
                 continue
-            self.borrow(reply, asked_at_s, loop.time())
-            self._note_lender(request.account, peer, reply.share)
-            lacking -= reply.share
+            self.borrow(peer, reply, asked_at_s, loop.time())
+            lacking -= max(0.0, reply.share - (message.share - lacking))
             if lacking < MIN_WANTED:
                 return
 
-    def _note_lender(self, account: str, peer: str, share: float) -> None:
-        state = self._accounts.get(account)
-        if state is None:
-            return
-        if peer in state.lenders:
-            state.lenders.remove(peer)
-        if share > 0.0:
-            state.lenders = [peer, *state.lenders][: PEERS_ASKED - 1]
-
     def _state(self, account: str, spec: Account, now_s: float) -> _AccountState:
         state = self._accounts.get(account)
         if state is None or state.spec is _UNKNOWN:
--- a/godwitpath/limits/shares.py
+++ b/godwitpath/limits/shares.py
@@ -67,49 +67,80 @@
 
 @dataclass(slots=True)
 class ShareBook:
-    """Loans of one account at one entry."""
+    """Loans of one account at one entry.
 
-    borrowed: list[Loan] = field(default_factory=list)
-    lent: list[Loan] = field(default_factory=list)
+    :ivar borrowed: latest loan of each lender
+    :ivar lent: loans to each borrower that have not ended; the largest of them counts
+    """
+
+    borrowed: dict[str, Loan] = field(default_factory=dict)
+    lent: dict[str, list[Loan]] = field(default_factory=dict)
 
     def share(self, base: float, now_s: float) -> float:
         """Return the part of the limit that this entry may use now."""
-        return max(0.0, base + _sum(self.borrowed, now_s) - _sum(self.lent, now_s))
+        return max(0.0, base + _sum(self.borrowed.values(), now_s) - self._lent(now_s))
 
     def lasting(self, base: float, now_s: float) -> float:
         """Return the part that is left when the loans that end soon are not counted on."""
-        lasting = _sum(self.borrowed, now_s + RENEW_BEFORE_S)
-        return max(0.0, base + lasting - _sum(self.lent, now_s))
+        gained = sum(self.lasting_from(lender, now_s) for lender in self.borrowed)
+        return max(0.0, base + gained - self._lent(now_s))
+
+    def lasting_from(self, lender: str, now_s: float) -> float:
+        """Return the part borrowed from an entry, if the loan does not end soon."""
+        loan = self.borrowed.get(lender)
+        return loan.share if loan and loan.until_s > now_s + RENEW_BEFORE_S else 0.0
+
+    def ending(self, now_s: float) -> list[str]:
+        """Return the lenders whose loans end soon."""
+        return [lender for lender in self.borrowed if not self.lasting_from(lender, now_s)]
 
     def integral(self, base: float, start_s: float, end_s: float) -> float:
         """Return the share summed over an interval in which no loan began."""
-        gained = sum(loan.share * loan.active_s(start_s, end_s) for loan in self.borrowed)
-        given = sum(loan.share * loan.active_s(start_s, end_s) for loan in self.lent)
+        gained = sum(loan.share * loan.active_s(start_s, end_s) for loan in self.borrowed.values())
+        given = sum(
+            max(loan.share for loan in loans) * max(loan.active_s(start_s, end_s) for loan in loans)
+            for loans in self.lent.values()
+        )
         return max(0.0, base * (end_s - start_s) + gained - given)
 
-    def lend(self, want: float, own: float, base: float, now_s: float) -> float:
-        """Lend what is wanted, as far as this entry does not need its base share itself.
+    def lend(self, borrower: str, want: float, own: float, base: float, now_s: float) -> float:
+        """Lend an entry what it wants in all, as far as the base share is not needed here.
 
+        :param want: part wanted, with what the borrower has from here already
         :param own: part of the limit that this entry needs
-        :returns: the part lent, 0 for nothing
+        :returns: the part that the borrower now has from here, 0 for no loan
         """
-        spare = base - max(own, 0.0) - _sum(self.lent, now_s)
+        spare = base - max(own, 0.0) - self._lent(now_s, except_to=borrower)
         share = min(want, spare)
         if share <= 0.0:
             return 0.0
-        self.lent.append(Loan(share, now_s + LOAN_S * LENDER_FACTOR))
+        loan = Loan(share, now_s + LOAN_S * LENDER_FACTOR)
+        # Whether the borrower hears of this loan is not known, so earlier ones still count.
+        self.lent.setdefault(borrower, []).append(loan)
         return share
 
-    def borrow(self, share: float, asked_at_s: float, now_s: float) -> None:
-        """Take in a loan; one that comes too late is not used."""
+    def borrow(self, lender: str, share: float, asked_at_s: float, now_s: float) -> None:
+        """Take in a loan; one that comes too late, or after a later one, is not used."""
         loan = Loan(share, asked_at_s + LOAN_S)
-        if share > 0.0 and loan.until_s > now_s:
-            self.borrowed.append(loan)
+        known = self.borrowed.get(lender)
+        later = known is None or loan.until_s > known.until_s
+        if share > 0.0 and loan.until_s > now_s and later:
+            self.borrowed[lender] = loan
 
     def expire(self, now_s: float) -> None:
         """Drop the loans that ended."""
-        self.borrowed = [loan for loan in self.borrowed if loan.until_s > now_s]
-        self.lent = [loan for loan in self.lent if loan.until_s > now_s]
+        self.borrowed = {name: loan for name, loan in self.borrowed.items() if loan.until_s > now_s}
+        for borrower, loans in list(self.lent.items()):
+            self.lent[borrower] = [loan for loan in loans if loan.until_s > now_s]
+            if not self.lent[borrower]:
+                del self.lent[borrower]
+
+    def _lent(self, at_s: float, except_to: str = "") -> float:
+        return sum(
+            max((loan.share for loan in loans if loan.until_s > at_s), default=0.0)
+            for borrower, loans in self.lent.items()
+            if borrower != except_to
+        )
 
 
 def _sum(loans: Iterable[Loan], at_s: float) -> float:
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from godwitpath_bench import overload, path, retries, routing
+from godwitpath_bench import overload, path, retries, routing, shares
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -18,6 +18,7 @@
 overload.register(app)
 path.register(app)
 retries.register(app)
+shares.register(app)
 
 if __name__ == "__main__":
     app()
--- a/godwitpath_bench/retries.py
+++ b/godwitpath_bench/retries.py
@@ -14,16 +14,25 @@
 from godwitpath.routing.choose import NoUpstream, RouteQuery, choose
 from godwitpath_bench.engine_model import EngineModel, EngineSpec
 from godwitpath_bench.fleet import Attempt, Entry, Fleet, Outcome
-from godwitpath_bench.policies import placed
+from godwitpath_bench.policies import placed, prefix_cost
 from godwitpath_bench.report import SEEDS, Table, in_parallel
 from godwitpath_bench.routing import RATES, met
-from godwitpath_bench.work import REGIONS, Workload
+from godwitpath_bench.work import REGIONS, Call, Workload
 
 ENGINES = 6
 """Engines, two in each zone."""
 
 LOAD = 1.2
-"""Multiple of the ordinary work, of which five engines carry the peak."""
+"""Multiple of the ordinary work at the peak, which the engines that are left cannot carry."""
+
+FIRST_TOKEN_TIMEOUT_S = 3.0
+"""Silence before the first token after which an attempt is given up, if another may be made."""
+
+UNLIMITED_PAUSE_S = 0.5
+"""Wait before each attempt of the unlimited way."""
+
+POLL_S = 0.1
+"""Time between two looks at a spent budget."""
 
 LOST_AT_S = 40.0
 """When the zone is lost."""
@@ -37,21 +46,25 @@
 DETECT_S = 0.3
 """Time until a call on a lost engine is known to be lost."""
 
-REFUSE_WAITING = 200
+REFUSE_WAITING = 100
 """Calls that wait at an engine from which on it refuses more."""
 
 WINDOW_S = 5.0
 """Windows in which the way back to the target is looked for."""
 
 
+Again = Callable[["Retrying", Entry, Outcome, Exception], float | None]
+"""Returns the wait before another attempt, None for no other now."""
+
+
 @dataclass
 class Retrying(Fleet):
     """A fleet that loses a zone; a failed call is tried again as `again` says."""
 
-    again: Callable[[Retrying, Entry, Outcome, Exception], float | None] = lambda *_: None
-    calls_sent: int = 0
-    sent_after_loss: int = 0
-    received_after_loss: int = 0
+    again: Again = lambda *_: None
+    waits_for_budget: bool = False
+    sent_at: list[float] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)
     on_engine: dict[str, dict[int, Attempt]] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     tried: dict[int, set[str]] = field(default_factory=dict)
@@ -70,7 +83,7 @@
 
     def take(self, entry: Entry, outcome: Outcome) -> None:
         """Handle a fresh call."""
-        self.received_after_loss += self.clock.now_s >= LOST_AT_S
+        self.received_at.append(self.clock.now_s)
         self._budget(entry).note_fresh(self.clock.now_s)
         self.attempt(entry, outcome)
 
@@ -94,8 +107,7 @@
             self.tried.pop(call.number, None)
             outcome.state = "failed"
             return
-        self.calls_sent += 1
-        self.sent_after_loss += self.clock.now_s >= LOST_AT_S
+        self.sent_at.append(self.clock.now_s)
         self.dispatch(entry, outcome, placed(choice))
 
     def submit(self, attempt: Attempt) -> None:
@@ -111,24 +123,54 @@
         self.on_engine.setdefault(attempt.upstream_id, {})[number] = attempt
         super().submit(attempt)
 
+        self.clock.at(self.clock.now_s + FIRST_TOKEN_TIMEOUT_S, lambda: self._silent(attempt))
+
+    def first(self, attempt: Attempt, cached_tokens: int) -> None:
+        """Bring the first token, unless the attempt was given up."""
+        if not attempt.ticket.ended:
+            super().first(attempt, cached_tokens)
+
     def end(self, attempt: Attempt) -> None:
-        """Bring the last token."""
+        """Bring the last token, unless the attempt was given up."""
+        if attempt.ticket.ended:
+            return
         self.on_engine[attempt.upstream_id].pop(attempt.outcome.call.number, None)
         super().end(attempt)
 
     def _fail_later(self, attempt: Attempt, error: Exception) -> None:
         self.clock.at(self.clock.now_s + DETECT_S, lambda: self._fail(attempt, error))
 
+    def _silent(self, attempt: Attempt) -> None:
+        if attempt.first_at_s or attempt.ticket.ended:
+            return
+        # The engine goes on with what was given up: its cancel may be lost.
+        wait_s = self.again(self, attempt.entry, attempt.outcome, EngineLost("silent"))
+        if wait_s is not None:
+            attempt.entry.book.cancelled(attempt.ticket, self.clock.now_s)
+            outcome, entry = attempt.outcome, attempt.entry
+            self.clock.at(self.clock.now_s + wait_s, lambda: self.attempt(entry, outcome))
+
     def _fail(self, attempt: Attempt, error: Exception) -> None:
+        if attempt.ticket.ended:
+            return
         outcome, entry = attempt.outcome, attempt.entry
         self.on_engine.get(attempt.upstream_id, {}).pop(outcome.call.number, None)
         entry.book.failed(attempt.ticket, self.clock.now_s)
         self.tried.setdefault(outcome.call.number, set()).add(attempt.upstream_id)
         outcome.first_s = 0.0
+        self._try_again(entry, outcome, error)
+
+    def _try_again(self, entry: Entry, outcome: Outcome, error: Exception) -> None:
         wait_s = self.again(self, entry, outcome, error)
-        if wait_s is None:
+        late = self.clock.now_s > outcome.call.at_s + outcome.call.deadline_s
+        if wait_s is None and (late or not self.waits_for_budget):
             outcome.state = "failed"
             return
+        if wait_s is None:
+            # An accepted call is not dropped for the budget; it waits until there is some.
+            later_s = self.clock.now_s + POLL_S
+            self.clock.at(later_s, lambda: self._try_again(entry, outcome, error))
+            return
         self.clock.at(self.clock.now_s + wait_s, lambda: self.attempt(entry, outcome))
 
     def _in_zone(self, zone: str) -> list[EngineModel]:
@@ -150,11 +192,18 @@
     return backoff_s(outcome.attempts, entry.rng) if decision.retry else None
 
 
+def first_free(fleet: Retrying, entry: Entry, outcome: Outcome, error: Exception) -> float | None:
+    """Try again as the product does, but do not count the first time after a lost engine."""
+    if outcome.attempts == 1 and str(error) != "silent":
+        return backoff_s(outcome.attempts, entry.rng)
+    return with_budget(fleet, entry, outcome, error)
+
+
 def unlimited(fleet: Retrying, entry: Entry, outcome: Outcome, error: Exception) -> float | None:
-    """Try again at once, anywhere, until the deadline."""
+    """Try again soon, anywhere, until the deadline."""
     fleet.tried.pop(outcome.call.number, None)
     late = fleet.clock.now_s > outcome.call.at_s + outcome.call.deadline_s
-    return None if late else 0.0
+    return None if late else UNLIMITED_PAUSE_S
 
 
 def never(fleet: Retrying, entry: Entry, outcome: Outcome, error: Exception) -> float | None:
@@ -162,8 +211,9 @@
     return None
 
 
-WAYS: dict[str, Callable[[Retrying, Entry, Outcome, Exception], float | None]] = {
+WAYS: dict[str, Again] = {
     "godwitpath": with_budget,
+    "first retry free": first_free,
     "unlimited": unlimited,
     "none": never,
 }
@@ -181,23 +231,32 @@
     figures = {}
     for name, again in WAYS.items():
         calls = Workload("ramdin", seed, DURATION_S, 1, RATES["ramdin"] * LOAD).calls()
-        fleet = Retrying(specs(), lambda *_: None, seed, 6, again=again)  # type: ignore[arg-type, return-value]
-        zone = specs()[0].availability_zone
-        fleet.clock.at(LOST_AT_S, lambda fleet=fleet: fleet.lose(zone))  # type: ignore[misc]
-        fleet.clock.at(BACK_AT_S, lambda fleet=fleet: fleet.recover(zone))  # type: ignore[misc]
-        outcomes = fleet.run(calls, 60.0)
-        figures[name] = _figures(fleet, outcomes)
+        figures[name] = play(calls, seed, again)
     return figures
 
 
+def play(calls: list[Call], seed: int, again: Again) -> dict[str, float]:
+    """Play the work, the loss and the return under one way of trying again."""
+    paced = again in (with_budget, first_free)
+    fleet = Retrying(specs(), prefix_cost, seed, 6, again=again, waits_for_budget=paced)
+    zone = specs()[0].availability_zone
+    fleet.clock.at(LOST_AT_S, lambda: fleet.lose(zone))
+    fleet.clock.at(BACK_AT_S, lambda: fleet.recover(zone))
+    return _figures(fleet, fleet.run(calls, 30.0))
+
+
 def _figures(fleet: Retrying, outcomes: list[Outcome]) -> dict[str, float]:
     during = [o for o in outcomes if LOST_AT_S <= o.call.at_s < BACK_AT_S]
     after = [o for o in outcomes if o.call.at_s >= BACK_AT_S]
-    hit = [o for o in outcomes if o.call.at_s < LOST_AT_S <= max(o.end_s, o.call.at_s + 0.001)]
+    hit = [o for o in outcomes if o.attempts > 1]
     return {
-        "calls_sent_per_call_received": fleet.sent_after_loss / max(1, fleet.received_after_loss),
+        "sent_per_received_after_loss": _amplification(fleet, LOST_AT_S, DURATION_S),
+        "sent_per_received_worst_10_s": max(
+            _amplification(fleet, at_s, at_s + 10.0)
+            for at_s in range(int(LOST_AT_S), int(DURATION_S) - 10, 5)
+        ),
         "failed": float(sum(o.state != "finished" for o in outcomes)),
-        "failed_of_those_in_progress": float(sum(o.state != "finished" for o in hit)),
+        "tried_again": float(len(hit)),
         "met_target_while_lost": sum(map(met, during)) / len(during),
         "met_target_after_return": sum(map(met, after)) / len(after),
         "back_to_target_after_loss_s": _back_after_s(outcomes, LOST_AT_S),
@@ -205,6 +264,12 @@
     }
 
 
+def _amplification(fleet: Retrying, start_s: float, end_s: float) -> float:
+    sent = sum(start_s <= at_s < end_s for at_s in fleet.sent_at)
+    received = sum(start_s <= at_s < end_s for at_s in fleet.received_at)
+    return sent / max(1, received)
+
+
 def _back_after_s(outcomes: list[Outcome], since_s: float) -> float:
     """Return the time until a window from which on every window meets the target."""
     back_s = since_s
