--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -148,18 +148,32 @@
     raise typer.Exit(1 if failed else 0)
 
 
+@app.command()
+def serve_without(
+    mechanism: Annotated[str, typer.Argument(help="Mechanism to leave out.")],
+    settings: Annotated[Path, typer.Option(help="JSON file with the settings.")],
+) -> None:
+    """Run an entry without one of its mechanisms, to see a proof fail."""
+    from godwitpath_standin import unsafe
+
+    unsafe.serve_without(mechanism, settings)
+
+
 @app.command()
 def prove(
     which: Annotated[str, typer.Argument(help="Number of a property, or all.")] = "all",
     seed: Seed = 1,
     trials: Annotated[int, typer.Option(help="Runs of each scenario.")] = 2,
+    without_mechanism: Annotated[
+        bool, typer.Option(help="Leave out each property's mechanism; every proof must fail.")
+    ] = False,
 ) -> None:
     """Prove the properties that must hold on real processes; exit 1 on a violation."""
     from godwitpath_standin import prove as proofs
 
     violations = 0
     typer.echo(proofs.HEADER)
-    for row in proofs.prove(proofs.chosen(which), seed, trials):
+    for row in proofs.prove(proofs.chosen(which), seed, trials, without_mechanism):
         typer.echo(str(row))
         for violation in row.violations:
             typer.echo(f"     {violation}", err=True)
--- a/godwitpath_standin/fleet.py
+++ b/godwitpath_standin/fleet.py
@@ -40,6 +40,7 @@
     """A running deployment; entries and engines are counted from 1.
 
     :param spares: engines without a model that the cloud can give, for each generation service
+    :param without: mechanism that the entries leave out, see :mod:`godwitpath_standin.unsafe`
     :ivar deployment: what is started
     :ivar operator_key: key of the operator addresses
     :ivar log_folder: where each process's error output goes
@@ -54,12 +55,14 @@
         engines: dict[str, int] | None = None,
         configuration_text: str = "",
         spares: int = 0,
+        without: str = "",
     ) -> None:
         self.deployment = DEPLOYMENTS[deployment]
         self.operator_key = secrets.token_hex(16)
         self._engine_counts = engines or self.deployment.engines
         self._configuration_text = configuration_text or self.deployment.configuration_text()
         self._entry_count = entries
+        self._without = without
         self._spare_count = spares
         self._spares: list[Spare] = []
         self._ports: ReservedPorts | None = None
@@ -306,7 +309,10 @@
 
     async def _start_entry(self, number: int, settings_path: Path) -> None:
         name = f"entry-{number}"
-        arguments = ["godwitpath", "serve", "--settings", str(settings_path)]
+        program = ["godwitpath", "serve"]
+        if self._without:
+            program = ["godwitpath_standin", "serve-without", self._without]
+        arguments = [*program, "--settings", str(settings_path)]
         process = await self._launch(name, arguments)
         self._list(name, "entry", number - 1, process.announced["caller"], "small")
 
--- a/godwitpath_standin/load.py
+++ b/godwitpath_standin/load.py
@@ -36,6 +36,8 @@
     :ivar rate_per_s: requests begun a second, both kinds together
     :ivar prompt_characters: least and most length of a prompt
     :ivar deadline_s: time after which a caller gives up
+    :ivar keyed: whether generations carry idempotency keys; without one a caller that lost its
+        entry comes back with the request identifier
     """
 
     urls: Callable[[], list[str]]
@@ -50,6 +52,7 @@
     max_tokens: int = 40
     prompt_characters: tuple[int, int] = (200, 2000)
     deadline_s: float = 30.0
+    keyed: bool = True
 
 
 @dataclass(slots=True)
@@ -59,6 +62,7 @@
     text: str = ""
     tokens: int = 0
     last_event_id: str = ""
+    request_id: str = ""
     finished: bool = False
     failed: str = ""
     rest: bytes = b""
@@ -105,16 +109,18 @@
         outcome = CallOutcome(f"load-{self._run}-{number}", "generation")
         self.result.outcomes.append(outcome)
         stream = _Stream()
-        headers = self._headers(service, outcome.key)
+        headers = self._headers(service, outcome.key if plan.keyed else "")
         raw = json.dumps(body).encode()
 
         async def attempt(url: str) -> bool:
             resume = [("last-event-id", stream.last_event_id)] if stream.last_event_id else []
+            again = bool(stream.request_id) and not plan.keyed
+            path = f"/v1/requests/{stream.request_id}/events" if again else "/v1/chat/completions"
             answer = await self._client.open(
-                "POST",
-                f"{url}/v1/chat/completions",
+                "GET" if again else "POST",
+                f"{url}{path}",
                 headers + resume,
-                raw,
+                b"" if again else raw,
                 timeout_s=plan.deadline_s,
                 idle_timeout_s=IDLE_TIMEOUT_S,
             )
@@ -122,6 +128,7 @@
                 await self._refused(outcome, answer)
                 return False
             outcome.accepted = True
+            stream.request_id = answer.header("x-request-id")
             await self._read_stream(answer, stream)
             return stream.finished
 
@@ -220,11 +227,8 @@
 
     def _headers(self, service: str, key: str) -> list[tuple[str, str]]:
         api_key = self._rng.choice(self._plan.api_keys[service])
-        return [
-            ("content-type", "application/json"),
-            ("authorization", f"Bearer {api_key}"),
-            ("idempotency-key", key),
-        ]
+        headers = [("content-type", "application/json"), ("authorization", f"Bearer {api_key}")]
+        return [*headers, ("idempotency-key", key)] if key else headers
 
     def _prompt(self, number: int) -> str:
         least, most = self._plan.prompt_characters
--- a/godwitpath_standin/prove.py
+++ b/godwitpath_standin/prove.py
@@ -18,22 +18,24 @@
     """A property with the scenario files that prove it.
 
     :ivar number: as the proofs are asked for
+    :ivar mechanism: what the first file is seen to fail without
     """
 
     number: int
     name: str
     files: tuple[str, ...]
+    mechanism: str
 
 
 PROPERTIES = (
-    Property(1, "accepted completes", ("accepted-completes", "zone-dies-in-reclaim")),
-    Property(2, "own answer, whole", ("own-answer",)),
-    Property(3, "not run is true", ("not-run-is-true", "cut-calls")),
-    Property(4, "at most once", ("at-most-once", "frozen-holder")),
-    Property(5, "leaving upstreams get no new work", ("leaving-upstream",)),
-    Property(6, "planned stops are graceful", ("planned-stop", "stop-of-a-zone")),
-    Property(7, "configuration in force, never back", ("configuration",)),
-    Property(8, "silent connections", ("silent-connections",)),
+    Property(1, "accepted completes", ("zone-dies-in-reclaim", "accepted-completes"), "copies"),
+    Property(2, "own answer, whole", ("own-answer",), "continuation"),
+    Property(3, "not run is true", ("not-run-is-true", "cut-calls"), "guard"),
+    Property(4, "at most once", ("at-most-once", "frozen-holder"), "guard"),
+    Property(5, "leaving upstreams get no new work", ("leaving-upstream",), "upstream-states"),
+    Property(6, "planned stops are graceful", ("planned-stop", "stop-of-a-zone"), "drain"),
+    Property(7, "configuration in force, never back", ("configuration",), "spreading"),
+    Property(8, "silent connections", ("silent-connections",), "liveness"),
 )
 """Every property; the eighth are the open connections that go silent for good."""
 
@@ -73,12 +75,18 @@
             yield one
 
 
-def prove(properties: Iterator[Property], seed: int, trials: int) -> Iterator[ProofRow]:
-    """Run the proofs and yield a row for each scenario file as it ends."""
+def prove(
+    properties: Iterator[Property], seed: int, trials: int, unsafe: bool = False
+) -> Iterator[ProofRow]:
+    """Run the proofs and yield a row for each scenario file as it ends.
+
+    :param unsafe: run the first file of each property without its mechanism
+    """
     for one in properties:
-        for name in one.files:
+        without = one.mechanism if unsafe else ""
+        for name in one.files[:1] if unsafe else one.files:
             row = ProofRow(one, name)
             path: Path = SCENARIOS / f"{name}.scenario"
             for trial in range(trials):
-                row.add(asyncio.run(run_scenario(path, seed + trial)), seed + trial)
+                row.add(asyncio.run(run_scenario(path, seed + trial, without)), seed + trial)
             yield row
--- a/godwitpath_standin/scenario/parse.py
+++ b/godwitpath_standin/scenario/parse.py
@@ -91,6 +91,9 @@
     def load_generations(self, name: Token, count: Token, duration_s: float) -> steps.Step:
         return steps.Load(*self._place, str(name), True, int(count), duration_s)
 
+    def load_unkeyed(self, name: Token, count: Token, duration_s: float) -> steps.Step:
+        return steps.Load(*self._place, str(name), True, int(count), duration_s, keyed=False)
+
     def load_calls(self, name: Token, count: Token, duration_s: float) -> steps.Step:
         return steps.Load(*self._place, str(name), False, int(count), duration_s)
 
--- a/godwitpath_standin/scenario/perform.py
+++ b/godwitpath_standin/scenario/perform.py
@@ -18,7 +18,7 @@
 from godwitpath_standin.scenario.check import check
 from godwitpath_standin.scenario.session import CallResult, ScenarioFailed, Session
 
-LOAD_TOKENS = 40
+LOAD_TOKENS = 240
 """Tokens of each generation of a load."""
 
 
@@ -33,7 +33,7 @@
 
 @perform.register
 async def _(step: steps.StartFleet, session: Session) -> None:
-    fleet = Fleet(step.deployment, entries=step.entries, seed=session.seed)
+    fleet = Fleet(step.deployment, entries=step.entries, seed=session.seed, without=session.without)
     session.started = await session.stack.enter_async_context(fleet)
 
 
@@ -49,6 +49,7 @@
     plan = load_plan(session.fleet, generations, calls, rate_per_s, session.seed)
     plan.urls = session.balanced_urls
     plan.max_tokens = LOAD_TOKENS
+    plan.keyed = step.keyed
     session.start_load(step.name, Load(plan))
 
 
--- a/godwitpath_standin/scenario/run.py
+++ b/godwitpath_standin/scenario/run.py
@@ -27,13 +27,16 @@
     duration_s: float
 
 
-async def run_scenario(path: Path, seed: int = 1) -> ScenarioOutcome:
-    """Run one scenario file to its end or its first failure."""
+async def run_scenario(path: Path, seed: int = 1, without: str = "") -> ScenarioOutcome:
+    """Run one scenario file to its end or its first failure.
+
+    :param without: mechanism that the entries leave out, empty for none
+    """
     steps = parse_scenario(path)
     began_s = time.monotonic()
     failure = ""
     async with AsyncExitStack() as stack:
-        session = Session(stack, seed)
+        session = Session(stack, seed, without)
         stack.push_async_callback(session.client.close)
         for step in steps:
             session.transcript.append(step.text)
--- a/godwitpath_standin/scenario/session.py
+++ b/godwitpath_standin/scenario/session.py
@@ -45,11 +45,13 @@
 class Session:
     """What steps share.
 
+    :ivar without: mechanism that the entries leave out, empty for none
     :ivar transcript: lines of the session, free of times and random identifiers
     """
 
     stack: AsyncExitStack
     seed: int = 1
+    without: str = ""
     transcript: list[str] = field(default_factory=list)
     loads: dict[str, asyncio.Task[LoadResult]] = field(default_factory=dict)
     calls: dict[str, Call] = field(default_factory=dict)
--- a/godwitpath_standin/scenario/steps.py
+++ b/godwitpath_standin/scenario/steps.py
@@ -51,12 +51,14 @@
     """Start a bounded load in the background.
 
     :ivar generations: whether it is generations, else calls that may not be repeated
+    :ivar keyed: whether callers give idempotency keys; without, they ask by request identifier
     """
 
     name: str
     generations: bool
     count: int
     duration_s: float
+    keyed: bool = True
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/godwitpath_standin/unsafe.py
@@ -0,0 +1,123 @@
+"""Entries with one mechanism switched off, so that a proof is seen to fail without it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from godwitpath.adapters.engine_http import HttpEngine
+from godwitpath.config_sync.in_force import ConfigInForce
+from godwitpath.entry.drain import Drain
+from godwitpath.entry.generate import GenerationRunner
+from godwitpath.execution.guard import ExecutionGuard
+from godwitpath.execution.record import Claim, ExecutionRecord
+from godwitpath.records.backup import BackupKeeper
+from godwitpath.settings import load_settings
+from godwitpath.upstreams.table import UpstreamTable
+
+ENDLESS_S = 1e6
+
+
+def _without_copies() -> None:
+    """Hold records without a copy at a backup."""
+
+    async def place(_keeper: BackupKeeper, _record: Any) -> bool:
+        return False
+
+    _replace(BackupKeeper, "place", place)
+
+
+def _without_continuation() -> None:
+    """Start each attempt anew, and take whatever offset comes."""
+    call = GenerationRunner._call
+
+    def fresh_call(runner: GenerationRunner, generation: Any, attempt_id: str) -> Any:
+        made = call(runner, generation, attempt_id)
+        made.delivered_text, made.delivered_tokens = "", 0
+        return made
+
+    def append(runner: GenerationRunner, record: Any, chunk: Any) -> None:
+        from godwitpath.records.record import Piece
+
+        piece = Piece(record.tokens, chunk.text, chunk.tokens)
+        runner._context.records.append(record, piece)
+
+    _replace(GenerationRunner, "_call", fresh_call)
+    _replace(GenerationRunner, "_append", append)
+
+
+def _without_guard() -> None:
+    """Send calls that may run once without an execution record."""
+
+    async def claim(
+        _guard: ExecutionGuard, account: str, key: str, digest: str, request_id: str
+    ) -> Claim:
+        record = ExecutionRecord("sent", account, digest, request_id, "", "", request_id, 0.0)
+        return Claim("exec/none", record, 0)
+
+    async def settled(*_arguments: Any) -> bool:
+        return True
+
+    _replace(ExecutionGuard, "claim", claim)
+    _replace(ExecutionGuard, "finish", settled)
+    _replace(ExecutionGuard, "release", settled)
+
+
+def _without_upstream_states() -> None:
+    """Send new work to upstreams that are leaving."""
+
+    def serving(table: UpstreamTable, service: str) -> list[Any]:
+        return [one for one in table.all() if one.service == service and one.state != "gone"]
+
+    _replace(UpstreamTable, "serving", serving)
+
+
+def _without_drain() -> None:
+    """End at once when told to stop."""
+
+    async def nothing(_drain: Drain) -> None:
+        return
+
+    _replace(Drain, "leave", nothing)
+    _replace(Drain, "finish", nothing)
+
+
+def _without_spreading() -> None:
+    """Keep the first configuration."""
+    offer = ConfigInForce.offer
+
+    def first_only(config: ConfigInForce, envelope: Any, from_tree: bool = False) -> bool:
+        return not config.ready and offer(config, envelope, from_tree)
+
+    _replace(ConfigInForce, "offer", first_only)
+
+
+def _without_liveness() -> None:
+    """Wait for ever on a silent stream."""
+    HttpEngine.__init__.__defaults__ = (2.0, ENDLESS_S, 1.0)
+
+
+def _replace(owner: type, name: str, function: Callable[..., Any]) -> None:
+    setattr(owner, name, function)
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "copies": _without_copies,
+    "continuation": _without_continuation,
+    "guard": _without_guard,
+    "upstream-states": _without_upstream_states,
+    "drain": _without_drain,
+    "spreading": _without_spreading,
+    "liveness": _without_liveness,
+}
+"""Each mechanism that can be left out, by name."""
+
+
+def serve_without(mechanism: str, settings: Path) -> None:
+    """Run an entry daemon without a mechanism."""
+    from godwitpath.entry.daemon import run_daemon
+
+    MECHANISMS[mechanism]()
+    asyncio.run(run_daemon(load_settings(str(settings), settings.read_text(encoding="utf-8"))))
--- a/test/test_scenarios.py
+++ b/test/test_scenarios.py
@@ -12,10 +12,17 @@
 
 FOLDER = Path(__file__).parent / "scenarios"
 FILES = sorted(FOLDER.glob("*.scenario"))
+GROUPS = 2
+"""Fleets that run beside each other; more of them would want more cores than there are."""
 
 
-@pytest.mark.xdist_group("fleet")
-@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+@pytest.mark.parametrize(
+    "path",
+    [
+        pytest.param(path, id=path.stem, marks=pytest.mark.xdist_group(f"fleet-{n % GROUPS}"))
+        for n, path in enumerate(FILES)
+    ],
+)
 async def test_scenario_holds(path: Path) -> None:
     outcome = await run_scenario(path)
     assert outcome.failure == ""
