Tell the entry that took a call over what became of it

Cause: an entry that was cut off during a plain call, or handed it over, learned the answer after another entry had settled the call as unknown; the answer was dropped with the fenced record, and callers heard 'unknown' for a call that had run.

Change: a fenced entry offers the outcome of a plain call to the holder, which takes it in place of none or of 'unknown'. Ruled out: keeping the old holder's record, since two entries would answer differently.

Before: test_the_outcome_of_a_call_reaches_the_entry_that_took_it_over gives b'' for b'booked'; after: both outcomes, at the adopter and its backup.

--- a/godwitpath/records/backup.py
+++ b/godwitpath/records/backup.py
@@ -20,14 +20,16 @@
     HeldQuery,
     HeldReply,
     HolderChanged,
+    OfferOutcome,
     RecordCopy,
     UpdateResults,
     image_of,
     pack,
+    shortened,
 )
 from godwitpath.records.peer_calls import PeerCalls
 from godwitpath.records.placement import ASKED_PEERS, askable, backups
-from godwitpath.records.record import RequestRecord
+from godwitpath.records.record import Outcome, RequestRecord
 from godwitpath.records.table import RecordCounters, RecordTable
 
 COPY_TIMEOUT_S = 0.15
@@ -67,6 +69,7 @@
         handle = calls.transport.handle
         self._intake = CopyIntake(calls.transport, table, counters, self.demote)
         handle(HolderChanged, self._on_holder_changed)
+        handle(OfferOutcome, self._on_offer)
         handle(HandOver, self._on_hand_over)
         handle(HeldQuery, self._on_held_query)
 
@@ -133,6 +136,8 @@
         record.holder = holder
         record.epoch = epoch
         record.backup = ""
+        if record.outcome is not None:
+            self.offer_outcome(record, record.outcome)
         record.outcome = None
         record.since_s = self._now_s()
         self._counters.fenced += 1
@@ -149,6 +154,32 @@
             return
         self.demote(record, sender, message.epoch)
 
+    def offer_outcome(self, record: RequestRecord, outcome: Outcome) -> None:
+        """Tell the holder what became of a plain call that was sent from here."""
+        known = shortened(outcome)
+        if record.kind == "plain" and known is not None and outcome.ran == "yes":
+            message = OfferOutcome(record.account, record.request_id, known)
+            self._spawn(self._calls.transport.send(record.holder, message))
+
+    async def _on_offer(self, sender: str, message: OfferOutcome) -> None:
+        record = self._table.find(message.account, message.request_id)
+        if record is None or not record.held or record.kind != "plain":
+            return
+        if self.settle(record, message.outcome):
+            self._counters.outcomes_offered += 1
+
+    def settle(self, record: RequestRecord, outcome: Outcome) -> bool:
+        """Note an outcome unless there is one already that says what happened."""
+        if record.outcome is not None and record.outcome.ran != "unknown":
+            return False
+        record.outcome = outcome
+        record.state = "finished"
+        record.finished_at_s = self._now_s()
+        self._table.grew(record, len(outcome.body))
+        record.wake()
+        self._sender.mark(record, urgent=True)
+        return True
+
     # Adoption.
 
     def member_changed(self, member: Member) -> None:
--- a/godwitpath/records/copy_intake.py
+++ b/godwitpath/records/copy_intake.py
@@ -88,7 +88,8 @@
             size = sum(len(piece.text) + PIECE_OVERHEAD_BYTES for piece in fresh)
             self._table.grew(record, size)
         complete = update.first_piece + len(update.pieces) <= len(record.pieces)
-        if update.outcome is not None and complete and record.outcome is None:
+        open_yet = record.outcome is None or record.outcome.ran == "unknown"
+        if update.outcome is not None and complete and open_yet:
             record.outcome = update.outcome
             record.state = "finished"
             record.finished_at_s = self._now_s()
--- a/godwitpath/records/messages.py
+++ b/godwitpath/records/messages.py
@@ -131,6 +131,15 @@
     epoch: int
 
 
+@peer_message
+class OfferOutcome(PeerMessage):
+    """The outcome of a plain call that the sender learned after another entry took it over."""
+
+    account: str
+    request_id: str
+    outcome: Outcome
+
+
 @peer_message
 class HandOver(PeerMessage):
     """The sender stops; the receiver must adopt these records."""
@@ -289,7 +298,11 @@
 
 def copied_outcome(record: RequestRecord) -> Outcome | None:
     """Return the outcome as it is copied; a body too long for a peer message is left out."""
-    outcome = record.outcome
+    return shortened(record.outcome)
+
+
+def shortened(outcome: Outcome | None) -> Outcome | None:
+    """Return an outcome that fits into a peer message."""
     if outcome is None or len(outcome.body) <= MAX_OUTCOME_BYTES:
         return outcome
     return msgspec.structs.replace(outcome, body=b"", reason="the body was too long to be kept")
--- a/godwitpath/records/store.py
+++ b/godwitpath/records/store.py
@@ -129,13 +129,9 @@
         :returns: False when another entry took the record over
         """
         if not self._writable(record):
+            self._keeper.offer_outcome(record, outcome)
             return False
-        record.outcome = outcome
-        record.state = "finished"
-        record.finished_at_s = self._now_s()
-        self._table.grew(record, len(outcome.body))
-        record.wake()
-        self._sender.mark(record, urgent=True)
+        self._keeper.settle(record, outcome)
         return True
 
     async def find(self, account: str, request_id: str = "", key: str = "") -> RecordRef | None:
--- a/godwitpath/records/table.py
+++ b/godwitpath/records/table.py
@@ -31,6 +31,7 @@
     superseded: int = 0
     fenced: int = 0
     fenced_writes: int = 0
+    outcomes_offered: int = 0
     handed_over: int = 0
     finds: int = 0
     key_claims: int = 0
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -169,6 +169,43 @@
     await fleet.stop()
 
 
+async def test_the_outcome_of_a_call_reaches_the_entry_that_took_it_over() -> None:
+    fleet = RecordFleet()
+    store = fleet.nodes["e0"].store
+    records = [fleet.nodes["e0"].record("a", f"k{index}", "plain") for index in range(2)]
+    for record in records:
+        await store.accept(record)
+    adopter = fleet.nodes[records[0].backup].store
+    fleet.network.pause("e0")
+    # The first answer comes while the entry is cut off, the second after it was fenced.
+    store.finish(records[0], Outcome(201, body=b"booked"))
+    for node in fleet.nodes.values():
+        node.store.on_adopt = None
+    fleet.tell(fleet.nodes["e0"].member, "gone")
+    await asyncio.sleep(2)
+    for record in adopter.records():
+        adopter.finish(record, Outcome(504, ran="unknown", reason="outcome_unknown"))
+    fleet.network.wake("e0")
+    fleet.tell(fleet.nodes["e0"].member, "alive")
+    await asyncio.sleep(2)
+    assert not store.finish(records[1], Outcome(201, body=b"booked too"))
+    await asyncio.sleep(2)
+    outcomes = []
+    for record in records:
+        ref = await fleet.nodes["e3"].store.find("a", record.request_id)
+        assert ref is not None
+        outcomes.append((await fleet.nodes["e3"].store.outcome(ref)).body)
+    assert outcomes == [b"booked", b"booked too"]
+    backup = fleet.nodes[adopter.records()[0].backup].store
+    for record in records:
+        ref = await backup.find("a", record.request_id)
+        assert ref is not None
+        assert ref.record is not None
+        assert ref.record.outcome is not None
+        assert ref.record.outcome.ran == "yes"
+    await fleet.stop()
+
+
 async def test_a_restarted_holder_does_not_know_its_records_and_the_backup_adopts() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
