--- a/godwitpath_standin/process.py
+++ b/godwitpath_standin/process.py
@@ -12,6 +12,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
+PACKED_PROGRAM_VARIABLE = "GODWITPATH_PROGRAM"
+"""Environment variable that names a packed program for the entries to run."""
+
 STOP_TIMEOUT_S = 5.0
 
 
@@ -51,9 +54,7 @@
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
         with self._log_path.open("ab") as log:
             self._child = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                *self._arguments,
+                *_command_line(self._arguments),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
@@ -105,3 +106,11 @@
     def _signal(self, number: signal.Signals) -> None:
         if self._child is not None and self._child.returncode is None:
             self._child.send_signal(number)
+
+
+def _command_line(arguments: list[str]) -> list[str]:
+    """Return how a module of the checkout is started, or the packed program in its place."""
+    packed = os.environ.get(PACKED_PROGRAM_VARIABLE, "")
+    if packed and arguments[0] == "godwitpath":
+        return [packed, *arguments[1:]]
+    return [sys.executable, "-m", *arguments]
