Take a damaged configuration for what it is

A stored value of another form ended a command with a traceback, and its digest was never compared. Both are one error now; the submission writes nothing over it.

--- a/godwitpath/config/envelope.py
+++ b/godwitpath/config/envelope.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from godwitpath.errors import GodwitpathError
+
 CURRENT_KEY = "config/current"
 """Key of the configuration in force."""
 
@@ -34,9 +36,13 @@
     submission_id: str
 
 
+class DamagedEnvelope(GodwitpathError, msgspec.MsgspecError):
+    """A stored or received value is not an accepted configuration."""
+
+
 def text_digest(text: str) -> str:
     """Return the hexadecimal SHA-256 of a configuration text."""
-    return hashlib.sha256(text.encode()).hexdigest()
+    return hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
 
 
 def history_key(revision: int) -> str:
@@ -52,6 +58,12 @@
 def decode_envelope(value: bytes) -> ConfigEnvelope:
     """Return the envelope of a stored form.
 
-    :raises msgspec.MsgspecError: the value is not an envelope
+    :raises DamagedEnvelope: the value is not an envelope
     """
-    return msgspec.json.decode(value, type=ConfigEnvelope)
+    try:
+        envelope = msgspec.json.decode(value, type=ConfigEnvelope)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DamagedEnvelope(f"the stored configuration is damaged: {error}") from error
+    if envelope.digest != text_digest(envelope.text):
+        raise DamagedEnvelope("the stored configuration is damaged: its digest is another")
+    return envelope
--- a/test/test_config_submit.py
+++ b/test/test_config_submit.py
@@ -10,7 +10,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from godwitpath.config.envelope import CURRENT_KEY, decode_envelope, encode_envelope, history_key
+from godwitpath.config.envelope import (
+    CURRENT_KEY,
+    DamagedEnvelope,
+    decode_envelope,
+    encode_envelope,
+    history_key,
+)
 from godwitpath.config.submit import (
     ConfigConflict,
     SubmissionUnknown,
@@ -137,6 +143,30 @@
     assert again.value == encode_envelope(result.envelope)
 
 
+ENVELOPE = st.fixed_dictionaries(
+    {
+        "revision": st.integers(),
+        **{name: st.text(max_size=5) for name in ("text", "digest", "author", "submitted_at")},
+        **{name: st.text(max_size=5) for name in ("reason", "submission_id")},
+    }
+)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=60) | ENVELOPE.map(json.dumps).map(str.encode))
+def test_any_value_is_an_envelope_or_damaged(value: bytes) -> None:
+    with pytest.raises(DamagedEnvelope):
+        decode_envelope(value)
+
+
+async def test_a_damaged_configuration_is_not_written_over() -> None:
+    store = FakeKeyValueStore()
+    await store.put(CURRENT_KEY, b"\xff{", 0)
+    with pytest.raises(DamagedEnvelope):
+        await submit(store, text(10), "ann", "first")
+    assert (await store.get(CURRENT_KEY)).value == b"\xff{"  # type: ignore[union-attr]
+
+
 FAULTS = st.sampled_from(["none", "lose", "late", "outage", "cancel"])
 
 
