--- a/godwitpath/commands/__init__.py
+++ b/godwitpath/commands/__init__.py
@@ -26,4 +26,4 @@
 
 def main() -> None:
     """Run the command line; errors meant for people become exit codes."""
-    app()
+    app(prog_name="godwitpath")
--- a/packaging/godwitpath.spec
+++ b/packaging/godwitpath.spec
@@ -29,7 +29,7 @@
     + copy_metadata("opentelemetry-api")
     + copy_metadata("opentelemetry-sdk"),
     hiddenimports=collect_submodules("godwitpath")
-    + ["opentelemetry.context.contextvars_context"],
+    + ["opentelemetry.context.contextvars_context", "shellingham.posix"],
     excludes=LIBRARIES_OF_DEVELOPMENT,
 )
 archive = PYZ(analysis.pure)
