--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -4,7 +4,17 @@
 
 import typer
 
-from godwitpath_bench import execution, explain, gossip, overload, path, records, retries, routing
+from godwitpath_bench import (
+    execution,
+    explain,
+    gossip,
+    overload,
+    path,
+    records,
+    retries,
+    routing,
+    shares,
+)
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
 
@@ -14,14 +24,15 @@
     """Experiments, each with its baselines."""
 
 
-routing.register(app)
+execution.register(app)
 explain.register(app)
+gossip.register(app)
 overload.register(app)
 path.register(app)
-gossip.register(app)
-retries.register(app)
-execution.register(app)
 records.register(app)
+retries.register(app)
+routing.register(app)
+shares.register(app)
 
 if __name__ == "__main__":
     app()
