Check addresses, key pairs and files of the settings

A wrong URL, a public key of another pair or a missing certificate was met only by the running daemon. All are findings now, in a module of their own.

--- a/godwitpath/security/curve.py
+++ b/godwitpath/security/curve.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import struct
 from dataclasses import dataclass
 
 import zmq
+from zmq.utils import z85
+
+KEY_CHARS = 40
+"""Characters of a CURVE key in Z85 form."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,3 +29,13 @@
 def public_key_of(secret_key: str) -> str:
     """Return the public key that belongs to a secret key."""
     return zmq.curve_public(secret_key.encode()).decode()
+
+
+def is_key(text: str) -> bool:
+    """Return whether a text is a CURVE key in Z85 form."""
+    if len(text) != KEY_CHARS or not text.isascii():
+        return False
+    try:
+        return z85.encode(z85.decode(text)) == text.encode()
+    except (KeyError, ValueError, struct.error):
+        return False
--- a/godwitpath/settings.py
+++ b/godwitpath/settings.py
@@ -7,19 +7,15 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from importlib.resources import files
 from typing import Any
 
+from godwitpath.config.check_settings import CHECKS
 from godwitpath.config.decode import decode
-from godwitpath.config.document import Document, Path, read_document
+from godwitpath.config.document import read_document
 from godwitpath.config.strict import StrictFields
-from godwitpath.errors import Finding, FindingsError
-
-MAX_PORT = 65535
-CURVE_KEY_LENGTH = 40
-"""Characters of a CURVE key in Z85 form."""
+from godwitpath.errors import FindingsError
 
 
 @dataclass(slots=True)
@@ -180,54 +176,13 @@
     decoded = decode(document, _merge(_defaults(), document.value), ProcessSettings)
     findings = document.findings + decoded.findings
     if decoded.value is not None:
-        findings += _value_findings(document, decoded.value)
+        for check in CHECKS:
+            findings += check(document, decoded.value)
     if findings or decoded.value is None:
         raise FindingsError(source, sorted(findings, key=lambda item: (item.line, item.column)))
     return decoded.value
 
 
-def _value_findings(document: Document, settings: ProcessSettings) -> Iterator[Finding]:
-    """Yield the findings on values that have the right type and still cannot be used."""
-    for name in ("entry_id", "region", "availability_zone"):
-        if not getattr(settings, name).strip():
-            yield document.finding((name,), "must not be empty")
-    for name in ("caller", "operator", "peer"):
-        if not 0 <= getattr(settings, name).port <= MAX_PORT:
-            yield document.finding((name, "port"), f"must be between 0 and {MAX_PORT}")
-    if bool(settings.peer.public_key) != bool(settings.peer.secret_key):
-        hint = "create both with: godwitpath keys curve"
-        yield document.finding(("peer",), "public_key and secret_key belong together", hint)
-    keys: list[tuple[Path, str]] = [(("peer", "public_key"), settings.peer.public_key)]
-    keys.append((("peer", "secret_key"), settings.peer.secret_key))
-    for index, key in enumerate(settings.peer.accepted_public_keys):
-        keys.append((("peer", "accepted_public_keys", index), key))
-    for path, key in keys:
-        if key and len(key) != CURVE_KEY_LENGTH:
-            yield document.finding(path, f"a CURVE key has {CURVE_KEY_LENGTH} characters")
-    tls = settings.caller.tls
-    if bool(tls.certificate_file) != bool(tls.key_file):
-        yield document.finding(("caller", "tls"), "certificate_file and key_file belong together")
-    yield from _time_findings(document, settings)
-
-
-def _time_findings(document: Document, settings: ProcessSettings) -> Iterator[Finding]:
-    times: list[tuple[tuple[str, ...], float]] = [
-        (("caller", "header_timeout_s"), settings.caller.header_timeout_s),
-        (("platform", "timeout_s"), settings.platform.timeout_s),
-        (("membership", "probe_interval_s"), settings.membership.probe_interval_s),
-        (("membership", "probe_timeout_s"), settings.membership.probe_timeout_s),
-        (("membership", "suspicion_s"), settings.membership.suspicion_s),
-        (("drain_timeout_s",), settings.drain_timeout_s),
-    ]
-    for path, seconds in times:
-        if not 0 < seconds < float("inf"):
-            yield document.finding(path, "must be a number of seconds above 0")
-    membership = settings.membership
-    if membership.probe_timeout_s >= membership.probe_interval_s:
-        path = ("membership", "probe_timeout_s")
-        yield document.finding(path, "must be shorter than probe_interval_s")
-
-
 def _defaults() -> dict[str, Any]:
     text = files("godwitpath").joinpath("defaults.json").read_text(encoding="utf-8")
     defaults: dict[str, Any] = json.loads(text)
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
+from typing import Any
+
 import pytest
 
 from godwitpath.errors import FindingsError
+from godwitpath.security.curve import make_pair
 from godwitpath.settings import load_settings
 
 MINIMAL = '{"entry_id": "e1", "region": "r", "availability_zone": "z"'
@@ -22,3 +26,50 @@
         load_settings("s.json", text)
     pointers = {finding.pointer for finding in caught.value.findings}
     assert pointers == {"/entry_id", "/availability_zone", "/caller/port", "/colour"}
+
+
+def pointers_of(given: dict[str, Any]) -> set[str]:
+    """Return where the findings on settings lie."""
+    with pytest.raises(FindingsError) as caught:
+        load_settings("s.json", MINIMAL + ", " + json.dumps(given)[1:])
+    return {finding.pointer for finding in caught.value.findings}
+
+
+@pytest.mark.parametrize(
+    ("given", "pointer"),
+    [
+        ({"caller": {"port": 70_000}}, "/caller/port"),
+        ({"caller": {"max_connections": 0}}, "/caller/max_connections"),
+        ({"caller": {"tls": {"certificate_file": __file__}}}, "/caller/tls"),
+        ({"platform": {"key_value_url": "10.0.0.9:2400"}}, "/platform/key_value_url"),
+        ({"platform": {"timeout_s": 0}}, "/platform/timeout_s"),
+        ({"membership": {"probe_timeout_s": 2}}, "/membership/probe_timeout_s"),
+        ({"peer": {"accepted_public_keys": ["x" * 39]}}, "/peer/accepted_public_keys/0"),
+        ({"peer": {"accepted_public_keys": ['"' * 40]}}, "/peer/accepted_public_keys/0"),
+        ({"seeds": [{"entry_id": "e", "host": "h", "port": 0}]}, "/seeds/0/port"),
+    ],
+)
+def test_values_that_cannot_be_used_are_findings(given: dict[str, Any], pointer: str) -> None:
+    assert pointers_of(given) == {pointer}
+
+
+def test_missing_files_and_keys_of_two_pairs_are_findings() -> None:
+    one, other = make_pair(), make_pair()
+    tls = {"certificate_file": "/nowhere/c.pem", "key_file": "/nowhere/k.pem"}
+    given = {
+        "caller": {"tls": tls},
+        "peer": {"public_key": one.public_key, "secret_key": other.secret_key},
+    }
+    expected = {"/caller/tls/certificate_file", "/caller/tls/key_file", "/peer/public_key"}
+    assert pointers_of(given) == expected
+
+
+def test_a_whole_pair_with_old_and_new_keys_is_sound() -> None:
+    pair = make_pair()
+    peer = {
+        "public_key": pair.public_key,
+        "secret_key": pair.secret_key,
+        "accepted_public_keys": [pair.public_key, make_pair().public_key],
+    }
+    loaded = load_settings("s.json", MINIMAL + ", " + json.dumps({"peer": peer})[1:])
+    assert loaded.peer.secret_key == pair.secret_key
