--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -175,34 +175,30 @@
     records = [fleet.nodes["e0"].record("a", f"k{index}", "plain") for index in range(2)]
     for record in records:
         await store.accept(record)
-    adopter = fleet.nodes[records[0].backup].store
+    for node in fleet.nodes.values():
+        node.store.on_adopt = None
     fleet.network.pause("e0")
     # The first answer comes while the entry is cut off, the second after it was fenced.
     store.finish(records[0], Outcome(201, body=b"booked"))
-    for node in fleet.nodes.values():
-        node.store.on_adopt = None
     fleet.tell(fleet.nodes["e0"].member, "gone")
     await asyncio.sleep(2)
-    for record in adopter.records():
-        adopter.finish(record, Outcome(504, ran="unknown", reason="outcome_unknown"))
+    adopters = [fleet.nodes[holders(fleet, record)[-1]].store for record in records]
+    for adopter, record in zip(adopters, records, strict=True):
+        (taken,) = [each for each in adopter.records() if each.request_id == record.request_id]
+        adopter.finish(taken, Outcome(504, ran="unknown", reason="outcome_unknown"))
     fleet.network.wake("e0")
     fleet.tell(fleet.nodes["e0"].member, "alive")
     await asyncio.sleep(2)
     assert not store.finish(records[1], Outcome(201, body=b"booked too"))
     await asyncio.sleep(2)
-    outcomes = []
-    for record in records:
-        ref = await fleet.nodes["e3"].store.find("a", record.request_id)
-        assert ref is not None
-        outcomes.append((await fleet.nodes["e3"].store.outcome(ref)).body)
-    assert outcomes == [b"booked", b"booked too"]
-    backup = fleet.nodes[adopter.records()[0].backup].store
-    for record in records:
-        ref = await backup.find("a", record.request_id)
-        assert ref is not None
-        assert ref.record is not None
-        assert ref.record.outcome is not None
-        assert ref.record.outcome.ran == "yes"
+    for record, body in zip(records, (b"booked", b"booked too"), strict=True):
+        holder = fleet.nodes[holders(fleet, record)[0]]
+        (taken,) = [each for each in holder.store.records() if each.request_id == record.request_id]
+        for name in (taken.holder, taken.backup, "e3"):
+            ref = await fleet.nodes[name].store.find("a", record.request_id)
+            assert ref is not None
+            outcome = await asyncio.wait_for(fleet.nodes[name].store.outcome(ref), 5)
+            assert outcome.body == body
     await fleet.stop()
 
 
