End a stream that cannot be read on with a typed error

Cause: the record store says OffsetUnknown when another engine's text differs from what the caller was given, and RecordLost when no holder answers for 20 s. Neither was caught after the response had begun, so the caller saw a cut connection.

Change: an error event with the reason and whether the request ran. test_event_stream.py fails before with both errors.

--- a/godwitpath/entry/delivery.py
+++ b/godwitpath/entry/delivery.py
@@ -12,13 +12,17 @@
 from godwitpath.entry.context import EntryContext
 from godwitpath.entry.openai_form import EventWriter, whole_body
 from godwitpath.entry.refusals import STATUS_BY_REASON, CallerError, error_body, error_response
-from godwitpath.records.record import Outcome, RecordRef
+from godwitpath.records.reader import RecordLost
+from godwitpath.records.record import OffsetUnknown, Outcome, RecordRef
 
 CONTENT_TYPE_EVENTS = "text/event-stream; charset=utf-8"
 
 KEEP_ALIVE_S = 1.0
 """Time between two comments that show that a stream is alive."""
 
+LOST_RETRY_S = 2.0
+"""When to ask again for an answer whose holder cannot be reached."""
+
 KEEP_ALIVE_COMMENT = b": alive\n\n"
 """A server-sent event that every client passes over."""
 
@@ -41,6 +45,15 @@
     return CallerError(reason, message, ran=outcome.ran, retry_after_s=outcome.retry_after_s)
 
 
+def delivery_error(error: OffsetUnknown | RecordLost) -> CallerError:
+    """Return the error of an answer that cannot be read on, though it may exist."""
+    if isinstance(error, OffsetUnknown):
+        message = "the answer cannot be continued from there; ask for it whole"
+        return CallerError("outcome_unknown", message, ran="yes")
+    message = "no entry that holds the request can be reached"
+    return CallerError("outcome_unknown", message, ran="unknown", retry_after_s=LOST_RETRY_S)
+
+
 def plain_response(outcome: Outcome, request_id: str, replayed: bool = False) -> Response:
     """Return the HTTP answer of a plain call's outcome."""
     if outcome.reason:
@@ -122,6 +135,14 @@
             await _send_part(send, KEEP_ALIVE_COMMENT)
 
     async def _send_events(self, send: Send, alive: asyncio.Task[None]) -> None:
+        try:
+            await self._send_answer(send, alive)
+        except (OffsetUnknown, RecordLost) as error:
+            alive.cancel()
+            body = error_body(delivery_error(error), self._ref.request_id)
+            await _send_part(send, self._writer.error(body), last=True)
+
+    async def _send_answer(self, send: Send, alive: asyncio.Task[None]) -> None:
         tokens = self._after_tokens
         async for batch in self._context.records.follow(self._ref, self._after_tokens):
             text = "".join(piece.text for piece in batch)
--- /dev/null
+++ b/test/test_event_stream.py
@@ -0,0 +1,39 @@
+"""An answer that cannot be read on ends its stream with a typed error."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from godwitpath.entry.delivery import EventStream
+from godwitpath.records.reader import RecordLost
+from godwitpath.records.record import OffsetUnknown, Piece, RecordRef
+
+
+@pytest.mark.parametrize(
+    ("error", "ran"), [(OffsetUnknown("differs"), "yes"), (RecordLost("nobody"), "unknown")]
+)
+async def test_a_broken_follow_is_told_to_the_caller(error: Exception, ran: str) -> None:
+    async def follow(ref: RecordRef, after_tokens: int) -> AsyncIterator[list[Piece]]:
+        yield [Piece(0, "word ", 1)]
+        raise error
+
+    async def receive() -> Any:
+        await asyncio.sleep(60)
+
+    sent: list[Any] = []
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    context: Any = SimpleNamespace(records=SimpleNamespace(follow=follow))
+    stream = EventStream(context, RecordRef("a", "req-1", "e1"), 0, False, lambda ref: None)
+    await stream({"type": "http"}, receive, send)
+    body = b"".join(message.get("body", b"") for message in sent)
+    assert body.count(b"event: error") == 1
+    assert f'"ran":"{ran}"'.encode() in body
+    assert sent[-1]["more_body"] is False
