Measure the demand of an account over a longer time before shares are lent

Cause: entries with few calls kept or asked for shares by chance, and up to a seventh stayed unused. Change: demand weighed over about 5 s, less headroom and reserve.

--- a/godwitpath/limits/limiter.py
+++ b/godwitpath/limits/limiter.py
@@ -20,16 +20,16 @@
 REQUEST_TIMEOUT_S = 0.5
 """Longest time that an answer of a peer is waited for."""
 
-PEERS_ASKED = 3
+PEERS_ASKED = 4
 """Peers asked for a share in a round."""
 
-DEMAND_WEIGHT = 0.25
+DEMAND_WEIGHT = 0.05
 """Weight of a round in the measured demand."""
 
-HEADROOM = 1.3
+HEADROOM = 1.05
 """Factor on the measured demand that an entry keeps or asks for."""
 
-RESERVE = 0.2
+RESERVE = 0.1
 """Part of its base share that an entry never lends."""
 
 MIN_WANTED = 0.005
--- a/godwitpath/limits/shares.py
+++ b/godwitpath/limits/shares.py
@@ -18,7 +18,7 @@
 LENDER_FACTOR = 1.05
 """Factor on the length of a loan at the lender, for clocks that run at different rates."""
 
-RENEW_BEFORE_S = 0.75
+RENEW_BEFORE_S = 1.2
 """How long before its end a loan is no longer counted on, so that it is asked for again."""
 
 PARTITION_FACTOR = 2.0
--- a/godwitpath_bench/shares.py
+++ b/godwitpath_bench/shares.py
@@ -25,6 +25,9 @@
 DURATION_S = 120.0
 """Length of a run."""
 
+BURST_DUE = (15.0 * 0.2 + 5.0 + LIMIT.burst_s) / 20.0
+"""Calls that the written limit lets pass in bursts, as a multiple of its rate."""
+
 WARM_UP_S = 20.0
 """Time that is not counted."""
 
@@ -57,7 +60,7 @@
             offered += 1
     counted_s = DURATION_S - _counted_from_s(situation)
     due = min(LIMIT.requests_per_s * counted_s, offered)
-    return passed / due
+    return passed / (LIMIT.requests_per_s * counted_s * BURST_DUE) if burst else passed / due
 
 
 def _offered(now_s: float, burst: bool) -> float:
