--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,113 @@
+"""Admission: decisions, promises and the queue."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitpath.admission.decide import (
+    Admission,
+    AdmissionQuery,
+    Admit,
+    Prediction,
+    Queue,
+    QueueState,
+    Refuse,
+)
+from godwitpath.admission.promises import PromiseBook
+from godwitpath.admission.queue import LEVEL_WAIT_S, AdmissionQueue, QueueExpired, WaitingLine
+
+pytestmark = pytest.mark.looptime
+FITS = Prediction(0.1, 0.02)
+FULL = Prediction(0.1, 0.071)
+BUSY = QueueState(waiting=50, ahead=50, capacity=50, released_per_s=1.0)
+
+
+def ask(digest: str = "d", priority: int = 0, time_left_s: float = 60.0) -> AdmissionQuery:
+    return AdmissionQuery("s", "a", digest, priority, time_left_s)
+
+
+def test_call_that_fits_is_admitted() -> None:
+    assert Admission().decide(ask(), FITS, QueueState(), 0.0) == Admit()
+
+
+def test_call_that_cannot_meet_its_deadline_is_refused() -> None:
+    decision = Admission().decide(ask(time_left_s=1.0), FITS, QueueState(), 0.0)
+    assert isinstance(decision, Refuse)
+
+
+def test_refused_caller_who_comes_back_in_time_goes_before_fresh_ones() -> None:
+    admission = Admission()
+    refused = admission.decide(ask("mine"), FULL, BUSY, 0.0)
+    assert isinstance(refused, Refuse)
+    back_s = float(refused.retry_after_s)
+    assert isinstance(admission.decide(ask("fresh"), FULL, BUSY, back_s), Refuse)
+    assert admission.decide(ask("mine"), FULL, BUSY, back_s) == Admit(promised=True)
+
+
+def test_promise_is_kept_at_another_entry_and_used_once() -> None:
+    first, second = PromiseBook(), PromiseBook()
+    after_s = first.book("mine", 0, 1.0, 0.0)
+    second.hear(first.take_news())
+    assert second.redeem("mine", float(after_s))
+    first.hear(second.take_news())
+    assert not first.redeem("mine", float(after_s))
+
+
+def test_fresh_calls_leave_room_for_promises_that_fall_due() -> None:
+    admission = Admission()
+    admission.promises.book("mine", 0, 1.0, 0.0)
+    near = Prediction(0.1, 0.053, between_per_call_s=0.002)
+    assert admission.fits(ask(), near, False, 60.0)
+    assert not admission.fits(ask(), near, False, 2.0)
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.integers(1, 60), st.floats(1.0, 20.0))
+def test_promises_never_pass_the_rate_they_are_booked_on(calls: int, per_s: float) -> None:
+    book = PromiseBook()
+    due = [book.book(str(n), 0, per_s, 0.0) for n in range(calls)]
+    for second in range(1, max(due) + 1):
+        # Times are rounded up to whole seconds, so one call more can fall into a second.
+        assert due.count(second) <= 0.5 * per_s + 1.0
+
+
+def test_queue_wait_must_meet_the_target_at_its_turn() -> None:
+    slow = QueueState(waiting=9, ahead=9, capacity=50, released_per_s=1.0)
+    quick = QueueState(waiting=9, ahead=9, capacity=50, released_per_s=20.0)
+    assert isinstance(Admission().decide(ask(priority=1), FULL, slow, 0.0), Refuse)
+    assert isinstance(Admission().decide(ask(priority=1), FULL, quick, 0.0), Queue)
+
+
+def test_lower_priorities_wait_longer_but_do_not_starve() -> None:
+    line = WaitingLine()
+    batch = line.add(2, 600.0, 0.0)
+    for n in range(10):
+        line.add(0, 600.0, n * 10.0)
+    order = [line.pop(100.0) for _ in range(len(line))]
+    before = [waiting for waiting in order[: order.index(batch)] if waiting.priority == 0]
+    assert 0 < len(before) <= LEVEL_WAIT_S[2] / 10.0 + 1
+
+
+async def test_queue_releases_in_order_and_expires() -> None:
+    queue = AdmissionQueue()
+    went: list[int] = []
+
+    async def call(priority: int, max_wait_s: float) -> None:
+        await queue.wait(priority, max_wait_s)
+        went.append(priority)
+
+    waiting = [asyncio.create_task(call(level, 60.0)) for level in (2, 1, 0)]
+    late = asyncio.create_task(call(2, 0.5))
+    await asyncio.sleep(1.0)
+    with pytest.raises(QueueExpired):
+        await late
+    for _ in waiting:
+        assert queue.wake(lambda priority: True) == 1
+        await asyncio.sleep(0)
+    await asyncio.gather(*waiting)
+    assert went == [0, 1, 2]
+    assert queue.wake(lambda priority: True) == 0
--- /dev/null
+++ b/test/test_routing.py
@@ -0,0 +1,136 @@
+"""Routing: prefixes, choice, what the book learns, outliers and subsets."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitpath.ports.engine import LoadReport
+from godwitpath.routing.book import LoadBook
+from godwitpath.routing.choose import NoUpstream, RouteQuery, choose
+from godwitpath.routing.outliers import MAX_EJECTED_SHARE, OutlierState, ejected
+from godwitpath.routing.prefix import prefix_blocks, prompt_text
+from godwitpath.routing.subset import followers, subset
+from godwitpath.routing.views import EngineView
+
+BLOCKS = prefix_blocks("dossier " * 2000)
+
+
+def views(count: int = 5, region: str = "home") -> list[EngineView]:
+    return [
+        EngineView(f"{region}-{n}", region=region, price_per_h=2.0, started_at_s=-100.0)
+        for n in range(count)
+    ]
+
+
+def query(**changes: object) -> RouteQuery:
+    base = RouteQuery("s", region="home", blocks=BLOCKS, key_block=0, prompt_tokens=4000)
+    for name, value in changes.items():
+        setattr(base, name, value)
+    return base
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.text(max_size=200), st.text(max_size=100), st.text(max_size=100))
+def test_prompts_share_digests_as_far_as_they_share_blocks(common: str, a: str, b: str) -> None:
+    first, second = prefix_blocks(common + a, 10), prefix_blocks(common + b, 10)
+    for n, (left, right) in enumerate(zip(first, second, strict=False)):
+        same = (common + a)[: 10 * (n + 1)] == (common + b)[: 10 * (n + 1)]
+        assert (left == right) == same
+
+
+def test_prompt_text_of_chat_and_completion() -> None:
+    parts = [{"type": "text", "text": "b"}]
+    body = {"messages": [{"role": "system", "content": "a"}, {"role": "user", "content": parts}]}
+    assert prompt_text(body, chat=True) == "system: a\nuser: b"
+    assert prompt_text({"prompt": ["a", "b"]}, chat=False) == "a\nb"
+
+
+def test_entries_that_know_nothing_of_each_other_choose_the_same_engine() -> None:
+    first = choose(query(), views(), 0.0)
+    assert choose(query(), list(reversed(views())), 0.0).upstream_id == first.upstream_id
+    assert first.rank == 0
+
+
+def test_full_engine_spills_to_the_second_of_its_ranking() -> None:
+    first = choose(query(), views(), 0.0)
+    loaded = views()
+    for view in loaded:
+        if view.upstream_id == first.upstream_id:
+            view.own_tokens = 200_000
+    second = choose(query(), loaded, 0.0)
+    assert second.upstream_id != first.upstream_id
+    assert second.rank == 1
+
+
+@pytest.mark.parametrize("full", [False, True])
+def test_another_region_is_taken_only_when_home_misses_the_target(full: bool) -> None:
+    home, away = views(2), views(2, "away")
+    for view in home:
+        view.own_tokens = 200_000 if full else 0
+    for view in away:
+        view.price_per_h = 0.1
+    choice = choose(query(), [*home, *away], 0.0)
+    assert choice.upstream_id.startswith("away" if full else "home")
+
+
+def test_no_upstream_when_all_were_tried() -> None:
+    tried = frozenset(view.upstream_id for view in views())
+    with pytest.raises(NoUpstream):
+        choose(query(excluded=tried), views(), 0.0)
+
+
+def test_own_work_is_told_from_that_of_others_in_a_report() -> None:
+    book = LoadBook()
+    call = book.started("home-0", 1000, 0.0)
+    book.report("home-0", LoadReport(0, 2, 1500, 0, 0.0), 0.1)
+    view = book.views(views(1), 0.1)[0]
+    assert view.own_tokens == 1000
+    assert 0 < view.other_tokens <= 500
+    book.first_token(call, 0, 0.2)
+    book.finished(call, 1.0, 10)
+    assert book.views(views(1), 1.0)[0].own_running == 0
+
+
+def test_common_template_does_not_decide_where_a_prefix_lives() -> None:
+    book = LoadBook()
+    for n in range(60):
+        book.started("home-0", 10, 0.0, blocks=["template", f"dossier-{n}"])
+    assert book.key_block(["template", "dossier-new"]) == 1
+    assert book.key_block(["template"]) == -1
+
+
+def test_failing_engine_is_ejected_and_comes_back() -> None:
+    book = LoadBook()
+    for _ in range(3):
+        book.failed(book.started("home-0", 10, 0.0), 0.0)
+    assert [view.ejected for view in book.views(views(), 1.0)] == [True, *[False] * 4]
+    assert not any(view.ejected for view in book.views(views(), 100.0))
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.lists(st.integers(0, 9), max_size=60), st.integers(1, 10))
+def test_ejection_never_takes_more_than_its_share(failures: list[int], engines: int) -> None:
+    states = {str(n): OutlierState() for n in range(engines)}
+    for n in failures:
+        if str(n) in states:
+            states[str(n)].failed(0.0)
+    assert len(ejected(states, 1.0)) <= MAX_EJECTED_SHARE * engines
+
+
+def test_subsets_cover_every_engine_equally() -> None:
+    entries = [f"entry-{n}" for n in range(34)]
+    engines = [f"engine-{n}" for n in range(110)]
+    subsets = {entry: subset(entry, entries, engines, 16) for entry in entries}
+    covered = Counter(engine for chosen in subsets.values() for engine in chosen)
+    assert all(covered[engine] >= 5 for engine in engines)
+    assert all(len(chosen) >= 16 for chosen in subsets.values())
+    assert max(map(len, subsets.values())) <= 48
+    # One entry less moves only the engines that it followed.
+    before = {engine: set(followers(engine, entries, 5)) for engine in engines}
+    after = {engine: set(followers(engine, entries[1:], 5)) for engine in engines}
+    moved = [engine for engine in engines if before[engine] != after[engine]]
+    assert all("entry-0" in before[engine] for engine in moved)
