--- a/godwitpath/peers/dispatch.py
+++ b/godwitpath/peers/dispatch.py
@@ -18,6 +18,9 @@
 LANE_LIMIT = 512
 """Most messages of a peer that wait for their handlers."""
 
+SENDERS_LIMIT = 2048
+"""Most senders that are remembered, several times the largest fleet."""
+
 LANE_IDLE_S = 30.0
 """A lane without messages for so long ends its task."""
 
@@ -85,6 +88,7 @@
         self._pending[correlation] = _Pending(entry_id, future)
         try:
             if not await self._transmit(entry_id, frame):
+                self._unanswered(entry_id)
                 raise PeerUnreachable(f"{entry_id} cannot be reached")
             return await asyncio.wait_for(future, timeout_s)
         except TimeoutError:
@@ -158,6 +162,8 @@
         known = self._senders.get(delivery.sender)
         if known is not None and delivery.incarnation < known.incarnation:
             return now_s < known.heard_at_s + STALE_SENDER_S
+        if known is None and len(self._senders) >= SENDERS_LIMIT:
+            del self._senders[next(iter(self._senders))]
         self._senders[delivery.sender] = _Sender(delivery.incarnation, now_s)
         return False
 
@@ -169,6 +175,9 @@
         pending.future.set_result(delivery.message)
 
     def _enqueue(self, delivery: Delivery, reply: Reply) -> None:
+        if delivery.sender not in self._lanes and len(self._lanes) >= SENDERS_LIMIT:
+            self.counts["dropped_too_many_senders"] += 1
+            return
         lane = self._lanes.setdefault(delivery.sender, asyncio.Queue(LANE_LIMIT))
         if lane.full():
             self.counts["dropped_lane_full"] += 1
@@ -181,12 +190,15 @@
     async def _work_off(self, sender: str, lane: asyncio.Queue[tuple[Delivery, Reply]]) -> None:
         try:
             while True:
-                delivery, reply = await asyncio.wait_for(lane.get(), LANE_IDLE_S)
+                try:
+                    delivery, reply = await asyncio.wait_for(lane.get(), LANE_IDLE_S)
+                except TimeoutError:
+                    # A message may have come between the time-out and here.
+                    if lane.empty():
+                        return
+                    continue
                 await self._run_handler(delivery, reply)
-        except TimeoutError:
-            pass
         finally:
-            # Nothing awaits between the time-out and here, so no message is left in the lane.
             self._tasks.pop(sender, None)
             self._lanes.pop(sender, None)
 
@@ -204,7 +216,8 @@
         if frame is not None:
             await reply(frame)
 
-    async def _end_tasks(self) -> None:
+    async def close(self) -> None:
+        """End every task."""
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -8,31 +8,29 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
 from typing import Any
 
 from godwitpath.errors import GodwitpathError
+from godwitpath.listeners import Listeners
+from godwitpath.membership.followers import follows
 from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.platform import Cloud, InstanceList, ReclaimNotice
 from godwitpath.streams import until_silent
 from godwitpath.upstreams.facts import UpstreamFact, decode_fact, encode_fact
 from godwitpath.upstreams.list_view import InstanceListView
-from godwitpath.upstreams.receivers import follows, receivers
+from godwitpath.upstreams.pace import FOLLOWER_INTERVAL_S, list_interval_s, stops_interval_s
+from godwitpath.upstreams.receivers import receivers
 from godwitpath.upstreams.stop_view import StopView
 from godwitpath.upstreams.stops import STOPS_PREFIX, Stop, decode_stop
 from godwitpath.upstreams.table import UpstreamTable, fact_of, with_state
 
 UPSTREAMS_TOPIC = "upstreams"
 
-FOLLOWER_POLL_S = 1.0
-"""Time between two looks of a follower at the instance list and the announced stops."""
-
-OTHERS_POLL_S = 8.0
-"""Time between two looks of the other entries."""
-
 CALL_TIMEOUT_S = 2.0
 """Longest time that a call of the platform may take."""
 
@@ -71,7 +69,7 @@
         self._store = store
         self._list_view = InstanceListView()
         self._stop_view = StopView()
-        self._stop_callbacks: list[Callable[[Stop], None]] = []
+        self._stop_listeners: Listeners[[Stop]] = Listeners(self.counts)
         self._notice_callbacks: list[Callable[[ReclaimNotice], None]] = []
         self._gone_at_s: dict[str, float] = {}
         self._outbox: list[tuple[UpstreamFact, str]] = []
@@ -80,7 +78,7 @@
 
     def on_stop(self, callback: Callable[[Stop], None]) -> None:
         """Call back with each newly announced stop, whatever it stops."""
-        self._stop_callbacks.append(callback)
+        self._stop_listeners.add(callback)
 
     def on_notice(self, callback: Callable[[ReclaimNotice], None]) -> None:
         """Call back with each reclaim notice that this entry hears, whatever it is about."""
@@ -114,7 +112,8 @@
         """Follow the platform and spread what it tells until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._push_forever())
-            group.create_task(self._poll_forever())
+            group.create_task(self._look_forever(self._look_at_list, self._list_interval_s))
+            group.create_task(self._look_forever(self._look_at_stops, stops_interval_s))
             if self._cloud is not None:
                 group.create_task(self._notices_forever(self._cloud))
 
@@ -179,18 +178,24 @@
     def _follower(self) -> bool:
         return follows("upstreams", self._membership.local, self._membership.live())
 
-    async def _poll_forever(self) -> None:
+    async def _look_forever(
+        self, look: Callable[[], Coroutine[Any, Any, None]], interval_s: Callable[[bool], float]
+    ) -> None:
         loop = asyncio.get_running_loop()
-        due_at_s = loop.time()
+        looked_at_s = -math.inf
         while True:
             # An entry becomes a follower when one that ranked before it is gone.
-            if self._follower() or loop.time() >= due_at_s:
-                await asyncio.gather(self._poll_list(), self._poll_stops())
-                due_at_s = loop.time() + OTHERS_POLL_S * self._rng.uniform(0.8, 1.2)
-            self._forget_long_gone()
-            await asyncio.sleep(FOLLOWER_POLL_S * self._rng.uniform(0.8, 1.0))
+            due_s = interval_s(self._follower()) * self._rng.uniform(0.7, 1.0)
+            if loop.time() - looked_at_s >= due_s:
+                looked_at_s = loop.time()
+                await look()
+            await asyncio.sleep(FOLLOWER_INTERVAL_S / 2)
+
+    def _list_interval_s(self, follower: bool) -> float:
+        return list_interval_s(follower, len(self.table))
 
-    async def _poll_list(self) -> None:
+    async def _look_at_list(self) -> None:
+        self._forget_long_gone()
         if self._instance_list is None:
             return
         try:
@@ -203,7 +208,7 @@
         for fact in self._list_view.observe(instances, self.table, now_s):
             self.learn(fact)
 
-    async def _poll_stops(self) -> None:
+    async def _look_at_stops(self) -> None:
         if self._store is None:
             return
         try:
@@ -215,8 +220,7 @@
         decoded = (decode_stop(value.value) for value in values)
         stops = {stop for stop in decoded if stop is not None}
         for stop in self._stop_view.fresh(stops):
-            for callback in self._stop_callbacks:
-                callback(stop)
+            self._stop_listeners.notify(stop)
         for fact in self._stop_view.observe(stops, self.table):
             self.learn(fact)
 
@@ -224,7 +228,7 @@
         while True:
             if self._follower():
                 await self._follow_notices(cloud)
-            await asyncio.sleep(FOLLOWER_POLL_S)
+            await asyncio.sleep(FOLLOWER_INTERVAL_S)
 
     async def _follow_notices(self, cloud: Cloud) -> None:
         try:
--- a/godwitpath_standin/fleet.py
+++ b/godwitpath_standin/fleet.py
@@ -5,8 +5,6 @@
 import asyncio
 import json
 import secrets
-import signal
-import socket
 import tempfile
 from pathlib import Path
 from types import TracebackType
@@ -22,6 +20,8 @@
 from godwitpath.security.curve import make_pair
 from godwitpath_standin.deployments import DEPLOYMENTS
 from godwitpath_standin.platform_app import PlatformState
+from godwitpath_standin.platform_core import Spare
+from godwitpath_standin.ports import ReservedPorts
 from godwitpath_standin.process import Process
 
 READY_TIMEOUT_S = 30.0
@@ -39,6 +39,7 @@
 class Fleet:
     """A running deployment; entries and engines are counted from 1.
 
+    :param spares: engines without a model that the cloud can give, for each generation service
     :ivar deployment: what is started
     :ivar operator_key: key of the operator addresses
     :ivar log_folder: where each process's error output goes
@@ -52,12 +53,16 @@
         engine_options: list[str] | None = None,
         engines: dict[str, int] | None = None,
         configuration_text: str = "",
+        spares: int = 0,
     ) -> None:
         self.deployment = DEPLOYMENTS[deployment]
         self.operator_key = secrets.token_hex(16)
         self._engine_counts = engines or self.deployment.engines
         self._configuration_text = configuration_text or self.deployment.configuration_text()
         self._entry_count = entries
+        self._spare_count = spares
+        self._spares: list[Spare] = []
+        self._ports: ReservedPorts | None = None
         self._seed = seed
         self._engine_options = engine_options or []
         self._folder = tempfile.TemporaryDirectory(prefix="godwitpath-fleet-")
@@ -190,6 +195,8 @@
             process.kill()
         await asyncio.gather(*(process.end() for process in entries))
         await asyncio.gather(*(process.end() for process in others))
+        if self._ports is not None:
+            self._ports.release()
         await self._client.close()
         self._folder.cleanup()
 
@@ -204,11 +211,13 @@
             for number in range(1, count + 1):
                 upstreams.append(self._start_engine(service, number, place))
                 place += 1
+            for number in range(1, self._spare_count + 1):
+                upstreams.append(self._start_spare(service, number, place + number))
         await asyncio.gather(*upstreams)
         await self.submit(self._configuration_text)
-        await self._register(self._offers(), self._versions())
+        await self._register(self._offers(), self._versions(), self._spares)
         await self._start_entries()
-        await self._register([], [])
+        await self._register([], [], [])
         await self.wait_ready()
 
     async def _launch(self, name: str, arguments: list[str]) -> Process:
@@ -236,10 +245,25 @@
         machine_class = (spec.get("fleet", {}).get("machine_classes") or ["gpu"])[0]
         self._list(name, service, place, process.announced["listening"], machine_class)
 
+    async def _start_spare(self, service: str, number: int, place: int) -> None:
+        spec = self.deployment.configuration()["services"][service]
+        checks = spec.get("fleet", {}).get("checks_fencing", True)
+        arguments = ["godwitpath_standin", "engine", "--service-name", "", "--model", ""]
+        arguments += ["--version", "", "--weights-url", self.url("platform")]
+        arguments += ["--seed", str(self._seed * 1000 + 500 + place)]
+        arguments.append("--checks-fencing" if checks else "--no-checks-fencing")
+        name = f"spare-{service}-{number}"
+        process = await self._launch(name, arguments + self._engine_options)
+        machine_class = (spec.get("fleet", {}).get("machine_classes") or ["gpu"])[0]
+        host, _, port = process.announced["listening"].rpartition(":")
+        region, zone = self._place(place)
+        self._spares.append(Spare(name, region, zone, machine_class, Address(host, int(port))))
+
     async def _start_entries(self) -> None:
         numbers = range(1, self._entry_count + 1)
         pairs = [make_pair() for _ in numbers]
-        ports = _free_ports(self._entry_count)
+        self._ports = ReservedPorts(self._entry_count)
+        ports = self._ports.ports
         seeds = [
             {
                 "entry_id": f"entry-{number}",
@@ -306,8 +330,10 @@
             await asyncio.sleep(READY_POLL_S)
         raise FleetNotReady(f"entry-{number} is not ready")
 
-    async def _register(self, offers: list[Offer], versions: list[WeightVersion]) -> None:
-        state = PlatformState(list(self._instances.values()), [], offers, versions)
+    async def _register(
+        self, offers: list[Offer], versions: list[WeightVersion], spares: list[Spare]
+    ) -> None:
+        state = PlatformState(list(self._instances.values()), spares, offers, versions)
         body = msgspec.json.encode(state)
         await self._ask("POST", f"{self.url('platform')}/instances", body)
 
@@ -366,24 +392,3 @@
             max_bytes=MAX_ANSWER_BYTES,
         )
         return msgspec.json.decode(content)
-
-
-async def run_fleet(deployment: str, entries: int, seed: int) -> None:
-    """Run a fleet until interrupted; prints where each process listens."""
-    async with Fleet(deployment, entries, seed) as fleet:
-        print(json.dumps(fleet.addresses(), indent=2), flush=True)
-        stopped = asyncio.Event()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, stopped.set)
-        await stopped.wait()
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- a/test/test_execution_guard.py
+++ b/test/test_execution_guard.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.execution.guard import ExecutionGuard
 from godwitpath.execution.record import (
     BodyMismatch,
@@ -20,7 +21,14 @@
     decode,
     store_key,
 )
-from godwitpath.execution.sweep import sweep
+from godwitpath.execution.sweep import (
+    SWEEP_DUTY,
+    SWEEP_INTERVAL_S,
+    ExecutionSweeper,
+    sweep,
+)
+from godwitpath.membership.member import Member
+from godwitpath.ports.engine import Address
 from godwitpath.records.record import Outcome
 from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
 
@@ -67,6 +75,14 @@
         assert guard.counters.lost_answers_settled == 1
         assert await guard.finish(claim, Outcome(200))
 
+    async def test_a_restart_that_draws_the_same_numbers_does_not_run_again(self) -> None:
+        core = loop_core()
+        before = guard_of(FakeKeyValueStore(core), "e1", 1)
+        await before.claim("a", "k", "d", "r1")
+        after = guard_of(FakeKeyValueStore(core), "e1", 1)
+        with pytest.raises(ExecutionExists):
+            await after.claim("a", "k", "d", "r1")
+
     async def test_refused_while_the_store_is_down_and_free_afterwards(self) -> None:
         store = FakeKeyValueStore(timeout_s=0.1)
         guard = guard_of(store)
@@ -152,6 +168,21 @@
         assert await guard.read("a", "done") is None
         assert await guard.read("a", "open") is not None
 
+    async def test_only_the_holder_of_the_duty_sweeps(self) -> None:
+        store = FakeKeyValueStore()
+        member = Member("e1", "r", "z", Address("test", 1))
+        keeper = DutyKeeper(store, member, lambda: [member], random.Random(1))
+        sweeper = ExecutionSweeper(store, keeper, KEEP_S)
+        tasks = [asyncio.create_task(keeper.run()), asyncio.create_task(sweeper.run())]
+        await asyncio.sleep(SWEEP_INTERVAL_S + 1)
+        assert sweeper.last is None
+        keeper.set_duties([SWEEP_DUTY])
+        await asyncio.sleep(SWEEP_INTERVAL_S + 1)
+        assert sweeper.last is not None
+        assert sweeper.last.complete
+        for task in tasks:
+            task.cancel()
+
 
 class AtMostOnce(RuleBasedStateMachine):
     """Entries that claim, pause, crash, send and finish over a store with faults.
