--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -14,6 +14,7 @@
     retries,
     routing,
     shares,
+    subsets,
 )
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
@@ -33,6 +34,7 @@
 retries.register(app)
 routing.register(app)
 shares.register(app)
+subsets.register(app)
 
 if __name__ == "__main__":
     app()
