--- a/godwitpath/limits/limiter.py
+++ b/godwitpath/limits/limiter.py
@@ -12,6 +12,7 @@
 from godwitpath.config.model import Account
 from godwitpath.limits.bucket import AccountBuckets
 from godwitpath.limits.shares import MemberCount, ShareBook
+from godwitpath.peers.codec import peer_message
 from godwitpath.ports.peers import PeerMessage, PeerTransport, PeerUnreachable
 
 EXCHANGE_INTERVAL_S = 0.25
@@ -20,16 +21,16 @@
 REQUEST_TIMEOUT_S = 0.5
 """Longest time that an answer of a peer is waited for."""
 
-PEERS_ASKED = 3
+PEERS_ASKED = 4
 """Peers asked for a share in a round."""
 
-DEMAND_WEIGHT = 0.25
+DEMAND_WEIGHT = 0.05
 """Weight of a round in the measured demand."""
 
-HEADROOM = 1.3
+HEADROOM = 1.05
 """Factor on the measured demand that an entry keeps or asks for."""
 
-RESERVE = 0.2
+RESERVE = 0.1
 """Part of its base share that an entry never lends."""
 
 MIN_WANTED = 0.005
@@ -39,6 +40,7 @@
 """Time after which an account without calls is forgotten."""
 
 
+@peer_message
 class ShareRequest(PeerMessage):
     """Asks for a part of an account's limit, with what was borrowed there already."""
 
@@ -46,6 +48,7 @@
     share: float
 
 
+@peer_message
 class ShareGrant(PeerMessage):
     """Lends a part of an account's limit; 0 for nothing."""
 
@@ -195,6 +198,7 @@
         transport.handle(ShareRequest, answer)
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
+            self.observe_members(len({self.entry_id, *live()}))
             requests = self.wanted(loop.time())
             await asyncio.gather(*(self._ask(transport, one, live()) for one in requests))
 
