--- a/godwitpath/entry/caller_app.py
+++ b/godwitpath/entry/caller_app.py
@@ -22,11 +22,11 @@
     check_taking,
     idempotency_key,
     identify,
-    last_event_tokens,
     read_body,
     service_named,
 )
 from godwitpath.entry.plain_calls import FORWARDED_METHODS, PlainCalls
+from godwitpath.entry.position import Position, parse_position
 from godwitpath.entry.refusals import CallerError, error_response
 from godwitpath.entry.vanished import VanishedCallers
 from godwitpath.records.record import RecordRef
@@ -108,7 +108,7 @@
         check_allowed(account, asked.service)
         if len(raw) > service.max_body_bytes:
             raise CallerError("body_too_large", f"the body may have {service.max_body_bytes} bytes")
-        after_tokens = last_event_tokens(request)
+        position = _position(request)
         timeout_s = asked_timeout_s(request, service)
         ref = None
         if key:
@@ -127,15 +127,15 @@
                 timeout_s,
             )
             ref = await self._acceptance.generation(record, asked, service)
-        return await self._deliver(ref, asked.streamed, after_tokens, asked.include_usage)
+        return await self._deliver(ref, asked.streamed, position, asked.include_usage)
 
     async def _deliver(
-        self, ref: RecordRef, streamed: bool, after_tokens: int, include_usage: bool
+        self, ref: RecordRef, streamed: bool, position: Position, include_usage: bool
     ) -> Response:
         if not streamed:
             return await whole_response(self._context, ref)
         self._vanished.attached(ref)
-        return EventStream(self._context, ref, after_tokens, include_usage, self._vanished.detached)
+        return EventStream(self._context, ref, position, include_usage, self._vanished.detached)
 
     async def _models(self, request: Request) -> Response:
         account_name = identify(self._context, request)
@@ -172,4 +172,8 @@
         ref = await self._find(request)
         if ref.kind == "plain":
             raise CallerError("unknown_request", "only generations have events")
-        return await self._deliver(ref, True, last_event_tokens(request), False)
+        return await self._deliver(ref, True, _position(request), False)
+
+
+def _position(request: Request) -> Position:
+    return parse_position(request.headers.get("last-event-id", ""))
--- a/godwitpath/entry/context.py
+++ b/godwitpath/entry/context.py
@@ -36,6 +36,7 @@
 
     :ivar budgets: retry budget by service
     :ivar tasks: running background work, kept so that it is not garbage collected
+    :ivar held_duties: names of the duties that this entry holds
     :ivar dumps: state dump of each part by name
     :ivar leaving: whether the entry told its peers and the balancer that it leaves
     :ivar stopping: whether the entry takes no new requests
@@ -59,6 +60,7 @@
     accounts: AccountIndex | None = None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    held_duties: Callable[[], list[str]] = list
     dumps: dict[str, Callable[[], object]] = field(default_factory=dict)
     leaving: bool = False
     stopping: bool = False
--- a/godwitpath/entry/daemon.py
+++ b/godwitpath/entry/daemon.py
@@ -27,6 +27,7 @@
 from godwitpath.entry.context import EntryContext, now_s
 from godwitpath.entry.counters import EntryMetrics
 from godwitpath.entry.drain import Drain
+from godwitpath.entry.duty_work import DutyWork
 from godwitpath.entry.evacuate import Evacuation
 from godwitpath.entry.forward import Forwarder
 from godwitpath.entry.gate import AdmissionGate
@@ -105,6 +106,7 @@
         await callers.start()
         self._announce(callers.address, operators.address, address)
         await drain.asked.wait()
+        await self._duty_work.keeper.leave()
         await drain.leave()
         await drain.finish()
         await callers.stop()
@@ -134,6 +136,7 @@
         self._registrar = Registrar(self._store, membership, self._rng)
         config = ConfigInForce(self._store, self._transport, membership, _parse, self._rng)
         metrics = EntryMetrics(Metrics(settings.entry_id, __version__))
+        self._duty_work = DutyWork(self._store, membership, self._rng)
         journal = Journal(self._store, settings.entry_id, str(self._incarnation), self._rng)
         self._journal_link = JournalLink(journal, membership, self._transport)
         context = EntryContext(
@@ -158,7 +161,9 @@
             _take_configuration(context, envelope, configuration)
 
         config.on_change(take)
+        context.held_duties = self._duty_work.held
         membership.on_change(context.records.member_changed)
+        membership.on_change(lambda _: context.limiter.observe_members(len(membership.live())))
         return context
 
     def _serving(self, context: EntryContext) -> tuple[GenerationRunner, Forwarder, AdmissionGate]:
@@ -184,6 +189,7 @@
         context.dumps.update(
             admission=gate.dump,
             config=context.config.dump,
+            duties=self._duty_work.dump,
             limits=context.limiter.dump,
             membership=context.membership.dump,
             registration=self._registrar.dump,
@@ -220,6 +226,7 @@
                 "limits": lambda: context.limiter.run(self._transport, live_names),
                 "promises": lambda: self._promises.run(self._transport, live_names),
                 "load": LoadPoll(context).run,
+                **self._duty_work.parts(),
             }.items()
         ]
 
--- a/godwitpath/entry/delivery.py
+++ b/godwitpath/entry/delivery.py
@@ -11,6 +11,7 @@
 
 from godwitpath.entry.context import EntryContext
 from godwitpath.entry.openai_form import EventWriter, whole_body
+from godwitpath.entry.position import Position
 from godwitpath.entry.refusals import STATUS_BY_REASON, CallerError, error_body, error_response
 from godwitpath.records.reader import RecordLost
 from godwitpath.records.record import OffsetUnknown, Outcome, RecordRef
@@ -90,14 +91,14 @@
         self,
         context: EntryContext,
         ref: RecordRef,
-        after_tokens: int,
+        position: Position,
         include_usage: bool,
         on_gone: Callable[[RecordRef], None],
     ) -> None:
         super().__init__(b"", media_type=CONTENT_TYPE_EVENTS)
         self._context = context
         self._ref = ref
-        self._after_tokens = after_tokens
+        self._position = position
         self._writer = EventWriter(ref, int(time.time()), include_usage)
         self._on_gone = on_gone
 
@@ -143,18 +144,18 @@
             await _send_part(send, self._writer.error(body), last=True)
 
     async def _send_answer(self, send: Send, alive: asyncio.Task[None]) -> None:
-        tokens = self._after_tokens
-        async for batch in self._context.records.follow(self._ref, self._after_tokens):
+        at = self._position
+        async for batch in self._context.records.follow(self._ref, at.tokens, at.seen):
+            at = at.after(batch)
             text = "".join(piece.text for piece in batch)
-            tokens += sum(piece.tokens for piece in batch)
-            await _send_part(send, self._writer.text(text, tokens))
+            await _send_part(send, self._writer.text(text, at))
         outcome = await self._context.records.outcome(self._ref)
         alive.cancel()
         if outcome.reason:
             body = error_body(outcome_error(outcome), self._ref.request_id)
             await _send_part(send, self._writer.error(body), last=True)
         else:
-            await _send_part(send, self._writer.end(outcome, tokens), last=True)
+            await _send_part(send, self._writer.end(outcome, at), last=True)
 
 
 async def _send_part(send: Send, body: bytes, last: bool = False) -> None:
--- a/godwitpath/entry/intake.py
+++ b/godwitpath/entry/intake.py
@@ -115,17 +115,3 @@
     """
     if context.stopping:
         raise CallerError("stopping", "this entry is stopping", retry_after_s=NOT_READY_RETRY_S)
-
-
-def last_event_tokens(request: Request) -> int:
-    """Return the tokens that a returning caller already has, from `Last-Event-ID`.
-
-    :raises CallerError: the header is not one that was given
-    """
-    given = request.headers.get("last-event-id", "")
-    if not given:
-        return 0
-    tokens = given.rpartition(":")[2]
-    if not (tokens.isascii() and tokens.isdigit() and len(tokens) < 12):
-        raise CallerError("malformed_request", "`Last-Event-ID` must be one that was given")
-    return int(tokens)
--- a/godwitpath/entry/openai_form.py
+++ b/godwitpath/entry/openai_form.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from godwitpath.entry.position import Position
 from godwitpath.records.record import Outcome, RecordRef
 
 _json = msgspec.json.Encoder().encode
@@ -15,7 +16,7 @@
 class EventWriter:
     """Renders the events of one stream; all but the text is encoded once.
 
-    The event id is `REQUEST:TOKENS`, the number of tokens delivered up to the event's end.
+    The event id tells where the caller is after the event.
 
     :param ref: the request
     :param created: Unix time in seconds that the answer carries
@@ -35,23 +36,23 @@
             _json(ref.service),
         )
 
-    def text(self, text: str, tokens_after: int) -> bytes:
+    def text(self, text: str, after: Position) -> bytes:
         """Return the event of a piece of text."""
-        event_id = f"id: {self._request_id}:{tokens_after}\n".encode()
+        event_id = f"id: {after.event_id(self._request_id)}\n".encode()
         choice = b'{"index":0,"delta":{"content":%s},"finish_reason":null}]}\n\n'
         if not self._chat:
             choice = b'{"index":0,"text":%s,"finish_reason":null}]}\n\n'
         return event_id + self._head + choice % _json(text)
 
-    def end(self, outcome: Outcome, tokens: int) -> bytes:
+    def end(self, outcome: Outcome, at: Position) -> bytes:
         """Return the events that end a stream."""
         content = b'"delta":{}' if self._chat else b'"text":""'
         reason = _json(outcome.finish_reason or "stop")
-        event_id = f"id: {self._request_id}:{tokens}\n".encode()
+        event_id = f"id: {at.event_id(self._request_id)}\n".encode()
         last = self._head + b'{"index":0,%s,"finish_reason":%s}]}\n\n' % (content, reason)
         if not self._usage:
             return event_id + last + DONE_EVENT
-        usage = self._head + b'],"usage":%s}\n\n' % _json(usage_of(outcome, tokens))
+        usage = self._head + b'],"usage":%s}\n\n' % _json(usage_of(outcome, at.tokens))
         return event_id + last + usage + DONE_EVENT
 
     def error(self, body: bytes) -> bytes:
--- a/godwitpath/entry/operator_app.py
+++ b/godwitpath/entry/operator_app.py
@@ -42,7 +42,7 @@
         return _json(dump_state(context))
 
     async def status(_request: Request) -> Response:
-        return _json(fleet_status(context))
+        return _json(await fleet_status(context))
 
     async def metrics(_request: Request) -> Response:
         body, content_type = context.metrics.render()
--- a/godwitpath/entry/state_dump.py
+++ b/godwitpath/entry/state_dump.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import Any
 
 from godwitpath import __version__
 from godwitpath.entry.context import EntryContext
+from godwitpath.ports.engine import EngineError
+from godwitpath.upstreams.table import Upstream
 
 
 @dataclass(slots=True)
@@ -52,34 +55,94 @@
     }
 
 
-def fleet_status(context: EntryContext) -> dict[str, Any]:
-    """Return every entry and upstream as this entry knows them."""
-    entries = [
-        {
-            "entry_id": member.entry_id,
-            "region": member.region,
-            "availability_zone": member.availability_zone,
-            "state": member.state,
-            "incarnation": member.incarnation,
-            "config_revision": member.config_revision,
-        }
-        for member in sorted(context.membership.members(), key=lambda member: member.entry_id)
-    ]
-    upstreams = [
-        {
-            "upstream_id": upstream.upstream_id,
-            "service": upstream.service,
-            "region": upstream.region,
-            "availability_zone": upstream.availability_zone,
-            "state": upstream.state,
-            "reclaimable": upstream.reclaimable,
-            "price_per_h": upstream.price_per_h,
-        }
-        for upstream in sorted(context.upstreams.all(), key=lambda one: one.upstream_id)
-    ]
-    return {
-        "asked": context.settings.entry_id,
-        "config_revision": context.config.revision,
-        "entries": entries,
-        "upstreams": upstreams,
-    }
+@dataclass(slots=True)
+class EntryStatus:
+    """An entry as the asked one knows it."""
+
+    entry_id: str
+    region: str
+    availability_zone: str
+    state: str
+    incarnation: int
+    config_revision: int
+
+
+@dataclass(slots=True)
+class UpstreamStatus:
+    """An upstream, with what it runs against what is written.
+
+    :ivar runs: model and version that an engine says it runs, empty where it was not asked
+    :ivar written: model and version of the configuration, empty for plain services
+    """
+
+    upstream_id: str
+    service: str
+    region: str
+    availability_zone: str
+    state: str
+    reclaimable: bool
+    price_per_h: float
+    runs: str = ""
+    written: str = ""
+
+
+@dataclass(slots=True)
+class FleetStatus:
+    """The fleet as one entry sees it.
+
+    :ivar asked: entry that was asked
+    :ivar duties: duties that the asked entry holds
+    """
+
+    asked: str
+    config_revision: int
+    duties: list[str]
+    entries: list[EntryStatus]
+    upstreams: list[UpstreamStatus]
+
+
+async def fleet_status(context: EntryContext) -> FleetStatus:
+    """Return every entry and upstream as this entry knows them; engines are asked what they run."""
+    members = sorted(context.membership.members(), key=lambda member: member.entry_id)
+    upstreams = sorted(context.upstreams.all(), key=lambda upstream: upstream.upstream_id)
+    return FleetStatus(
+        asked=context.settings.entry_id,
+        config_revision=context.config.revision,
+        duties=context.held_duties(),
+        entries=[
+            EntryStatus(
+                entry_id=member.entry_id,
+                region=member.region,
+                availability_zone=member.availability_zone,
+                state=member.state,
+                incarnation=member.incarnation,
+                config_revision=member.config_revision,
+            )
+            for member in members
+        ],
+        upstreams=list(await asyncio.gather(*(_upstream_status(context, u) for u in upstreams))),
+    )
+
+
+async def _upstream_status(context: EntryContext, upstream: Upstream) -> UpstreamStatus:
+    status = UpstreamStatus(
+        upstream_id=upstream.upstream_id,
+        service=upstream.service,
+        region=upstream.region,
+        availability_zone=upstream.availability_zone,
+        state=upstream.state,
+        reclaimable=upstream.reclaimable,
+        price_per_h=upstream.price_per_h,
+    )
+    configuration = context.config.current
+    service = configuration.services.get(upstream.service) if configuration else None
+    if service is None or service.model is None or upstream.state == "gone":
+        return status
+    status.written = f"{service.model.name} {service.model.version}"
+    try:
+        running = await context.engine.status(upstream.address)
+    except EngineError as error:
+        status.runs = f"not known: {error}"
+    else:
+        status.runs = f"{running.model} {running.version}"
+    return status
--- a/godwitpath_standin/load.py
+++ b/godwitpath_standin/load.py
@@ -257,7 +257,7 @@
         stream.times_s.append(now_s)
     if b"id" in fields:
         stream.last_event_id = fields[b"id"].decode()
-        stream.tokens = int(stream.last_event_id.rpartition(":")[2])
+        stream.tokens = int(stream.last_event_id.split(":")[1])
 
 
 def _fields(event: bytes) -> Iterator[tuple[bytes, bytes]]:
--- a/test/test_event_stream.py
+++ b/test/test_event_stream.py
@@ -10,6 +10,7 @@
 import pytest
 
 from godwitpath.entry.delivery import EventStream
+from godwitpath.entry.position import Position
 from godwitpath.records.reader import RecordLost
 from godwitpath.records.record import OffsetUnknown, Piece, RecordRef
 
@@ -31,7 +32,9 @@
         sent.append(message)
 
     context: Any = SimpleNamespace(records=SimpleNamespace(follow=follow))
-    stream = EventStream(context, RecordRef("a", "req-1", "e1"), 0, False, lambda ref: None)
+    stream = EventStream(
+        context, RecordRef("a", "req-1", "e1"), Position(), False, lambda ref: None
+    )
     await stream({"type": "http"}, receive, send)
     body = b"".join(message.get("body", b"") for message in sent)
     assert body.count(b"event: error") == 1
--- /dev/null
+++ b/test/test_position.py
@@ -0,0 +1,45 @@
+"""Where a caller is in a stream: carried by event ids, checked when it comes back."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitpath.entry.position import Position, parse_position
+from godwitpath.entry.refusals import CallerError
+from godwitpath.records.record import OffsetUnknown, Piece, pieces_after
+
+PIECES = [Piece(0, "one ", 1), Piece(1, "two three ", 2), Piece(3, "four", 1)]
+
+
+@given(st.lists(st.text(max_size=5), max_size=6))
+def test_an_event_id_brings_the_position_back(texts: list[str]) -> None:
+    position = Position()
+    for offset, text in enumerate(texts):
+        position = position.after([Piece(offset, text, 1)])
+    parsed = parse_position(position.event_id("req-1"))
+    assert (parsed.tokens, parsed.seen or None) == (position.tokens, parsed.seen)
+    assert parsed.event_id("req-1") == position.event_id("req-1")
+
+
+@given(st.text(max_size=60))
+def test_any_other_id_is_refused(text: str) -> None:
+    try:
+        parsed = parse_position(text)
+    except CallerError as error:
+        refused = error.reason
+    else:
+        refused = "" if parsed.event_id("r").count(":") == 3 else "misread"
+    assert refused in ("", "malformed_request")
+
+
+def test_a_caller_gets_the_rest_of_its_own_text() -> None:
+    position = Position().after(PIECES[:2])
+    assert pieces_after(PIECES, position.tokens, position.seen) == PIECES[2:]
+
+
+def test_no_other_text_is_spliced_to_what_a_caller_has() -> None:
+    position = Position().after([PIECES[0], Piece(1, "2 III ", 2)])
+    with pytest.raises(OffsetUnknown):
+        pieces_after(PIECES, position.tokens, position.seen)
