Add the duty that keeps a service's instances as its work needs them

Cause: plan and demand stood alone; nothing took or gave back instances. Ruled out: asking the cloud first and writing after (a holder that dies in between leaves an instance that nobody knows); leaving refused offers out of the plan (it would give back what already runs of that kind). The plan may now mix kinds in a zone.

--- a/godwitpath/capacity/plan.py
+++ b/godwitpath/capacity/plan.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from godwitpath.config.model import FleetSpec
@@ -13,7 +14,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Slot:
+class PlannedSlot:
     """A kind of instance with a number of them.
 
     :ivar offer: what is taken
@@ -34,7 +35,7 @@
     :ivar short_by: engines that could not be planned for want of offers or by a bound
     """
 
-    slots: list[Slot]
+    slots: list[PlannedSlot]
     price_per_h: float
     survives: int
     short_by: int
@@ -45,66 +46,98 @@
         return sum(slot.count for slot in self.slots)
 
 
+OfferKind = tuple[str, str, bool]
+"""Availability zone, machine class, and whether it may be reclaimed."""
+
+
 def plan_fleet(
-    needed: int, fleet: FleetSpec, offers: Iterable[Offer], running: Sequence[Offer] = ()
+    needed: int,
+    fleet: FleetSpec,
+    offers: Iterable[Offer],
+    running: Sequence[Offer] = (),
+    at_most: Mapping[OfferKind, int] | None = None,
 ) -> FleetPlan:
     """Return the cheapest fleet that leaves the needed engines when any one zone is lost.
 
     :param needed: engines that the work needs
-    :param offers: what can be had now; refused offers are left out by the caller
+    :param offers: what can be had now
     :param running: offers that running instances were taken from, which are kept when near equal
+    :param at_most: bounds by kind, such as what is running of an offer that was refused lately
     """
     needed = max(needed, fleet.minimum)
-    cheapest = _cheapest_by_zone(offers, fleet, running)
-    plans = [_fill(needed, most, cheapest, fleet) for most in range(needed + 1)]
-    usable = [plan for plan in plans if plan is not None]
-    return min(usable, key=_preference)
+    zones = _by_zone(offers, fleet, running)
+    plans = [_fill(needed, most, zones, fleet, at_most or {}) for most in range(needed + 1)]
+    return min(plans, key=_preference)
 
 
-def _cheapest_by_zone(
-    offers: Iterable[Offer], fleet: FleetSpec, running: Sequence[Offer]
-) -> list[Offer]:
-    """Return the cheapest usable offer of each zone, the cheapest zone first."""
-    best: dict[str, Offer] = {}
-    kept = {_kind(offer) for offer in running}
+@dataclass(slots=True, frozen=True)
+class _Weighed:
+    """An offer with the price that it is chosen by."""
+
+    weight: float
+    offer: Offer
 
-    def weight(offer: Offer) -> float:
-        return offer.price_per_h * (1.0 - KEEP_BONUS * (_kind(offer) in kept))
 
+def _by_zone(
+    offers: Iterable[Offer], fleet: FleetSpec, running: Sequence[Offer]
+) -> dict[str, list[_Weighed]]:
+    """Return the usable offers of each zone, the cheapest first."""
+    zones: dict[str, list[_Weighed]] = {}
+    kept = {offer_kind(offer) for offer in running}
     for offer in offers:
         allowed = not fleet.machine_classes or offer.machine_class in fleet.machine_classes
         if not allowed or offer.price_per_h > fleet.price_limit_per_h:
             continue
-        known = best.get(offer.availability_zone)
-        if known is None or weight(offer) < weight(known):
-            best[offer.availability_zone] = offer
-    return sorted(best.values(), key=lambda offer: (weight(offer), offer.availability_zone))
+        weight = offer.price_per_h * (1.0 - KEEP_BONUS * (offer_kind(offer) in kept))
+        zones.setdefault(offer.availability_zone, []).append(_Weighed(weight, offer))
+    for weighed in zones.values():
+        weighed.sort(key=_by_weight)
+    return zones
 
 
-def _kind(offer: Offer) -> tuple[str, str, bool]:
+def offer_kind(offer: Offer) -> OfferKind:
+    """Return what tells an offer from others whatever its price."""
     return offer.availability_zone, offer.machine_class, offer.reclaimable
 
 
-def _fill(needed: int, most: int, zones: Sequence[Offer], fleet: FleetSpec) -> FleetPlan | None:
+def _by_weight(weighed: _Weighed) -> tuple[float, OfferKind]:
+    return weighed.weight, offer_kind(weighed.offer)
+
+
+def _fill(
+    needed: int,
+    most: int,
+    zones: Mapping[str, list[_Weighed]],
+    fleet: FleetSpec,
+    at_most: Mapping[OfferKind, int],
+) -> FleetPlan:
     """Return the cheapest fleet with at most a number of engines in a zone.
 
     With at most `most` in each zone, `needed + most` engines leave enough whichever zone goes.
     """
-    wanted = min(needed + most, fleet.maximum)
-    slots: list[Slot] = []
-    left = wanted
-    for offer in zones:
-        count = min(most, left)
-        if count:
-            slots.append(Slot(offer, count))
-            left -= count
-    engines = wanted - left
-    largest = max((slot.count for slot in slots), default=0)
-    survives = engines - largest
-    price = sum(slot.offer.price_per_h * slot.count for slot in slots)
+    units: list[_Weighed] = []
+    for weighed in zones.values():
+        units.extend(_cheapest_units(weighed, most, at_most))
+    taken = sorted(units, key=_by_weight)[: min(needed + most, fleet.maximum)]
+    counts = Counter(unit.offer for unit in taken)
+    in_zone = Counter(unit.offer.availability_zone for unit in taken)
+    survives = len(taken) - max(in_zone.values(), default=0)
+    price = sum(unit.offer.price_per_h for unit in taken)
+    slots = [PlannedSlot(offer, count) for offer, count in counts.items()]
     return FleetPlan(slots, price, survives, max(0, needed - survives))
 
 
+def _cheapest_units(
+    weighed: Iterable[_Weighed], most: int, at_most: Mapping[OfferKind, int]
+) -> list[_Weighed]:
+    """Return a zone's cheapest engines, one item each."""
+    units: list[_Weighed] = []
+    for each in weighed:
+        room = most - len(units)
+        units.extend([each] * min(room, at_most.get(offer_kind(each.offer), room)))
+    return units
+
+
 def _preference(plan: FleetPlan) -> tuple[int, float, int]:
     """Enough engines first, then the price, then many engines over few."""
     return plan.short_by, plan.price_per_h, -plan.survives
--- /dev/null
+++ b/godwitpath/capacity/reports.py
@@ -0,0 +1,103 @@
+"""The work of all entries, as they report it to the holder of a capacity duty."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from godwitpath.capacity.demand import WorkRate, total
+from godwitpath.duties.duty import Duty
+from godwitpath.membership.member import Member
+from godwitpath.peers.codec import peer_message
+from godwitpath.ports.peers import PeerMessage, PeerTransport
+from godwitpath.ranking import rank
+
+KEEP_S = 10.0
+"""Age from which a report counts no more."""
+
+REPORT_INTERVAL_S = 3.0
+"""Time between an entry's reports; two may be lost."""
+
+
+@peer_message
+class DemandReport(PeerMessage):
+    """Tells what work of a service one entry sees.
+
+    :ivar service: name of the service
+    :ivar region: region whose engines do the work
+    """
+
+    service: str
+    region: str
+    requests_per_s: float
+    computed_tokens_per_s: float
+    generated_tokens_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class _Heard:
+    rate: WorkRate
+    at_s: float
+
+
+def capacity_duty(service: str, region: str) -> Duty:
+    """Return the duty of a service's capacity in a region."""
+    return Duty("capacity", f"{service}@{region}")
+
+
+class DemandBook:
+    """What the entries reported lately."""
+
+    def __init__(self) -> None:
+        self._heard: dict[Duty, dict[str, _Heard]] = {}
+
+    def register(self, transport: PeerTransport) -> None:
+        """Take in the reports that come over a transport."""
+
+        async def heard(sender: str, report: DemandReport) -> None:
+            self.note(sender, report)
+
+        transport.handle(DemandReport, heard)
+
+    def note(self, entry_id: str, report: DemandReport) -> None:
+        """Take in a report; a newer one replaces an older one of the same entry."""
+        rate = WorkRate(
+            report.requests_per_s, report.computed_tokens_per_s, report.generated_tokens_per_s
+        )
+        by_entry = self._heard.setdefault(capacity_duty(report.service, report.region), {})
+        by_entry[entry_id] = _Heard(rate, _now_s())
+
+    def total(self, duty: Duty) -> WorkRate:
+        """Return the work of all entries that reported lately."""
+        by_entry = self._heard.get(duty, {})
+        oldest_s = _now_s() - KEEP_S
+        for entry_id in [name for name, heard in by_entry.items() if heard.at_s < oldest_s]:
+            del by_entry[entry_id]
+        return total(heard.rate for heard in by_entry.values())
+
+
+async def send_reports(
+    local: Member,
+    live: Callable[[], list[Member]],
+    transport: PeerTransport,
+    book: DemandBook,
+    reports: Callable[[], list[DemandReport]],
+) -> None:
+    """Send this entry's reports to the entries that rank first and second, until cancelled.
+
+    The second may stand in for the first, and then knows the demand.
+    """
+    while True:
+        for report in reports():
+            key = capacity_duty(report.service, report.region).store_key
+            for member in rank(key, live(), lambda each: each.entry_id)[:2]:
+                if member.entry_id == local.entry_id:
+                    book.note(local.entry_id, report)
+                else:
+                    await transport.send(member.entry_id, report)
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
