Add the rollout of the written state to the engines

Cause: nothing ordered engines to the models, versions, adapters and roles of the configuration. Ruled out: one duty for all regions (its holder would ask every engine of the fleet); orders as differences (an old one that arrives late would be lasting). Change: a pure plan of the next orders (paced, dependencies first, one engine first for a new version, never below the needed engines, stopped and explained after a failure) and a duty a region that sends them under the fence, with a longer margin for engines that ignore the number, and looks again.

--- /dev/null
+++ b/godwitpath/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout: the written models, versions, adapters and roles become what the engines run."""
--- /dev/null
+++ b/test/test_rollout.py
@@ -0,0 +1,238 @@
+"""Rollout: paced, in order, never below the target, stopped when a version fails."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitpath.config.model import Configuration, FleetSpec, ModelSpec, Service
+from godwitpath.duties.duty import Duty, Fence
+from godwitpath.ports.engine import Address, Engine, EngineOrder, EngineStatus, OrderFenced
+from godwitpath.rollout.duty import UNCHECKED_MARGIN_S, RolloutDuty
+from godwitpath.rollout.plan import EngineSeen, RolloutPlan, plan_rollout
+from godwitpath.upstreams.table import Upstream, UpstreamTable, fact_of
+
+LOAD_S = 20.0
+
+
+def service(version: str, depends_on: tuple[str, ...] = (), checks: bool = True) -> Service:
+    fleet = FleetSpec(checks_fencing=checks)
+    model = ModelSpec("m", version, ["a"])
+    return Service("generation", list(depends_on), model=model, fleet=fleet)
+
+
+def status(version: str, state: str = "serving", of: str = "lm", detail: str = "") -> EngineStatus:
+    return EngineStatus("i", state, of, "m", version, ["a"], "unified", 0, detail)
+
+
+def seen(statuses: list[EngineStatus], of: str = "lm") -> list[EngineSeen]:
+    address = Address("test", 1)
+    return [EngineSeen(f"{of}-{n}", of, address, each) for n, each in enumerate(statuses)]
+
+
+def ordered(plan: RolloutPlan) -> list[str]:
+    return [each.engine.upstream_id for each in plan.orders]
+
+
+def test_the_first_engine_of_a_version_loads_alone() -> None:
+    plan = plan_rollout({"lm": service("2")}, seen([status("1")] * 5), {"lm": 2}, 3)
+    assert ordered(plan) == ["lm-0"]
+    loading = seen([status("2", "loading"), *[status("1")] * 4])
+    assert not plan_rollout({"lm": service("2")}, loading, {"lm": 2}, 3).orders
+
+
+def test_a_failed_version_stops_and_is_explained() -> None:
+    engines = seen([status("2", "failed", detail="broken"), *[status("1")] * 4])
+    engines[0] = replace(engines[0], ordered_s_ago=5.0)
+    plan = plan_rollout({"lm": service("2")}, engines, {"lm": 2}, 3)
+    assert not plan.orders
+    assert plan.held["lm"] == "stopped: lm-0 failed to load m 2: broken"
+    # The written state goes back: the engine that failed is put right.
+    assert ordered(plan_rollout({"lm": service("1")}, engines, {"lm": 2}, 3)) == ["lm-0"]
+
+
+def test_an_engine_that_came_back_with_old_weights_is_corrected() -> None:
+    engines = seen([status("2"), status("1"), status("2")])
+    assert ordered(plan_rollout({"lm": service("2")}, engines, {"lm": 2}, 3)) == ["lm-1"]
+
+
+def test_dependencies_go_first() -> None:
+    services = {"app": service("2", ("lm",)), "lm": service("2")}
+    old = seen([status("1", of="app")] * 3, "app")
+    plan = plan_rollout(services, [*old, *seen([status("1")] * 3)], {}, 3)
+    assert ordered(plan) == ["lm-0"]
+    assert plan.held["app"] == "waits until lm is as written"
+    plan = plan_rollout(services, [*old, *seen([status("2")] * 3)], {}, 3)
+    assert ordered(plan) == ["app-0"]
+
+
+def test_adapters_and_roles_need_no_load() -> None:
+    plan = plan_rollout(
+        {"lm": service("1")}, seen([replace(status("1"), role="decode")] * 4), {"lm": 4}, 1
+    )
+    assert len(plan.orders) == 4
+    assert not any(each.loads for each in plan.orders)
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("12"), st.sampled_from(["serving", "loading", "failed"])),
+        max_size=9,
+    ),
+    st.integers(1, 6),
+    st.integers(1, 4),
+)
+def test_no_plan_goes_below_the_target_or_over_the_pace(
+    engines: list[tuple[str, str]], needed: int, loads: int
+) -> None:
+    statuses = [status(version, state) for version, state in engines]
+    plan = plan_rollout({"lm": service("2")}, seen(statuses), {"lm": needed}, loads)
+    by_name = {each.upstream_id: each.status for each in seen(statuses)}
+    taken = [by_name[name] for name in ordered(plan)]
+    serving = sum(each.state == "serving" for each in statuses)
+    stops = sum(each is not None and each.state == "serving" for each in taken)
+    assert stops == 0 or serving - stops >= needed
+    loading = sum((each.version, each.state) == ("2", "loading") for each in statuses)
+    assert not taken or loading + len(taken) <= loads
+    assert all(each != status("2") for each in taken)
+
+
+class FakeEngine(Engine):
+    """Engines that load on the loop's clock, and may ignore fencing numbers."""
+
+    def __init__(self, ports: range, version: str = "1", checks: bool = True) -> None:
+        self.status_of = {port: status(version) for port in ports}
+        self.checks = checks
+        self.bad_version = ""
+        self.fewest = len(ports)
+        self.most_loading = 0
+
+    async def status(self, address: Address) -> EngineStatus:
+        return self.status_of[address.port]
+
+    async def order(self, address: Address, order: EngineOrder) -> EngineStatus:
+        known = self.status_of[address.port]
+        if self.checks and order.fencing < known.fencing:
+            raise OrderFenced("older")
+        fencing = max(known.fencing, order.fencing)
+        new = replace(known, version=order.version, state="loading", fencing=fencing)
+        self.status_of[address.port] = new
+        asyncio.get_running_loop().call_later(LOAD_S, self._end, address.port, new)
+        states = [each.state for each in self.status_of.values()]
+        self.fewest = min(self.fewest, states.count("serving"))
+        self.most_loading = max(self.most_loading, states.count("loading"))
+        return new
+
+    def _end(self, port: int, loaded: EngineStatus) -> None:
+        if self.status_of[port] is loaded:
+            broken = loaded.version == self.bad_version
+            state = "failed" if broken else "serving"
+            self.status_of[port] = replace(loaded, state=state, detail="broken" * broken)
+
+    def versions(self) -> list[str]:
+        return [each.version for each in self.status_of.values()]
+
+    def generate(self, address, call):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    def resume(self, address, stream_id, attempt_id, after_tokens):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    async def cancel(self, address, stream_id):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    async def load(self, address):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    async def cache_events(self, address, after_sequence):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    async def export_cache(self, address, stream_id):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+    async def import_cache(self, address, cache):  # type: ignore[no-untyped-def]
+        raise NotImplementedError
+
+
+class Keeper:
+    """Says that the duty is held for some time more."""
+
+    def __init__(self, number: int, left_s: float = 9.0) -> None:
+        self.number = number
+        self.left_s = left_s
+
+    def holding(self, duty: Duty) -> Fence | None:
+        now_s = asyncio.get_running_loop().time()
+        return Fence(duty, self.number, now_s + self.left_s) if self.number else None
+
+
+def duty_of(engine: FakeEngine, keeper: Keeper, version: str, checks: bool = True) -> RolloutDuty:
+    table = UpstreamTable()
+    for port in engine.status_of:
+        engine_at = Upstream(f"e{port}", "lm", "r0", "r0-a", Address("test", port))
+        table.apply(fact_of(engine_at))
+    written = Configuration({"lm": service(version, checks=checks)})
+    return RolloutDuty(
+        "r0",
+        keeper,  # type: ignore[arg-type]
+        engine,
+        table,
+        lambda: written,
+        lambda: {"lm": 4},
+        Random(1),
+        2,
+    )
+
+
+async def run_for(duty: RolloutDuty, seconds: float) -> None:
+    task = asyncio.create_task(duty.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.looptime
+class TestRolloutDuty:
+    async def test_engines_come_to_the_written_state(self) -> None:
+        engine = FakeEngine(range(1, 9))
+        await run_for(duty_of(engine, Keeper(5), "2"), 200)
+        assert engine.versions() == ["2"] * 8
+        assert engine.fewest >= 4
+        assert engine.most_loading == 2
+
+    async def test_a_broken_version_costs_one_engine(self) -> None:
+        engine = FakeEngine(range(1, 9))
+        engine.bad_version = "2"
+        duty = duty_of(engine, Keeper(5), "2")
+        await run_for(duty, 200)
+        assert engine.versions() == ["2"] + ["1"] * 7
+        assert "broken" in duty.plan.held["lm"]
+
+    async def test_a_former_holder_is_fenced(self) -> None:
+        engine = FakeEngine(range(1, 9))
+        await run_for(duty_of(engine, Keeper(5), "2"), 200)
+        former = duty_of(engine, Keeper(4), "1")
+        await run_for(former, 30)
+        assert engine.versions() == ["2"] * 8
+        assert former.counters.fenced > 0
+
+    async def test_an_engine_that_ignores_the_number_is_put_right(self) -> None:
+        engine = FakeEngine(range(1, 9), "2", checks=False)
+        await duty_of(engine, Keeper(4), "1", checks=False).step()
+        assert engine.versions().count("1") == 1
+        holder = duty_of(engine, Keeper(5), "2", checks=False)
+        await run_for(holder, 60)
+        assert engine.versions() == ["2"] * 8
+
+    async def test_no_order_without_margin_to_an_engine_that_ignores_the_number(self) -> None:
+        engine = FakeEngine(range(1, 9), checks=False)
+        short = Keeper(5, UNCHECKED_MARGIN_S - 1)
+        await run_for(duty_of(engine, short, "2", checks=False), 30)
+        assert engine.versions() == ["1"] * 8
+        await run_for(duty_of(engine, short, "2"), 30)
+        assert "2" in engine.versions()
