Add the experiment on capacity; plan enough engines where no loss is survived

Cause: with one zone left the plan's preference for the price alone chose no engines at all, for no fleet survives the loss of that zone. Ruled out: a rule of its own for one zone.

--- a/godwitpath/capacity/duty.py
+++ b/godwitpath/capacity/duty.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from godwitpath.capacity.plan import FleetPlan, OfferKind, offer_kind, plan_fleet
+from godwitpath.capacity.plan import FleetPlan, OfferKind, Planner, offer_kind, plan_fleet
 from godwitpath.capacity.slots import (
     Slot,
     Slots,
@@ -120,6 +120,7 @@
         target: Callable[[], CapacityTarget],
         idle: Callable[[str], bool],
         rng: random.Random,
+        planner: Planner = plan_fleet,
     ) -> None:
         self._service = service
         self._region = region
@@ -131,6 +132,7 @@
         self._target = target
         self._idle = idle
         self._rng = rng
+        self._planner = planner
         self._key = slots_key(service, region)
         self._slots = Slots()
         self._revision = ABSENT
@@ -304,7 +306,7 @@
         have = self._slots.kinds()
         now_s = _now_s()
         bounds = {k: have[k] for k, until_s in memory.refused_until_s.items() if until_s > now_s}
-        return plan_fleet(needed, self._target().fleet, offers, running, bounds)
+        return self._planner(needed, self._target().fleet, offers, running, bounds)
 
     def _note_needed(self, memory: _Memory) -> None:
         memory.needed.append((_now_s(), self._target().needed))
--- a/godwitpath/capacity/plan.py
+++ b/godwitpath/capacity/plan.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from godwitpath.config.model import FleetSpec
 from godwitpath.ports.platform import Offer
@@ -50,6 +51,20 @@
 """Availability zone, machine class, and whether it may be reclaimed."""
 
 
+class Planner(Protocol):
+    """Plans a fleet as :func:`plan_fleet` does."""
+
+    def __call__(
+        self,
+        needed: int,
+        fleet: FleetSpec,
+        offers: Iterable[Offer],
+        running: Sequence[Offer] = (),
+        at_most: Mapping[OfferKind, int] | None = None,
+    ) -> FleetPlan:
+        """Return the plan."""
+
+
 def plan_fleet(
     needed: int,
     fleet: FleetSpec,
@@ -67,7 +82,7 @@
     needed = max(needed, fleet.minimum)
     zones = _by_zone(offers, fleet, running)
     plans = [_fill(needed, most, zones, fleet, at_most or {}) for most in range(needed + 1)]
-    return min(plans, key=_preference)
+    return min(plans, key=lambda plan: _preference(plan, needed))
 
 
 @dataclass(slots=True, frozen=True)
@@ -138,6 +153,7 @@
     return units
 
 
-def _preference(plan: FleetPlan) -> tuple[int, float, int]:
-    """Enough engines first, then the price, then many engines over few."""
-    return plan.short_by, plan.price_per_h, -plan.survives
+def _preference(plan: FleetPlan, needed: int) -> tuple[int, int, float, int]:
+    """Enough engines after a loss first, then enough without one, then the price, then many."""
+    lacking = max(0, needed - plan.engines)
+    return plan.short_by, lacking, plan.price_per_h, -plan.survives
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -5,6 +5,7 @@
 import typer
 
 from godwitpath_bench import (
+    capacity,
     execution,
     explain,
     gossip,
@@ -24,6 +25,7 @@
     """Experiments, each with its baselines."""
 
 
+capacity.register(app)
 execution.register(app)
 explain.register(app)
 gossip.register(app)
--- a/godwitpath_standin/platform_core.py
+++ b/godwitpath_standin/platform_core.py
@@ -172,10 +172,9 @@
         self.take_reclaimed()
         due_s = self._clock() - self.list_lag_s
         shown: list[Instance] = self._history[0][1] if self._history else []
-        for at_s, instances in self._history:
-            if at_s > due_s:
-                break
-            shown = instances
+        for at_s, instances in reversed(self._history):
+            if at_s <= due_s:
+                return instances
         return shown
 
     def set_versions(self, versions: Iterable[WeightVersion]) -> None:
--- a/test/test_capacity_plan.py
+++ b/test/test_capacity_plan.py
@@ -41,6 +41,15 @@
     plan = plan_fleet(3, FleetSpec(), _offers([1.0]))
     assert plan.survives == 0
     assert plan.short_by == 3
+    assert plan.engines >= 3
+
+
+def test_bounds_by_kind_let_another_kind_of_the_zone_in() -> None:
+    offers = [Offer("r", "a", "gpu", True, 1.0), Offer("r", "a", "gpu", False, 3.0)]
+    offers.append(Offer("r", "b", "gpu", True, 1.0))
+    plan = plan_fleet(3, FleetSpec(), offers, at_most={("a", "gpu", True): 1})
+    assert plan.short_by == 0
+    assert plan.price_per_h == 10.0
 
 
 def test_bounds_and_limits_hold() -> None:
