Add the experiment on the rollout; retry a proven version sooner

Ruled out: no pause at all (a machine that cannot load would load for ever). Change: 30 s where the version is proven; the experiment with all at once and one by one as baselines, with a version that works and a broken one.

--- a/godwitpath/rollout/plan.py
+++ b/godwitpath/rollout/plan.py
@@ -14,7 +14,10 @@
 from godwitpath.ports.engine import Address, EngineStatus
 
 RETRY_FAILED_S = 300.0
-"""Time after which an engine that failed is ordered to load again."""
+"""Time after which an engine that failed a version which none serves is ordered to load again."""
+
+RETRY_PROVEN_S = 30.0
+"""The same for a version that another engine serves: the store or the machine failed."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,7 +171,7 @@
     if waits_for and group.old and not group.proven:
         plan.held[name] = f"waits until {', '.join(waits_for)} is as written"
         return 0
-    retried = [each for each in group.failed if each.ordered_s_ago >= RETRY_FAILED_S]
+    retried = [each for each in group.failed if each.ordered_s_ago >= RETRY_PROVEN_S]
     spare = max(0, group.serving - needed)
     candidates = [*group.idle, *retried, *group.old[:spare]]
     if not group.proven and group.old:
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -13,6 +13,7 @@
     path,
     records,
     retries,
+    rollout,
     routing,
     shares,
 )
@@ -33,6 +34,7 @@
 path.register(app)
 records.register(app)
 retries.register(app)
+rollout.register(app)
 routing.register(app)
 shares.register(app)
 
--- a/test/test_rollout.py
+++ b/test/test_rollout.py
@@ -14,7 +14,13 @@
 from godwitpath.duties.duty import Duty, Fence
 from godwitpath.ports.engine import Address, Engine, EngineOrder, EngineStatus, OrderFenced
 from godwitpath.rollout.duty import UNCHECKED_MARGIN_S, RolloutDuty
-from godwitpath.rollout.plan import EngineSeen, RolloutPlan, plan_rollout
+from godwitpath.rollout.plan import (
+    RETRY_FAILED_S,
+    RETRY_PROVEN_S,
+    EngineSeen,
+    RolloutPlan,
+    plan_rollout,
+)
 from godwitpath.upstreams.table import Upstream, UpstreamTable, fact_of
 
 LOAD_S = 20.0
@@ -61,6 +67,14 @@
     assert ordered(plan_rollout({"lm": service("2")}, engines, {"lm": 2}, 3)) == ["lm-1"]
 
 
+def test_a_failed_load_is_tried_again_sooner_where_the_version_is_proven() -> None:
+    failed = seen([status("2", "failed", detail="store")])
+    for others, pause_s in ((status("2"), RETRY_PROVEN_S), (status("1"), RETRY_FAILED_S)):
+        for ago_s, names in ((pause_s - 1, []), (pause_s, ["lm-0"])):
+            engines = [replace(failed[0], ordered_s_ago=ago_s), *seen([others] * 3)[1:]]
+            assert ordered(plan_rollout({"lm": service("2")}, engines, {"lm": 2}, 3)) == names
+
+
 def test_dependencies_go_first() -> None:
     services = {"app": service("2", ("lm",)), "lm": service("2")}
     old = seen([status("1", of="app")] * 3, "app")
