--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -11,6 +11,7 @@
     gossip,
     overload,
     path,
+    reclaim,
     records,
     retries,
     rollout,
@@ -32,6 +33,7 @@
 gossip.register(app)
 overload.register(app)
 path.register(app)
+reclaim.register(app)
 records.register(app)
 retries.register(app)
 rollout.register(app)
