Run the duties of every service and region from the configuration

Cause: capacity and rollout duties stood without demand and without anything that begins and ends them. Ruled out: reports to the holder alone (a stand-in would know no demand); taking an engine out before every entry could report.

--- a/godwitpath/capacity/duty.py
+++ b/godwitpath/capacity/duty.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from typing import Any
 
 import msgspec
 
@@ -145,6 +146,12 @@
             await self.step()
             await asyncio.sleep(STEP_S * (0.9 + 0.2 * self._rng.random()))
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        counters = {name: getattr(self.counters, name) for name in CapacityCounters.__slots__}
+        states = Counter(slot.state for slot in self._slots.slots)
+        return {"slots": dict(states), "counters": counters}
+
     async def step(self) -> None:
         """Bring the instances nearer to what is needed, if the duty is held."""
         if self._keeper.holding(self._duty) is None:
--- a/godwitpath/capacity/reports.py
+++ b/godwitpath/capacity/reports.py
@@ -51,6 +51,7 @@
 
     def __init__(self) -> None:
         self._heard: dict[Duty, dict[str, _Heard]] = {}
+        self._since_s: dict[Duty, float] = {}
 
     def register(self, transport: PeerTransport) -> None:
         """Take in the reports that come over a transport."""
@@ -65,16 +66,34 @@
         rate = WorkRate(
             report.requests_per_s, report.computed_tokens_per_s, report.generated_tokens_per_s
         )
-        by_entry = self._heard.setdefault(capacity_duty(report.service, report.region), {})
+        duty = capacity_duty(report.service, report.region)
+        by_entry = self._heard.setdefault(duty, {})
+        self._drop_old(duty)
+        if not by_entry:
+            self._since_s[duty] = _now_s()
         by_entry[entry_id] = _Heard(rate, _now_s())
 
     def total(self, duty: Duty) -> WorkRate:
         """Return the work of all entries that reported lately."""
+        self._drop_old(duty)
+        return total(heard.rate for heard in self._heard.get(duty, {}).values())
+
+    def known(self, duty: Duty) -> bool:
+        """Return whether every entry had the time to report."""
+        self._drop_old(duty)
+        long_enough = _now_s() - self._since_s.get(duty, _now_s()) >= KEEP_S
+        return long_enough and bool(self._heard.get(duty))
+
+    def _drop_old(self, duty: Duty) -> None:
         by_entry = self._heard.get(duty, {})
         oldest_s = _now_s() - KEEP_S
         for entry_id in [name for name, heard in by_entry.items() if heard.at_s < oldest_s]:
             del by_entry[entry_id]
-        return total(heard.rate for heard in by_entry.values())
+
+
+def rollout_duty(region: str) -> Duty:
+    """Return the duty of the rollout in a region, whose holder needs the demand too."""
+    return Duty("rollout", region)
 
 
 async def send_reports(
@@ -84,20 +103,25 @@
     book: DemandBook,
     reports: Callable[[], list[DemandReport]],
 ) -> None:
-    """Send this entry's reports to the entries that rank first and second, until cancelled.
+    """Send this entry's reports to those that may hold the duties, until cancelled.
 
-    The second may stand in for the first, and then knows the demand.
+    These are the first and the second in rank: the second may stand in, and then knows the demand.
     """
     while True:
         for report in reports():
-            key = capacity_duty(report.service, report.region).store_key
-            for member in rank(key, live(), lambda each: each.entry_id)[:2]:
-                if member.entry_id == local.entry_id:
-                    book.note(local.entry_id, report)
+            for entry_id in _receivers(report, live()):
+                if entry_id == local.entry_id:
+                    book.note(entry_id, report)
                 else:
-                    await transport.send(member.entry_id, report)
+                    await transport.send(entry_id, report)
         await asyncio.sleep(REPORT_INTERVAL_S)
 
 
+def _receivers(report: DemandReport, live: list[Member]) -> set[str]:
+    duties = (capacity_duty(report.service, report.region), rollout_duty(report.region))
+    ranked = (rank(duty.store_key, live, lambda each: each.entry_id)[:2] for duty in duties)
+    return {member.entry_id for members in ranked for member in members}
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/godwitpath/rollout/duty.py
+++ b/godwitpath/rollout/duty.py
@@ -10,9 +10,10 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
+from godwitpath.capacity.reports import rollout_duty
 from godwitpath.config.model import Configuration
-from godwitpath.duties.duty import Duty
 from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.ports.engine import Engine, EngineError, EngineOrder, EngineStatus, OrderFenced
 from godwitpath.rollout.plan import EngineSeen, PlannedOrder, RolloutPlan, plan_rollout
@@ -32,11 +33,6 @@
 """Longest time that an order is waited for."""
 
 
-def rollout_duty(region: str) -> Duty:
-    """Return the duty of the rollout in a region."""
-    return Duty("rollout", region)
-
-
 @dataclass(slots=True)
 class RolloutCounters:
     """What the duty did."""
@@ -88,6 +84,11 @@
             await self.step()
             await asyncio.sleep(STEP_S * (0.9 + 0.2 * self._rng.random()))
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        counters = {name: getattr(self.counters, name) for name in RolloutCounters.__slots__}
+        return {"held_back": dict(self.plan.held), "counters": counters}
+
     async def step(self) -> None:
         """Look at every engine, and order those whose turn it is, if the duty is held."""
         if self._keeper.holding(self._duty) is None:
--- /dev/null
+++ b/test/test_service_duties.py
@@ -0,0 +1,139 @@
+"""Capacity and rollout duties of a small fleet of entries, with real keepers and reports."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from godwitpath.capacity.demand import EnginePace
+from godwitpath.capacity.meter import DemandMeter
+from godwitpath.capacity.reports import capacity_duty, rollout_duty
+from godwitpath.config.model import Configuration
+from godwitpath.duties.keeper import DutyKeeper
+from godwitpath.duties.service_duties import DutyParts, ServiceDuties
+from godwitpath.membership.member import Member
+from godwitpath.ports.engine import Address
+from godwitpath.ports.peers import Peer
+from godwitpath.upstreams.table import Upstream, UpstreamTable, fact_of
+from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
+from godwitpath_standin.fakes.peers import FakePeerNetwork
+from godwitpath_standin.fakes.platform import FakePlatform
+from godwitpath_standin.kv_core import KeyValueCore
+from godwitpath_standin.platform_core import PlatformCore
+from test.test_capacity_duty import check_one_for_each, platform, running
+from test.test_rollout import FakeEngine, service
+
+PACE = EnginePace(10_000.0, 0.02, 0.002)
+
+
+class Entry:
+    """One entry's duties."""
+
+    def __init__(self, index: int, fleet: Fleet) -> None:
+        local = fleet.members[index]
+        store = FakeKeyValueStore(fleet.store, 0.002)
+        rng = Random(index)
+        self.keeper = DutyKeeper(store, local, lambda: fleet.live, rng)
+        self.meter = DemandMeter()
+        self.transport = fleet.network.transport(local.entry_id)
+        parts = DutyParts(
+            keeper=self.keeper,
+            store=store,
+            cloud=FakePlatform(fleet.cloud, 0.001),
+            listing=FakePlatform(fleet.cloud, 0.001),
+            engine=fleet.engine,
+            table=fleet.table,
+            local=local,
+            live=lambda: fleet.live,
+            transport=self.transport,
+            configuration=lambda: fleet.written,
+            report=self.meter.report,
+            pace=lambda _: PACE,
+            idle=lambda _: True,
+            rng=rng,
+        )
+        self.duties = ServiceDuties(parts)
+        self.tasks = [
+            asyncio.create_task(self.keeper.run()),
+            asyncio.create_task(self.duties.run()),
+        ]
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Fleet:
+    """Entries over one store, one cloud and one set of engines."""
+
+    def __init__(self, store: KeyValueCore, cloud: PlatformCore) -> None:
+        self.store, self.cloud = store, cloud
+        self.network = FakePeerNetwork(Random(1))
+        self.engine = FakeEngine(range(1, 7))
+        self.table = UpstreamTable()
+        for port in self.engine.status_of:
+            upstream = Upstream(f"e{port}", "lm", "r0", "r0-a", Address("test", port))
+            self.table.apply(fact_of(upstream))
+        self.written = Configuration({"lm": service("1")})
+        self.members = [Member(f"n{n}", "r0", f"r0-{n}", Address("test", n)) for n in range(3)]
+        self.live = list(self.members)
+        self.entries = [Entry(index, self) for index in range(3)]
+        for transport in self.network.transports.values():
+            for member in self.members:
+                transport.connect(Peer(member.entry_id, member.address))
+
+    def holder(self, duty_name: str) -> Entry:
+        duty = {"capacity": capacity_duty("lm", "r0"), "rollout": rollout_duty("r0")}[duty_name]
+        return next(each for each in self.entries if each.keeper.holding(duty) is not None)
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            await entry.stop()
+        await asyncio.sleep(1)
+        for entry in self.entries:
+            await entry.transport.close()
+
+    async def work(self, seconds: int, tokens_per_s: int) -> None:
+        """Let every entry see prompts."""
+        for _ in range(seconds):
+            for entry in self.entries:
+                entry.meter.note("lm", "r0", tokens_per_s, 0)
+            await asyncio.sleep(1)
+
+
+@pytest.mark.looptime
+class TestServiceDuties:
+    async def test_the_work_of_all_entries_makes_the_fleet_and_outlives_its_holder(self) -> None:
+        fleet = Fleet(loop_core(), platform())
+        await fleet.work(30, 7_000)
+        # Three entries' prompts keep 2.1 engines busy: 3 with headroom, and 5 in three zones.
+        assert len(running(fleet.cloud)) == 5
+        gone = fleet.holder("capacity")
+        fleet.live = [
+            each for each in fleet.live if each is not fleet.members[fleet.entries.index(gone)]
+        ]
+        await gone.stop()
+        await fleet.work(40, 7_000)
+        await check_one_for_each(fleet.store, fleet.cloud, len(running(fleet.cloud)))
+        assert len(running(fleet.cloud)) == 5
+        await fleet.stop()
+
+    async def test_a_new_version_is_rolled_out_above_the_needed_engines(self) -> None:
+        fleet = Fleet(loop_core(), platform())
+        await fleet.work(20, 7_000)
+        fleet.written = Configuration({"lm": service("2")})
+        await fleet.work(150, 7_000)
+        assert fleet.engine.versions() == ["2"] * 6
+        assert fleet.engine.fewest >= 3
+        assert fleet.holder("rollout").duties.dump()["rollout/r0"]["counters"]["ordered"] == 6
+        await fleet.stop()
+
+    async def test_no_engine_is_taken_out_before_the_work_is_known(self) -> None:
+        fleet = Fleet(loop_core(), platform())
+        fleet.written = Configuration({"lm": service("2")})
+        await asyncio.sleep(6)
+        assert fleet.engine.versions() == ["1"] * 6
+        await fleet.stop()
