--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -17,6 +17,7 @@
     rollout,
     routing,
     shares,
+    subsets,
 )
 
 app = typer.Typer(name="godwitpath-bench", no_args_is_help=True)
@@ -39,6 +40,7 @@
 rollout.register(app)
 routing.register(app)
 shares.register(app)
+subsets.register(app)
 
 if __name__ == "__main__":
     app()
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -169,6 +169,39 @@
     await fleet.stop()
 
 
+async def test_the_outcome_of_a_call_reaches_the_entry_that_took_it_over() -> None:
+    fleet = RecordFleet()
+    store = fleet.nodes["e0"].store
+    records = [fleet.nodes["e0"].record("a", f"k{index}", "plain") for index in range(2)]
+    for record in records:
+        await store.accept(record)
+    for node in fleet.nodes.values():
+        node.store.on_adopt = None
+    fleet.network.pause("e0")
+    # The first answer comes while the entry is cut off, the second after it was fenced.
+    store.finish(records[0], Outcome(201, body=b"booked"))
+    fleet.tell(fleet.nodes["e0"].member, "gone")
+    await asyncio.sleep(2)
+    adopters = [fleet.nodes[holders(fleet, record)[-1]].store for record in records]
+    for adopter, record in zip(adopters, records, strict=True):
+        (taken,) = [each for each in adopter.records() if each.request_id == record.request_id]
+        adopter.finish(taken, Outcome(504, ran="unknown", reason="outcome_unknown"))
+    fleet.network.wake("e0")
+    fleet.tell(fleet.nodes["e0"].member, "alive")
+    await asyncio.sleep(2)
+    assert not store.finish(records[1], Outcome(201, body=b"booked too"))
+    await asyncio.sleep(2)
+    for record, body in zip(records, (b"booked", b"booked too"), strict=True):
+        holder = fleet.nodes[holders(fleet, record)[0]]
+        (taken,) = [each for each in holder.store.records() if each.request_id == record.request_id]
+        for name in (taken.holder, taken.backup, "e3"):
+            ref = await fleet.nodes[name].store.find("a", record.request_id)
+            assert ref is not None
+            outcome = await asyncio.wait_for(fleet.nodes[name].store.outcome(ref), 5)
+            assert outcome.body == body
+    await fleet.stop()
+
+
 async def test_a_restarted_holder_does_not_know_its_records_and_the_backup_adopts() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
