--- a/test/test_event_stream.py
+++ b/test/test_event_stream.py
@@ -12,14 +12,16 @@
 from godwitpath.entry.delivery import EventStream
 from godwitpath.entry.position import Position
 from godwitpath.records.reader import RecordLost
-from godwitpath.records.record import OffsetUnknown, Piece, RecordRef
+from godwitpath.records.record import OffsetUnknown, Piece, RecordRef, TextSeen
 
 
 @pytest.mark.parametrize(
     ("error", "ran"), [(OffsetUnknown("differs"), "yes"), (RecordLost("nobody"), "unknown")]
 )
 async def test_a_broken_follow_is_told_to_the_caller(error: Exception, ran: str) -> None:
-    async def follow(ref: RecordRef, after_tokens: int) -> AsyncIterator[list[Piece]]:
+    async def follow(
+        ref: RecordRef, after_tokens: int, seen: TextSeen | None
+    ) -> AsyncIterator[list[Piece]]:
         yield [Piece(0, "word ", 1)]
         raise error
 
