--- a/godwitpath/entry/delivery.py
+++ b/godwitpath/entry/delivery.py
@@ -11,14 +11,19 @@
 
 from godwitpath.entry.context import EntryContext
 from godwitpath.entry.openai_form import EventWriter, whole_body
+from godwitpath.entry.position import Position
 from godwitpath.entry.refusals import STATUS_BY_REASON, CallerError, error_body, error_response
-from godwitpath.records.record import Outcome, RecordRef
+from godwitpath.records.reader import RecordLost
+from godwitpath.records.record import OffsetUnknown, Outcome, RecordRef
 
 CONTENT_TYPE_EVENTS = "text/event-stream; charset=utf-8"
 
 KEEP_ALIVE_S = 1.0
 """Time between two comments that show that a stream is alive."""
 
+LOST_RETRY_S = 2.0
+"""When to ask again for an answer whose holder cannot be reached."""
+
 KEEP_ALIVE_COMMENT = b": alive\n\n"
 """A server-sent event that every client passes over."""
 
@@ -41,6 +46,15 @@
     return CallerError(reason, message, ran=outcome.ran, retry_after_s=outcome.retry_after_s)
 
 
+def delivery_error(error: OffsetUnknown | RecordLost) -> CallerError:
+    """Return the error of an answer that cannot be read on, though it may exist."""
+    if isinstance(error, OffsetUnknown):
+        message = "the answer cannot be continued from there; ask for it whole"
+        return CallerError("outcome_unknown", message, ran="yes")
+    message = "no entry that holds the request can be reached"
+    return CallerError("outcome_unknown", message, ran="unknown", retry_after_s=LOST_RETRY_S)
+
+
 def plain_response(outcome: Outcome, request_id: str, replayed: bool = False) -> Response:
     """Return the HTTP answer of a plain call's outcome."""
     if outcome.reason:
@@ -77,14 +91,14 @@
         self,
         context: EntryContext,
         ref: RecordRef,
-        after_tokens: int,
+        position: Position,
         include_usage: bool,
         on_gone: Callable[[RecordRef], None],
     ) -> None:
         super().__init__(b"", media_type=CONTENT_TYPE_EVENTS)
         self._context = context
         self._ref = ref
-        self._after_tokens = after_tokens
+        self._position = position
         self._writer = EventWriter(ref, int(time.time()), include_usage)
         self._on_gone = on_gone
 
@@ -122,18 +136,26 @@
             await _send_part(send, KEEP_ALIVE_COMMENT)
 
     async def _send_events(self, send: Send, alive: asyncio.Task[None]) -> None:
-        tokens = self._after_tokens
-        async for batch in self._context.records.follow(self._ref, self._after_tokens):
+        try:
+            await self._send_answer(send, alive)
+        except (OffsetUnknown, RecordLost) as error:
+            alive.cancel()
+            body = error_body(delivery_error(error), self._ref.request_id)
+            await _send_part(send, self._writer.error(body), last=True)
+
+    async def _send_answer(self, send: Send, alive: asyncio.Task[None]) -> None:
+        at = self._position
+        async for batch in self._context.records.follow(self._ref, at.tokens, at.seen):
+            at = at.after(batch)
             text = "".join(piece.text for piece in batch)
-            tokens += sum(piece.tokens for piece in batch)
-            await _send_part(send, self._writer.text(text, tokens))
+            await _send_part(send, self._writer.text(text, at))
         outcome = await self._context.records.outcome(self._ref)
         alive.cancel()
         if outcome.reason:
             body = error_body(outcome_error(outcome), self._ref.request_id)
             await _send_part(send, self._writer.error(body), last=True)
         else:
-            await _send_part(send, self._writer.end(outcome, tokens), last=True)
+            await _send_part(send, self._writer.end(outcome, at), last=True)
 
 
 async def _send_part(send: Send, body: bytes, last: bool = False) -> None:
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -5,13 +5,16 @@
 import typer
 
 from godwitpath_bench import (
+    capacity,
     execution,
     explain,
     gossip,
     overload,
     path,
+    reclaim,
     records,
     retries,
+    rollout,
     routing,
     shares,
     subsets,
@@ -25,13 +28,16 @@
     """Experiments, each with its baselines."""
 
 
+capacity.register(app)
 execution.register(app)
 explain.register(app)
 gossip.register(app)
 overload.register(app)
 path.register(app)
+reclaim.register(app)
 records.register(app)
 retries.register(app)
+rollout.register(app)
 routing.register(app)
 shares.register(app)
 subsets.register(app)
