--- a/godwitpath/capacity/reports.py
+++ b/godwitpath/capacity/reports.py
@@ -112,7 +112,8 @@
             for entry_id in _receivers(report, live()):
                 if entry_id == local.entry_id:
                     book.note(entry_id, report)
-                else:
+                elif report.requests_per_s:
+                    # A holder takes silence for no work; its own report shows that it listens.
                     await transport.send(entry_id, report)
         await asyncio.sleep(REPORT_INTERVAL_S)
 
--- a/godwitpath/entry/context.py
+++ b/godwitpath/entry/context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from godwitpath.capacity.meter import DemandMeter
 from godwitpath.config.model import Configuration
 from godwitpath.config_sync.in_force import ConfigInForce
 from godwitpath.entry.counters import EntryMetrics
@@ -53,6 +54,7 @@
     book: LoadBook
     limiter: AccountLimiter
     mover: CacheMover
+    meter: DemandMeter
     journal: Journal
     metrics: EntryMetrics
     story: Storyteller
--- a/godwitpath/entry/daemon.py
+++ b/godwitpath/entry/daemon.py
@@ -18,6 +18,7 @@
 from godwitpath.adapters.platform_http import HttpCloud, HttpInstanceList
 from godwitpath.adapters.service_http import HttpPlainService
 from godwitpath.admission.exchange import PromiseExchange
+from godwitpath.capacity.meter import DemandMeter
 from godwitpath.config.check import parse_configuration
 from godwitpath.config.envelope import ConfigEnvelope
 from godwitpath.config.model import Configuration
@@ -136,7 +137,6 @@
         self._registrar = Registrar(self._store, membership, self._rng)
         config = ConfigInForce(self._store, self._transport, membership, _parse, self._rng)
         metrics = EntryMetrics(Metrics(settings.entry_id, __version__))
-        self._duty_work = DutyWork(self._store, membership, self._rng)
         journal = Journal(self._store, settings.entry_id, str(self._incarnation), self._rng)
         self._journal_link = JournalLink(journal, membership, self._transport)
         context = EntryContext(
@@ -151,6 +151,7 @@
             book=LoadBook(),
             limiter=AccountLimiter(settings.entry_id, self._rng),
             mover=CacheMover(self._engine),
+            meter=DemandMeter(),
             journal=journal,
             metrics=metrics,
             story=Storyteller(journal, metrics),
@@ -161,6 +162,9 @@
             _take_configuration(context, envelope, configuration)
 
         config.on_change(take)
+        self._duty_work = DutyWork(
+            context, self._store, self._cloud, self._instances, self._transport, self._rng
+        )
         context.held_duties = self._duty_work.held
         membership.on_change(context.records.member_changed)
         membership.on_change(lambda _: context.limiter.observe_members(len(membership.live())))
--- a/godwitpath/entry/duty_work.py
+++ b/godwitpath/entry/duty_work.py
@@ -6,15 +6,22 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from godwitpath.capacity.demand import EnginePace
 from godwitpath.duties.keeper import DutyKeeper
+from godwitpath.duties.service_duties import DutyParts, ServiceDuties
+from godwitpath.entry.context import EntryContext, now_s
 from godwitpath.execution.sweep import SWEEP_DUTY, ExecutionSweeper
-from godwitpath.membership.member import Member
-from godwitpath.membership.swim import Membership
 from godwitpath.ports.kv import KeyValueStore
+from godwitpath.ports.peers import PeerTransport
+from godwitpath.ports.platform import Cloud, InstanceList
+from godwitpath.routing.views import BETWEEN_TOKENS_S, PREFILL_TOKENS_PER_S, EngineView
 
 KEEP_EXECUTIONS_S = 604_800.0
 """How long the outcomes of calls that may run once can be asked for."""
 
+BETWEEN_PER_CALL_S = 0.0005
+"""Growth of the time between tokens with one more call, until it is learned."""
+
 
 class DutyWork:
     """Takes the duties that this entry ranks first for, and does them.
@@ -22,17 +29,46 @@
     :ivar keeper: holds the duties
     """
 
-    __slots__ = ("_membership", "_sweeper", "keeper")
+    __slots__ = ("_context", "_services", "_sweeper", "keeper")
 
-    def __init__(self, store: KeyValueStore, membership: Membership, rng: random.Random) -> None:
-        self._membership = membership
-        self.keeper = DutyKeeper(store, membership.local, self._staying, rng)
-        self.keeper.set_duties([SWEEP_DUTY])
+    def __init__(
+        self,
+        context: EntryContext,
+        store: KeyValueStore,
+        cloud: Cloud,
+        listing: InstanceList,
+        transport: PeerTransport,
+        rng: random.Random,
+    ) -> None:
+        self._context = context
+        membership = context.membership
+        self.keeper = DutyKeeper(store, membership.local, membership.live, rng)
         self._sweeper = ExecutionSweeper(store, self.keeper, KEEP_EXECUTIONS_S)
+        parts = DutyParts(
+            keeper=self.keeper,
+            store=store,
+            cloud=cloud,
+            listing=listing,
+            engine=context.engine,
+            table=context.upstreams,
+            local=membership.local,
+            live=membership.live,
+            transport=transport,
+            configuration=lambda: context.config.current,
+            report=context.meter.report,
+            pace=self._pace,
+            idle=self._idle,
+            rng=rng,
+        )
+        self._services = ServiceDuties(parts, others=[SWEEP_DUTY])
 
     def parts(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
         """Return what must run, by name."""
-        return {"duties": self.keeper.run, "sweep": self._sweeper.run}
+        return {
+            "duties": self.keeper.run,
+            "service duties": self._services.run,
+            "sweep": self._sweeper.run,
+        }
 
     def held(self) -> list[str]:
         """Return the names of the duties held now."""
@@ -40,7 +76,25 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state for the state dump."""
-        return self.keeper.dump()
+        return {"keeper": self.keeper.dump(), "services": self._services.dump()}
+
+    def _views(self, service: str) -> list[EngineView]:
+        serving = self._context.upstreams.serving(service)
+        return self._context.book.views(serving, now_s())
+
+    def _pace(self, service: str) -> EnginePace:
+        """Return what an engine of a service does, as this entry has learned it."""
+        views = self._views(service)
+        if not views:
+            return EnginePace(PREFILL_TOKENS_PER_S, BETWEEN_TOKENS_S, BETWEEN_PER_CALL_S)
+        count = len(views)
+        alone = (v.between_tokens_s - v.running * v.between_per_call_s for v in views)
+        return EnginePace(
+            prefill_tokens_per_s=sum(view.prefill_tokens_per_s for view in views) / count,
+            between_alone_s=sum(alone) / count,
+            between_per_call_s=sum(view.between_per_call_s for view in views) / count,
+        )
 
-    def _staying(self) -> list[Member]:
-        return self._membership.live()
+    def _idle(self, upstream_id: str) -> bool:
+        """Return whether an engine has no work, by its own report and by own calls."""
+        return self._context.book.idle(upstream_id)
--- a/godwitpath/entry/generate.py
+++ b/godwitpath/entry/generate.py
@@ -392,7 +392,11 @@
             prompt_tokens=chunk.prompt_tokens,
             cached_tokens=generation.cached_tokens,
         )
-        self._context.records.finish(generation.record, outcome)
+        record = generation.record
+        computed = chunk.prompt_tokens - generation.cached_tokens
+        region = self._context.settings.region
+        self._context.meter.note(record.service, region, max(0, computed), record.tokens)
+        self._context.records.finish(record, outcome)
 
     async def _cancel_at_engine(self, upstream: Upstream, stream_id: str) -> None:
         if not stream_id:
--- a/godwitpath/routing/book.py
+++ b/godwitpath/routing/book.py
@@ -24,6 +24,9 @@
 MEMORY_BLOCKS = 4096
 """Prefix blocks remembered for an engine."""
 
+ALL_MEMORY_BLOCKS = 200_000
+"""Prefix blocks remembered for all engines together, so that memory does not grow with them."""
+
 COUNTED_BLOCKS = 2048
 """Leading blocks whose frequency is counted."""
 
@@ -222,6 +225,13 @@
         out = outliers.ejected(outlier_states, now_s)
         return [self._view(facts, states[facts.upstream_id], out, now_s) for facts in known]
 
+    def idle(self, upstream_id: str) -> bool:
+        """Return whether an engine has no work, by its last report and by own calls."""
+        state = self._engines.get(upstream_id)
+        if state is None or state.own_running or state.report is None:
+            return False
+        return not state.report.running and not state.report.waiting
+
     def forget(self, upstream_id: str) -> None:
         """Drop an upstream that is gone."""
         self._engines.pop(upstream_id, None)
@@ -306,6 +316,7 @@
     def _learn_cache(self, state: _EngineState, call: Outstanding, cached_tokens: int) -> None:
         cached_blocks = cached_tokens // BLOCK_TOKENS
         state.held.forget(call.blocks[cached_blocks:])
+        state.held.capacity = min(MEMORY_BLOCKS, ALL_MEMORY_BLOCKS // len(self._engines))
         state.held.add(call.blocks)
         if call.blocks and 0 <= call.rank < len(self._rank_hits):
             self._rank_hits[call.rank].add(min(1.0, cached_blocks / len(call.blocks)))
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -6,6 +6,7 @@
 
 from godwitpath_bench import (
     capacity,
+    control,
     execution,
     explain,
     gossip,
@@ -28,6 +29,7 @@
     """Experiments, each with its baselines."""
 
 
+control.register(app)
 capacity.register(app)
 execution.register(app)
 explain.register(app)
--- a/test/test_entry_server.py
+++ b/test/test_entry_server.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
+import ssl
 from collections.abc import AsyncIterator
+from pathlib import Path
 
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
@@ -15,7 +22,7 @@
 from godwitpath.entry.refusals import CallerError, error_response
 from godwitpath.entry.server import MAX_HEADER_BYTES, HttpServer
 from godwitpath.ports.engine import Address
-from godwitpath.settings import ListenSettings
+from godwitpath.settings import ListenSettings, TlsSettings
 
 HEADER_TIMEOUT_S = 0.3
 BODY_LIMIT_BYTES = 1000
@@ -78,3 +85,46 @@
 async def test_a_whole_body_passes(address: Address) -> None:
     head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc"
     assert (await _exchange(address, head)).endswith(b"abc")
+
+
+def _self_signed(folder: Path) -> TlsSettings:
+    """Write a certificate of this host and its key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName("localhost")]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    certificate_file, key_file = folder / "certificate.pem", folder / "key.pem"
+    certificate_file.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    key_file.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return TlsSettings(str(certificate_file), str(key_file))
+
+
+async def test_callers_are_served_over_tls(tmp_path: Path) -> None:
+    tls = _self_signed(tmp_path)
+    app = Starlette(routes=[Route("/", _echo, methods=["POST"])])
+    server = HttpServer(app, ListenSettings(), HEADER_TIMEOUT_S, tls)
+    await server.start()
+    trusting = ssl.create_default_context(cafile=tls.certificate_file)
+    reader, writer = await asyncio.open_connection(
+        server.address.host, server.address.port, ssl=trusting, server_hostname="localhost"
+    )
+    writer.write(b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc")
+    assert (await asyncio.wait_for(reader.read(), 10)).endswith(b"abc")
+    writer.close()
+    await server.stop()
