Test the capacity duty under random faults and leases that end

Cause: the check of the fence before each act had no test that fails without it, and faults were tested one at a time. Ruled out: nothing. Change: 12 seeds of lost, late and refused answers, reclaims and two holders at once, after which every instance has its slot; leases that end in a step.

--- a/test/test_capacity_duty.py
+++ b/test/test_capacity_duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -29,18 +30,22 @@
 
     def __init__(self, number: int = 1) -> None:
         self.number = number
+        self.left_s = 9.0
 
     def holding(self, duty: Duty) -> Fence | None:
-        return Fence(duty, self.number, float("inf")) if self.number else None
+        until_s = asyncio.get_running_loop().time() + self.left_s
+        return Fence(duty, self.number, until_s) if self.number else None
 
 
 class LossyCloud(FakePlatform):
     """Loses the answers of the next acquires."""
 
     lose = 0
+    on_acquired: Callable[[], None] = staticmethod(lambda: None)
 
     async def acquire(self, offer: Offer, purpose: str, request_token: str) -> Instance:
         instance = await super().acquire(offer, purpose, request_token)
+        self.on_acquired()
         if self.lose:
             self.lose -= 1
             raise PlatformUnavailable("the answer was lost")
@@ -181,6 +186,23 @@
         assert not running(cloud)
         assert not holder.store.counts.writes
 
+    async def test_a_lease_that_ends_meanwhile_ends_the_acts(self) -> None:
+        store, cloud = loop_core(), platform()
+        holder = Holder(store, cloud)
+        holder.cloud.on_acquired = lambda: setattr(holder.keeper, "number", 0)
+        await holder.duty.step()
+        assert len(running(cloud)) == 1
+        await Holder(store, cloud, 1).steps(2)
+        await check_one_for_each(store, cloud, 3)
+
+    async def test_a_lease_about_to_end_allows_no_act(self) -> None:
+        store, cloud = loop_core(), platform()
+        holder = Holder(store, cloud)
+        holder.keeper.left_s = module.ACT_MARGIN_S / 2
+        await holder.duty.step()
+        assert not running(cloud)
+        assert not holder.store.counts.writes
+
     async def test_less_work_gives_instances_back_slowly_and_drained(self) -> None:
         store, cloud = loop_core(), platform()
         holder = Holder(store, cloud)
@@ -194,6 +216,30 @@
         await check_one_for_each(store, cloud, 2)
         assert not await holder.store.scan("stops/")
 
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_whatever_fails_no_instance_is_left_without_a_slot(self, seed: int) -> None:
+        rng = Random(seed)
+        store, cloud = loop_core(), platform()
+        holders = [Holder(store, cloud, seed * 10 + n) for n in range(3)]
+        for _ in range(60):
+            holder = rng.choice(holders)
+            holder.needed = rng.choice([1, 2, 2, 4])
+            holder.cloud.lose = rng.choice([0, 0, 1])
+            holder.store.lose_next_answers(rng.choice([0, 0, 1]))
+            holder.store.delay_effect_s = rng.choice([0.0, 0.0, 0.0, 3.0])
+            cloud.refuse_instances = rng.random() < 0.2
+            if rng.random() < 0.1:
+                cloud.reclaim(rng.choice(ZONES), 10.0)
+            # Two steps at once are two holders that both believe that they hold the duty.
+            others = rng.sample(holders, rng.choice([0, 1]))
+            await asyncio.gather(holder.duty.step(), *(other.duty.step() for other in others))
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+        cloud.refuse_instances = False
+        last = Holder(store, cloud, seed * 10 + 9)
+        await last.steps(60)
+        await check_one_for_each(store, cloud, len(running(cloud)))
+        assert len(running(cloud)) >= 3
+
     async def test_an_instance_without_a_slot_is_adopted(self) -> None:
         store, cloud = loop_core(), platform()
         cloud.acquire(cloud.offers()[0], "lm", "token of a late call")
