Drain an engine before it is ordered to load

Cause: an engine that loads refuses calls, but the entries kept choosing it, and what ran on it was not given time to end. Ruled out: a state of its own between the entries; a stop does what is needed and outlives the holder. Change: the rollout writes a stop before a load and deletes it when the engine serves what is written or is gone; an engine that serves is drained first. Capacity and rollout write and delete stops by the same functions.

--- a/godwitpath/capacity/duty.py
+++ b/godwitpath/capacity/duty.py
@@ -11,7 +11,6 @@
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
@@ -39,7 +38,13 @@
     Offer,
     PlatformUnavailable,
 )
-from godwitpath.upstreams.stops import Stop, encode_stop, stop_key
+from godwitpath.upstreams.announce import (
+    DRAIN_LEAST_S,
+    DRAIN_MOST_S,
+    announce_stop,
+    find_stop,
+    withdraw_stop,
+)
 
 STEP_S = 2.0
 ACT_MARGIN_S = 1.0
@@ -54,12 +59,6 @@
 ABSENT_S = 30.0
 """An instance that is off the list for so long is gone."""
 
-DRAIN_LEAST_S = 5.0
-"""Time for all entries to hear of a stop."""
-
-DRAIN_MOST_S = 120.0
-"""Longest time that an instance is drained."""
-
 STOP_REASON = "not needed any more"
 
 
@@ -278,9 +277,9 @@
 
     async def _drain(self, slot: Slot, is_listed: bool, memory: _Memory) -> None:
         since_s = memory.draining_since_s.setdefault(slot.token, _now_s())
-        stop = Stop("upstream", slot.instance_id, datetime.now(UTC).isoformat(), STOP_REASON)
         if since_s == _now_s():
-            await self._announce(stop)
+            self._check()
+            await announce_stop(self._store, slot.instance_id, STOP_REASON)
         drained_s = _now_s() - since_s
         empty = drained_s >= DRAIN_LEAST_S and self._idle(slot.instance_id)
         if is_listed and not empty and drained_s < DRAIN_MOST_S:
@@ -290,20 +289,10 @@
         self.counters.released += 1
         await self._write(self._slots.without(slot.token))
         memory.draining_since_s.pop(slot.token, None)
-        await self._withdraw(stop)
-
-    async def _announce(self, stop: Stop) -> None:
-        self._check()
-        try:
-            await self._store.put(stop_key(stop), encode_stop(stop), ABSENT)
-        except RevisionConflict:
-            return
-
-    async def _withdraw(self, stop: Stop) -> None:
-        """Delete the stop, for the instance's name may come again."""
-        found = await self._store.get(stop_key(stop))
+        # The instance's name may come again.
+        found = await find_stop(self._store, slot.instance_id)
         if found is not None:
-            await self._store.delete(found.key, found.revision)
+            await withdraw_stop(self._store, found)
 
     def _draining(self) -> list[Slot]:
         return [slot for slot in self._slots.slots if slot.state == "draining"]
--- a/godwitpath/duties/service_duties.py
+++ b/godwitpath/duties/service_duties.py
@@ -156,10 +156,12 @@
         return RolloutDuty(
             region,
             parts.keeper,
+            parts.store,
             parts.engine,
             parts.table,
             lambda: parts.configuration() or Configuration({}),
             lambda: self._needed_in(region),
+            parts.idle,
             parts.rng,
         )
 
--- a/godwitpath/rollout/duty.py
+++ b/godwitpath/rollout/duty.py
@@ -16,7 +16,15 @@
 from godwitpath.config.model import Configuration
 from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.ports.engine import Engine, EngineError, EngineOrder, EngineStatus, OrderFenced
+from godwitpath.ports.kv import KeyValue, KeyValueStore, StoreError
 from godwitpath.rollout.plan import EngineSeen, PlannedOrder, RolloutPlan, plan_rollout
+from godwitpath.upstreams.announce import (
+    DRAIN_LEAST_S,
+    DRAIN_MOST_S,
+    announce_stop,
+    withdraw_stop,
+)
+from godwitpath.upstreams.stops import STOPS_PREFIX, decode_stop
 from godwitpath.upstreams.table import Upstream, UpstreamTable
 
 STEP_S = 2.0
@@ -29,6 +37,9 @@
 UNCHECKED_MARGIN_S = 5.0
 """The same for an engine that ignores the number; longer than an order can be under way."""
 
+REASON = "loads the written version"
+"""Reason of the stops that hold engines back for the rollout."""
+
 ORDER_TIMEOUT_S = 3.0
 """Longest time that an order is waited for."""
 
@@ -50,6 +61,7 @@
 
     :param configuration: returns the configuration in force
     :param needed: returns the engines that hold the latency target, by service
+    :param idle: says whether an engine has no work left
     :ivar plan: the last plan, for operators
     """
 
@@ -57,24 +69,30 @@
         self,
         region: str,
         keeper: DutyKeeper,
+        store: KeyValueStore,
         engine: Engine,
         table: UpstreamTable,
         configuration: Callable[[], Configuration],
         needed: Callable[[], Mapping[str, int]],
+        idle: Callable[[str], bool],
         rng: random.Random,
         loads_at_once: int = LOADS_AT_ONCE,
     ) -> None:
         self._region = region
         self._duty = rollout_duty(region)
         self._keeper = keeper
+        self._store = store
         self._engine = engine
         self._table = table
         self._configuration = configuration
         self._needed = needed
+        self._idle = idle
         self._rng = rng
         self._loads_at_once = loads_at_once
         self._ordered_at_s: dict[str, float] = {}
         self._verified: dict[str, str] = {}
+        self._stops: dict[str, KeyValue] = {}
+        self._stopped_at_s: dict[str, float] = {}
         self.plan = RolloutPlan()
         self.counters = RolloutCounters()
 
@@ -94,16 +112,72 @@
         if self._keeper.holding(self._duty) is None:
             self.plan = RolloutPlan()
             return
+        try:
+            await self._step()
+        except StoreError:
+            # Without the store no engine is held back, so none is ordered to load either.
+            return
+
+    async def _step(self) -> None:
         configuration = self._configuration()
+        await self._read_stops()
         engines = await self._look()
         self.plan = plan_rollout(
             configuration.services, engines, self._needed(), self._loads_at_once
         )
+        returned = [each.upstream_id for each in self.plan.returned] + self._gone()
+        for upstream_id in returned:
+            if not self._may_act(ORDER_MARGIN_S):
+                return
+            await withdraw_stop(self._store, self._stops[upstream_id])
         for planned in self.plan.orders:
             fleet = configuration.services[planned.engine.service].fleet
-            if not await self._order(planned, fleet.checks_fencing):
+            if not self._may_act(ORDER_MARGIN_S if fleet.checks_fencing else UNCHECKED_MARGIN_S):
+                self.counters.not_held += 1
+                return
+            if await self._drained(planned) and not await self._order(planned):
                 return
 
+    def _may_act(self, margin_s: float) -> bool:
+        fence = self._keeper.holding(self._duty)
+        return fence is not None and fence.valid_for_s(_now_s()) >= margin_s
+
+    async def _read_stops(self) -> None:
+        """Read which engines are held back for the rollout, by this holder or an earlier one."""
+        found = await self._store.scan(f"{STOPS_PREFIX}upstream/")
+        stops = ((decode_stop(item.value), item) for item in found)
+        self._stops = {stop.name: item for stop, item in stops if stop and stop.reason == REASON}
+        for name in self._stops:
+            self._stopped_at_s.setdefault(name, _now_s())
+        for name in self._stopped_at_s.keys() - self._stops.keys():
+            del self._stopped_at_s[name]
+
+    def _gone(self) -> list[str]:
+        """Return the engines that went while they were held back."""
+        return [
+            each.upstream_id
+            for each in self._table.all()
+            if each.state == "gone"
+            and each.region == self._region
+            and each.upstream_id in self._stops
+        ]
+
+    async def _drained(self, planned: PlannedOrder) -> bool:
+        """Return whether an engine can load now; one that has work is held back first."""
+        engine = planned.engine
+        if not planned.loads:
+            return True
+        if not engine.held_back:
+            await announce_stop(self._store, engine.upstream_id, REASON)
+        status = engine.status
+        if status is None or status.state != "serving" or not status.model:
+            return True
+        if not engine.held_back:
+            return False
+        waited_s = _now_s() - self._stopped_at_s[engine.upstream_id]
+        empty = waited_s >= DRAIN_LEAST_S and self._idle(engine.upstream_id)
+        return empty or waited_s >= DRAIN_MOST_S
+
     async def _look(self) -> list[EngineSeen]:
         """Return every engine of the region with what it runs."""
         limit = asyncio.Semaphore(STATUS_AT_ONCE)
@@ -120,7 +194,9 @@
     def _ours(self, upstream: Upstream) -> bool:
         service = self._configuration().services.get(upstream.service)
         has_model = service is not None and service.model is not None
-        return has_model and upstream.region == self._region and upstream.state == "serving"
+        held_back = upstream.state == "leaving" and upstream.upstream_id in self._stops
+        ours = upstream.state == "serving" or held_back
+        return has_model and upstream.region == self._region and ours
 
     async def _see(self, upstream: Upstream, limit: asyncio.Semaphore) -> EngineSeen:
         status: EngineStatus | None = None
@@ -137,14 +213,13 @@
             upstream.address,
             status,
             _now_s() - ordered_at_s,
+            upstream.upstream_id in self._stops,
         )
 
-    async def _order(self, planned: PlannedOrder, checks_fencing: bool) -> bool:
+    async def _order(self, planned: PlannedOrder) -> bool:
         """Send one order; returns whether the duty is still held for more."""
         fence = self._keeper.holding(self._duty)
-        margin_s = ORDER_MARGIN_S if checks_fencing else UNCHECKED_MARGIN_S
-        if fence is None or fence.valid_for_s(_now_s()) < margin_s:
-            self.counters.not_held += 1
+        if fence is None:
             return False
         engine, model = planned.engine, planned.model
         order = EngineOrder(
--- a/godwitpath/rollout/plan.py
+++ b/godwitpath/rollout/plan.py
@@ -27,6 +27,7 @@
     :ivar service: service that its instance was taken for
     :ivar status: None when it did not answer
     :ivar ordered_s_ago: time since its last order, infinity for none
+    :ivar held_back: whether entries give it no new work, so that it can load
     """
 
     upstream_id: str
@@ -34,6 +35,7 @@
     address: Address
     status: EngineStatus | None
     ordered_s_ago: float = float("inf")
+    held_back: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,10 +54,13 @@
 class RolloutPlan:
     """The next orders, and why the services that are not as written are not ordered more.
 
+    :ivar orders: what to order
+    :ivar returned: engines that were held back and get work again
     :ivar held: reason by service
     """
 
     orders: list[PlannedOrder] = field(default_factory=list)
+    returned: list[EngineSeen] = field(default_factory=list)
     held: dict[str, str] = field(default_factory=dict)
 
 
@@ -67,6 +72,8 @@
     right: list[EngineSeen] = field(default_factory=list)
     relabel: list[EngineSeen] = field(default_factory=list)
     loading: list[EngineSeen] = field(default_factory=list)
+    ready: list[EngineSeen] = field(default_factory=list)
+    drained: list[EngineSeen] = field(default_factory=list)
     old: list[EngineSeen] = field(default_factory=list)
     idle: list[EngineSeen] = field(default_factory=list)
     failed: list[EngineSeen] = field(default_factory=list)
@@ -79,7 +86,12 @@
     @property
     def proven(self) -> bool:
         """Whether an engine serves the written version."""
-        return bool(self.right or self.relabel)
+        return bool(self.right or self.relabel or self.ready)
+
+    @property
+    def under_way(self) -> int:
+        """Number of engines that load or are about to."""
+        return len(self.loading) + len(self.drained)
 
     def settled(self, needed: int) -> bool:
         """Return whether enough engines serve the written version and none serves another."""
@@ -103,7 +115,7 @@
         if service.model is not None
     }
     plan = RolloutPlan()
-    room = loads_at_once - sum(len(group.loading) for group in groups.values())
+    room = loads_at_once - sum(group.under_way for group in groups.values())
     for name in dependency_order(services):
         if name not in groups:
             continue
@@ -136,6 +148,8 @@
             (group.failed if same_weights else group.idle).append(engine)
         elif not status.model:
             group.idle.append(engine)
+        elif engine.held_back:
+            (group.ready if same_weights else group.drained).append(engine)
         elif not same_weights:
             group.old.append(engine)
         elif as_written(status, engine.service, model):
@@ -157,6 +171,7 @@
 ) -> int:
     """Add a service's orders to the plan; returns how many loads they start."""
     plan.orders.extend(PlannedOrder(engine, group.model, False) for engine in group.relabel)
+    plan.returned.extend(group.ready)
     if group.failed and not group.proven:
         first = group.failed[0]
         detail = first.status.detail if first.status else ""
@@ -164,8 +179,10 @@
             f"stopped: {first.upstream_id} failed to load {group.model.name} "
             f"{group.model.version}: {detail}"
         )
+        plan.returned.extend(group.drained)
         candidates = [each for each in group.failed if each.ordered_s_ago >= RETRY_FAILED_S]
         return _order(plan, group, candidates[: max(0, min(1, room))])
+    _order(plan, group, group.drained)
     if not (group.old or group.idle or group.failed):
         return 0
     if waits_for and group.old and not group.proven:
@@ -176,7 +193,7 @@
     candidates = [*group.idle, *retried, *group.old[:spare]]
     if not group.proven and group.old:
         # The first engine of a new version loads it alone.
-        room = min(room, 1 - len(group.loading))
+        room = min(room, 1 - group.under_way)
     if group.old and not candidates:
         plan.held[name] = f"waits: {group.serving} engines serve and {needed} are needed"
     elif candidates and room <= 0:
