Let the experiment on the rollout drain engines as the product does

Cause: the experiment ordered the product's engines without draining them. Ruled out: draining in the baselines, which are the plain ways. Change: engines are held back and drained in the product's way, and those ordered with calls on them are counted.

--- a/godwitpath_bench/rollout.py
+++ b/godwitpath_bench/rollout.py
@@ -30,6 +30,9 @@
 START_S = (10.0, 20.0)
 """Time from the end of the transfer until the engine serves."""
 
+DRAIN_S = (5.0, 25.0)
+"""Time in which the calls on an engine end; the plain ways cut them off."""
+
 STEP_S = 2.0
 RETRY_REFUSED_S = 5.0
 """Time after which the plain ways order an engine again whose load was refused."""
@@ -99,6 +102,8 @@
     statuses: dict[str, EngineStatus] = field(default_factory=dict)
     service_of: dict[str, str] = field(default_factory=dict)
     ordered_at_s: dict[str, float] = field(default_factory=dict)
+    drained_at_s: dict[str, float] = field(default_factory=dict)
+    cut_off: int = 0
     transfers: int = 0
     refused: int = 0
     loads: int = 0
@@ -114,7 +119,14 @@
     def seen(self) -> list[EngineSeen]:
         """Return the engines as the duty sees them."""
         return [
-            EngineSeen(name, self.service_of[name], Address("", 0), status, self._ago_s(name))
+            EngineSeen(
+                name,
+                self.service_of[name],
+                Address("", 0),
+                status,
+                self._ago_s(name),
+                name in self.drained_at_s,
+            )
             for name, status in self.statuses.items()
         ]
 
@@ -123,9 +135,17 @@
         return sum(
             status.state == "serving" and version in ("", status.version)
             for name, status in self.statuses.items()
-            if self.service_of[name] == service
+            if self.service_of[name] == service and name not in self.drained_at_s
         )
 
+    def drained(self, planned: PlannedOrder) -> bool:
+        """Hold an engine that serves back; returns whether its calls have ended."""
+        name = planned.engine.upstream_id
+        if self.statuses[name].state != "serving":
+            return True
+        ends_s = self.clock.now_s + self.rng.uniform(*DRAIN_S)
+        return self.drained_at_s.setdefault(name, ends_s) <= self.clock.now_s
+
     def order(self, planned: PlannedOrder) -> None:
         """Let an engine follow an order."""
         name, version = planned.engine.upstream_id, planned.model.version
@@ -133,6 +153,7 @@
         if service == "planner-lm" and not self.serving("base-lm", version):
             self.early += 1
         self.ordered_at_s[name] = self.clock.now_s
+        self.cut_off += self.statuses[name].state == "serving" and name not in self.drained_at_s
         if self.transfers >= STORE_LOADS:
             self.refused += 1
             self.statuses[name] = replace(_status(service, version, "failed"), detail="store")
@@ -157,6 +178,7 @@
     def come_back(self, name: str) -> None:
         """Let an engine come back with the weights that it had first."""
         self.statuses[name] = _status(self.service_of[name], "1", "serving")
+        self.drained_at_s.pop(name, None)
 
     def _ago_s(self, name: str) -> float:
         return self.clock.now_s - self.ordered_at_s.get(name, -math.inf)
@@ -190,8 +212,12 @@
     while now_s < limit_s:
         engines.clock.run(now_s)
         engines.clock.now_s = now_s
-        for planned in way(services, engines.seen()).orders:
-            engines.order(planned)
+        plan = way(services, engines.seen())
+        for engine in plan.returned:
+            engines.drained_at_s.pop(engine.upstream_id, None)
+        for planned in plan.orders:
+            if way is not product or engines.drained(planned):
+                engines.order(planned)
         serving = {name: engines.serving(name) for name in ENGINES}
         fewest = {name: min(fewest[name], serving[name]) for name in ENGINES}
         below_s += STEP_S * any(serving[name] < NEEDED[name] for name in ENGINES)
@@ -205,6 +231,7 @@
         "seconds_below_the_needed": below_s,
         "loads_refused_by_the_store": float(engines.refused),
         "loads": float(engines.loads),
+        "engines_ordered_with_calls_on_them": float(engines.cut_off),
         "ordered_before_the_dependency": float(engines.early),
     }
     if not job.broken:
