Drain the next engines while others load

Cause: engines that drained counted against the loads at once, and the weight store stood idle meanwhile. Ruled out: no bound on what is drained (the needed engines bound it, but a drained engine that waits serves nobody). Change: twice the loads at once may drain or load; the loads themselves are bounded as before, by the duty. Without the bound in the duty its test fails.

--- a/godwitpath/rollout/duty.py
+++ b/godwitpath/rollout/duty.py
@@ -135,7 +135,10 @@
             if not self._may_act(ORDER_MARGIN_S if fleet.checks_fencing else UNCHECKED_MARGIN_S):
                 self.counters.not_held += 1
                 return
-            if await self._drained(planned) and not await self._order(planned):
+            if not await self._drained(planned) or (planned.loads and self.plan.room <= 0):
+                continue
+            self.plan.room -= planned.loads
+            if not await self._order(planned):
                 return
 
     def _may_act(self, margin_s: float) -> bool:
--- a/godwitpath/rollout/plan.py
+++ b/godwitpath/rollout/plan.py
@@ -13,6 +13,9 @@
 from godwitpath.config.model import ModelSpec, Service
 from godwitpath.ports.engine import Address, EngineStatus
 
+DRAINED_AHEAD = 2
+"""Engines that load or drain, as a multiple of the loads at once, to keep the store busy."""
+
 RETRY_FAILED_S = 300.0
 """Time after which an engine that failed a version which none serves is ordered to load again."""
 
@@ -55,11 +58,13 @@
     """The next orders, and why the services that are not as written are not ordered more.
 
     :ivar orders: what to order
+    :ivar room: loads that may begin now; the other orders wait
     :ivar returned: engines that were held back and get work again
     :ivar held: reason by service
     """
 
     orders: list[PlannedOrder] = field(default_factory=list)
+    room: int = 0
     returned: list[EngineSeen] = field(default_factory=list)
     held: dict[str, str] = field(default_factory=dict)
 
@@ -115,7 +120,8 @@
         if service.model is not None
     }
     plan = RolloutPlan()
-    room = loads_at_once - sum(group.under_way for group in groups.values())
+    plan.room = loads_at_once - sum(len(group.loading) for group in groups.values())
+    room = DRAINED_AHEAD * loads_at_once - sum(group.under_way for group in groups.values())
     for name in dependency_order(services):
         if name not in groups:
             continue
--- a/godwitpath_bench/rollout.py
+++ b/godwitpath_bench/rollout.py
@@ -216,7 +216,10 @@
         for engine in plan.returned:
             engines.drained_at_s.pop(engine.upstream_id, None)
         for planned in plan.orders:
-            if way is not product or engines.drained(planned):
+            if way is not product:
+                engines.order(planned)
+            elif engines.drained(planned) and plan.room > 0:
+                plan.room -= 1
                 engines.order(planned)
         serving = {name: engines.serving(name) for name in ENGINES}
         fewest = {name: min(fewest[name], serving[name]) for name in ENGINES}
