Ask the engine itself whether it has work left; learn an engine's pace

Cause: the duties needed to be told whether an engine is idle, and what an engine does; entries poll no load of engines that leave. Ruled out: the load book for idleness, for its reports of leaving engines are old. Change: the duties ask the engine's load; the pace of a service is that of its middle engine by the load book's views.

--- a/godwitpath/capacity/demand.py
+++ b/godwitpath/capacity/demand.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+import statistics
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from godwitpath.config.model import LatencyTarget
+from godwitpath.routing.views import BETWEEN_TOKENS_S, PREFILL_TOKENS_PER_S, EngineView
 
 HEADROOM = 1.25
 """Engines kept for each engine's worth of work, so that a burst meets the target."""
@@ -53,6 +55,21 @@
     )
 
 
+def learned_pace(views: Sequence[EngineView]) -> EnginePace:
+    """Return what the middle one of a service's engines does, the priors where there is none."""
+    if not views:
+        return EnginePace(PREFILL_TOKENS_PER_S, BETWEEN_TOKENS_S, 0.0)
+    alone_s = (
+        view.between_tokens_s - view.between_per_call_s * max(0.0, view.running - 1.0)
+        for view in views
+    )
+    return EnginePace(
+        statistics.median(view.prefill_tokens_per_s for view in views),
+        statistics.median(alone_s),
+        statistics.median(view.between_per_call_s for view in views),
+    )
+
+
 def batch_at_target(pace: EnginePace, latency: LatencyTarget) -> float:
     """Return how many calls an engine can run at once within the time between tokens."""
     spare_s = latency.between_tokens_s - pace.between_alone_s
--- a/godwitpath/capacity/duty.py
+++ b/godwitpath/capacity/duty.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -118,7 +118,7 @@
         cloud: Cloud,
         listing: InstanceList,
         target: Callable[[], CapacityTarget],
-        idle: Callable[[str], bool],
+        idle: Callable[[str], Awaitable[bool]],
         rng: random.Random,
         planner: Planner = plan_fleet,
     ) -> None:
@@ -281,7 +281,7 @@
             self._check()
             await announce_stop(self._store, slot.instance_id, STOP_REASON)
         drained_s = _now_s() - since_s
-        empty = drained_s >= DRAIN_LEAST_S and self._idle(slot.instance_id)
+        empty = drained_s >= DRAIN_LEAST_S and await self._idle(slot.instance_id)
         if is_listed and not empty and drained_s < DRAIN_MOST_S:
             return
         self._check()
--- a/godwitpath/duties/service_duties.py
+++ b/godwitpath/duties/service_duties.py
@@ -22,7 +22,7 @@
 from godwitpath.duties.duty import Duty
 from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.membership.member import Member
-from godwitpath.ports.engine import Engine
+from godwitpath.ports.engine import Engine, EngineError
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.peers import PeerTransport
 from godwitpath.ports.platform import Cloud, InstanceList
@@ -32,6 +32,8 @@
 LOOK_S = 2.0
 """Time between two looks at which duties there are."""
 
+LOAD_TIMEOUT_S = 3.0
+
 
 @dataclass(slots=True, frozen=True)
 class DutyParts:
@@ -40,7 +42,6 @@
     :ivar configuration: returns the configuration in force, None before there is one
     :ivar report: returns this entry's work of a service in a region
     :ivar pace: returns what an engine of a service does
-    :ivar idle: says whether an upstream has no work left
     """
 
     keeper: DutyKeeper
@@ -55,7 +56,6 @@
     configuration: Callable[[], Configuration | None]
     report: Callable[[str, str], DemandReport]
     pace: Callable[[str], EnginePace]
-    idle: Callable[[str], bool]
     rng: random.Random
 
 
@@ -147,7 +147,7 @@
             parts.cloud,
             parts.listing,
             lambda: CapacityTarget(self._services()[name].fleet, self._needed(name, region)),
-            parts.idle,
+            self._idle,
             parts.rng,
         )
 
@@ -161,10 +161,22 @@
             parts.table,
             lambda: parts.configuration() or Configuration({}),
             lambda: self._needed_in(region),
-            parts.idle,
+            self._idle,
             parts.rng,
         )
 
+    async def _idle(self, upstream_id: str) -> bool:
+        """Return whether an engine has no work left, False when it does not say."""
+        upstream = self._parts.table.get(upstream_id)
+        if upstream is None or upstream.state == "gone":
+            return True
+        try:
+            async with asyncio.timeout(LOAD_TIMEOUT_S):
+                report = await self._parts.engine.load(upstream.address)
+        except (EngineError, TimeoutError):
+            return False
+        return not report.running and not report.waiting
+
     def _needed(self, name: str, region: str) -> int:
         service = self._services()[name]
         rate = self._book.total(capacity_duty(name, region))
--- a/godwitpath/rollout/duty.py
+++ b/godwitpath/rollout/duty.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -74,7 +74,7 @@
         table: UpstreamTable,
         configuration: Callable[[], Configuration],
         needed: Callable[[], Mapping[str, int]],
-        idle: Callable[[str], bool],
+        idle: Callable[[str], Awaitable[bool]],
         rng: random.Random,
         loads_at_once: int = LOADS_AT_ONCE,
     ) -> None:
@@ -178,7 +178,7 @@
         if not engine.held_back:
             return False
         waited_s = _now_s() - self._stopped_at_s[engine.upstream_id]
-        empty = waited_s >= DRAIN_LEAST_S and self._idle(engine.upstream_id)
+        empty = waited_s >= DRAIN_LEAST_S and await self._idle(engine.upstream_id)
         return empty or waited_s >= DRAIN_MOST_S
 
     async def _look(self) -> list[EngineSeen]:
--- a/godwitpath_bench/capacity.py
+++ b/godwitpath_bench/capacity.py
@@ -200,6 +200,11 @@
     return (low + (high - low) * level) * math.exp(rng.gauss(0.0, 0.05))
 
 
+async def idle(_: str) -> bool:
+    """Say that an instance has no work left."""
+    return True
+
+
 async def _day(job: Job, loop: DayLoop) -> dict[str, float]:
     market, rng = Market(job.seed), Random(f"work/{job.seed}")
     work = needed_at(0.0, rng)
@@ -216,7 +221,7 @@
         market,
         market,
         target,
-        lambda _: True,
+        idle,
         Random(job.seed),
         PLANNERS[job.way],
     )
--- a/test/test_capacity_duty.py
+++ b/test/test_capacity_duty.py
@@ -25,6 +25,10 @@
 ZONES = ("r0-a", "r0-b", "r0-c")
 
 
+async def always_idle(_: str) -> bool:
+    return True
+
+
 class AlwaysHolds:
     """A keeper that believes it holds the duty, as two do when a clock is wrong."""
 
@@ -69,7 +73,7 @@
             self.cloud,
             self.cloud,
             lambda: CapacityTarget(FleetSpec(maximum=12), self.needed),
-            lambda _: True,
+            always_idle,
             Random(seed),
         )
 
--- a/test/test_capacity_plan.py
+++ b/test/test_capacity_plan.py
@@ -7,10 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitpath.capacity.demand import EnginePace, WorkRate, engines_needed, total
+from godwitpath.capacity.demand import EnginePace, WorkRate, engines_needed, learned_pace, total
 from godwitpath.capacity.plan import plan_fleet
 from godwitpath.config.model import FleetSpec, LatencyTarget
 from godwitpath.ports.platform import Offer
+from godwitpath.routing.views import EngineView
 
 PRICES = st.lists(st.floats(0.5, 5.0), min_size=2, max_size=4)
 
@@ -59,6 +60,22 @@
     assert all(slot.offer.price_per_h <= 2.0 for slot in plan.slots)
 
 
+def test_the_pace_is_that_of_the_middle_engine() -> None:
+    views = [
+        EngineView(
+            str(n),
+            own_running=5,
+            prefill_tokens_per_s=n * 1e4,
+            between_tokens_s=0.03,
+            between_per_call_s=0.001,
+        )
+        for n in (1, 2, 9)
+    ]
+    pace = learned_pace(views)
+    assert (pace.prefill_tokens_per_s, pace.between_per_call_s) == (2e4, 0.001)
+    assert abs(pace.between_alone_s - 0.026) < 1e-9
+
+
 def test_work_of_all_entries_makes_the_number_of_engines() -> None:
     pace = EnginePace(10_000.0, 0.02, 0.002)
     rate = total([WorkRate(5.0, 10_000.0, 500.0), WorkRate(5.0, 10_000.0, 500.0)])
--- a/test/test_rollout.py
+++ b/test/test_rollout.py
@@ -12,7 +12,14 @@
 
 from godwitpath.config.model import Configuration, FleetSpec, ModelSpec, Service
 from godwitpath.duties.duty import Duty, Fence
-from godwitpath.ports.engine import Address, Engine, EngineOrder, EngineStatus, OrderFenced
+from godwitpath.ports.engine import (
+    Address,
+    Engine,
+    EngineOrder,
+    EngineStatus,
+    LoadReport,
+    OrderFenced,
+)
 from godwitpath.rollout.duty import UNCHECKED_MARGIN_S, RolloutDuty
 from godwitpath.rollout.plan import (
     DRAINED_AHEAD,
@@ -120,6 +127,10 @@
     assert all(each != status("2") for each in taken)
 
 
+async def always_idle(_: str) -> bool:
+    return True
+
+
 class FakeEngine(Engine):
     """Engines that load on the loop's clock, and may ignore fencing numbers."""
 
@@ -127,6 +138,7 @@
         self.status_of = {port: status(version) for port in ports}
         self.checks = checks
         self.bad_version = ""
+        self.busy: dict[int, int] = {}
         self.fewest = len(ports)
         self.most_loading = 0
 
@@ -164,8 +176,8 @@
     async def cancel(self, address, stream_id):  # type: ignore[no-untyped-def]
         raise NotImplementedError
 
-    async def load(self, address):  # type: ignore[no-untyped-def]
-        raise NotImplementedError
+    async def load(self, address: Address) -> LoadReport:
+        return LoadReport(self.busy.get(address.port, 0), 0, 0, 0, 0.0)
 
     async def cache_events(self, address, after_sequence):  # type: ignore[no-untyped-def]
         raise NotImplementedError
@@ -214,7 +226,7 @@
         table or table_of(engine),
         lambda: written,
         lambda: {"lm": 4},
-        lambda _: True,
+        always_idle,
         Random(1),
         2,
     )
--- a/test/test_service_duties.py
+++ b/test/test_service_duties.py
@@ -50,7 +50,6 @@
             configuration=lambda: fleet.written,
             report=self.meter.report,
             pace=lambda _: PACE,
-            idle=lambda _: True,
             rng=rng,
         )
         self.duties = ServiceDuties(parts)
@@ -127,6 +126,18 @@
         assert fleet.holder("rollout").duties.dump()["rollout/r0"]["counters"]["ordered"] == 6
         await fleet.stop()
 
+    async def test_an_engine_with_calls_on_it_is_not_ordered_to_load(self) -> None:
+        fleet = Fleet(loop_core(), platform())
+        fleet.engine.busy = dict.fromkeys(fleet.engine.status_of, 1)
+        await fleet.work(20, 7_000)
+        fleet.written = Configuration({"lm": service("2")})
+        await fleet.work(60, 7_000)
+        assert fleet.engine.versions() == ["1"] * 6
+        fleet.engine.busy = {}
+        await fleet.work(60, 7_000)
+        assert "2" in fleet.engine.versions()
+        await fleet.stop()
+
     async def test_no_engine_is_taken_out_before_the_work_is_known(self) -> None:
         fleet = Fleet(loop_core(), platform())
         fleet.written = Configuration({"lm": service("2")})
