--- a/godwitpath/entry/duty_work.py
+++ b/godwitpath/entry/duty_work.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from godwitpath.capacity.demand import EnginePace
+from godwitpath.capacity.demand import EnginePace, learned_pace
 from godwitpath.duties.keeper import DutyKeeper
 from godwitpath.duties.service_duties import DutyParts, ServiceDuties
 from godwitpath.entry.context import EntryContext, now_s
@@ -14,14 +14,10 @@
 from godwitpath.ports.kv import KeyValueStore
 from godwitpath.ports.peers import PeerTransport
 from godwitpath.ports.platform import Cloud, InstanceList
-from godwitpath.routing.views import BETWEEN_TOKENS_S, PREFILL_TOKENS_PER_S, EngineView
 
 KEEP_EXECUTIONS_S = 604_800.0
 """How long the outcomes of calls that may run once can be asked for."""
 
-BETWEEN_PER_CALL_S = 0.0005
-"""Growth of the time between tokens with one more call, until it is learned."""
-
 
 class DutyWork:
     """Takes the duties that this entry ranks first for, and does them.
@@ -57,7 +53,6 @@
             configuration=lambda: context.config.current,
             report=context.meter.report,
             pace=self._pace,
-            idle=self._idle,
             rng=rng,
         )
         self._services = ServiceDuties(parts, others=[SWEEP_DUTY])
@@ -78,23 +73,7 @@
         """Return the state for the state dump."""
         return {"keeper": self.keeper.dump(), "services": self._services.dump()}
 
-    def _views(self, service: str) -> list[EngineView]:
-        serving = self._context.upstreams.serving(service)
-        return self._context.book.views(serving, now_s())
-
     def _pace(self, service: str) -> EnginePace:
         """Return what an engine of a service does, as this entry has learned it."""
-        views = self._views(service)
-        if not views:
-            return EnginePace(PREFILL_TOKENS_PER_S, BETWEEN_TOKENS_S, BETWEEN_PER_CALL_S)
-        count = len(views)
-        alone = (v.between_tokens_s - v.running * v.between_per_call_s for v in views)
-        return EnginePace(
-            prefill_tokens_per_s=sum(view.prefill_tokens_per_s for view in views) / count,
-            between_alone_s=sum(alone) / count,
-            between_per_call_s=sum(view.between_per_call_s for view in views) / count,
-        )
-
-    def _idle(self, upstream_id: str) -> bool:
-        """Return whether an engine has no work, by its own report and by own calls."""
-        return self._context.book.idle(upstream_id)
+        serving = self._context.upstreams.serving(service)
+        return learned_pace(self._context.book.views(serving, now_s()))
--- a/godwitpath/routing/book.py
+++ b/godwitpath/routing/book.py
@@ -225,13 +225,6 @@
         out = outliers.ejected(outlier_states, now_s)
         return [self._view(facts, states[facts.upstream_id], out, now_s) for facts in known]
 
-    def idle(self, upstream_id: str) -> bool:
-        """Return whether an engine has no work, by its last report and by own calls."""
-        state = self._engines.get(upstream_id)
-        if state is None or state.own_running or state.report is None:
-            return False
-        return not state.report.running and not state.report.waiting
-
     def forget(self, upstream_id: str) -> None:
         """Drop an upstream that is gone."""
         self._engines.pop(upstream_id, None)
