Take up the running stream of an adopted generation

Cause: an entry that adopted a generation always started a new attempt, so the engine read prompt and delivered text again while the old stream still ran. Ruled out: cancelling at the engine by the old holder (a fenced holder must leave the stream to the adopter). Change: the adopter resumes the stream that the record names, once, and only then chooses anew; a stream that is given up is cancelled at its engine; attempts have their own module.

--- /dev/null
+++ b/godwitpath/entry/attempt.py
@@ -0,0 +1,188 @@
+"""One attempt at a generation: its stream, copied into the request record."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.generation import Generation
+from godwitpath.ports.engine import EngineError, EngineLost, GenerationCall, GenerationChunk
+from godwitpath.records.record import Outcome, Piece, RecordMoved, RequestRecord
+from godwitpath.routing.book import Outstanding
+from godwitpath.upstreams.table import Upstream
+
+RESUME_ATTEMPTS = 2
+"""Times that a broken stream is taken up again at the same engine."""
+
+UNRANKED = -1
+"""Rank of an upstream that was not chosen by its rank."""
+
+
+class AttemptRunner:
+    """Runs attempts for the generations of one entry."""
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def run(self, generation: Generation, upstream: Upstream, rank: int) -> None:
+        """Run one attempt at one upstream, taking the stream up again when it breaks.
+
+        :param rank: rank of the upstream in the prefix's ranking
+        """
+        context, record = self._context, generation.record
+        attempt_id = context.new_id()
+        if not context.records.begin_attempt(record, attempt_id, upstream.upstream_id):
+            raise RecordMoved(record.request_id, record.holder)
+        context.metrics.attempts.add(1, service=record.service)
+        stream = context.engine.generate(upstream.address, self._call(generation, attempt_id))
+        await self._follow(generation, upstream, stream, rank)
+
+    async def resume(self, generation: Generation, upstream: Upstream) -> None:
+        """Go on with the stream that the record names, from where the record ends."""
+        record = generation.record
+        stream = self._context.engine.resume(
+            upstream.address, record.stream_id, record.attempt_id, record.tokens
+        )
+        await self._follow(generation, upstream, stream, UNRANKED)
+
+    async def _follow(
+        self,
+        generation: Generation,
+        upstream: Upstream,
+        stream: AsyncIterator[GenerationChunk],
+        rank: int,
+    ) -> None:
+        context, record = self._context, generation.record
+        work = context.book.started(
+            upstream.upstream_id,
+            generation.prompt_tokens + record.tokens,
+            now_s(),
+            priority=record.priority,
+            blocks=generation.blocks,
+            rank=rank,
+        )
+        try:
+            await self._consume_with_resumes(generation, upstream, work, stream)
+        except asyncio.CancelledError:
+            context.book.cancelled(work, now_s())
+            self._cancel_at_engine(upstream, record)
+            raise
+        except EngineError:
+            context.book.failed(work, now_s())
+            self._cancel_at_engine(upstream, record)
+            raise
+        context.book.finished(work, now_s(), record.tokens)
+
+    async def _consume_with_resumes(
+        self,
+        generation: Generation,
+        upstream: Upstream,
+        work: Outstanding,
+        stream: AsyncIterator[GenerationChunk],
+    ) -> None:
+        record = generation.record
+        for resumes_left in range(RESUME_ATTEMPTS, -1, -1):
+            try:
+                await self._consume(generation, work, stream)
+                return
+            except EngineLost:
+                if not resumes_left or not record.stream_id:
+                    raise
+            stream = self._context.engine.resume(
+                upstream.address, record.stream_id, record.attempt_id, record.tokens
+            )
+
+    def _call(self, generation: Generation, attempt_id: str) -> GenerationCall:
+        record = generation.record
+        model = generation.service.model
+        body = msgspec.json.decode(record.body)
+        body.pop("stream", None)
+        adapter = body.pop("adapter", "")
+        return GenerationCall(
+            request_id=record.request_id,
+            attempt_id=attempt_id,
+            account=record.account,
+            model=model.name if model else record.service,
+            body=body,
+            chat=record.kind == "chat",
+            priority=record.priority,
+            timeout_s=max(0.0, generation.deadline_s - now_s()),
+            adapter=adapter if isinstance(adapter, str) else "",
+            delivered_text=record.text,
+            delivered_tokens=record.tokens,
+        )
+
+    async def _consume(
+        self,
+        generation: Generation,
+        work: Outstanding,
+        stream: AsyncIterator[GenerationChunk],
+    ) -> None:
+        """Copy the chunks of a stream into the record until its last one."""
+        context, record = self._context, generation.record
+        attempt_id = record.attempt_id
+        async for chunk in stream:
+            if chunk.attempt_id != attempt_id or record.attempt_id != attempt_id:
+                context.metrics.foreign_chunks.add(1)
+                continue
+            if chunk.stream_id and chunk.stream_id != record.stream_id:
+                context.records.set_stream(record, chunk.stream_id)
+                self._first_chunk(generation, work, chunk)
+            self._append(record, chunk)
+            if chunk.finish_reason:
+                self._finish(generation, chunk)
+                return
+        raise EngineLost("the stream ended before its last chunk")
+
+    def _first_chunk(
+        self, generation: Generation, work: Outstanding, chunk: GenerationChunk
+    ) -> None:
+        record, metrics = generation.record, self._context.metrics
+        generation.cached_tokens = chunk.cached_tokens
+        self._context.book.first_token(work, chunk.cached_tokens, now_s())
+        if record.pieces:
+            # What an earlier attempt had computed is computed again here, but for cached tokens.
+            again = generation.prompt_tokens + record.tokens - chunk.cached_tokens
+            metrics.recomputed_tokens.add(max(0, again), service=record.service)
+        elif record.since_s:
+            metrics.first_token_s.record(now_s() - record.since_s, service=record.service)
+
+    def _append(self, record: RequestRecord, chunk: GenerationChunk) -> None:
+        if not chunk.tokens:
+            return
+        if chunk.offset != record.tokens:
+            raise EngineLost(f"the stream went on at token {chunk.offset}, not {record.tokens}")
+        self._context.records.append(record, Piece(chunk.offset, chunk.text, chunk.tokens))
+        self._context.metrics.tokens.add(chunk.tokens, service=record.service)
+
+    def _finish(self, generation: Generation, chunk: GenerationChunk) -> None:
+        outcome = Outcome(
+            status=200,
+            ran="yes",
+            finish_reason=chunk.finish_reason,
+            prompt_tokens=chunk.prompt_tokens,
+            cached_tokens=generation.cached_tokens,
+        )
+        record = generation.record
+        computed = chunk.prompt_tokens - generation.cached_tokens
+        region = self._context.settings.region
+        self._context.meter.note(record.service, region, max(0, computed), record.tokens)
+        self._context.records.finish(record, outcome)
+
+    def _cancel_at_engine(self, upstream: Upstream, record: RequestRecord) -> None:
+        """Stop what still runs at the engine, unless another entry goes on with it."""
+        if record.stream_id and record.held:
+            work = self._send_cancel(upstream, record.stream_id)
+            self._context.spawn(asyncio.create_task(work))
+
+    async def _send_cancel(self, upstream: Upstream, stream_id: str) -> None:
+        try:
+            await self._context.engine.cancel(upstream.address, stream_id)
+        except EngineError:
+            # The engine is gone, and the generation with it.
+            self._context.metrics.attempts_lost.add(1)
--- a/godwitpath/entry/caller_body.py
+++ b/godwitpath/entry/caller_body.py
@@ -58,7 +58,7 @@
         chat=chat,
         streamed=_typed(body, "stream", bool, False),
         include_usage=bool(options.get("include_usage", False)),
-        max_tokens=_max_tokens(body),
+        max_tokens=max_tokens_of(body),
         body=body,
     )
 
@@ -83,7 +83,11 @@
     return value
 
 
-def _max_tokens(body: dict[str, Any]) -> int:
+def max_tokens_of(body: dict[str, Any]) -> int:
+    """Return the most tokens that a body asks for.
+
+    :raises CallerError: it is no number in range
+    """
     newer = _typed(body, "max_completion_tokens", int, 0)
     tokens: int = newer or _typed(body, "max_tokens", int, DEFAULT_MAX_TOKENS)
     if not 1 <= tokens <= MAX_TOKENS_LIMIT:
--- a/godwitpath/entry/context.py
+++ b/godwitpath/entry/context.py
@@ -81,7 +81,8 @@
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self.configuration().services[service].retry_ratio)
+            configured = self.configuration().services.get(service)
+            budget = RetryBudget(configured.retry_ratio) if configured else RetryBudget()
             self.budgets[service] = budget
         return budget
 
--- a/godwitpath/entry/evacuate.py
+++ b/godwitpath/entry/evacuate.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from godwitpath.entry.context import EntryContext, now_s
-from godwitpath.entry.generate import Generation, GenerationRunner
+from godwitpath.entry.generate import GenerationRunner
+from godwitpath.entry.generation import Generation
 from godwitpath.recovery.move import MARGIN_S, MoveQuery, plan_move
 from godwitpath.routing.choose import NoUpstream, RouteChoice
 from godwitpath.upstreams.table import Upstream
--- a/godwitpath/entry/gate.py
+++ b/godwitpath/entry/gate.py
@@ -9,7 +9,8 @@
 from godwitpath.admission.queue import AdmissionQueue, QueueExpired
 from godwitpath.config.model import Configuration
 from godwitpath.entry.context import EntryContext, now_s
-from godwitpath.entry.generate import Generation, GenerationRunner
+from godwitpath.entry.generate import GenerationRunner
+from godwitpath.entry.generation import Generation
 from godwitpath.entry.refusals import CallerError
 from godwitpath.routing.choose import NoUpstream, RouteChoice
 
--- a/godwitpath/entry/generate.py
+++ b/godwitpath/entry/generate.py
@@ -3,23 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import msgspec
 
 from godwitpath.config.model import PRIORITY_LEVELS, Service
+from godwitpath.entry.attempt import AttemptRunner
+from godwitpath.entry.caller_body import max_tokens_of
 from godwitpath.entry.context import EntryContext, now_s
+from godwitpath.entry.generation import Generation
 from godwitpath.ports.engine import (
     EngineError,
-    EngineLost,
     EngineRefused,
-    GenerationCall,
-    GenerationChunk,
 )
-from godwitpath.records.record import Outcome, Piece, RecordMoved, RequestRecord
+from godwitpath.records.record import Outcome, RecordMoved, RequestRecord
 from godwitpath.retries.backoff import backoff_s
-from godwitpath.routing.book import Outstanding
 from godwitpath.routing.choose import NoUpstream, RouteChoice, RouteQuery, choose
 from godwitpath.routing.prefix import estimate_tokens, prefix_blocks, prompt_text
 from godwitpath.upstreams.table import Upstream
@@ -36,47 +35,19 @@
 DEADLINE_RETRY_S = 1.0
 """When to come back after a deadline that could not be met."""
 
-RESUME_ATTEMPTS = 2
-"""Times that a broken stream is taken up again at the same engine."""
-
 
 class AttemptMoved(EngineError):
     """The attempt was broken off because its upstream is leaving."""
 
 
-@dataclass(slots=True)
-class Generation:
-    """A generation in progress at this entry.
-
-    :ivar record: the request record
-    :ivar service: the service as configured at acceptance
-    :ivar deadline_s: loop time at which the caller's deadline passes
-    :ivar tried: upstreams that failed it, asked again only when there is no other
-    :ivar attempt: the running attempt, None between two
-    """
-
-    record: RequestRecord
-    service: Service
-    blocks: list[str]
-    prompt_tokens: int
-    max_tokens: int
-    deadline_s: float
-    tried: set[str] = field(default_factory=set)
-    choice: RouteChoice | None = None
-    attempt: asyncio.Task[None] | None = None
-    upstream_id: str = ""
-    prompt_tokens_seen: int = 0
-    cached_tokens: int = 0
-    cancelled: bool = False
-
-
 class GenerationRunner:
     """Runs generations and knows those in progress."""
 
-    __slots__ = ("_context", "_running", "on_end")
+    __slots__ = ("_attempts", "_context", "_running", "on_end")
 
     def __init__(self, context: EntryContext) -> None:
         self._context = context
+        self._attempts = AttemptRunner(context)
         self.on_end: Callable[[Generation], None] | None = None
         self._running: dict[str, Generation] = {}
 
@@ -148,12 +119,14 @@
         self._context.spawn(asyncio.create_task(self._run(generation)))
 
     async def adopt(self, record: RequestRecord) -> None:
-        """Go on with a generation that another entry had."""
+        """Go on with a generation that another entry had, in its stream where that still runs."""
         self._context.story.adopted(record)
-        service = self._context.configuration().services[record.service]
+        services = self._context.configuration().services
+        service = services.get(record.service) or Service(kind="generation")
         body = msgspec.json.decode(record.body)
-        max_tokens = body.get("max_completion_tokens") or body.get("max_tokens") or 256
-        self.start(self.prepare(record, max_tokens, service))
+        generation = self.prepare(record, max_tokens_of(body), service)
+        generation.resumable = bool(record.stream_id)
+        self.start(generation)
 
     def cancel(self, request_id: str) -> None:
         """Stop a generation that nobody will ask for."""
@@ -232,6 +205,11 @@
             await asyncio.sleep(pause_s)
 
     async def _attempt_anywhere(self, generation: Generation) -> None:
+        upstream = self._resumable_at(generation)
+        if upstream is not None:
+            self._context.story.resumed(generation.record, upstream.upstream_id)
+            await self._attempt(generation, upstream, self._attempts.resume(generation, upstream))
+            return
         choice = generation.choice or self.choose(generation)
         generation.choice = None
         self._context.story.dispatched(generation.record, choice)
@@ -239,8 +217,23 @@
         if upstream is None:
             generation.tried.add(choice.upstream_id)
             return
-        generation.upstream_id = choice.upstream_id
-        attempt = asyncio.create_task(self._attempt(generation, upstream, choice.rank))
+        await self._attempt(
+            generation, upstream, self._attempts.run(generation, upstream, choice.rank)
+        )
+
+    def _resumable_at(self, generation: Generation) -> Upstream | None:
+        """Return the upstream whose stream an adopted generation may take up, once."""
+        if not generation.resumable:
+            return None
+        generation.resumable = False
+        upstream = self._context.upstreams.get(generation.record.upstream_id)
+        return upstream if upstream is not None and upstream.state != "gone" else None
+
+    async def _attempt(
+        self, generation: Generation, upstream: Upstream, work: Coroutine[Any, Any, None]
+    ) -> None:
+        generation.upstream_id = upstream.upstream_id
+        attempt = asyncio.create_task(work)
         generation.attempt = attempt
         try:
             await asyncio.wait({attempt}, timeout=max(0.0, generation.deadline_s - now_s()))
@@ -281,132 +274,6 @@
         self._context.records.finish(generation.record, outcome)
         self._context.metrics.cancelled.add(1)
 
-    async def _attempt(self, generation: Generation, upstream: Upstream, rank: int) -> None:
-        """Run one attempt at one upstream, taking the stream up again when it breaks."""
-        context, record = self._context, generation.record
-        attempt_id = context.new_id()
-        if not context.records.begin_attempt(record, attempt_id, upstream.upstream_id):
-            raise RecordMoved(record.request_id, record.holder)
-        work = context.book.started(
-            upstream.upstream_id,
-            generation.prompt_tokens + record.tokens,
-            now_s(),
-            priority=record.priority,
-            blocks=generation.blocks,
-            rank=rank,
-        )
-        context.metrics.attempts.add(1, service=record.service)
-        call = self._call(generation, attempt_id)
-        resumes = 0
-        stream = context.engine.generate(upstream.address, call)
-        try:
-            while True:
-                try:
-                    await self._consume(generation, work, stream, attempt_id)
-                    break
-                except EngineLost:
-                    resumes += 1
-                    if resumes > RESUME_ATTEMPTS or not record.stream_id:
-                        raise
-                    stream = context.engine.resume(
-                        upstream.address, record.stream_id, attempt_id, record.tokens
-                    )
-        except asyncio.CancelledError:
-            context.book.cancelled(work, now_s())
-            await self._cancel_at_engine(upstream, record.stream_id)
-            raise
-        except EngineError:
-            context.book.failed(work, now_s())
-            raise
-        context.book.finished(work, now_s(), record.tokens)
-
-    def _call(self, generation: Generation, attempt_id: str) -> GenerationCall:
-        record = generation.record
-        model = generation.service.model
-        body = msgspec.json.decode(record.body)
-        body.pop("stream", None)
-        adapter = body.pop("adapter", "")
-        return GenerationCall(
-            request_id=record.request_id,
-            attempt_id=attempt_id,
-            account=record.account,
-            model=model.name if model else record.service,
-            body=body,
-            chat=record.kind == "chat",
-            priority=record.priority,
-            timeout_s=max(0.0, generation.deadline_s - now_s()),
-            adapter=adapter if isinstance(adapter, str) else "",
-            delivered_text=record.text,
-            delivered_tokens=record.tokens,
-        )
-
-    async def _consume(
-        self,
-        generation: Generation,
-        work: Outstanding,
-        stream: AsyncIterator[GenerationChunk],
-        attempt_id: str,
-    ) -> None:
-        """Copy the chunks of a stream into the record until its last one."""
-        context, record = self._context, generation.record
-        async for chunk in stream:
-            if chunk.attempt_id != attempt_id or record.attempt_id != attempt_id:
-                context.metrics.foreign_chunks.add(1)
-                continue
-            if chunk.stream_id and chunk.stream_id != record.stream_id:
-                context.records.set_stream(record, chunk.stream_id)
-                self._first_chunk(generation, work, chunk)
-            self._append(record, chunk)
-            if chunk.finish_reason:
-                generation.prompt_tokens_seen = chunk.prompt_tokens
-                self._finish(generation, chunk)
-                return
-        raise EngineLost("the stream ended before its last chunk")
-
-    def _first_chunk(
-        self, generation: Generation, work: Outstanding, chunk: GenerationChunk
-    ) -> None:
-        record, metrics = generation.record, self._context.metrics
-        generation.cached_tokens = chunk.cached_tokens
-        self._context.book.first_token(work, chunk.cached_tokens, now_s())
-        if record.pieces:
-            # What an earlier attempt had computed is computed again here, but for cached tokens.
-            again = generation.prompt_tokens + record.tokens - chunk.cached_tokens
-            metrics.recomputed_tokens.add(max(0, again), service=record.service)
-        elif record.since_s:
-            metrics.first_token_s.record(now_s() - record.since_s, service=record.service)
-
-    def _append(self, record: RequestRecord, chunk: GenerationChunk) -> None:
-        if not chunk.tokens:
-            return
-        if chunk.offset != record.tokens:
-            raise EngineLost(f"the stream went on at token {chunk.offset}, not {record.tokens}")
-        self._context.records.append(record, Piece(chunk.offset, chunk.text, chunk.tokens))
-        self._context.metrics.tokens.add(chunk.tokens, service=record.service)
-
-    def _finish(self, generation: Generation, chunk: GenerationChunk) -> None:
-        outcome = Outcome(
-            status=200,
-            ran="yes",
-            finish_reason=chunk.finish_reason,
-            prompt_tokens=chunk.prompt_tokens,
-            cached_tokens=generation.cached_tokens,
-        )
-        record = generation.record
-        computed = chunk.prompt_tokens - generation.cached_tokens
-        region = self._context.settings.region
-        self._context.meter.note(record.service, region, max(0, computed), record.tokens)
-        self._context.records.finish(record, outcome)
-
-    async def _cancel_at_engine(self, upstream: Upstream, stream_id: str) -> None:
-        if not stream_id:
-            return
-        try:
-            await self._context.engine.cancel(upstream.address, stream_id)
-        except EngineError:
-            # The engine is gone, and the generation with it.
-            self._context.metrics.attempts_lost.add(1)
-
 
 def priority_level(account_priority: str, asked: str) -> int:
     """Return the level a request runs at: a caller may lower its priority, not raise it."""
--- a/godwitpath/entry/story.py
+++ b/godwitpath/entry/story.py
@@ -61,6 +61,11 @@
         known = {"upstream_id": record.upstream_id, "error": str(error)}
         self._note(record.request_id, record.account, "dispatch", "attempt failed", known)
 
+    def resumed(self, record: RequestRecord, upstream_id: str) -> None:
+        """Note that the running stream of an adopted request is taken up."""
+        known = {"delivered_tokens": record.tokens, "why": "its stream still runs"}
+        self._note(record.request_id, record.account, "dispatch", upstream_id, known)
+
     def moved(self, record: RequestRecord, target_id: str, plan: MovePlan) -> None:
         """Note how a generation leaves an engine that is reclaimed."""
         known = {
--- a/godwitpath_standin/unsafe.py
+++ b/godwitpath_standin/unsafe.py
@@ -9,8 +9,8 @@
 
 from godwitpath.adapters.engine_http import HttpEngine
 from godwitpath.config_sync.in_force import ConfigInForce
+from godwitpath.entry.attempt import AttemptRunner
 from godwitpath.entry.drain import Drain
-from godwitpath.entry.generate import GenerationRunner
 from godwitpath.execution.guard import ExecutionGuard
 from godwitpath.execution.record import Claim, ExecutionRecord
 from godwitpath.records.backup import BackupKeeper
@@ -31,21 +31,21 @@
 
 def _without_continuation() -> None:
     """Start each attempt anew, and take whatever offset comes."""
-    call = GenerationRunner._call
+    call = AttemptRunner._call
 
-    def fresh_call(runner: GenerationRunner, generation: Any, attempt_id: str) -> Any:
+    def fresh_call(runner: AttemptRunner, generation: Any, attempt_id: str) -> Any:
         made = call(runner, generation, attempt_id)
         made.delivered_text, made.delivered_tokens = "", 0
         return made
 
-    def append(runner: GenerationRunner, record: Any, chunk: Any) -> None:
+    def append(runner: AttemptRunner, record: Any, chunk: Any) -> None:
         from godwitpath.records.record import Piece
 
         piece = Piece(record.tokens, chunk.text, chunk.tokens)
         runner._context.records.append(record, piece)
 
-    _replace(GenerationRunner, "_call", fresh_call)
-    _replace(GenerationRunner, "_append", append)
+    _replace(AttemptRunner, "_call", fresh_call)
+    _replace(AttemptRunner, "_append", append)
 
 
 def _without_guard() -> None:
