--- a/godwitpath/entry/accept.py
+++ b/godwitpath/entry/accept.py
@@ -11,6 +11,7 @@
 from godwitpath.entry.gate import AdmissionGate
 from godwitpath.entry.generate import GenerationRunner, priority_level
 from godwitpath.entry.refusals import CallerError
+from godwitpath.records.messages import local_ref
 from godwitpath.records.record import RecordRef, RequestRecord
 
 
@@ -131,21 +132,3 @@
 def generation_digest(raw: bytes, chat: bool) -> str:
     """Return the digest that two generations under one idempotency key must share."""
     return hashlib.sha256(b"chat\n" + raw if chat else b"completion\n" + raw).hexdigest()
-
-
-def local_ref(record: RequestRecord) -> RecordRef:
-    """Return the reference of a record that this process holds."""
-    return RecordRef(
-        account=record.account,
-        request_id=record.request_id,
-        holder=record.holder,
-        epoch=record.epoch,
-        idempotency_key=record.idempotency_key,
-        body_digest=record.body_digest,
-        service=record.service,
-        kind=record.kind,
-        streamed=record.streamed,
-        state=record.state,
-        tokens=record.tokens,
-        record=record,
-    )
--- a/godwitpath/entry/plain_calls.py
+++ b/godwitpath/entry/plain_calls.py
@@ -8,7 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from godwitpath.entry.accept import Acceptance, local_ref
+from godwitpath.entry.accept import Acceptance
 from godwitpath.entry.context import EntryContext
 from godwitpath.entry.delivery import plain_response
 from godwitpath.entry.forward import HOP_BY_HOP, CallRule, Forwarder, call_rule
@@ -22,6 +22,7 @@
     service_named,
 )
 from godwitpath.entry.refusals import CallerError
+from godwitpath.records.messages import local_ref
 from godwitpath.records.record import Outcome, RequestRecord
 
 FORWARDED_METHODS = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
--- a/godwitpath/records/finder.py
+++ b/godwitpath/records/finder.py
@@ -13,11 +13,12 @@
     KeyClaimed,
     ReleaseKey,
     found_of,
+    local_ref,
     ref_of,
 )
 from godwitpath.records.peer_calls import PeerCalls
 from godwitpath.records.placement import askable, key_holders
-from godwitpath.records.record import KEEP_OUTCOME_S, RecordRef, RequestRecord
+from godwitpath.records.record import KEEP_OUTCOME_S, RecordRef
 from godwitpath.records.table import RecordCounters, RecordTable
 
 
@@ -41,7 +42,7 @@
         self._counters.finds += 1
         local = self._table.find(account, request_id, idempotency_key)
         if local is not None and (local.held or local.finished):
-            return _local_ref(local)
+            return local_ref(local)
         known = self._known(FindRecord(account, request_id, idempotency_key))
         replies = await self._ask(account, request_id, idempotency_key)
         best = max([known, *replies], key=lambda found: found.epoch)
@@ -152,12 +153,6 @@
         self.claims.release(message)
 
 
-def _local_ref(record: RequestRecord) -> RecordRef:
-    ref = ref_of(record.account, found_of(record))
-    ref.record = record
-    return ref
-
-
 def _claimed_ref(wanted: ClaimKey, standing: KeyClaimed) -> RecordRef:
     return RecordRef(
         account=wanted.account,
--- a/godwitpath/records/messages.py
+++ b/godwitpath/records/messages.py
@@ -363,3 +363,10 @@
         state=found.state,  # type: ignore[arg-type]
         tokens=found.tokens,
     )
+
+
+def local_ref(record: RequestRecord) -> RecordRef:
+    """Return the reference to a record that this process has."""
+    ref = ref_of(record.account, found_of(record))
+    ref.record = record
+    return ref
