Let a caller whose body is refused for its size see the answer

Cause: the connection was closed while the body still arrived, so the peer was reset and never saw the 413 (test_bad_input.py: 'exchange failed' on a body of 1.5 MB). Ruled out: reading the body before the answer, which holds the refusal back until the body's time is over (tried; the test of the immediate refusal failed with 408).

--- a/godwitpath/entry/refusals.py
+++ b/godwitpath/entry/refusals.py
@@ -9,6 +9,7 @@
 import msgspec
 from starlette.responses import Response
 
+from godwitpath.entry.linger import LingeringResponse
 from godwitpath.errors import GodwitpathError
 
 Ran = Literal["yes", "no", "unknown"]
@@ -103,7 +104,9 @@
     headers = {"x-request-id": request_id}
     if error.retry_after_s > 0:
         headers["retry-after"] = str(max(1, math.ceil(error.retry_after_s)))
-    return Response(
+    # The body of a request that is refused for its size may still be on its way.
+    kind = LingeringResponse if error.reason == "body_too_large" else Response
+    return kind(
         error_body(error, request_id),
         status_code=error.status,
         media_type="application/json",
