Refuse a GET with a body in place of dropping the body

The HTTP client sends no body with GET, so the service got another call than its caller made. A call that may run once is shown to be carried to its end though its caller went away (test_bad_input.py).

--- a/godwitpath/entry/plain_calls.py
+++ b/godwitpath/entry/plain_calls.py
@@ -28,6 +28,9 @@
 FORWARDED_METHODS = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
 """Methods that are forwarded to plain services."""
 
+BODILESS_METHODS = frozenset({"GET", "HEAD"})
+"""Methods whose bodies have no meaning (RFC 9110, 9.3.1) and would not reach the service."""
+
 
 class PlainCalls:
     """Accepts calls of plain services and answers them."""
@@ -61,6 +64,8 @@
             )
         timeout_s = context.settings.caller.header_timeout_s
         raw = await read_body(request, service.max_body_bytes, timeout_s)
+        if raw and request.method in BODILESS_METHODS:
+            raise CallerError("malformed_request", f"a body of {request.method} is not forwarded")
         digest = plain_digest(request.method, path, raw)
         if key:
             earlier = await self._acceptance.known(account, key, digest)
--- a/test/test_bad_input.py
+++ b/test/test_bad_input.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import psutil
@@ -34,6 +35,7 @@
     ("POST", CHAT, [KEY, ("x-timeout-s", "-1")], GOOD, 400, "malformed_request"),
     ("POST", CHAT, [KEY, ("last-event-id", "req:x")], GOOD, 400, "malformed_request"),
     ("POST", BOOKINGS, [KEY], b"{}", 400, "idempotency_key_required"),
+    ("POST", "/services/depot-desk/x", [KEY], b"{}", 404, "unknown_service"),
     ("GET", "/services/nobody/x", [KEY], b"", 404, "unknown_service"),
     ("GET", "/v1/requests/req-unknown", [KEY], b"", 404, "unknown_request"),
     ("GET", "/v1/nowhere", [KEY], b"", 404, "unknown_path"),
@@ -61,6 +63,11 @@
             "POST", url + CHAT, [KEY], GOOD, timeout_s=10, max_bytes=100_000
         )
         assert answer.status == 200
+        reader, writer = await asyncio.open_connection(*url.removeprefix("http://").split(":"))
+        get = f"GET {BOOKINGS} HTTP/1.1\r\nhost: x\r\nauthorization: {KEY[1]}\r\n"
+        writer.write(f"{get}connection: close\r\ncontent-length: 2\r\n\r\n{{}}".encode())
+        assert b"a body of GET is not forwarded" in await asyncio.wait_for(reader.read(), 10)
+        writer.close()
         # Another account is not told that the request exists.
         found, _ = await client.call(
             "GET",
@@ -72,3 +79,25 @@
         assert found.status == 404
         assert psutil.Process(fleet.entry(1).pid).memory_info().rss < IDLE_MEMORY_BYTES
         await client.close()
+
+
+@pytest.mark.xdist_group("fleet-1")
+async def test_a_call_is_carried_to_its_end_though_its_caller_went_away() -> None:
+    async with Fleet("ramdin", entries=2, engines={"planner-lm": 1, "depot-desk": 1}) as fleet:
+        await fleet.faults("depot-orders", {"slow_s": 1.0})
+        host, _, port = fleet.entry(1).announced["caller"].rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = f"POST {BOOKINGS} HTTP/1.1\r\nhost: x\r\nauthorization: {KEY[1]}\r\n"
+        writer.write(f"{head}idempotency-key: gone\r\ncontent-length: 2\r\n\r\n{{}}".encode())
+        await writer.drain()
+        await asyncio.sleep(0.5)
+        writer.close()
+
+        client = HttpClient()
+        headers = [KEY, ("idempotency-key", "gone")]
+        answer, _ = await client.call(
+            "POST", fleet.caller_url(2) + BOOKINGS, headers, b"{}", timeout_s=20, max_bytes=100_000
+        )
+        assert answer.status == 200
+        assert await fleet.executions() == {"gone": 1}
+        await client.close()
