Look at other regions before a generation is refused for want of room at home

Cause: the choice leaves its region only for the time to the first token it predicts, while admission also holds the batch's time between tokens to the target; with one engine of a service at home, calls were refused while two engines elsewhere had nothing to do. Change: where the home choice does not fit, an engine of another region is taken if the call fits there.

--- a/godwitpath/entry/gate.py
+++ b/godwitpath/entry/gate.py
@@ -59,6 +59,7 @@
             expected_tokens=min(generation.max_tokens, EXPECTED_TOKENS),
             latency=generation.service.latency,
         )
+        choice = self._better_away(gate, query, generation, choice)
         queue_state = gate.queue.state(record.priority)
         decision = gate.admission.decide(query, Prediction.of(choice), queue_state, now_s())
         if isinstance(decision, Refuse):
@@ -100,6 +101,19 @@
                 "no_upstream", str(error), retry_after_s=NO_UPSTREAM_RETRY_S
             ) from error
 
+    def _better_away(
+        self, gate: ServiceGate, query: AdmissionQuery, generation: Generation, home: RouteChoice
+    ) -> RouteChoice:
+        """Return an engine of another region where the target holds there and not at home."""
+        if gate.admission.fits(query, Prediction.of(home), promised=False, now_s=now_s()):
+            return home
+        try:
+            away = self._runner.choose(generation, away=True)
+        except NoUpstream:
+            return home
+        fits = gate.admission.fits(query, Prediction.of(away), promised=False, now_s=now_s())
+        return away if fits else home
+
     def _check_dependencies(self, configuration: Configuration, service: str) -> None:
         for needed in configuration.services[service].depends_on:
             if not self._context.upstreams.serving(needed):
--- a/godwitpath/entry/generate.py
+++ b/godwitpath/entry/generate.py
@@ -87,16 +87,18 @@
             home_hit_ratio=self._context.book.hit_ratios(),
         )
 
-    def choose(self, generation: Generation, avoid: str = "") -> RouteChoice:
+    def choose(self, generation: Generation, avoid: str = "", away: bool = False) -> RouteChoice:
         """Choose an upstream for a generation.
 
         :param avoid: upstream that goes, beside those that leave
+        :param away: whether only upstreams of other regions are weighed
         :raises NoUpstream: none serves
         """
         serving = [
             upstream
             for upstream in self._context.upstreams.serving(generation.record.service)
             if upstream.upstream_id != avoid
+            and not (away and upstream.region == self._context.settings.region)
         ]
         views = self._context.book.views(serving, now_s())
         try:
