Be ready only when the upstreams are known

Change: ready also needs the instance list seen once, or an upstream told by a peer; so an entry that starts while the list is down is ready through its peers.

--- a/godwitpath/entry/context.py
+++ b/godwitpath/entry/context.py
@@ -37,6 +37,7 @@
 
     :ivar budgets: retry budget by service
     :ivar tasks: running background work, kept so that it is not garbage collected
+    :ivar informed: whether this entry has heard of the upstreams since its start
     :ivar held_duties: names of the duties that this entry holds
     :ivar dumps: state dump of each part by name
     :ivar leaving: whether the entry told its peers and the balancer that it leaves
@@ -62,6 +63,7 @@
     accounts: AccountIndex | None = None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    informed: Callable[[], bool] = bool
     held_duties: Callable[[], list[str]] = list
     dumps: dict[str, Callable[[], object]] = field(default_factory=dict)
     leaving: bool = False
--- a/godwitpath/entry/state_dump.py
+++ b/godwitpath/entry/state_dump.py
@@ -30,6 +30,8 @@
     why_not = []
     if not context.config.ready:
         why_not.append("no configuration in force")
+    if not context.informed():
+        why_not.append("no news of the upstreams yet")
     if context.leaving:
         why_not.append("stopping")
     return Readiness(
--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -49,6 +49,7 @@
 
     :ivar table: the upstreams
     :ivar counts: events by name
+    :ivar informed: whether the instance list was seen, or another entry told of an upstream
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self._stop_listeners: Listeners[[Stop]] = Listeners(self.counts)
         self._notice_callbacks: list[Callable[[ReclaimNotice], None]] = []
         self._gone_at_s: dict[str, float] = {}
+        self.informed = False
         self._outbox: list[tuple[UpstreamFact, str]] = []
         self._outbox_filled = asyncio.Event()
         membership.exchange.add_topic(UPSTREAMS_TOPIC, self)
@@ -153,6 +155,7 @@
         if fact is None:
             self.counts["garbage_facts"] += 1
             return
+        self.informed = True
         member = self._membership.get(sender)
         self.learn(fact, member.region if member else self._membership.local.region)
 
@@ -207,6 +210,7 @@
         now_s = asyncio.get_running_loop().time()
         for fact in self._list_view.observe(instances, self.table, now_s):
             self.learn(fact)
+        self.informed = True
 
     async def _look_at_stops(self) -> None:
         if self._store is None:
