--- a/godwitpath/upstreams/feed.py
+++ b/godwitpath/upstreams/feed.py
@@ -210,7 +210,8 @@
         now_s = asyncio.get_running_loop().time()
         for fact in self._list_view.observe(instances, self.table, now_s):
             self.learn(fact)
-        self.informed = True
+        # The list names the entries too, so an empty one is older than the fleet.
+        self.informed = self.informed or bool(instances)
 
     async def _look_at_stops(self) -> None:
         if self._store is None:
