Decode a generation's body once, and measure an engine's pace by its own tokens

The body was decoded at intake, again when the generation was prepared and again for each attempt; it is kept with the generation now. Two constants stood twice under one name (when to come back without an upstream, or while an entry starts). After a continuation the time between tokens of an engine was learned over the tokens of earlier attempts as well, and so came out too short; only the attempt's own tokens count now.

--- a/godwitpath/entry/accept.py
+++ b/godwitpath/entry/accept.py
@@ -89,7 +89,7 @@
         self, record: RequestRecord, asked: GenerationRequest, service: Service
     ) -> None:
         context = self._context
-        generation = self._runner.prepare(record, asked.max_tokens, service)
+        generation = self._runner.prepare(record, asked.body, service)
         self.limit(record.account, generation.prompt_tokens + generation.max_tokens)
         digest = hashlib.sha256(f"{record.account} {record.body_digest}".encode()).hexdigest()
         choice = await self._gate.enter(generation, digest)
--- a/godwitpath/entry/attempt.py
+++ b/godwitpath/entry/attempt.py
@@ -5,8 +5,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-import msgspec
-
 from godwitpath.entry.context import EntryContext, now_s
 from godwitpath.entry.generation import Generation
 from godwitpath.ports.engine import EngineError, EngineLost, GenerationCall, GenerationChunk
@@ -17,6 +15,9 @@
 RESUME_ATTEMPTS = 2
 """Times that a broken stream is taken up again at the same engine."""
 
+OWN_MEMBERS = frozenset({"stream", "adapter"})
+"""Members of a body that the call to the engine carries in another way."""
+
 UNRANKED = -1
 """Rank of an upstream that was not chosen by its rank."""
 
@@ -58,6 +59,7 @@
         rank: int,
     ) -> None:
         context, record = self._context, generation.record
+        tokens_before = record.tokens
         work = context.book.started(
             upstream.upstream_id,
             generation.prompt_tokens + record.tokens,
@@ -76,7 +78,12 @@
             context.book.failed(work, now_s())
             self._cancel_at_engine(upstream, record)
             raise
-        context.book.finished(work, now_s(), record.tokens)
+        # Tokens of earlier attempts say nothing about the pace of this engine.
+        tokens = record.tokens - tokens_before
+        context.book.finished(work, now_s(), tokens)
+        if work.first_at_s and tokens > 1:
+            between_s = (now_s() - work.first_at_s) / (tokens - 1)
+            context.metrics.between_tokens_s.record(between_s, service=record.service)
 
     async def _consume_with_resumes(
         self,
@@ -100,9 +107,8 @@
     def _call(self, generation: Generation, attempt_id: str) -> GenerationCall:
         record = generation.record
         model = generation.service.model
-        body = msgspec.json.decode(record.body)
-        body.pop("stream", None)
-        adapter = body.pop("adapter", "")
+        body = {k: v for k, v in generation.body.items() if k not in OWN_MEMBERS}
+        adapter = generation.body.get("adapter", "")
         return GenerationCall(
             request_id=record.request_id,
             attempt_id=attempt_id,
@@ -171,6 +177,9 @@
         record = generation.record
         computed = chunk.prompt_tokens - generation.cached_tokens
         region = self._context.settings.region
+        metrics = self._context.metrics
+        metrics.prompt_tokens.add(chunk.prompt_tokens, service=record.service)
+        metrics.cached_tokens.add(generation.cached_tokens, service=record.service)
         self._context.meter.note(record.service, region, max(0, computed), record.tokens)
         self._context.records.finish(record, outcome)
 
--- a/godwitpath/entry/context.py
+++ b/godwitpath/entry/context.py
@@ -28,7 +28,7 @@
 from godwitpath.upstreams.table import UpstreamTable
 
 NOT_READY_RETRY_S = 2.0
-"""When to come back to an entry that has no configuration yet."""
+"""When to come back to an entry that is starting or stopping."""
 
 
 @dataclass(slots=True)
--- a/godwitpath/entry/forward.py
+++ b/godwitpath/entry/forward.py
@@ -7,7 +7,7 @@
 
 from godwitpath.config.model import Operation, Service
 from godwitpath.entry.context import EntryContext, now_s
-from godwitpath.entry.refusals import CallerError
+from godwitpath.entry.refusals import NO_UPSTREAM_RETRY_S, CallerError
 from godwitpath.entry.status_lookup import StatusLookup
 from godwitpath.errors import GodwitpathError
 from godwitpath.execution.record import BodyMismatch, Claim, ClaimRefused, ExecutionExists
@@ -47,9 +47,6 @@
 )
 """Headers that belong to one connection or to this system, never passed on."""
 
-NO_UPSTREAM_RETRY_S = 2.0
-"""When to come back to a plain service that has no serving upstream."""
-
 
 @dataclass(slots=True, frozen=True)
 class CallRule:
--- a/godwitpath/entry/gate.py
+++ b/godwitpath/entry/gate.py
@@ -11,15 +11,12 @@
 from godwitpath.entry.context import EntryContext, now_s
 from godwitpath.entry.generate import GenerationRunner
 from godwitpath.entry.generation import Generation
-from godwitpath.entry.refusals import CallerError
+from godwitpath.entry.refusals import NO_UPSTREAM_RETRY_S, CallerError
 from godwitpath.routing.choose import NoUpstream, RouteChoice
 
 EXPECTED_TOKENS = 128
 """Tokens that an answer is expected to have where its limit is higher."""
 
-NO_UPSTREAM_RETRY_S = 2.0
-"""When to come back to a service without a serving engine."""
-
 
 @dataclass(slots=True)
 class ServiceGate:
--- a/godwitpath/entry/generate.py
+++ b/godwitpath/entry/generate.py
@@ -56,16 +56,19 @@
         """Number of generations in progress."""
         return len(self._running)
 
-    def prepare(self, record: RequestRecord, max_tokens: int, service: Service) -> Generation:
-        """Return the generation of a record, not yet started."""
-        body = msgspec.json.decode(record.body)
+    def prepare(self, record: RequestRecord, body: dict[str, Any], service: Service) -> Generation:
+        """Return the generation of a record, not yet started.
+
+        :param body: the decoded body of the record
+        """
         prompt = prompt_text(body, record.kind == "chat")
         return Generation(
             record=record,
             service=service,
+            body=body,
             blocks=prefix_blocks(prompt),
             prompt_tokens=estimate_tokens(prompt),
-            max_tokens=max_tokens,
+            max_tokens=max_tokens_of(body),
             deadline_s=now_s() + record.timeout_s,
         )
 
@@ -125,8 +128,7 @@
         self._context.story.adopted(record)
         services = self._context.configuration().services
         service = services.get(record.service) or Service(kind="generation")
-        body = msgspec.json.decode(record.body)
-        generation = self.prepare(record, max_tokens_of(body), service)
+        generation = self.prepare(record, msgspec.json.decode(record.body), service)
         generation.resumable = bool(record.stream_id)
         self.start(generation)
 
--- a/godwitpath/entry/generation.py
+++ b/godwitpath/entry/generation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 from godwitpath.config.model import Service
 from godwitpath.records.record import RequestRecord
@@ -16,6 +17,7 @@
 
     :ivar record: the request record
     :ivar service: the service as configured at acceptance
+    :ivar body: the decoded body of the record
     :ivar deadline_s: loop time at which the caller's deadline passes
     :ivar tried: upstreams that failed it, asked again only when there is no other
     :ivar resumable: whether the stream that the record names may be taken up
@@ -24,6 +26,7 @@
 
     record: RequestRecord
     service: Service
+    body: dict[str, Any]
     blocks: list[str]
     prompt_tokens: int
     max_tokens: int
--- a/godwitpath/entry/intake.py
+++ b/godwitpath/entry/intake.py
@@ -8,15 +8,12 @@
 from starlette.requests import ClientDisconnect, Request
 
 from godwitpath.config.model import Account, Configuration, Service
-from godwitpath.entry.context import EntryContext
+from godwitpath.entry.context import NOT_READY_RETRY_S, EntryContext
 from godwitpath.entry.refusals import CallerError
 
 KEY_FORM = re.compile(r"[\x21-\x7e]{1,256}")
 """Form of an idempotency key: visible ASCII, at most 256 characters."""
 
-NOT_READY_RETRY_S = 2.0
-"""When to come back to an entry that is starting or stopping."""
-
 
 def identify(context: EntryContext, request: Request) -> str:
     """Return the client account of a request.
--- a/godwitpath/entry/refusals.py
+++ b/godwitpath/entry/refusals.py
@@ -14,6 +14,9 @@
 
 Ran = Literal["yes", "no", "unknown"]
 
+NO_UPSTREAM_RETRY_S = 2.0
+"""When to come back to a service that has no serving upstream."""
+
 STATUS_BY_REASON: dict[str, int] = {
     "malformed_request": 400,
     "idempotency_key_required": 400,
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from godwitpath.config.model import Configuration, ModelSpec, Service
@@ -52,7 +53,7 @@
 async def _enter(regions: list[str], full: list[str]) -> str:
     gate, runner, service = _gate(regions, full)
     record = RequestRecord("req-1", "a", "lm", "chat", body=BODY)
-    choice = await gate.enter(runner.prepare(record, 8, service), "digest")
+    choice = await gate.enter(runner.prepare(record, msgspec.json.decode(BODY), service), "digest")
     return choice.upstream_id
 
 
