--- /dev/null
+++ b/godwitpath/gateway/accounts.py
@@ -0,0 +1,110 @@
+"""Recognises API keys and holds client accounts to their quota over all daemons.
+
+Each daemon keeps the whole bucket of each account. It takes its own requests from it at once and
+the other daemons' as they tell of them, so the sum passes the quota only by what was in flight.
+A daemon that hears of no other keeps to a share of the rate.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from godwitpath.gateway.model import AccountSpec
+
+_SALT = secrets.token_bytes(16)
+
+
+def _digest(key: bytes) -> bytes:
+    # Looking up a salted digest takes no time that depends on the secret keys.
+    return hashlib.blake2b(key, key=_SALT, digest_size=16).digest()
+
+
+class KeyIndex:
+    """The accounts by their API keys."""
+
+    def __init__(self, accounts: Iterable[AccountSpec]) -> None:
+        self._accounts = {
+            _digest(key.encode()): account for account in accounts for key in account.keys
+        }
+
+    def find(self, key: bytes) -> AccountSpec | None:
+        """Return the account that holds a key."""
+        return self._accounts.get(_digest(key)) if key else None
+
+    def __bool__(self) -> bool:
+        return bool(self._accounts)
+
+
+@dataclass(slots=True)
+class _Bucket:
+    level: float
+    filled_at_s: float
+    spec: AccountSpec
+
+
+class QuotaBook:
+    """Buckets of the accounts as this daemon sees them.
+
+    :ivar used: units that this daemon has let through, by account, since its start
+    """
+
+    def __init__(self) -> None:
+        self.used: dict[str, float] = {}
+        self._buckets: dict[str, _Bucket] = {}
+
+    def take(self, spec: AccountSpec, units: float, share: float, now_s: float) -> float:
+        """Take a request from its account's quota.
+
+        A request passes while the bucket is not empty and may take it below zero, since one that
+        is larger than the burst would otherwise never pass.
+
+        :param share: part of the rate that this daemon may use by itself, 1 while it hears of
+            what the others use
+        :returns: 0 when the request passes, else the time until one would, in seconds
+        """
+        if spec.rate_per_s <= 0:
+            return 0.0
+        bucket = self._fill(spec, share, now_s)
+        if bucket.level <= 0.0:
+            return max(0.001, -bucket.level / (spec.rate_per_s * share))
+        bucket.level -= units
+        self.used[spec.name] = self.used.get(spec.name, 0.0) + units
+        return 0.0
+
+    def give_back(self, spec: AccountSpec, units: float) -> None:
+        """Return the units of a request that did not run."""
+        bucket = self._buckets.get(spec.name)
+        if bucket is None or spec.rate_per_s <= 0:
+            return
+        bucket.level = min(spec.burst, bucket.level + units)
+        self.used[spec.name] = self.used.get(spec.name, 0.0) - units
+
+    def note_peer_use(self, account: str, units: float) -> None:
+        """Take what another daemon let through."""
+        bucket = self._buckets.get(account)
+        if bucket is not None:
+            bucket.level = max(bucket.level - units, -bucket.spec.rate_per_s)
+
+    def _fill(self, spec: AccountSpec, share: float, now_s: float) -> _Bucket:
+        bucket = self._buckets.get(spec.name)
+        if bucket is None:
+            bucket = self._buckets[spec.name] = _Bucket(spec.burst * share, now_s, spec)
+        elapsed_s = max(0.0, now_s - bucket.filled_at_s)
+        bucket.filled_at_s = now_s
+        bucket.spec = spec
+        level = bucket.level + elapsed_s * spec.rate_per_s * share
+        bucket.level = min(level, max(spec.burst * share, 1.0))
+        return bucket
+
+
+def request_units(spec: AccountSpec, states_tokens: bool, tokens: int) -> float:
+    """Return what a request counts as.
+
+    :param tokens: prompt tokens and most output tokens, as the request states them
+    """
+    if not spec.counts_tokens:
+        return 1.0
+    return float(tokens if states_tokens else spec.plain_tokens)
--- /dev/null
+++ b/godwitpath/gateway/catalogue.py
@@ -0,0 +1,149 @@
+"""Keeps configuration and engines as the store tells of them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from godwitpath.errors import GodwitpathError
+from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
+from godwitpath.gateway.follow import Follower
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.model import Configuration
+from godwitpath.gateway.store import Item, Store
+from godwitpath.telemetry.decisions import decision
+
+RETURN_GRACE_S = 2.2
+"""Time after an outage of the store within which entries that lapsed meanwhile come back: the
+platform says about two seconds."""
+
+
+class CatalogueWire(Protocol):
+    """Where things lie in the store, and how they are decoded."""
+
+    configuration_key: str
+    configuration_prefix: str
+    engines_prefix: str
+
+    def decode_configuration(self, value: bytes, revision: int) -> Configuration:
+        """Return a configuration; raises a :class:`GodwitpathError` on a damaged one."""
+
+    def decode_entry(self, key: str, value: bytes) -> EngineEntry | None:
+        """Return an engine's entry, None for a damaged one."""
+
+
+class Catalogue:
+    """Follows the operator's and the engines' keys.
+
+    :ivar removed_listeners: called with each engine that was removed or changed its start
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        wire: CatalogueWire,
+        in_force: ConfigurationInForce,
+        engines: EngineBook,
+        rng: random.Random,
+    ) -> None:
+        self.leaving_listeners: list[Callable[[EngineEntry], None]] = []
+        self._wire = wire
+        self._in_force = in_force
+        self._engines = engines
+        self._absent: dict[str, float] = {}
+        self.configuration = Follower(
+            store, wire.configuration_prefix, self._on_configuration, self._ignore_removal, rng
+        )
+        self.entries = Follower(
+            store, wire.engines_prefix, self._on_entry, self._on_entry_removed, rng
+        )
+
+    @property
+    def complete(self) -> bool:
+        """Whether configuration and engines are known."""
+        return self._in_force.current is not None and self.entries.synced_at_s is not None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.configuration.run())
+            group.create_task(self.entries.run())
+            group.create_task(self._drop_absent())
+
+    def take_configuration(self, value: bytes, revision: int, source: str) -> None:
+        """Take in a configuration, wherever it was heard."""
+        if revision <= self._in_force.revision:
+            return
+        try:
+            configuration = self._wire.decode_configuration(value, revision)
+        except GodwitpathError as error:
+            decision("configuration_unreadable", revision=revision, reason=str(error))
+            return
+        self._in_force.apply(configuration, value, source)
+
+    def take_entry(self, entry: EngineEntry, source: str) -> None:
+        """Take in an engine's entry."""
+        self._absent.pop(entry.engine_id, None)
+        known = self._engines.get(entry.engine_id)
+        if not self._engines.put(entry):
+            return
+        if known is None or known.entry.state is not entry.state:
+            decision(
+                "engine_state",
+                engine=entry.engine_id,
+                state=entry.state.value,
+                service=entry.service,
+                zone=entry.zone,
+                reclaimable=entry.reclaimable,
+                leaves_in_s=entry.leaves_in_s,
+                source=source,
+            )
+        if entry.state is EngineState.DRAINING:
+            self._tell_leaving(entry)
+
+    def drop_entry(self, engine_id: str, source: str) -> None:
+        """Take in that an engine is gone."""
+        self._absent.pop(engine_id, None)
+        engine = self._engines.remove(engine_id)
+        if engine is not None:
+            decision("engine_state", engine=engine_id, state="gone", source=source)
+            self._tell_leaving(engine.entry)
+
+    def _on_configuration(self, item: Item) -> None:
+        if item.key == self._wire.configuration_key:
+            self.take_configuration(item.value, item.revision, "store")
+
+    def _ignore_removal(self, key: str, revision: int) -> None:
+        decision("configuration_removed", item=key, revision=revision)
+
+    def _on_entry(self, item: Item) -> None:
+        entry = self._wire.decode_entry(item.key, item.value)
+        if entry is None:
+            decision("engine_entry_damaged", item=item.key, revision=item.revision)
+            self.drop_entry(item.key.removeprefix(self._wire.engines_prefix), "damaged entry")
+            return
+        self.take_entry(entry, "store")
+
+    def _on_entry_removed(self, key: str, revision: int) -> None:
+        engine_id = key.removeprefix(self._wire.engines_prefix)
+        now_s = asyncio.get_running_loop().time()
+        # An entry that lapsed with the store comes back with it.
+        gone_at_s = self.entries.regained_at_s + RETURN_GRACE_S
+        if gone_at_s > now_s and self._engines.get(engine_id) is not None:
+            self._absent[engine_id] = gone_at_s
+            return
+        self.drop_entry(engine_id, "store")
+
+    async def _drop_absent(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            now_s = asyncio.get_running_loop().time()
+            for engine_id, gone_at_s in list(self._absent.items()):
+                if now_s >= gone_at_s:
+                    self.drop_entry(engine_id, "store, still missing after its outage")
+
+    def _tell_leaving(self, entry: EngineEntry) -> None:
+        for listener in self.leaving_listeners:
+            listener(entry)
--- /dev/null
+++ b/godwitpath/gateway/context.py
@@ -0,0 +1,58 @@
+"""What serving a request needs of its daemon."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from godwitpath.gateway.accounts import QuotaBook
+from godwitpath.gateway.calls import CallerFields, EngineVerdict, SendFields
+from godwitpath.gateway.engines import EngineBook
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.placing import Placer
+from godwitpath.gateway.retry_budget import RepeatBudget
+from godwitpath.gateway.settings import GatewaySettings
+from godwitpath.gateway.usage import UsageBook
+from godwitpath.http1.messages import Headers, ResponseHead
+from godwitpath.http1.pool import ConnectionPool
+
+
+class CallWire(Protocol):
+    """Reads and writes the header fields of requests; see `godwitpath.platform.headers`."""
+
+    def decode_caller(self, headers: Headers) -> CallerFields:
+        """Return what a caller's header fields say."""
+
+    def engine_headers(self, headers: Headers, send: SendFields) -> Headers:
+        """Return the header fields of a request to an engine."""
+
+    def read_verdict(self, head: ResponseHead, request_id: bytes) -> EngineVerdict:
+        """Return what an engine's response head says of the run."""
+
+    def refusal_headers(self, request_id: bytes, retry_after_s: float | None) -> Headers:
+        """Return the header fields of a response of our own."""
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """Everything that the requests of one daemon share.
+
+    :ivar quota_share: part of an account's rate that this daemon may use by itself
+    :ivar counts: requests by route, outcome and reason
+    """
+
+    settings: GatewaySettings
+    wire: CallWire
+    in_force: ConfigurationInForce
+    engines: EngineBook
+    placer: Placer
+    quota: QuotaBook
+    repeats: RepeatBudget
+    usage: UsageBook
+    pool: ConnectionPool
+    rng: Random
+    quota_share: Callable[[], float] = lambda: 1.0
+    counts: Counter[tuple[str, str, str]] = field(default_factory=Counter)
--- /dev/null
+++ b/godwitpath/gateway/daemon.py
@@ -0,0 +1,139 @@
+"""The daemon of the platform: wires its parts, runs them, and stops without losing a request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from contextlib import suppress
+
+from godwitpath import __version__
+from godwitpath.gateway.accounts import QuotaBook
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.engines import EngineBook, EngineEntry
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.intake import Intake
+from godwitpath.gateway.placing import Placer
+from godwitpath.gateway.readiness import Readiness
+from godwitpath.gateway.retry_budget import RepeatBudget
+from godwitpath.gateway.settings import GatewaySettings
+from godwitpath.gateway.usage import UsageBook
+from godwitpath.http1.pool import ConnectionPool
+from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.platform.wire import PlatformWire
+from godwitpath.telemetry.decisions import decision, start_decisions
+
+LINGER_S = 2.4
+"""Time for which a stopping daemon still takes connections: the balancer asks once a second and
+leaves it out after two answers that it is not ready."""
+
+GRACE_SHARE = 0.93
+"""Part of the time until the kill after which requests that still run are broken off."""
+
+SWEEP_S = 1.0
+"""Time between two looks for idle connections to engines."""
+
+
+class GatewayDaemon:
+    """One daemon."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self._settings = settings
+        rng = random.Random()
+        wire = PlatformWire(settings)
+        self._store = wire.store
+        in_force = ConfigurationInForce()
+        engines = EngineBook()
+        self._ctx = GatewayContext(
+            settings=settings,
+            wire=wire,
+            in_force=in_force,
+            engines=engines,
+            placer=Placer(settings.zone, settings.region, dict(settings.zone_regions)),
+            quota=QuotaBook(),
+            repeats=RepeatBudget(
+                settings.bounds.retry_ratio,
+                settings.bounds.retry_window_s,
+                settings.bounds.retry_slack,
+            ),
+            usage=UsageBook(settings.bounds.usage_window_s),
+            pool=ConnectionPool(),
+            rng=rng,
+        )
+        self._catalogue = Catalogue(self._store, wire, in_force, engines, rng)
+        self._catalogue.leaving_listeners.append(self._on_leaving)
+        self._connections: set[ServerConnection] = set()
+        self._stopping = asyncio.Event()
+        self._readiness = Readiness(lambda: self._catalogue.complete and not self.stopping)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the daemon was told to stop."""
+        return self._stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then until the last request has ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        settings = self._settings
+        policy = ServerPolicy(
+            Intake(self._ctx).handle,
+            lambda: self._ctx.in_force.limits,
+            lambda: not self.stopping,
+        )
+        address = settings.caller_address
+        server = await listen(address.host, address.port, policy, self._connections)
+        ready = await self._readiness.listen(settings.readiness_address)
+        decision("started", version=__version__, zone=settings.zone)
+        work = [
+            loop.create_task(self._catalogue.run()),
+            loop.create_task(self._sweep()),
+        ]
+        await self._stopping.wait()
+        await self._drain()
+        server.close()
+        ready.close()
+        for task in work:
+            task.cancel()
+        for task in work:
+            with suppress(asyncio.CancelledError):
+                await task
+        decision("stopped")
+
+    def _stop(self) -> None:
+        if not self.stopping:
+            busy = sum(not connection.idle for connection in self._connections)
+            decision("stopping", busy=busy, connections=len(self._connections))
+            self._stopping.set()
+
+    async def _drain(self) -> None:
+        """Let callers go: first the balancer, then idle connections, last what still runs."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        end_s = started_s + self._settings.bounds.grace_s * GRACE_SHARE
+        while loop.time() < end_s:
+            await asyncio.sleep(0.05)
+            if loop.time() < started_s + LINGER_S:
+                continue
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if not self._connections:
+                return
+        decision("drain_cut", requests=len(self._connections))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._ctx.pool.sweep()
+
+    def _on_leaving(self, entry: EngineEntry) -> None:
+        self._ctx.pool.drop_server(entry.address.host, entry.address.port)
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a daemon until it is told to stop."""
+    start_decisions(sys.stdout.fileno(), daemon=settings.name)
+    await GatewayDaemon(settings).run()
--- /dev/null
+++ b/godwitpath/gateway/placing.py
@@ -0,0 +1,188 @@
+"""Chooses the engine of a request.
+
+A generation goes where its first token is expected soonest: behind the prompt tokens that wait at
+an engine, after reading what the engine does not hold of its prompt. Every daemon ranks engines
+for a prompt alike, so without a word between them a session's prompts meet at one engine, and
+move on only when reading the prompt again elsewhere is quicker than the wait. This answers loads
+of long prompts that share much: there the tokens read again decide how many engines are needed.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from godwitpath.gateway.calls import PromptPart
+from godwitpath.gateway.engines import Engine
+from godwitpath.ranking import score
+
+READ_TOKENS_PER_S = 38_700.0
+"""Prompt tokens that an engine reads a second, until measured: the platform's sheet."""
+
+STEP_S = 0.0055
+"""Time of an engine's step with few requests: the platform's sheet."""
+
+OTHER_ZONE_S = 0.002
+"""Round trip to another availability zone of the region."""
+
+OTHER_REGION_S = 0.04
+"""Round trip to another region."""
+
+FOREIGN_REGION_COST_S = 0.05
+"""What a request to another region costs beside its time: bytes between regions are paid for."""
+
+HOME_BONUS = 0.5
+"""Part of a prompt's shared tokens that its home engine is taken to hold when nothing is known."""
+
+REMEMBERED_PARTS = 4096
+"""Prompt parts remembered for each engine."""
+
+
+@dataclass(slots=True)
+class PrefixMemory:
+    """Which prompt parts an engine has lately read for this daemon.
+
+    :ivar capacity_tokens: tokens that the engine can hold
+    """
+
+    capacity_tokens: int
+    parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    held_tokens: int = 0
+
+    def note(self, parts: Iterable[PromptPart]) -> None:
+        """Remember the parts of a prompt that was sent."""
+        for part in parts:
+            old = self.parts.pop(part.part_id, 0)
+            self.parts[part.part_id] = part.tokens
+            self.held_tokens += part.tokens - old
+        while self.parts and (
+            self.held_tokens > self.capacity_tokens or len(self.parts) > REMEMBERED_PARTS
+        ):
+            _, tokens = self.parts.popitem(last=False)
+            self.held_tokens -= tokens
+
+    def held(self, parts: Iterable[PromptPart]) -> int:
+        """Return how many leading tokens of a prompt the engine holds."""
+        tokens = 0
+        for part in parts:
+            if part.part_id not in self.parts:
+                break
+            tokens += part.tokens
+        return tokens
+
+
+@dataclass(slots=True, frozen=True)
+class Prompt:
+    """What placing needs to know of a generation.
+
+    :ivar tokens: prompt tokens
+    :ivar output_tokens: tokens expected to be generated
+    """
+
+    tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests have too."""
+        return self.parts[:-1]
+
+    @property
+    def home_key(self) -> str:
+        """What the requests of one session or document have in common."""
+        return self.parts[-2].part_id if len(self.parts) > 1 else ""
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """An engine with what is expected there.
+
+    :ivar read_tokens: prompt tokens that it has to read
+    :ivar first_token_s: time until the first token
+    """
+
+    engine: Engine
+    read_tokens: int
+    first_token_s: float
+    weight: float
+
+
+class Placer:
+    """Chooses engines for one daemon."""
+
+    def __init__(self, zone: str, region: str, region_of: dict[str, str]) -> None:
+        self._zone = zone
+        self._region = region
+        self._region_of = region_of
+        self._memories: dict[tuple[str, int], PrefixMemory] = {}
+
+    def place_generation(
+        self, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
+    ) -> list[Place]:
+        """Return the engines for a generation, the best first."""
+        home = ""
+        if prompt.home_key and engines:
+            best = max(engines, key=lambda each: score(prompt.home_key, each.entry.engine_id))
+            home = best.entry.engine_id
+        places = [self._expect(prompt, engine, home, cache_tokens) for engine in engines]
+        places.sort(key=lambda place: place.weight)
+        return places
+
+    def place_call(self, engines: Sequence[Engine]) -> list[Engine]:
+        """Return the engines for a call of a plain service, the best first."""
+
+        def weight(engine: Engine) -> float:
+            slots = max(1, engine.entry.slots)
+            queue = engine.all_running / slots
+            return self.distance_s(engine) + max(0.0, queue - 0.5) + 0.01 * engine.all_running
+
+        return sorted(engines, key=weight)
+
+    def note_sent(self, prompt: Prompt, engine: Engine, cache_tokens: int) -> None:
+        """Remember that an engine reads a prompt."""
+        self._memory(engine, cache_tokens).note(prompt.parts)
+
+    def forget(self, engine: Engine) -> None:
+        """Drop what was remembered of an engine."""
+        self._memories.pop(_key(engine), None)
+
+    def distance_s(self, engine: Engine) -> float:
+        """Return the time to an engine and back, with what its bytes cost."""
+        if engine.entry.zone == self._zone:
+            return 0.0
+        if self._region_of.get(engine.entry.zone, "") == self._region:
+            return OTHER_ZONE_S
+        return OTHER_REGION_S
+
+    def _expect(self, prompt: Prompt, engine: Engine, home: str, cache_tokens: int) -> Place:
+        held = self._memory(engine, cache_tokens).held(prompt.parts)
+        shared = sum(part.tokens for part in prompt.shared)
+        if not held and engine.entry.engine_id == home:
+            held = int(shared * HOME_BONUS)
+        read_tokens = max(0, prompt.tokens - held)
+        pace = max(0.5, engine.pace)
+        slots = max(1, engine.entry.slots)
+        over = max(0, engine.all_running + 1 - slots)
+        # Beyond its slots an engine lets a request wait for one that ends.
+        wait_s = engine.all_prompt_tokens / READ_TOKENS_PER_S + over * STEP_S * 20
+        first_s = (wait_s + read_tokens / READ_TOKENS_PER_S + STEP_S) * pace
+        first_s += self.distance_s(engine) * 2
+        # Reading a prompt also delays the tokens of the streams that run beside it.
+        crowding = engine.all_running / slots
+        weight = first_s + 0.1 * crowding
+        if self.distance_s(engine) >= OTHER_REGION_S:
+            weight += FOREIGN_REGION_COST_S
+        return Place(engine, read_tokens, first_s, weight)
+
+    def _memory(self, engine: Engine, cache_tokens: int) -> PrefixMemory:
+        key = _key(engine)
+        memory = self._memories.get(key)
+        if memory is None:
+            memory = self._memories[key] = PrefixMemory(cache_tokens)
+        return memory
+
+
+def _key(engine: Engine) -> tuple[str, int]:
+    return engine.entry.engine_id, engine.entry.started_at_ms
--- /dev/null
+++ b/godwitpath/gateway/readiness.py
@@ -0,0 +1,36 @@
+"""Answers the balancer's question whether the daemon is ready."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from godwitpath.http1.messages import Request
+from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.ports.engine import Address
+from godwitpath.telemetry.decisions import decision
+
+
+class Readiness:
+    """The readiness address.
+
+    :param ready: tells whether the daemon is ready
+    """
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+        self._said: bool | None = None
+        self._connections: set[ServerConnection] = set()
+
+    async def listen(self, address: Address) -> asyncio.Server:
+        """Answer on an address."""
+        limits = CallerLimits()
+        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        return await listen(address.host, address.port, policy, self._connections)
+
+    async def _answer(self, request: Request, responder: Responder) -> None:
+        ready = self._ready()
+        if ready != self._said:
+            decision("readiness", ready=ready)
+            self._said = ready
+        responder.respond(200 if ready else 503, [], b"ready" if ready else b"not ready")
--- /dev/null
+++ b/godwitpath/gateway/settings.py
@@ -0,0 +1,86 @@
+"""Settings of one daemon on the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from godwitpath.ports.engine import Address
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the deployment asks of the daemons.
+
+    :ivar contact_s: time without disruption after which every bound holds
+    :ivar drain_s: longest time that an engine is used after it was said to leave
+    :ivar grace_s: time between the signal to stop and the kill
+    :ivar config_apply_s: time within which a configuration is in force
+    :ivar retry_ratio: repeated sends as a part of the requests, over all daemons
+    :ivar retry_window_s: window in which repeated sends are counted
+    :ivar retry_slack: repeated sends in a window beside the ratio, over all daemons
+    :ivar quota_window_s: window in which the units of an account are counted
+    :ivar lease_s: time after which a duty's holder may be replaced
+    :ivar usage_window_s: length of a usage window
+    :ivar usage_late_s: time after a window's end when its report is due
+    """
+
+    contact_s: float = 4.0
+    drain_s: float = 2.5
+    grace_s: float = 8.0
+    config_apply_s: float = 2.5
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 0.0
+    quota_window_s: float = 8.0
+    lease_s: float = 3.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class StoreRates:
+    """What the platform's store allows.
+
+    :ivar writes_per_s: writes a second of all daemons together
+    :ivar reads_per_s: reads a second of all daemons together
+    :ivar min_lease_s: shortest lease
+    """
+
+    writes_per_s: float = 100.0
+    reads_per_s: float = 500.0
+    min_lease_s: float = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """Settings of one daemon.
+
+    :ivar name: name of this daemon, unique in the deployment
+    :ivar host: its own address
+    :ivar zone_regions: region of each availability zone
+    :ivar caller_address: where callers connect
+    :ivar readiness_address: where the balancer asks whether the daemon is ready
+    :ivar peer_ports: first and last port for traffic between daemons
+    :ivar cloud_address: API for usage reports and orders of engines, None without one
+    :ivar duties: names of the duties that the deployment wants done
+    """
+
+    name: str
+    host: str
+    zone: str
+    region: str
+    zone_regions: Mapping[str, str]
+    caller_address: Address
+    readiness_address: Address
+    peer_ports: tuple[int, int]
+    store_address: Address
+    store: StoreRates
+    cloud_address: Address | None
+    duties: tuple[str, ...]
+    duty_calls_per_s: float
+    bounds: Bounds
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of an availability zone."""
+        return self.zone_regions.get(zone, "")
--- /dev/null
+++ b/godwitpath/platform/configuration.py
@@ -0,0 +1,210 @@
+"""The operator's configuration as it lies in the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from godwitpath.errors import GodwitpathError
+from godwitpath.gateway.model import (
+    AccountSpec,
+    Configuration,
+    EngineSpec,
+    RequestKind,
+    Route,
+    ScalingSpec,
+    ServiceSpec,
+)
+from godwitpath.http1.server import CallerLimits
+
+CONFIGURATION_KEY = "op/config"
+CONFIGURATION_PREFIX = "op/"
+
+DEFAULT_TIMEOUT_S = 30.0
+"""Time for a request whose route states none."""
+
+
+class ConfigurationUnreadable(GodwitpathError):
+    """A value under the configuration's key that is no configuration."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float | None = None
+    target_latency_ms: float | None = None
+    priority: int | None = None
+    service: str | None = None
+    # Services that share the route's requests; replaces `service`.
+    weighted_services: list[_Split] | None = None
+    max_attempts: int | None = None
+    # True where a request needs no API key.
+    allow_anonymous: bool | None = None
+    stream_resume: bool | None = None
+    # Longest pause between two events of a stream that is in time.
+    gap_aim_ms: float | None = None
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    # Memory of an engine, in tokens.
+    kv_capacity: int = 0
+    pin_ms: float = 0
+    backups: bool = False
+    moves: bool = False
+    models: list[dict[str, object]] = []
+
+
+class _Scaling(msgspec.Struct, rename="camel"):
+    # Both hold for each availability zone, for reclaimable and other engines together.
+    min_replicas: int = 0
+    max_replicas: int = 0
+    boot_s: float = 0
+    # Price of a reclaimable engine as a part of the zone's price.
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    health_check_path: str | None = None
+    max_connections: int | None = None
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: float | None = None
+    idle_timeout_ms: float | None = None
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    # `tokens` where the rate and the burst count tokens, requests otherwise.
+    unit: str | None = None
+    plain_tokens: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_decoder = msgspec.json.Decoder(_Configuration, strict=False)
+
+
+def decode_configuration(value: bytes, revision: int) -> Configuration:
+    """Return the configuration that a value holds.
+
+    :param revision: store revision of the value
+    :raises ConfigurationUnreadable: it holds none
+    """
+    try:
+        raw = _decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise ConfigurationUnreadable(f"configuration of revision {revision}: {error}") from error
+    return Configuration(
+        version=raw.version,
+        revision=revision,
+        routes=tuple(_route(route) for route in raw.routes),
+        services={service.name: _service(service) for service in raw.services},
+        accounts=tuple(_account(tenant) for tenant in raw.tenants),
+        limits=_limits(raw.limits),
+    )
+
+
+def _route(raw: _Route) -> Route:
+    if raw.weighted_services:
+        services = tuple((split.service, max(0, split.weight)) for split in raw.weighted_services)
+    else:
+        services = ((raw.service or "", 1),)
+    try:
+        kind = RequestKind(raw.kind)
+    except ValueError:
+        # A kind that is not known may not be repeated.
+        kind = RequestKind.NON_IDEMPOTENT
+    timeout_s = raw.timeout_ms / 1000 if raw.timeout_ms else DEFAULT_TIMEOUT_S
+    return Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        prefix=raw.prefix,
+        kind=kind,
+        timeout_s=timeout_s,
+        target_latency_s=raw.target_latency_ms / 1000 if raw.target_latency_ms else timeout_s,
+        priority=raw.priority or 0,
+        services=services,
+        max_attempts=max(1, raw.max_attempts or 1),
+        anonymous=bool(raw.allow_anonymous),
+        resumable=bool(raw.stream_resume),
+        max_gap_s=(raw.gap_aim_ms or 0) / 1000,
+    )
+
+
+def _service(raw: _Service) -> ServiceSpec:
+    engine = raw.engine
+    scaling = raw.scaling
+    return ServiceSpec(
+        name=raw.name,
+        health_path=raw.health_check_path or "",
+        max_connections=raw.max_connections or 0,
+        engine=(
+            EngineSpec(
+                slots=engine.slots,
+                cache_tokens=engine.kv_capacity,
+                models=tuple(str(model.get("name", "")) for model in engine.models),
+                pin_limit_s=engine.pin_ms / 1000,
+                backups=engine.backups,
+                moves=engine.moves,
+            )
+            if engine
+            else None
+        ),
+        scaling=(
+            ScalingSpec(
+                min_per_zone=scaling.min_replicas,
+                max_per_zone=scaling.max_replicas,
+                boot_s=scaling.boot_s,
+                reclaimable_price=scaling.spot_price,
+                zone_prices=dict(scaling.zone_prices),
+            )
+            if scaling
+            else None
+        ),
+    )
+
+
+def _account(raw: _Tenant) -> AccountSpec:
+    return AccountSpec(
+        name=raw.name,
+        keys=tuple(raw.api_keys),
+        priority=raw.priority,
+        rate_per_s=raw.rate_per_s or 0.0,
+        burst=raw.burst or 0.0,
+        counts_tokens=raw.unit == "tokens",
+        plain_tokens=raw.plain_tokens or 0,
+    )
+
+
+def _limits(raw: _Limits) -> CallerLimits:
+    defaults = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=raw.max_header_bytes or defaults.max_header_bytes,
+        max_body_bytes=raw.max_body_bytes or defaults.max_body_bytes,
+        header_timeout_s=(raw.header_timeout_ms or defaults.header_timeout_s * 1000) / 1000,
+        idle_timeout_s=(raw.idle_timeout_ms or defaults.idle_timeout_s * 1000) / 1000,
+    )
--- /dev/null
+++ b/godwitpath/platform/store.py
@@ -0,0 +1,197 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from godwitpath.gateway.store import (
+    Change,
+    HistoryLost,
+    Item,
+    Listing,
+    Precondition,
+    Put,
+    TxnConflict,
+)
+from godwitpath.platform.http_api import HttpApi
+from godwitpath.ports.engine import Address
+from godwitpath.ports.kv import LeaseLapsed, StoreRefused, StoreUncertain
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 1.5
+"""Longest wait for an answer: an answer takes 4 ms, a slow store up to a hundred times that."""
+
+WATCH_SLACK_S = 0.8
+"""Time beside its wait after which a watch counts as silent."""
+
+MAX_PAGES = 1000
+"""Bound on the pages of one listing, against an endless one."""
+
+
+class _Item(msgspec.Struct, rename="camel"):
+    key: str
+    revision: int
+    # Standard base64 text.
+    value: str = ""
+    # Revision of the write that made the key.
+    create_revision: int = 0
+    lease: int = 0
+    removed: bool = False
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    current_rev: int
+    entries: list[_Item] = []
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    current_rev: int
+    events: list[_Item] = []
+
+
+class _Conflict(msgspec.Struct):
+    # Keys of the preconditions that exist.
+    entries: list[_Item] = []
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Granted(msgspec.Struct, rename="camel"):
+    lease: int
+
+
+class PlatformStore:
+    """Client of the platform's store.
+
+    :ivar calls: calls by kind and outcome
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._api = HttpApi(address)
+        self.calls = self._api.calls
+
+    async def get(self, key: str) -> Item | None:
+        status, body = await self._read("get", f"/kv-key?{urlencode({'key': key})}")
+        if status == 404:
+            return None
+        return _item(_decode(body, _Item))
+
+    async def list_items(self, prefix: str) -> Listing:
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        for page_number in range(MAX_PAGES):
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            _, body = await self._read("list", f"/kv-range?{urlencode(query)}")
+            page = _decode(body, _Page)
+            if page_number == 0:
+                revision = page.current_rev
+            items.extend(_item(entry) for entry in page.entries)
+            if not page.has_more or not page.entries:
+                break
+            after = page.entries[-1].key
+        return Listing(items, revision)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
+        status, body = await self._read(
+            "watch", f"/kv-watch?{urlencode(query)}", timeout_s=wait_s + WATCH_SLACK_S
+        )
+        if status == 410:
+            raise HistoryLost(f"history of {prefix} after {after} is gone")
+        answer = _decode(body, _Events)
+        return [_change(event) for event in answer.events], answer.current_rev
+
+    async def transact(
+        self,
+        conditions: Sequence[Precondition],
+        puts: Sequence[Put] = (),
+        removals: Sequence[str] = (),
+    ) -> int:
+        body = {
+            "expectedRevision": [
+                {"key": condition.key, "revision": condition.revision} for condition in conditions
+            ],
+            "puts": [_put(put) for put in puts],
+            "remove": list(removals),
+        }
+        status, answer = await self._write("txn", "POST", "/kv-txn", body)
+        if status == 412:
+            raise TxnConflict([_item(entry) for entry in _decode(answer, _Conflict).entries])
+        if status == 404:
+            raise LeaseLapsed("the lease of a write has ended")
+        return _decode(answer, _Written).revision
+
+    async def grant(self, ttl_s: float) -> int:
+        _, answer = await self._write("grant", "POST", "/kv-lease", {"ttlMs": int(ttl_s * 1000)})
+        return _decode(answer, _Granted).lease
+
+    async def renew(self, lease_id: int) -> None:
+        status, _ = await self._write("renew", "POST", f"/kv-keep/{lease_id}", None)
+        if status == 404:
+            raise LeaseLapsed(f"lease {lease_id} has ended")
+
+    async def end_lease(self, lease_id: int) -> None:
+        await self._write("end_lease", "DELETE", f"/kv-lease-end/{lease_id}", None)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._api.close()
+
+    async def _read(
+        self, kind: str, target: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[int, bytes]:
+        try:
+            return await self._call(kind, "GET", target, None, timeout_s)
+        except StoreUncertain as error:
+            raise StoreRefused(str(error)) from error
+
+    async def _write(self, kind: str, method: str, target: str, body: Any) -> tuple[int, bytes]:
+        return await self._call(kind, method, target, body, CALL_TIMEOUT_S)
+
+    async def _call(
+        self, kind: str, method: str, target: str, body: Any, timeout_s: float
+    ) -> tuple[int, bytes]:
+        try:
+            return await self._api.call(kind, method, target, body, timeout_s=timeout_s)
+        except self._api.NotSent as error:
+            raise StoreRefused(f"{kind}: {error}") from error
+        except self._api.Lost as error:
+            raise StoreUncertain(f"{kind}: {error}") from error
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise StoreUncertain(f"answer of the store cannot be read: {error}") from error
+
+
+def _item(raw: _Item) -> Item:
+    try:
+        value = base64.b64decode(raw.value, validate=True)
+    except ValueError:
+        # Another writer's bytes; whoever decodes the value finds it damaged.
+        value = b""
+    return Item(raw.key, value, raw.revision, raw.create_revision, raw.lease)
+
+
+def _change(raw: _Item) -> Change:
+    return Change(raw.key, raw.revision, None if raw.removed else _item(raw))
+
+
+def _put(put: Put) -> dict[str, Any]:
+    value = base64.b64encode(put.value).decode()
+    written: dict[str, Any] = {"key": put.key, "value": value}
+    if put.lease_id:
+        written["lease"] = put.lease_id
+    return written
