Duties on the platform: one holder, pinned usage reports, engines ordered to demand

One daemon holds the duties under a lease whose key's creation revision is the fencing token; daemons tell one another of their work by datagram; a window's counts are pinned in the store before the report; engines are planned so that a zone's reclaim leaves enough, with reclaimable ones first.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from godwitpath.errors import GodwitpathError
@@ -37,7 +37,8 @@
 class Catalogue:
     """Follows the operator's and the engines' keys.
 
-    :ivar removed_listeners: called with each engine that was removed or changed its start
+    :ivar leaving_listeners: called with each engine that leaves or is gone
+    :ivar raw_entries: values of the engines' keys, for a daemon that the store turns away
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self._in_force = in_force
         self._engines = engines
         self._absent: dict[str, float] = {}
+        self.raw_entries: dict[str, bytes] = {}
         self.configuration = Follower(
             store, wire.configuration_prefix, self._on_configuration, self._ignore_removal, rng
         )
@@ -106,11 +108,22 @@
     def drop_entry(self, engine_id: str, source: str) -> None:
         """Take in that an engine is gone."""
         self._absent.pop(engine_id, None)
+        self.raw_entries.pop(self._wire.engines_prefix + engine_id, None)
         engine = self._engines.remove(engine_id)
         if engine is not None:
             decision("engine_state", engine=engine_id, state="gone", source=source)
             self._tell_leaving(engine.entry)
 
+    def take_peer_entries(self, entries: Mapping[str, bytes], source: str) -> None:
+        """Take in all engines' entries as a daemon has them that the store serves."""
+        for key, value in entries.items():
+            entry = self._wire.decode_entry(key, value)
+            if entry is not None:
+                self.take_entry(entry, source)
+        for key in self.raw_entries.keys() - entries.keys():
+            self.drop_entry(key.removeprefix(self._wire.engines_prefix), source)
+        self.raw_entries = dict(entries)
+
     def _on_configuration(self, item: Item) -> None:
         if item.key == self._wire.configuration_key:
             self.take_configuration(item.value, item.revision, "store")
@@ -119,6 +132,7 @@
         decision("configuration_removed", item=key, revision=revision)
 
     def _on_entry(self, item: Item) -> None:
+        self.raw_entries[item.key] = item.value
         entry = self._wire.decode_entry(item.key, item.value)
         if entry is None:
             decision("engine_entry_damaged", item=item.key, revision=item.revision)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -13,13 +13,18 @@
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import EngineBook, EngineEntry
+from godwitpath.gateway.fleet_duty import FleetDuty
+from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.intake import Intake
+from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placing import Placer
 from godwitpath.gateway.readiness import Readiness
 from godwitpath.gateway.retry_budget import RepeatBudget
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.gateway.usage import UsageBook
+from godwitpath.gateway.usage_duty import UsageDuty
 from godwitpath.http1.pool import ConnectionPool
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
 from godwitpath.platform.wire import PlatformWire
@@ -64,6 +69,14 @@
         )
         self._catalogue = Catalogue(self._store, wire, in_force, engines, rng)
         self._catalogue.leaving_listeners.append(self._on_leaving)
+        incarnation = rng.getrandbits(63)
+        entry = MemberEntry(settings.host, settings.peer_ports[0], settings.zone, incarnation)
+        self._members = Members(self._store, settings.name, entry, rng)
+        self._peers = Peers(self._ctx, self._catalogue, self._members, incarnation)
+        self._ctx.quota_share = self._peers.quota_share
+        lease_s = max(settings.bounds.lease_s, settings.store.min_lease_s)
+        self._holder = DutyHolder(self._store, self._members, settings.name, lease_s, rng)
+        self._duties = self._make_duties(wire)
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
         self._readiness = Readiness(lambda: self._catalogue.complete and not self.stopping)
@@ -88,12 +101,16 @@
         server = await listen(address.host, address.port, policy, self._connections)
         ready = await self._readiness.listen(settings.readiness_address)
         decision("started", version=__version__, zone=settings.zone)
-        work = [
-            loop.create_task(self._catalogue.run()),
-            loop.create_task(self._sweep()),
-        ]
+        await self._peers.start()
+        jobs = [self._catalogue.run(), self._members.run(), self._peers.run(), self._sweep()]
+        if self._duties:
+            jobs += [self._holder.run(), *(duty.run() for duty in self._duties)]
+        work = [loop.create_task(job) for job in jobs]
         await self._stopping.wait()
+        leaving = loop.create_task(self._leave())
         await self._drain()
+        await leaving
+        self._peers.close()
         server.close()
         ready.close()
         for task in work:
@@ -103,6 +120,27 @@
                 await task
         decision("stopped")
 
+    def _make_duties(self, wire: PlatformWire) -> list[UsageDuty | FleetDuty]:
+        """Return the duties that the deployment wants done."""
+        settings, ctx = self._settings, self._ctx
+        if wire.cloud is None:
+            return []
+        return [
+            UsageDuty(
+                self._store,
+                wire.cloud,
+                self._holder,
+                ctx.usage,
+                settings.bounds,
+                self._peers.usage_of_peers,
+            ),
+            FleetDuty(wire.cloud, self._holder, ctx.engines, ctx.in_force, self._peers.load),
+        ]
+
+    async def _leave(self) -> None:
+        """Hand the duties on, and be taken off the list only when the requests have ended."""
+        await self._holder.leave()
+
     def _stop(self) -> None:
         if not self.stopping:
             busy = sum(not connection.idle for connection in self._connections)
--- /dev/null
+++ b/godwitpath/gateway/demand.py
@@ -0,0 +1,91 @@
+"""How many engines the work of a service keeps busy, and how many are needed for it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from godwitpath.gateway.placing import READ_TOKENS_PER_S
+
+COMFORT_SHARE = 0.35
+"""Part of its time for which an engine is busy while reclaimable ones are to be had: their price
+is a fraction of a late answer's."""
+
+FULL_SHARE = 0.6
+"""Part of its time for which an engine may be busy after a reclaim: beyond it the wait for the
+first token grows faster than the load."""
+
+RISE_S = 3.0
+"""Time constant with which a growing load is followed."""
+
+FALL_S = 12.0
+"""Time constant with which a falling load is followed: a burst's engines are kept that long."""
+
+RUNNING_PER_ENGINE = 64.0
+"""Streams beside one another that keep an engine busy: the size of a batch."""
+
+MIN_ENGINES = 2
+"""Fewest engines that are planned: one that fails leaves another."""
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """Engines that a service needs.
+
+    :ivar after_reclaim: engines left when a zone loses its reclaimable ones
+    :ivar comfort: engines at all other times, as far as reclaimable ones are to be had
+    """
+
+    after_reclaim: int
+    comfort: int
+
+    def at_least(self, engines: int) -> Need:
+        """Return the need with a floor on both."""
+        return Need(max(self.after_reclaim, engines), max(self.comfort, engines))
+
+
+class Demand:
+    """Follows the load of one service in engines kept busy.
+
+    :ivar busy_engines: the load
+    """
+
+    def __init__(self) -> None:
+        self.busy_engines = 0.0
+        self._tokens: int | None = None
+        self._seen_at_s = 0.0
+        self._started_at_s: float | None = None
+
+    def observe(self, read_tokens: int, running: int, now_s: float) -> None:
+        """Take in the sum of all daemons.
+
+        :param read_tokens: prompt tokens given to engines to read, growing
+        :param running: streams that run
+        """
+        if self._tokens is None or read_tokens < self._tokens:
+            self._tokens = read_tokens
+            self._seen_at_s = now_s
+            return
+        elapsed_s = now_s - self._seen_at_s
+        if elapsed_s < 0.2:
+            return
+        reading = (read_tokens - self._tokens) / elapsed_s / READ_TOKENS_PER_S
+        # An engine reads prompts between the steps of its streams; both at once cost little more.
+        sample = max(reading, running / RUNNING_PER_ENGINE)
+        if sample > 0 and self._started_at_s is None:
+            self._started_at_s = now_s
+        constant_s = RISE_S if sample > self.busy_engines else FALL_S
+        self.busy_engines += (1 - math.exp(-elapsed_s / constant_s)) * (sample - self.busy_engines)
+        self._tokens = read_tokens
+        self._seen_at_s = now_s
+
+    def measured_for_s(self, now_s: float) -> float:
+        """Return for how long there has been work to measure."""
+        return 0.0 if self._started_at_s is None else now_s - self._started_at_s
+
+    def need(self) -> Need:
+        """Return the engines that are needed."""
+        return Need(
+            max(MIN_ENGINES, math.ceil(self.busy_engines / FULL_SHARE)),
+            max(MIN_ENGINES, math.ceil(self.busy_engines / COMFORT_SHARE)),
+        )
--- /dev/null
+++ b/godwitpath/gateway/fleet_duty.py
@@ -0,0 +1,243 @@
+"""Orders engines: follows demand and reclaims, and states each number anew until it holds."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain
+from godwitpath.gateway.demand import Demand, Need
+from godwitpath.gateway.engines import EngineBook, EngineState
+from godwitpath.gateway.fleet_plan import FleetPlan, plan_fleet
+from godwitpath.gateway.holder import DutyHolder
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.model import ScalingSpec, ServiceSpec
+from godwitpath.telemetry.decisions import decision
+
+STEP_S = 0.2
+MEASURED_S = 6.0
+"""Time of work after which the measured demand replaces the number of engines found."""
+
+START_SHARE = 0.6
+"""Part of the engines found at the start that are taken to be needed until demand is measured."""
+
+NONE_TO_BE_HAD_S = 2.0
+"""Time after which a kind of engine that was not to be had is asked for again."""
+
+BOOT_SLACK_S = 1.5
+"""Time beside the boot after which an ordered engine that is not there is ordered again."""
+
+FEWER_AFTER_S = 2.0
+"""Time for which fewer engines must have been enough before fewer are ordered."""
+
+Kind = tuple[str, str, bool]
+"""Service, availability zone, and whether the engines are reclaimable."""
+
+
+@dataclass(slots=True)
+class _Order:
+    """What was last ordered of a kind.
+
+    :ivar accepted: whether the platform confirmed it
+    """
+
+    count: int
+    at_s: float
+    accepted: bool = False
+
+
+@dataclass(slots=True)
+class FleetCount:
+    """Engines of a service that take work, by availability zone."""
+
+    reclaimable: Counter[str]
+    lasting: Counter[str]
+
+
+class FleetDuty:
+    """The duty of ordering engines.
+
+    :param load: returns the prompt tokens read since the start and the streams that run, summed
+        over all daemons
+    :ivar orders: orders sent
+    """
+
+    def __init__(
+        self,
+        cloud: Cloud,
+        holder: DutyHolder,
+        engines: EngineBook,
+        in_force: ConfigurationInForce,
+        load: Callable[[str], tuple[int, int]],
+    ) -> None:
+        self.orders = 0
+        self._cloud = cloud
+        self._holder = holder
+        self._engines = engines
+        self._in_force = in_force
+        self._load = load
+        self._demands: dict[str, Demand] = {}
+        self._found: dict[str, int] = {}
+        self._orders: dict[Kind, _Order] = {}
+        self._none_until_s: dict[Kind, float] = {}
+        self._enough_since_s: dict[Kind, float] = {}
+        self._token = 0
+
+    async def run(self) -> None:
+        """Order while this daemon holds the duty, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(STEP_S)
+            current = self._in_force.current
+            if current is None:
+                continue
+            for service in current.services.values():
+                if service.scaling is None:
+                    continue
+                demand = self._demands.setdefault(service.name, Demand())
+                read_tokens, running = self._load(service.name)
+                demand.observe(read_tokens, running, loop.time())
+                if self._holder.proof() is not None:
+                    await self._look_after(service, service.scaling, demand)
+
+    def count(self, service: str) -> FleetCount:
+        """Return the engines of a service that take work."""
+        found = FleetCount(Counter(), Counter())
+        for engine in self._engines.all():
+            entry = engine.entry
+            if entry.service == service and entry.state is EngineState.READY:
+                (found.reclaimable if entry.reclaimable else found.lasting)[entry.zone] += 1
+        return found
+
+    async def _look_after(self, service: ServiceSpec, scaling: ScalingSpec, demand: Demand) -> None:
+        now_s = asyncio.get_running_loop().time()
+        proof = self._holder.proof()
+        if proof is not None and proof.token != self._token:
+            # The orders of the holder before are not known: all are stated anew.
+            self._token = proof.token
+            self._orders.clear()
+        found = self.count(service.name)
+        total = sum(found.reclaimable.values()) + sum(found.lasting.values())
+        if not total:
+            return
+        need = demand.need()
+        if demand.measured_for_s(now_s) < MEASURED_S:
+            first = self._found[service.name] = max(total, self._found.get(service.name, 0))
+            need = need.at_least(round(START_SHARE * first))
+        needed = need.after_reclaim
+        wanted = self._wanted(service.name, need, scaling, found, now_s)
+        there = {
+            zone: min(found.reclaimable[zone], wanted.reclaimable[zone])
+            for zone in found.reclaimable
+        }
+        replaced = FleetPlan(there, wanted.lasting, 0.0).after_reclaim >= needed
+        for zone in scaling.zone_prices:
+            for reclaimable in (True, False):
+                counts = wanted.reclaimable if reclaimable else wanted.lasting
+                present = found.reclaimable if reclaimable else found.lasting
+                count = counts[zone]
+                if not reclaimable and not replaced:
+                    # Lasting engines go only once those that replace them are there.
+                    count = max(count, present[zone])
+                kind = (service.name, zone, reclaimable)
+                await self._state(kind, count, present[zone], scaling, needed, demand)
+
+    def _wanted(
+        self, service: str, need: Need, scaling: ScalingSpec, found: FleetCount, now_s: float
+    ) -> FleetPlan:
+        """Return what is wanted now: the plan, and lasting engines for what it lacks meanwhile."""
+        to_be_had: dict[str, int] = {}
+        expected: dict[str, int] = {}
+        for zone in scaling.zone_prices:
+            kind = (service, zone, True)
+            present = found.reclaimable[zone]
+            if now_s < self._none_until_s.get(kind, 0.0):
+                to_be_had[zone] = present
+            order = self._orders.get(kind)
+            booting = (
+                order is not None
+                and order.accepted
+                and now_s - order.at_s < scaling.boot_s + BOOT_SLACK_S
+            )
+            expected[zone] = max(present, order.count) if booting and order else present
+        ideal = plan_fleet(need, scaling, to_be_had)
+        # What is on its way counts; what is not there when it should be is replaced.
+        reachable = {zone: min(ideal.reclaimable[zone], expected[zone]) for zone in expected}
+        bridged = plan_fleet(need, scaling, reachable)
+        lasting = {
+            zone: max(ideal.lasting[zone], bridged.lasting[zone]) for zone in scaling.zone_prices
+        }
+        room = {
+            zone: min(ideal.reclaimable[zone], scaling.max_per_zone - lasting[zone])
+            for zone in scaling.zone_prices
+        }
+        return FleetPlan(room, lasting, ideal.price)
+
+    async def _state(
+        self,
+        kind: Kind,
+        count: int,
+        present: int,
+        scaling: ScalingSpec,
+        needed: int,
+        demand: Demand,
+    ) -> None:
+        """Order a number of engines of a kind unless that is what holds or is on its way."""
+        now_s = asyncio.get_running_loop().time()
+        service, zone, reclaimable = kind
+        order = self._orders.get(kind)
+        if now_s < self._none_until_s.get(kind, 0.0) and count > present:
+            return
+        if not self._lowers(kind, count, present, order, now_s):
+            return
+        if order is not None and order.count == count and order.accepted:
+            # A call without an answer may have been carried out after this one.
+            settled = now_s - order.at_s > scaling.boot_s + BOOT_SLACK_S
+            if count == present or not settled:
+                return
+        elif order is not None and not order.accepted:
+            pass
+        elif order is None and count == present == 0:
+            return
+        proof = self._holder.proof()
+        if proof is None:
+            return
+        self.orders += 1
+        try:
+            accepted = await self._cloud.order_engines(proof, service, zone, count, reclaimable)
+            outcome = "accepted" if accepted else "none_to_be_had"
+            if accepted:
+                self._orders[kind] = _Order(count, now_s, accepted=True)
+        except CloudRefused as error:
+            outcome = f"refused: {error}"
+        except CloudUncertain as error:
+            # It may still be carried out; stating the number again does no harm.
+            outcome = f"uncertain: {error}"
+            self._orders[kind] = _Order(count, now_s)
+        if outcome != "accepted":
+            self._none_until_s[kind] = now_s + NONE_TO_BE_HAD_S
+        decision(
+            "engines_ordered",
+            service=service,
+            zone=zone,
+            reclaimable=reclaimable,
+            count=count,
+            present=present,
+            needed=needed,
+            busy_engines=round(demand.busy_engines, 2),
+            fence=proof.token,
+            outcome=outcome,
+        )
+
+    def _lowers(
+        self, kind: Kind, count: int, present: int, order: _Order | None, now_s: float
+    ) -> bool:
+        """Return whether an order may go out: fewer engines only when that held for a while."""
+        stated = order.count if order is not None else present
+        if count >= stated:
+            self._enough_since_s.pop(kind, None)
+            return True
+        since_s = self._enough_since_s.setdefault(kind, now_s)
+        return now_s - since_s >= FEWER_AFTER_S
--- /dev/null
+++ b/godwitpath/gateway/peer_messages.py
@@ -0,0 +1,61 @@
+"""What daemons tell one another: their own recent work, often, and whole views when asked."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import msgspec
+
+DIGEST_BYTES = 16
+
+
+class PeerReport(msgspec.Struct, array_like=True):
+    """What a daemon says of itself a few times a second; each report stands by itself.
+
+    :ivar incarnation: random number of this start
+    :ivar number: counts the reports of this start
+    :ivar configuration: revision of the configuration in force
+    :ivar clock_s: true time as the daemon has it, seconds since 1970
+    :ivar quota_used: units let through since the start, by account
+    :ivar usage: requests that began to run, by window and account
+    :ivar loads: running requests and waiting prompt tokens by engine
+    :ivar read_tokens: prompt tokens given to engines to read since the start, by service
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    configuration: int
+    clock_s: float
+    quota_used: dict[str, int]
+    usage: dict[int, dict[str, int]]
+    loads: dict[str, tuple[int, int]]
+    read_tokens: dict[str, int]
+
+
+class CatalogueView(msgspec.Struct, array_like=True):
+    """A daemon's view of configuration and engines, for one that the store turns away.
+
+    :ivar fresh: whether the daemon itself hears from the store
+    :ivar configuration: revision of the configuration, 0 for none
+    :ivar value: bytes of the configuration, empty where the asker has it
+    :ivar entries: values of the engines' keys, as they lie in the store
+    """
+
+    fresh: bool
+    configuration: int
+    value: bytes
+    entries: dict[str, bytes]
+
+
+def seal(secret: bytes, payload: bytes) -> bytes:
+    """Return a payload with a digest that only holders of the secret can make."""
+    return hashlib.blake2b(payload, key=secret, digest_size=DIGEST_BYTES).digest() + payload
+
+
+def unseal(secret: bytes, sealed: bytes) -> bytes | None:
+    """Return the payload, or None if its digest does not fit."""
+    digest, payload = sealed[:DIGEST_BYTES], sealed[DIGEST_BYTES:]
+    expected = hashlib.blake2b(payload, key=secret, digest_size=DIGEST_BYTES).digest()
+    return payload if hmac.compare_digest(digest, expected) else None
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -110,13 +110,17 @@
 
 
 class Placer:
-    """Chooses engines for one daemon."""
+    """Chooses engines for one daemon.
+
+    :ivar read_tokens: prompt tokens given to engines to read since the start, by service
+    """
 
     def __init__(self, zone: str, region: str, region_of: dict[str, str]) -> None:
         self._zone = zone
         self._region = region
         self._region_of = region_of
         self._memories: dict[tuple[str, int], PrefixMemory] = {}
+        self.read_tokens: dict[str, int] = {}
 
     def place_generation(
         self, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
@@ -140,8 +144,12 @@
 
         return sorted(engines, key=weight)
 
-    def note_sent(self, prompt: Prompt, engine: Engine, cache_tokens: int) -> None:
+    def note_sent(
+        self, prompt: Prompt, engine: Engine, read_tokens: int, cache_tokens: int
+    ) -> None:
         """Remember that an engine reads a prompt."""
+        service = engine.entry.service
+        self.read_tokens[service] = self.read_tokens.get(service, 0) + read_tokens
         self._memory(engine, cache_tokens).note(prompt.parts)
 
     def forget(self, engine: Engine) -> None:
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -74,6 +74,10 @@
         self.sent_at_s = asyncio.get_running_loop().time()
         call.attempts += 1
         call.may_have_run = True
+        if call.prompt is not None:
+            spec = call.service.engine
+            cache_tokens = spec.cache_tokens if spec else 0
+            ctx.placer.note_sent(call.prompt, self.engine, self.read_tokens, cache_tokens)
         head = await self._connection.head()
         verdict = ctx.wire.read_verdict(head, call.fields.request_id)
         if head.status < 300 and not verdict.genuine:
--- a/godwitpath/gateway/usage.py
+++ b/godwitpath/gateway/usage.py
@@ -18,6 +18,11 @@
     def __init__(self) -> None:
         self._offset_s = time.time() - time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def correct(self, by_s: float) -> bool:
+        """Set the clock right by what most others say; returns whether that was new."""
+        self._offset_s += by_s
+        return True
+
     def now_s(self) -> float:
         """Return seconds since 1970."""
         boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
