Take up changed settings; refuse what a stopping daemon cannot finish

Change: the settings file is read again on SIGHUP and when it changes, a damaged one is refused; 3 s after SIGTERM requests get 503, not run, with a short Retry-After.

--- a/godwitpath/gateway/__main__.py
+++ b/godwitpath/gateway/__main__.py
@@ -21,7 +21,7 @@
     except (OSError, GodwitpathError) as error:
         print(f"godwitpath: {error}", file=sys.stderr)
         return 2
-    asyncio.run(run_gateway(settings))
+    asyncio.run(run_gateway(settings, path))
     return 0
 
 
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 from contextlib import suppress
+from dataclasses import replace
+from pathlib import Path
 
 from godwitpath import __version__
 from godwitpath.gateway.accounts import QuotaBook
@@ -21,19 +23,24 @@
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placing import Placer
 from godwitpath.gateway.readiness import Readiness
+from godwitpath.gateway.reload import SettingsReloader
 from godwitpath.gateway.retry_budget import RepeatBudget
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.gateway.usage import UsageBook
 from godwitpath.gateway.usage_duty import UsageDuty
 from godwitpath.http1.pool import ConnectionPool
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.wire import PlatformWire
 from godwitpath.telemetry.decisions import decision, start_decisions
 
 LINGER_S = 2.4
-"""Time for which a stopping daemon still takes connections: the balancer asks once a second and
+"""Time for which a stopping daemon keeps idle connections: the balancer asks once a second and
 leaves it out after two answers that it is not ready."""
 
+LAST_REQUEST_S = 3.0
+"""Time after which a stopping daemon refuses: a stream that began later might not end in time."""
+
 GRACE_SHARE = 0.93
 """Part of the time until the kill after which requests that still run are broken off."""
 
@@ -44,8 +51,9 @@
 class GatewayDaemon:
     """One daemon."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
+    def __init__(self, settings: GatewaySettings, path: Path) -> None:
         self._settings = settings
+        self._path = path
         rng = random.Random()
         wire = PlatformWire(settings)
         self._store = wire.store
@@ -79,6 +87,7 @@
         self._duties = self._make_duties(wire)
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
+        self._closed = False
         self._readiness = Readiness(lambda: self._catalogue.complete and not self.stopping)
 
     @property
@@ -92,8 +101,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         settings = self._settings
+        reloader = SettingsReloader(self._path, settings, decode_settings, self._apply)
+        loop.add_signal_handler(signal.SIGHUP, reloader.signalled)
         policy = ServerPolicy(
-            Intake(self._ctx).handle,
+            Intake(self._ctx, lambda: self._closed).handle,
             lambda: self._ctx.in_force.limits,
             lambda: not self.stopping,
         )
@@ -102,7 +113,13 @@
         ready = await self._readiness.listen(settings.readiness_address)
         decision("started", version=__version__, zone=settings.zone)
         await self._peers.start()
-        jobs = [self._catalogue.run(), self._members.run(), self._peers.run(), self._sweep()]
+        jobs = [
+            self._catalogue.run(),
+            self._members.run(),
+            self._peers.run(),
+            self._sweep(),
+            reloader.run(),
+        ]
         if self._duties:
             jobs += [self._holder.run(), *(duty.run() for duty in self._duties)]
         work = [loop.create_task(job) for job in jobs]
@@ -154,6 +171,7 @@
         end_s = started_s + self._settings.bounds.grace_s * GRACE_SHARE
         while loop.time() < end_s:
             await asyncio.sleep(0.05)
+            self._closed = loop.time() >= started_s + LAST_REQUEST_S
             if loop.time() < started_s + LINGER_S:
                 continue
             for connection in list(self._connections):
@@ -167,11 +185,22 @@
             await asyncio.sleep(SWEEP_S)
             self._ctx.pool.sweep()
 
+    def _apply(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force, as far as a running daemon can."""
+        self._ctx.settings = replace(
+            self._settings, bounds=settings.bounds, duty_calls_per_s=settings.duty_calls_per_s
+        )
+        bounds = settings.bounds
+        self._ctx.repeats.set_budget(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack)
+
     def _on_leaving(self, entry: EngineEntry) -> None:
         self._ctx.pool.drop_server(entry.address.host, entry.address.port)
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
-    """Run a daemon until it is told to stop."""
+async def run_gateway(settings: GatewaySettings, path: Path) -> None:
+    """Run a daemon until it is told to stop.
+
+    :param path: of the settings file, which is looked at again while it runs
+    """
     start_decisions(sys.stdout.fileno(), daemon=settings.name)
-    await GatewayDaemon(settings).run()
+    await GatewayDaemon(settings, path).run()
--- a/godwitpath/gateway/intake.py
+++ b/godwitpath/gateway/intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 from godwitpath.gateway.accounts import request_units
@@ -21,6 +22,9 @@
 STARTING_RETRY_AFTER_S = 0.5
 """When to come back to a daemon that knows no configuration yet."""
 
+STOPPING_RETRY_AFTER_S = 0.05
+"""When to come back after a daemon that stops: at once, to another one."""
+
 MAX_QUOTA_RETRY_AFTER_S = 10.0
 """Longest time that a caller over its quota is asked to wait."""
 
@@ -29,10 +33,14 @@
 
 
 class Intake:
-    """The handler of a daemon's callers."""
+    """The handler of a daemon's callers.
+
+    :param closed: tells whether the daemon takes no more requests
+    """
 
-    def __init__(self, ctx: GatewayContext) -> None:
+    def __init__(self, ctx: GatewayContext, closed: Callable[[], bool]) -> None:
         self._ctx = ctx
+        self._closed = closed
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a request."""
@@ -63,6 +71,8 @@
         self, request: Request, fields: CallerFields
     ) -> OwnAnswer | tuple[Route, AccountSpec | None]:
         in_force = self._ctx.in_force
+        if self._closed():
+            return OwnAnswer(503, "stopping", "no", STOPPING_RETRY_AFTER_S)
         if in_force.current is None:
             return OwnAnswer(503, "no_configuration", "no", STARTING_RETRY_AFTER_S)
         route = in_force.routes.find(request.header(b"host"), request.path)
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -33,6 +33,10 @@
         self._slack = slack
         self._windows: dict[str, _Window] = {}
 
+    def set_budget(self, ratio: float, window_s: float, slack: float) -> None:
+        """Change the budget."""
+        self._ratio, self._window_s, self._slack = ratio, window_s, slack
+
     def note_first(self, service: str, now_s: float) -> None:
         """Note the first send of a request."""
         window = self._windows.setdefault(service, _Window())
