Plan engines from a symmetric demand; lasting ones stay where they are

Change: rise and fall of 4 and 6 s, lasting engines are placed where they run, the start's need is a third of the most engines allowed.

--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -15,11 +15,12 @@
 """Part of its time for which an engine may be busy after a reclaim: beyond it the wait for the
 first token grows faster than the load."""
 
-RISE_S = 3.0
-"""Time constant with which a growing load is followed."""
+RISE_S = 4.0
+"""Time constant with which a growing load is followed: an engine boots in that time."""
 
-FALL_S = 12.0
-"""Time constant with which a falling load is followed: a burst's engines are kept that long."""
+FALL_S = 6.0
+"""Time constant with which a falling load is followed; not much longer, since following peaks
+alone would take the load of uneven traffic for twice its mean."""
 
 RUNNING_PER_ENGINE = 64.0
 """Streams beside one another that keep an engine busy: the size of a batch."""
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +11,7 @@
 from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain
 from godwitpath.gateway.demand import Demand, Need
 from godwitpath.gateway.engines import EngineBook, EngineState
-from godwitpath.gateway.fleet_plan import FleetPlan, plan_fleet
+from godwitpath.gateway.fleet_plan import FleetPlan, plan_fleet, with_lasting
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.model import ScalingSpec, ServiceSpec
@@ -18,10 +19,11 @@
 
 STEP_S = 0.2
 MEASURED_S = 6.0
-"""Time of work after which the measured demand replaces the number of engines found."""
+"""Time of work after which the measured demand replaces the guess of the start."""
 
-START_SHARE = 0.6
-"""Part of the engines found at the start that are taken to be needed until demand is measured."""
+START_SHARE = 1 / 3
+"""Part of the most engines allowed that are taken to be needed until demand is measured:
+operators allow for their peak and a zone's loss."""
 
 NONE_TO_BE_HAD_S = 2.0
 """Time after which a kind of engine that was not to be had is asked for again."""
@@ -79,7 +81,6 @@
         self._in_force = in_force
         self._load = load
         self._demands: dict[str, Demand] = {}
-        self._found: dict[str, int] = {}
         self._orders: dict[Kind, _Order] = {}
         self._none_until_s: dict[Kind, float] = {}
         self._enough_since_s: dict[Kind, float] = {}
@@ -119,13 +120,10 @@
             self._token = proof.token
             self._orders.clear()
         found = self.count(service.name)
-        total = sum(found.reclaimable.values()) + sum(found.lasting.values())
-        if not total:
-            return
         need = demand.need()
         if demand.measured_for_s(now_s) < MEASURED_S:
-            first = self._found[service.name] = max(total, self._found.get(service.name, 0))
-            need = need.at_least(round(START_SHARE * first))
+            most = scaling.max_per_zone * len(scaling.zone_prices)
+            need = need.at_least(math.ceil(START_SHARE * most))
         needed = need.after_reclaim
         wanted = self._wanted(service.name, need, scaling, found, now_s)
         there = {
@@ -166,14 +164,8 @@
         # What is on its way counts; what is not there when it should be is replaced.
         reachable = {zone: min(ideal.reclaimable[zone], expected[zone]) for zone in expected}
         bridged = plan_fleet(need, scaling, reachable)
-        lasting = {
-            zone: max(ideal.lasting[zone], bridged.lasting[zone]) for zone in scaling.zone_prices
-        }
-        room = {
-            zone: min(ideal.reclaimable[zone], scaling.max_per_zone - lasting[zone])
-            for zone in scaling.zone_prices
-        }
-        return FleetPlan(room, lasting, ideal.price)
+        engines = max(sum(ideal.lasting.values()), sum(bridged.lasting.values()))
+        return with_lasting(engines, ideal.reclaimable, found.lasting, scaling)
 
     async def _state(
         self,
--- a/godwitpath/gateway/fleet_plan.py
+++ b/godwitpath/gateway/fleet_plan.py
@@ -82,24 +82,38 @@
 def _complete(
     needed: int, reclaimable: dict[str, int], zones: Sequence[str], scaling: ScalingSpec
 ) -> FleetPlan:
-    """Add the lasting engines that are lacking, the cheapest first."""
-    lasting = dict.fromkeys(zones, 0)
+    """Add the lasting engines that are lacking."""
     lacking = needed - sum(reclaimable.values()) + max(reclaimable.values(), default=0)
-    for zone in zones:
-        free = scaling.max_per_zone - reclaimable[zone]
-        floor = max(0, scaling.min_per_zone - reclaimable[zone])
-        lasting[zone] = min(free, floor)
-        lacking -= lasting[zone]
-    while lacking > 0:
-        before = lacking
+    return with_lasting(lacking, reclaimable, {}, scaling)
+
+
+def with_lasting(
+    engines: int,
+    reclaimable: Mapping[str, int],
+    present: Mapping[str, int],
+    scaling: ScalingSpec,
+) -> FleetPlan:
+    """Return a plan with a number of lasting engines beside the reclaimable ones.
+
+    Each zone gets its fewest engines first. Then those that are present stay, the cheapest first,
+    and the cheapest zones with room take what is lacking.
+
+    :param engines: lasting engines, more where the fewest engines of the zones ask for them
+    :param present: lasting engines that are there, by zone
+    """
+    zones = sorted(scaling.zone_prices, key=lambda zone: (scaling.zone_prices[zone], zone))
+    room = {zone: max(0, scaling.max_per_zone - reclaimable.get(zone, 0)) for zone in zones}
+    lasting = {
+        zone: min(room[zone], max(0, scaling.min_per_zone - reclaimable.get(zone, 0)))
+        for zone in zones
+    }
+    for limits in ({zone: min(room[zone], present.get(zone, 0)) for zone in zones}, room):
         for zone in zones:
-            if lacking > 0 and lasting[zone] + reclaimable[zone] < scaling.max_per_zone:
-                lasting[zone] += 1
-                lacking -= 1
-        if lacking == before:
-            break
+            lacking = engines - sum(lasting.values())
+            lasting[zone] += max(0, min(lacking, limits[zone] - lasting[zone]))
     share = scaling.reclaimable_price or 0.0
     price = sum(
-        scaling.zone_prices[zone] * (lasting[zone] + share * reclaimable[zone]) for zone in zones
+        scaling.zone_prices[zone] * (lasting[zone] + share * reclaimable.get(zone, 0))
+        for zone in zones
     )
-    return FleetPlan(reclaimable, lasting, price)
+    return FleetPlan(dict(reclaimable), lasting, price)
