Replace a silent duty holder, tell prompts between daemons, keep the fleet's plan steady

Change: the holder's key is replaced under its revision when its reports are missing for 1 s and the platform checks fences; shared prompt parts ride on the reports; one time constant for demand and a band below a smaller need; ordered engines count while they boot; reclaimable ones are planned in the room that a zone has left. A partitioned group gives quota back as well as takes it.

--- a/godwitpath/gateway/accounts.py
+++ b/godwitpath/gateway/accounts.py
@@ -86,7 +86,8 @@
         """Take what another daemon let through."""
         bucket = self._buckets.get(account)
         if bucket is not None:
-            bucket.level = max(bucket.level - units, -bucket.spec.rate_per_s)
+            level = max(bucket.level - units, -bucket.spec.rate_per_s)
+            bucket.level = min(level, bucket.spec.burst)
 
     def _fill(self, spec: AccountSpec, share: float, now_s: float) -> _Bucket:
         bucket = self._buckets.get(spec.name)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -82,8 +82,14 @@
         self._members = Members(self._store, settings.name, entry, rng)
         self._peers = Peers(self._ctx, self._catalogue, self._members, incarnation)
         self._ctx.quota_share = self._peers.quota_share
-        lease_s = max(settings.bounds.lease_s, settings.store.min_lease_s)
-        self._holder = DutyHolder(self._store, self._members, settings.name, lease_s, rng)
+        self._holder = DutyHolder(
+            self._store,
+            self._members,
+            settings.name,
+            settings.bounds,
+            rng,
+            self._peers.silence_s,
+        )
         self._duties = self._make_duties(wire)
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -15,12 +15,12 @@
 """Part of its time for which an engine may be busy after a reclaim: beyond it the wait for the
 first token grows faster than the load."""
 
-RISE_S = 4.0
-"""Time constant with which a growing load is followed: an engine boots in that time."""
+FOLLOW_S = 5.0
+"""Time constant with which a load is followed, about the time in which an engine boots. It is the
+same both ways: following a rise faster would take uneven traffic for more than it is."""
 
-FALL_S = 6.0
-"""Time constant with which a falling load is followed; not much longer, since following peaks
-alone would take the load of uneven traffic for twice its mean."""
+STEADY_SHARE = 0.1
+"""Part by which the load has to fall below a smaller need before that is taken."""
 
 RUNNING_PER_ENGINE = 64.0
 """Streams beside one another that keep an engine busy: the size of a batch."""
@@ -49,13 +49,15 @@
     """Follows the load of one service in engines kept busy.
 
     :ivar busy_engines: the load
+    :ivar read_tokens: prompt tokens read since the start, as last observed
     """
 
     def __init__(self) -> None:
         self.busy_engines = 0.0
-        self._tokens: int | None = None
+        self.read_tokens: int | None = None
         self._seen_at_s = 0.0
         self._started_at_s: float | None = None
+        self._need = Need(MIN_ENGINES, MIN_ENGINES)
 
     def observe(self, read_tokens: int, running: int, now_s: float) -> None:
         """Take in the sum of all daemons.
@@ -63,21 +65,21 @@
         :param read_tokens: prompt tokens given to engines to read, growing
         :param running: streams that run
         """
-        if self._tokens is None or read_tokens < self._tokens:
-            self._tokens = read_tokens
+        if self.read_tokens is None or read_tokens < self.read_tokens:
+            self.read_tokens = read_tokens
             self._seen_at_s = now_s
             return
         elapsed_s = now_s - self._seen_at_s
         if elapsed_s < 0.2:
             return
-        reading = (read_tokens - self._tokens) / elapsed_s / READ_TOKENS_PER_S
+        reading = (read_tokens - self.read_tokens) / elapsed_s / READ_TOKENS_PER_S
         # An engine reads prompts between the steps of its streams; both at once cost little more.
         sample = max(reading, running / RUNNING_PER_ENGINE)
         if sample > 0 and self._started_at_s is None:
             self._started_at_s = now_s
-        constant_s = RISE_S if sample > self.busy_engines else FALL_S
-        self.busy_engines += (1 - math.exp(-elapsed_s / constant_s)) * (sample - self.busy_engines)
-        self._tokens = read_tokens
+        weight = 1 - math.exp(-elapsed_s / FOLLOW_S)
+        self.busy_engines += weight * (sample - self.busy_engines)
+        self.read_tokens = read_tokens
         self._seen_at_s = now_s
 
     def measured_for_s(self, now_s: float) -> float:
@@ -86,7 +88,15 @@
 
     def need(self) -> Need:
         """Return the engines that are needed."""
-        return Need(
-            max(MIN_ENGINES, math.ceil(self.busy_engines / FULL_SHARE)),
-            max(MIN_ENGINES, math.ceil(self.busy_engines / COMFORT_SHARE)),
+        self._need = Need(
+            self._steady(FULL_SHARE, self._need.after_reclaim),
+            self._steady(COMFORT_SHARE, self._need.comfort),
         )
+        return self._need
+
+    def _steady(self, share: float, before: int) -> int:
+        engines = max(MIN_ENGINES, math.ceil(self.busy_engines / share))
+        if engines >= before:
+            return engines
+        lower = math.ceil(self.busy_engines * (1 + STEADY_SHARE) / share)
+        return max(engines, min(before, lower))
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -146,26 +146,35 @@
         self, service: str, need: Need, scaling: ScalingSpec, found: FleetCount, now_s: float
     ) -> FleetPlan:
         """Return what is wanted now: the plan, and lasting engines for what it lacks meanwhile."""
+        expected: dict[bool, dict[str, int]] = {True: {}, False: {}}
         to_be_had: dict[str, int] = {}
-        expected: dict[str, int] = {}
         for zone in scaling.zone_prices:
-            kind = (service, zone, True)
-            present = found.reclaimable[zone]
-            if now_s < self._none_until_s.get(kind, 0.0):
-                to_be_had[zone] = present
-            order = self._orders.get(kind)
-            booting = (
-                order is not None
-                and order.accepted
-                and now_s - order.at_s < scaling.boot_s + BOOT_SLACK_S
-            )
-            expected[zone] = max(present, order.count) if booting and order else present
+            for reclaimable, present in ((True, found.reclaimable), (False, found.lasting)):
+                kind = (service, zone, reclaimable)
+                count = self._expected(kind, present[zone], scaling, now_s)
+                expected[reclaimable][zone] = count
+            # Both kinds share a zone's bound: lasting engines leave before others take their room.
+            to_be_had[zone] = max(0, scaling.max_per_zone - expected[False][zone])
+            if now_s < self._none_until_s.get((service, zone, True), 0.0):
+                to_be_had[zone] = min(to_be_had[zone], found.reclaimable[zone])
         ideal = plan_fleet(need, scaling, to_be_had)
         # What is on its way counts; what is not there when it should be is replaced.
-        reachable = {zone: min(ideal.reclaimable[zone], expected[zone]) for zone in expected}
+        reachable = {
+            zone: min(count, expected[True][zone]) for zone, count in ideal.reclaimable.items()
+        }
         bridged = plan_fleet(need, scaling, reachable)
         engines = max(sum(ideal.lasting.values()), sum(bridged.lasting.values()))
-        return with_lasting(engines, ideal.reclaimable, found.lasting, scaling)
+        # Engines that were ordered and boot count where they are, so that the plan does not move.
+        return with_lasting(engines, ideal.reclaimable, expected[False], scaling)
+
+    def _expected(self, kind: Kind, present: int, scaling: ScalingSpec, now_s: float) -> int:
+        """Return the engines of a kind that are there or on their way."""
+        order = self._orders.get(kind)
+        if order is None or not order.accepted:
+            return present
+        if now_s - order.at_s >= scaling.boot_s + BOOT_SLACK_S:
+            return present
+        return max(present, order.count)
 
     async def _state(
         self,
@@ -219,6 +228,7 @@
             present=present,
             needed=needed,
             busy_engines=round(demand.busy_engines, 2),
+            read_tokens=demand.read_tokens,
             fence=proof.token,
             outcome=outcome,
         )
--- a/godwitpath/gateway/fleet_plan.py
+++ b/godwitpath/gateway/fleet_plan.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -107,7 +108,14 @@
         zone: min(room[zone], max(0, scaling.min_per_zone - reclaimable.get(zone, 0)))
         for zone in zones
     }
-    for limits in ({zone: min(room[zone], present.get(zone, 0)) for zone in zones}, room):
+    half = math.ceil(scaling.max_per_zone / 2)
+    limits_in_turn = (
+        {zone: min(room[zone], present.get(zone, 0)) for zone in zones},
+        # Some room is left for reclaimable engines, which share the zone's bound.
+        {zone: min(room[zone], half) for zone in zones},
+        room,
+    )
+    for limits in limits_in_turn:
         for zone in zones:
             lacking = engines - sum(lasting.values())
             lasting[zone] += max(0, min(lacking, limits[zone] - lasting[zone]))
--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -1,8 +1,8 @@
 """Holds the deployment's duties: one daemon at a time, under one lease of the store.
 
-The key's creation revision is the fencing token, so no two holders share one. The holder counts
-its lease from before a renewal was sent, on a clock that goes on while the machine is suspended,
-and stops by itself when that time is over.
+The revision of the write that took the duties is the fencing token, so no two holders share one.
+The holder counts its lease from before a renewal was sent, on a clock that goes on while the
+machine is suspended, and stops by itself when that time is over.
 """
 
 from __future__ import annotations
@@ -10,20 +10,46 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
+
+import msgspec
 
 from godwitpath.gateway.cloud import DutyProof
 from godwitpath.gateway.members import PREFIX, Members
+from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import Item, Precondition, Put, Store, TxnConflict
 from godwitpath.ports.kv import LeaseLapsed, StoreError, StoreUncertain
 from godwitpath.telemetry.decisions import decision
 
 HOLDER_KEY = PREFIX + "holder"
 
+LEASE_FACTOR = 2.0
+"""Time to live of the lease as a multiple of the deployment's lease time: the duties go on through
+a short outage of the store. A holder that falls silent is replaced before, where the platform
+itself checks the fencing token."""
+
+SILENT_S = 1.0
+"""Time for which a holder's reports must be missing before it is replaced: two and a half
+reports."""
+
 MARGIN_S = 0.5
 """Time before the lease's end at which the holder stops: a call on its way still arrives in it."""
 
-RENEWALS_IN_LEASE = 4
+RENEWALS_IN_LEASE = 5
 RETRY_S = 0.25
+STEP_S = 0.3
+"""Time between two looks at the holder and at the own lease."""
+
+
+class HolderEntry(msgspec.Struct, frozen=True):
+    """Value of the holder's key.
+
+    :ivar nonce: tells apart the takings of one start
+    """
+
+    name: str
+    incarnation: int
+    nonce: int
 
 
 def boot_time_s() -> float:
@@ -32,18 +58,29 @@
 
 
 class DutyHolder:
-    """Takes the duties when nobody holds them.
+    """Takes the duties when nobody holds them, or when their holder is silent.
 
-    :param lease_s: time to live of the lease
+    :param bounds: of the deployment; its lease time is the shortest time between two turns of one
+        holder
+    :param silence_s: returns for how long a start of a daemon has sent no report
     """
 
     def __init__(
-        self, store: Store, members: Members, name: str, lease_s: float, rng: random.Random
+        self,
+        store: Store,
+        members: Members,
+        name: str,
+        bounds: Bounds,
+        rng: random.Random,
+        silence_s: Callable[[str, int], float],
     ) -> None:
         self._store = store
         self._members = members
         self._name = name
-        self._lease_s = lease_s
+        self._lease_s = bounds.lease_s * LEASE_FACTOR
+        self._rest_s = bounds.lease_s + MARGIN_S
+        self._may_replace = bounds.fencing_checked
+        self._silence_s = silence_s
         self._rng = rng
         self._lease_id = 0
         self._token = 0
@@ -92,7 +129,7 @@
     async def _pause(self) -> None:
         self._changed.clear()
         try:
-            async with asyncio.timeout(self._lease_s / RENEWALS_IN_LEASE):
+            async with asyncio.timeout(STEP_S):
                 await self._changed.wait()
         except TimeoutError:
             pass
@@ -103,41 +140,62 @@
         if self._token:
             await self._renew()
             return
-        rested = boot_time_s() - self._held_at_s >= self._lease_s + MARGIN_S
-        known = self._members.follower.synced_at_s is not None
-        if known and rested and HOLDER_KEY not in self._members.items:
+        rested = boot_time_s() - self._held_at_s >= self._rest_s
+        if self._members.follower.synced_at_s is None or not rested:
+            return
+        holder = self._members.items.get(HOLDER_KEY)
+        if holder is None or self._silent(holder):
             await asyncio.sleep(0.2 * self._rng.random())
-            await self._take()
+            if self._members.items.get(HOLDER_KEY) == holder and not self._leaving:
+                await self._take(holder)
+
+    def _silent(self, holder: Item) -> bool:
+        """Return whether the holder has sent no report for so long that it is replaced."""
+        if not self._may_replace:
+            return False
+        try:
+            entry = msgspec.json.decode(holder.value, type=HolderEntry)
+        except msgspec.DecodeError:
+            return False
+        return self._silence_s(entry.name, entry.incarnation) >= SILENT_S
 
     async def _renew(self) -> None:
         now_s = boot_time_s()
-        if now_s < self._valid_until_s + MARGIN_S - self._lease_s * (1 - 0.8 / RENEWALS_IN_LEASE):
+        holder = self._members.items.get(HOLDER_KEY)
+        if holder is not None and holder.revision > self._token:
+            self._lost("replaced")
+            return
+        renewed_at_s = self._valid_until_s + MARGIN_S - self._lease_s
+        if now_s < renewed_at_s + self._lease_s / RENEWALS_IN_LEASE:
             return
         await self._store.renew(self._lease_id)
         self._valid_until_s = now_s + self._lease_s - MARGIN_S
 
-    async def _take(self) -> None:
-        if HOLDER_KEY in self._members.items or self._leaving:
-            return
+    async def _take(self, before: Item | None) -> None:
+        """Take the duties from nobody, or from a holder that is silent.
+
+        :param before: the key of the silent holder
+        """
         started_s = boot_time_s()
         lease_id = await self._store.grant(self._lease_s)
-        value = f"{self._name} {self._rng.getrandbits(64):016x}".encode()
+        nonce = self._rng.getrandbits(63)
+        entry = HolderEntry(self._name, self._members.incarnation, nonce)
+        value = msgspec.json.encode(entry)
+        condition = Precondition(HOLDER_KEY, before.revision if before else 0)
         try:
-            token = await self._store.transact(
-                [Precondition(HOLDER_KEY, 0)], [Put(HOLDER_KEY, value, lease_id)]
-            )
+            token = await self._store.transact([condition], [Put(HOLDER_KEY, value, lease_id)])
         except TxnConflict:
             return
         except StoreUncertain:
             found = await self._store.get(HOLDER_KEY)
             if found is None or found.value != value:
                 return
-            token = found.created_revision
+            token = found.revision
         self._lease_id = lease_id
         self._token = token
         self._valid_until_s = started_s + self._lease_s - MARGIN_S
         self._members.items[HOLDER_KEY] = Item(HOLDER_KEY, value, token, token, lease_id)
-        decision("duty_taken", fence=token)
+        decision("duty_taken", fence=token, replaced=before is not None)
 
     def _lost(self, reason: str) -> None:
         if self._token:
--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -41,6 +41,7 @@
 
     :ivar secret: shared by all daemons, empty before it is known
     :ivar entries: the other daemons by name
+    :ivar items: the followed keys as they stand
     """
 
     def __init__(self, store: Store, name: str, entry: MemberEntry, rng: random.Random) -> None:
@@ -48,6 +49,7 @@
         self.entries: dict[str, MemberEntry] = {}
         self.items: dict[str, Item] = {}
         self.follower = Follower(store, PREFIX, self._on_item, self._on_removed, rng)
+        self.incarnation = entry.incarnation
         self._store = store
         self._name = name
         self._entry = entry
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -20,6 +20,7 @@
     :ivar quota_used: units let through since the start, by account
     :ivar usage: requests that began to run, by window and account
     :ivar loads: running requests and waiting prompt tokens by engine
+    :ivar prompts: shared prompt parts with their tokens that were lately given to an engine
     :ivar read_tokens: prompt tokens given to engines to read since the start, by service
     """
 
@@ -32,6 +33,7 @@
     usage: dict[int, dict[str, int]]
     loads: dict[str, tuple[int, int]]
     read_tokens: dict[str, int]
+    prompts: list[tuple[str, list[tuple[str, int]]]]
 
 
 class CatalogueView(msgspec.Struct, array_like=True):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 
 import msgspec
 
+from godwitpath.gateway.calls import PromptPart
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import PeerLoad
@@ -36,6 +38,9 @@
 HEARD_S = 1.6
 """Time after which a daemon that sent no report counts as not heard: four reports."""
 
+TOLD_S = 2 * REPORT_S
+"""Time for which prompts are told again: each comes in two reports, since one may be lost."""
+
 FORGET_S = 30.0
 """Time after which the counts of a silent daemon are dropped; its usage has been reported then."""
 
@@ -93,6 +98,7 @@
         self._connections: set[ServerConnection] = set()
         self._pool = ConnectionPool()
         self._loop = asyncio.get_running_loop()
+        self._started_at_s = self._loop.time()
 
     async def start(self) -> None:
         """Listen for reports and for questions."""
@@ -122,6 +128,21 @@
         since_s = self._loop.time() - HEARD_S
         return {name for (name, _), state in self.states.items() if state.heard_at_s >= since_s}
 
+    def silence_s(self, name: str, incarnation: int) -> float:
+        """Return for how long a start of a daemon has sent no report.
+
+        Zero where this daemon itself seems to be the one that is cut off: it hears less than half
+        of the others.
+        """
+        if name == self._ctx.settings.name:
+            return 0.0 if incarnation == self._incarnation else math.inf
+        others = self._members.entries.keys() - {name}
+        if 2 * len(self.heard() & others) < len(others):
+            return 0.0
+        now_s = self._loop.time()
+        state = self.states.get((name, incarnation))
+        return now_s - (state.heard_at_s if state is not None else self._started_at_s)
+
     def quota_share(self) -> float:
         """Return the part of each quota that the daemons which hear one another may use."""
         registered = self._members.entries.keys()
@@ -178,12 +199,23 @@
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
         for account, used in report.quota_used.items():
             fresh = used - state.quota_used.get(account, 0)
-            if fresh > 0:
+            if fresh:
                 self._ctx.quota.note_peer_use(account, fresh)
         state.quota_used = report.quota_used
         state.usage.update(report.usage)
         state.read_tokens = report.read_tokens
         self._take_loads(report, state)
+        self._take_prompts(report)
+
+    def _take_prompts(self, report: PeerReport) -> None:
+        for engine_id, parts in report.prompts:
+            engine = self._ctx.engines.get(engine_id)
+            if engine is None:
+                continue
+            service = self._ctx.in_force.service(engine.entry.service)
+            if service is not None and service.engine is not None:
+                told = [PromptPart(part_id, tokens) for part_id, tokens in parts]
+                self._ctx.placer.note_peer_prompt(engine, told, service.engine.cache_tokens)
 
     def _take_loads(self, report: PeerReport, state: PeerState) -> None:
         for engine_id in state.loads.keys() - report.loads.keys():
@@ -226,6 +258,10 @@
             usage={key: dict(value) for key, value in ctx.usage.recent(REPORTED_WINDOWS).items()},
             loads=loads,
             read_tokens=dict(ctx.placer.read_tokens),
+            prompts=[
+                (engine_id, [(part.part_id, part.tokens) for part in parts])
+                for engine_id, parts in ctx.placer.sent_since(self._loop.time() - TOLD_S)
+            ],
         )
 
     def _forget_silent(self) -> None:
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+import asyncio
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -35,6 +36,9 @@
 HOME_BONUS = 0.5
 """Part of a prompt's shared tokens that its home engine is taken to hold when nothing is known."""
 
+TOLD_PROMPTS = 64
+"""Most prompts of the last moment that other daemons are told of: a daemon's share of a burst."""
+
 REMEMBERED_PARTS = 4096
 """Prompt parts remembered for each engine."""
 
@@ -121,6 +125,7 @@
         self._region_of = region_of
         self._memories: dict[tuple[str, int], PrefixMemory] = {}
         self.read_tokens: dict[str, int] = {}
+        self._told: deque[tuple[float, str, tuple[PromptPart, ...]]] = deque(maxlen=TOLD_PROMPTS)
 
     def place_generation(
         self, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
@@ -151,6 +156,19 @@
         service = engine.entry.service
         self.read_tokens[service] = self.read_tokens.get(service, 0) + read_tokens
         self._memory(engine, cache_tokens).note(prompt.parts)
+        if prompt.shared:
+            now_s = asyncio.get_running_loop().time()
+            self._told.append((now_s, engine.entry.engine_id, prompt.shared))
+
+    def sent_since(self, since_s: float) -> list[tuple[str, tuple[PromptPart, ...]]]:
+        """Return engines with the shared prompt parts that they were given since a loop time."""
+        return [(engine_id, parts) for at_s, engine_id, parts in self._told if at_s >= since_s]
+
+    def note_peer_prompt(
+        self, engine: Engine, parts: Iterable[PromptPart], cache_tokens: int
+    ) -> None:
+        """Remember that an engine read a prompt for another daemon."""
+        self._memory(engine, cache_tokens).note(parts)
 
     def forget(self, engine: Engine) -> None:
         """Drop what was remembered of an engine."""
--- a/godwitpath/gateway/settings.py
+++ b/godwitpath/gateway/settings.py
@@ -20,7 +20,10 @@
     :ivar retry_window_s: window in which repeated sends are counted
     :ivar retry_slack: repeated sends in a window beside the ratio, over all daemons
     :ivar quota_window_s: window in which the units of an account are counted
+    :ivar quota_overage: part by which the units of a window may pass the quota
+    :ivar quota_slack: units by which they may pass it beside that
     :ivar lease_s: time after which a duty's holder may be replaced
+    :ivar fencing_checked: whether the platform refuses calls with an older fencing token
     :ivar usage_window_s: length of a usage window
     :ivar usage_late_s: time after a window's end when its report is due
     """
@@ -33,7 +36,10 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     quota_window_s: float = 8.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     lease_s: float = 3.0
+    fencing_checked: bool = False
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
 
--- a/godwitpath/platform/settings.py
+++ b/godwitpath/platform/settings.py
@@ -41,12 +41,12 @@
     retry_window_s: float = 10
     retry_slack: float = 0
     quota_window_s: float = 8
+    quota_overage: float = 0
     quota_slack: float = 0
+    enforce_fencing: bool = False
     lease_ms: float = 3000
     usage_window_s: float = 5
     usage_late_s: float = 10
-    # Time an entry may be missing after an outage of the store is stated for engines only.
-    reuse_window_s: float = 5
 
 
 class _Platform(msgspec.Struct, rename="camel"):
@@ -167,7 +167,10 @@
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             quota_window_s=bounds.quota_window_s,
-            lease_s=bounds.lease_ms / 1000,
+            quota_overage=bounds.quota_overage,
+            quota_slack=bounds.quota_slack,
+            lease_s=max(bounds.lease_ms, raw.platform.ttl_min_ms) / 1000,
+            fencing_checked=bounds.enforce_fencing,
             usage_window_s=bounds.usage_window_s,
             usage_late_s=bounds.usage_late_s,
         ),
