--- a/godwitpath/gateway/accounts.py
+++ b/godwitpath/gateway/accounts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import secrets
 from collections.abc import Iterable
@@ -14,6 +15,13 @@
 
 from godwitpath.gateway.model import AccountSpec
 
+MAX_DEBT_S = 2.0
+"""Longest time for which an account pays back what passed before daemons heard of it: a quarter of
+the platform's window for quotas. A longer one would refuse for a burst that is long over."""
+
+TELL_SHARE = 0.1
+"""Part of an account's burst whose use is told to the other daemons at once."""
+
 _SALT = secrets.token_bytes(16)
 
 
@@ -49,10 +57,13 @@
     """Buckets of the accounts as this daemon sees them.
 
     :ivar used: units that this daemon has let through, by account, since its start
+    :ivar urgent: set when a use is large enough to be told at once
     """
 
     def __init__(self) -> None:
         self.used: dict[str, float] = {}
+        self.urgent = asyncio.Event()
+        self._untold: dict[str, float] = {}
         self._buckets: dict[str, _Bucket] = {}
 
     def take(self, spec: AccountSpec, units: float, share: float, now_s: float) -> float:
@@ -72,8 +83,16 @@
             return max(0.001, -bucket.level / (spec.rate_per_s * share))
         bucket.level -= units
         self.used[spec.name] = self.used.get(spec.name, 0.0) + units
+        untold = self._untold[spec.name] = self._untold.get(spec.name, 0.0) + units
+        if untold >= TELL_SHARE * spec.burst and bucket.level < spec.burst / 2:
+            self.urgent.set()
         return 0.0
 
+    def told(self) -> None:
+        """Note that the other daemons were told of all use."""
+        self._untold.clear()
+        self.urgent.clear()
+
     def give_back(self, spec: AccountSpec, units: float) -> None:
         """Return the units of a request that did not run."""
         bucket = self._buckets.get(spec.name)
@@ -86,7 +105,7 @@
         """Take what another daemon let through."""
         bucket = self._buckets.get(account)
         if bucket is not None:
-            level = max(bucket.level - units, -bucket.spec.rate_per_s)
+            level = max(bucket.level - units, -bucket.spec.rate_per_s * MAX_DEBT_S)
             bucket.level = min(level, bucket.spec.burst)
 
     def _fill(self, spec: AccountSpec, share: float, now_s: float) -> _Bucket:
--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -80,7 +80,7 @@
 def answer_call(ctx: GatewayContext, call: Call, answer: OwnAnswer, **inputs: Any) -> None:
     """Give a caller an answer of our own, or break off one that was begun."""
     responder = call.responder
-    ctx.counts[(call.route.name, "own", answer.reason)] += 1
+    ctx.instruments.answers[(call.route.name, "own", answer.reason)] += 1
     if answer.ran == "no" and call.account is not None:
         ctx.quota.give_back(call.account, call.units)
     decision(
--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -12,6 +11,7 @@
 from godwitpath.gateway.calls import CallerFields, EngineVerdict, SendFields
 from godwitpath.gateway.engines import EngineBook
 from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.instruments import Instruments
 from godwitpath.gateway.placing import Placer
 from godwitpath.gateway.retry_budget import RepeatBudget
 from godwitpath.gateway.settings import GatewaySettings
@@ -41,7 +41,7 @@
     """Everything that the requests of one daemon share.
 
     :ivar quota_share: part of an account's rate that this daemon may use by itself
-    :ivar counts: requests by route, outcome and reason
+    :ivar instruments: what is counted and measured
     """
 
     settings: GatewaySettings
@@ -55,4 +55,4 @@
     pool: ConnectionPool
     rng: Random
     quota_share: Callable[[], float] = lambda: 1.0
-    counts: Counter[tuple[str, str, str]] = field(default_factory=Counter)
+    instruments: Instruments = field(default_factory=Instruments)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -20,6 +20,7 @@
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.intake import Intake
 from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.metrics_page import MetricsPage
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placing import Placer
 from godwitpath.gateway.readiness import Readiness
@@ -91,6 +92,7 @@
             self._peers.silence_s,
         )
         self._duties = self._make_duties(wire)
+        self._metrics = MetricsPage(self._ctx, wire, self._catalogue, self._peers, self._holder)
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
         self._closed = False
@@ -117,6 +119,7 @@
         address = settings.caller_address
         server = await listen(address.host, address.port, policy, self._connections)
         ready = await self._readiness.listen(settings.readiness_address)
+        metrics = await self._metrics.listen(settings.metrics_address)
         decision("started", version=__version__, zone=settings.zone)
         await self._peers.start()
         jobs = [
@@ -136,6 +139,8 @@
         self._peers.close()
         server.close()
         ready.close()
+        if metrics is not None:
+            metrics.close()
         for task in work:
             task.cancel()
         for task in work:
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -49,10 +49,10 @@
             response = await _exchange(ctx, call, send)
         except NotSent as error:
             unreachable += 1
-            note_failure(call, engine, "unreachable", error)
+            note_failure(ctx, call, engine, "unreachable", error)
             continue
         except (ResponseLost, TimeoutError) as error:
-            note_failure(call, engine, "response_lost", error)
+            note_failure(ctx, call, engine, "response_lost", error)
             if call.time_left_s() <= 0 or not may_repeat(ctx, call):
                 break
             continue
@@ -60,9 +60,10 @@
         if response.verdict.not_run:
             call.may_have_run = send.doubt_before
             if not response.verdict.wrong_engine:
-                note_full(engine, response.verdict)
+                note_full(ctx, call, engine, response.verdict)
         elif response.head.status < 500:
             engine.health.succeeded()
+            ctx.instruments.sends[(call.service.name, "answered")] += 1
             _deliver(ctx, call, response)
             return
         if not may_repeat(ctx, call):
@@ -114,8 +115,11 @@
     return ctx.repeats.spend(call.service.name, asyncio.get_running_loop().time())
 
 
-def note_failure(call: Call, engine: Engine, kind: str, error: Exception) -> None:
+def note_failure(
+    ctx: GatewayContext, call: Call, engine: Engine, kind: str, error: Exception
+) -> None:
     """Hold a failure against an engine and say so."""
+    ctx.instruments.sends[(call.service.name, kind)] += 1
     put_out = engine.health.failed(asyncio.get_running_loop().time())
     decision(
         "engine_failed",
@@ -128,8 +132,9 @@
     )
 
 
-def note_full(engine: Engine, verdict: EngineVerdict) -> None:
+def note_full(ctx: GatewayContext, call: Call, engine: Engine, verdict: EngineVerdict) -> None:
     """Leave an engine that refused for a moment."""
+    ctx.instruments.sends[(call.service.name, "not_run")] += 1
     now_s = asyncio.get_running_loop().time()
     engine.full_until_s = now_s + (verdict.retry_after_s or RETRY_AFTER_S)
 
@@ -141,7 +146,7 @@
 
 def _deliver(ctx: GatewayContext, call: Call, response: PlainResponse) -> None:
     head = response.head
-    ctx.counts[(call.route.name, "engine", str(head.status))] += 1
+    ctx.instruments.answers[(call.route.name, "engine", str(head.status))] += 1
     call.responder.respond(head.status, end_to_end(head.headers), response.body, head.reason)
 
 
--- a/godwitpath/gateway/intake.py
+++ b/godwitpath/gateway/intake.py
@@ -44,6 +44,14 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a request."""
+        try:
+            await self._handle(request, responder)
+        finally:
+            took_s = asyncio.get_running_loop().time() - request.received_at_s
+            outcome = str(responder.status) if responder.finished else "unfinished"
+            self._ctx.instruments.request_s.record(took_s, outcome=outcome)
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
         ctx = self._ctx
         fields = ctx.wire.decode_caller(request.headers)
         checked = self._check(request, fields)
@@ -131,7 +139,7 @@
     def _refuse(
         self, fields: CallerFields, responder: Responder, answer: OwnAnswer, request: Request
     ) -> None:
-        self._ctx.counts[("", "own", answer.reason)] += 1
+        self._ctx.instruments.answers[("", "own", answer.reason)] += 1
         decision(
             "request_refused",
             request=fields.request_id.decode("latin-1"),
--- /dev/null
+++ b/godwitpath/gateway/metrics_page.py
@@ -0,0 +1,150 @@
+"""Serves the daemon's metrics as text, in the form of Prometheus.
+
+The metrics library is loaded in a thread when the page is first asked for: a restart in the middle
+of a day does not wait for it, and a daemon that nobody looks at does without its memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from godwitpath import __version__
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.holder import DutyHolder
+from godwitpath.gateway.peers import Peers
+from godwitpath.http1.messages import Request
+from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.platform.wire import PlatformWire
+from godwitpath.ports.engine import Address
+from godwitpath.telemetry.decisions import decision
+
+if TYPE_CHECKING:
+    from godwitpath.telemetry.metrics import Metrics
+
+Readings = Iterable[tuple[float, dict[str, str]]]
+
+
+class MetricsPage:
+    """The metrics address of one daemon."""
+
+    def __init__(
+        self,
+        ctx: GatewayContext,
+        wire: PlatformWire,
+        catalogue: Catalogue,
+        peers: Peers,
+        holder: DutyHolder,
+    ) -> None:
+        self._ctx = ctx
+        self._wire = wire
+        self._catalogue = catalogue
+        self._peers = peers
+        self._holder = holder
+        self._metrics: Metrics | None = None
+        self._connections: set[ServerConnection] = set()
+
+    async def listen(self, address: Address) -> asyncio.Server | None:
+        """Answer on an address; a daemon serves without metrics where that is taken."""
+        limits = CallerLimits()
+        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        try:
+            return await listen(address.host, address.port, policy, self._connections)
+        except OSError as error:
+            decision("metrics_not_served", address=str(address), reason=str(error))
+            return None
+
+    async def _answer(self, request: Request, responder: Responder) -> None:
+        text, content_type = await asyncio.to_thread(self._render)
+        responder.respond(200, [(b"content-type", content_type.encode())], text)
+
+    def _render(self) -> tuple[bytes, str]:
+        from godwitpath.telemetry.metrics import Metrics
+
+        if self._metrics is None:
+            metrics = Metrics(self._ctx.settings.name, __version__)
+            self._register(metrics)
+            self._metrics = metrics
+        return self._metrics.render()
+
+    def _register(self, metrics: Metrics) -> None:
+        instruments = self._ctx.instruments
+        for histogram in (instruments.request_s, instruments.first_event_s, instruments.connect_s):
+            metrics.adopt_histogram(histogram)
+        counted = (
+            ("answers", "{answer}", "Answers to callers: who gave them, and why?", self._answers),
+            ("sends", "{send}", "Sends to engines by outcome: which service fails?", self._sends),
+            ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
+            ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
+        )
+        for name, unit, description, read in counted:
+            metrics.observed_counter(f"godwitpath.gateway.{name}", unit, description, read)
+        shown: tuple[tuple[str, str, str, Callable[[], float | Readings]], ...] = (
+            ("engines", "{engine}", "Engines by service, state and kind.", self._engines),
+            ("running", "{request}", "Own requests at engines, by service.", self._running),
+            ("configuration.revision", "{revision}", "Store revision in force.", self._revision),
+            ("store.silent", "s", "Time since the store last answered.", self._silent),
+            ("duty.fence", "{token}", "Fencing token of the duties, 0 for none.", self._fence),
+            ("peers.heard", "{daemon}", "Other daemons heard of lately.", self._heard),
+        )
+        for name, unit, description, observe in shown:
+            metrics.gauge(f"godwitpath.gateway.{name}", unit, description, observe)
+
+    def _answers(self) -> Readings:
+        for (route, by, reason), count in list(self._ctx.instruments.answers.items()):
+            yield count, {"route": route, "by": by, "reason": reason}
+
+    def _sends(self) -> Readings:
+        for (service, outcome), count in list(self._ctx.instruments.sends.items()):
+            yield count, {"service": service, "outcome": outcome}
+
+    def _calls(self) -> Readings:
+        clients = [("store", self._wire.store.calls)]
+        if self._wire.cloud is not None:
+            clients.append(("cloud", self._wire.cloud.calls))
+        for client, calls in clients:
+            for (kind, outcome), count in list(calls.items()):
+                yield count, {"client": client, "kind": kind, "outcome": outcome}
+
+    def _tokens(self) -> Readings:
+        for service, tokens in list(self._ctx.placer.read_tokens.items()):
+            yield tokens, {"service": service}
+
+    def _engines(self) -> Readings:
+        counts: dict[tuple[str, str, str], int] = {}
+        for engine in list(self._ctx.engines.all()):
+            entry = engine.entry
+            kind = "reclaimable" if entry.reclaimable else "lasting"
+            key = (entry.service, entry.state.value, kind)
+            counts[key] = counts.get(key, 0) + 1
+        for (service, state, kind), count in counts.items():
+            yield count, {"service": service, "state": state, "kind": kind}
+
+    def _running(self) -> Readings:
+        counts: dict[str, int] = {}
+        for engine in list(self._ctx.engines.all()):
+            service = engine.entry.service
+            counts[service] = counts.get(service, 0) + engine.running
+        for service, count in counts.items():
+            yield count, {"service": service}
+
+    def _revision(self) -> float:
+        return self._ctx.in_force.revision
+
+    def _silent(self) -> Readings:
+        now_s = self._peers.now_s()
+        for name, follower in (
+            ("configuration", self._catalogue.configuration),
+            ("engines", self._catalogue.entries),
+        ):
+            if follower.synced_at_s is not None:
+                yield now_s - follower.synced_at_s, {"keys": name}
+
+    def _fence(self) -> float:
+        proof = self._holder.proof()
+        return proof.token if proof is not None else 0
+
+    def _heard(self) -> float:
+        return len(self._peers.heard())
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -35,6 +35,9 @@
 REPORT_S = 0.4
 """Time between two reports."""
 
+URGENT_S = 0.1
+"""Shortest time between two reports, where an account nears its quota."""
+
 HEARD_S = 1.6
 """Time after which a daemon that sent no report counts as not heard: four reports."""
 
@@ -123,6 +126,10 @@
             self._server.close()
         self._pool.close()
 
+    def now_s(self) -> float:
+        """Return the loop's time, also for other threads."""
+        return self._loop.time()
+
     def heard(self) -> set[str]:
         """Return the daemons that were heard lately."""
         since_s = self._loop.time() - HEARD_S
@@ -230,12 +237,19 @@
 
     async def _report(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_S * (0.9 + 0.2 * self._ctx.rng.random()))
+            await asyncio.sleep(URGENT_S)
+            pause_s = REPORT_S * (0.9 + 0.2 * self._ctx.rng.random()) - URGENT_S
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._ctx.quota.urgent.wait()
+            except TimeoutError:
+                pass
             self._forget_silent()
             self._correct_clock()
             secret = self._members.secret
             if not secret or self._transport is None:
                 continue
+            self._ctx.quota.told()
             self._number += 1
             data = seal(secret, msgspec.msgpack.encode(self._own_report()))
             for entry in self._members.entries.values():
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -33,6 +33,14 @@
 FOREIGN_REGION_COST_S = 0.05
 """What a request to another region costs beside its time: bytes between regions are paid for."""
 
+READ_WEIGHT = 2.0
+"""Weight of the time to read a prompt against the time it waits: reading again also delays whoever
+comes after, about as long as it takes."""
+
+CROWDING_S = 0.1
+"""What a full batch counts as beside the wait: its steps, and the pauses of its streams, are
+longer by about that much."""
+
 HOME_BONUS = 0.5
 """Part of a prompt's shared tokens that its home engine is taken to hold when nothing is known."""
 
@@ -195,9 +203,10 @@
         wait_s = engine.all_prompt_tokens / READ_TOKENS_PER_S + over * STEP_S * 20
         first_s = (wait_s + read_tokens / READ_TOKENS_PER_S + STEP_S) * pace
         first_s += self.distance_s(engine) * 2
+        burden_s = (READ_WEIGHT - 1) * read_tokens / READ_TOKENS_PER_S * pace
         # Reading a prompt also delays the tokens of the streams that run beside it.
         crowding = engine.all_running / slots
-        weight = first_s + 0.1 * crowding
+        weight = first_s + burden_s + CROWDING_S * crowding
         if self.distance_s(engine) >= OTHER_REGION_S:
             weight += FOREIGN_REGION_COST_S
         return Place(engine, read_tokens, first_s, weight)
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -51,7 +51,10 @@
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.01, call.time_left_s()))
         # A request that may not be repeated never risks a connection that may have gone.
         fresh = not call.route.repeatable
+        loop = asyncio.get_running_loop()
+        asked_at_s = loop.time()
         self._connection = await ctx.pool.take(address.host, address.port, timeout_s, fresh)
+        ctx.instruments.connect_s.record(loop.time() - asked_at_s, service=call.service.name)
         left_s = call.time_left_s()
         if left_s <= 0.005:
             raise NotSent("no time left")
@@ -71,7 +74,7 @@
             write_request(request.method, request.target, headers) + request.body,
             accept=lambda head: ctx.wire.read_verdict(head, call.fields.request_id).belongs,
         )
-        self.sent_at_s = asyncio.get_running_loop().time()
+        self.sent_at_s = loop.time()
         call.attempts += 1
         call.may_have_run = True
         if call.prompt is not None:
--- a/godwitpath/gateway/settings.py
+++ b/godwitpath/gateway/settings.py
@@ -67,6 +67,7 @@
     :ivar zone_regions: region of each availability zone
     :ivar caller_address: where callers connect
     :ivar readiness_address: where the balancer asks whether the daemon is ready
+    :ivar metrics_address: where metrics are served
     :ivar peer_ports: first and last port for traffic between daemons
     :ivar cloud_address: API for usage reports and orders of engines, None without one
     :ivar duties: names of the duties that the deployment wants done
@@ -79,6 +80,7 @@
     zone_regions: Mapping[str, str]
     caller_address: Address
     readiness_address: Address
+    metrics_address: Address
     peer_ports: tuple[int, int]
     store_address: Address
     store: StoreRates
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -61,23 +61,24 @@
                 last = await _run(ctx, call, send, progress, place)
         except NotSent as error:
             unreachable += 1
-            note_failure(call, engine, "unreachable", error)
+            note_failure(ctx, call, engine, "unreachable", error)
             continue
         except TimeoutError as error:
-            note_failure(call, engine, "late", error)
+            note_failure(ctx, call, engine, "late", error)
             break
         except ResponseLost as error:
-            note_failure(call, engine, "stream_broken", error)
+            note_failure(ctx, call, engine, "stream_broken", error)
             if call.time_left_s() <= 0 or not may_repeat(ctx, call):
                 break
             continue
         if last is None:
             engine.health.succeeded()
+            ctx.instruments.sends[(call.service.name, "answered")] += 1
             return
         if last.verdict.not_run:
             call.may_have_run = send.doubt_before
             if not last.verdict.wrong_engine:
-                note_full(engine, last.verdict)
+                note_full(ctx, call, engine, last.verdict)
         if not may_repeat(ctx, call):
             break
     _give_up(ctx, call, last)
@@ -129,7 +130,7 @@
         if not call.responder.started:
             _start(call, head)
         call.responder.finish()
-        ctx.counts[(call.route.name, "engine", str(head.status))] += 1
+        ctx.instruments.answers[(call.route.name, "engine", str(head.status))] += 1
         whole = head
         return None
     finally:
@@ -154,6 +155,7 @@
 
 def _note_began(ctx: GatewayContext, call: Call, send: Send, place: Place, took_s: float) -> None:
     send.first_token()
+    ctx.instruments.first_event_s.record(took_s, service=call.service.name)
     place.engine.measured(took_s, max(0.02, place.first_token_s))
     if call.account is not None:
         ctx.usage.note_started(call.account.name)
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -118,7 +118,6 @@
         """End the connection, whatever is under way."""
         self.reusable = False
         if self._transport is not None and not self._transport.is_closing():
-            # A reset tells the server at once that nobody reads the rest.
             self._transport.abort()
 
     @property
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -21,6 +23,9 @@
 WRITE_HIGH_BYTES = 262_144
 """Unsent bytes of a response beyond which its source is paused."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of `SO_LINGER` by which a connection ends with a reset."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -71,6 +76,7 @@
         self._connection = connection
         self._request = request
         self._chunked = False
+        self._framed = False
         self._close_after = False
 
     def start(self, status: int, reason: bytes, headers: Headers, length_bytes: int | None) -> None:
@@ -95,6 +101,7 @@
             fields.append((b"connection", b"close"))
         elif self._request.version == "1.0":
             fields.append((b"connection", b"keep-alive"))
+        self._framed = self._chunked or length_bytes is not None or bodiless
         self._close_after = not keep
         self.started = True
         self.status = status
@@ -124,7 +131,7 @@
     def abort(self) -> None:
         """End the connection before the response is complete."""
         if not self.finished:
-            self._connection.cut(reset=not self._chunked)
+            self._connection.cut(reset=not self._framed)
 
     async def drain(self) -> None:
         """Wait until the caller has taken most of what was written."""
@@ -184,11 +191,17 @@
             self._closing = True
 
     def cut(self, reset: bool) -> None:
-        """End the connection in the middle of a response."""
+        """End the connection in the middle of a response.
+
+        :param reset: whether an orderly end would make the response look complete
+        """
         self._closing = True
         if self._transport is None:
             return
         if reset:
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
             self._transport.abort()
         else:
             self._transport.close()
@@ -322,7 +335,7 @@
         finally:
             self._task = None
             if not responder.finished:
-                self.cut(reset=True)
+                responder.abort()
             elif self._closing:
                 self._end_after_answer()
             else:
--- a/godwitpath/platform/settings.py
+++ b/godwitpath/platform/settings.py
@@ -16,6 +16,12 @@
 from godwitpath.gateway.settings import Bounds, GatewaySettings, StoreRates
 from godwitpath.ports.engine import Address
 
+METRICS_VARIABLE = "GODWITPATH_METRICS_PORT"
+"""Environment variable with another port for metrics, where several daemons share an address."""
+
+METRICS_PORT = 9464
+"""Port for metrics that the deploy file names; the usual one for this form."""
+
 SETTINGS_VARIABLE = "GODWITPATH_SETTINGS"
 """Environment variable that holds the path of the settings file."""
 
@@ -150,6 +156,7 @@
         zone_regions=dict(raw.zones),
         caller_address=_required(raw.listen.frontend),
         readiness_address=_required(raw.listen.readiness),
+        metrics_address=Address(raw.ip, int(os.environ.get(METRICS_VARIABLE, METRICS_PORT))),
         peer_ports=(first, last),
         store_address=_required(raw.platform.address),
         store=StoreRates(
--- a/godwitpath/telemetry/metrics.py
+++ b/godwitpath/telemetry/metrics.py
@@ -87,6 +87,24 @@
             self._histograms[name] = histogram
         return histogram
 
+    def adopt_histogram(self, histogram: Histogram) -> None:
+        """Show a histogram that was made elsewhere."""
+        self._histograms[histogram.name] = histogram
+
+    def observed_counter(
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        callback: Callable[[], Iterable[tuple[float, dict[str, str]]]],
+    ) -> None:
+        """Read the values of a counter that is kept elsewhere whenever metrics are collected."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(value, attributes) for value, attributes in callback()]
+
+        self._meter.create_observable_counter(name, [observe], unit, description)
+
     def gauge(
         self, name: str, unit: str, description: str, callback: Callable[[], Readings]
     ) -> None:
--- /dev/null
+++ b/godwitpath_standin/gateway/cloud.py
@@ -0,0 +1,66 @@
+"""The platform's cloud API for tests: it remembers what it accepted, and checks fences."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from godwitpath.gateway.cloud import CloudRefused, CloudUncertain, DutyProof, FencedOff
+
+
+@dataclass(slots=True)
+class FakeCloud:
+    """A cloud.
+
+    :ivar usage: accepted counts by window, every distinct one
+    :ivar orders: accepted orders: service, zone, reclaimable, count
+    :ivar none_to_be_had: zones without reclaimable engines
+    :ivar down: whether calls are refused
+    :ivar lose: next calls that are done and not answered
+    :ivar on_order: told of each accepted order
+    """
+
+    usage: dict[int, list[dict[str, int]]] = field(default_factory=dict)
+    orders: list[tuple[str, str, bool, int]] = field(default_factory=list)
+    calls: list[DutyProof] = field(default_factory=list)
+    none_to_be_had: set[str] = field(default_factory=set)
+    down: bool = False
+    lose: int = 0
+    on_order: Callable[[str, str, bool, int], None] | None = None
+    _highest: int = 0
+
+    async def report_usage(
+        self, proof: DutyProof, window: int, requests: Mapping[str, int]
+    ) -> None:
+        await self._call(proof)
+        reports = self.usage.setdefault(window, [])
+        if dict(requests) not in reports:
+            reports.append(dict(requests))
+        self._answer()
+
+    async def order_engines(
+        self, proof: DutyProof, service: str, zone: str, count: int, reclaimable: bool
+    ) -> bool:
+        await self._call(proof)
+        if reclaimable and zone in self.none_to_be_had:
+            return False
+        self.orders.append((service, zone, reclaimable, count))
+        if self.on_order is not None:
+            self.on_order(service, zone, reclaimable, count)
+        self._answer()
+        return True
+
+    async def _call(self, proof: DutyProof) -> None:
+        await asyncio.sleep(0.005)
+        if self.down:
+            raise CloudRefused("down")
+        if proof.token < self._highest:
+            raise FencedOff("older token")
+        self._highest = proof.token
+        self.calls.append(proof)
+
+    def _answer(self) -> None:
+        if self.lose:
+            self.lose -= 1
+            raise CloudUncertain("answer lost")
--- /dev/null
+++ b/godwitpath_standin/gateway/store_app.py
@@ -0,0 +1,147 @@
+"""The platform's store over HTTP, in the platform's own form."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from godwitpath.gateway.store import Change, HistoryLost, Item, Precondition, Put, TxnConflict
+from godwitpath.http1.messages import Request
+from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.ports.engine import Address
+from godwitpath.ports.kv import LeaseLapsed
+from godwitpath_standin.gateway.store_core import StoreCore
+
+PAGE_ITEMS = 50
+
+
+class StoreServer:
+    """Serves a :class:`StoreCore`.
+
+    :ivar refuse_with: status that answers every call, 0 for none
+    :ivar mute: whether calls are read and not answered
+    """
+
+    def __init__(self, core: StoreCore) -> None:
+        self.core = core
+        self.refuse_with = 0
+        self.mute = False
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> Address:
+        """Listen; returns where."""
+        limits = CallerLimits()
+        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        self._server = await listen(host, port, policy, self._connections)
+        name = self._server.sockets[0].getsockname()
+        return Address(name[0], name[1])
+
+    def cut(self) -> None:
+        """End every connection."""
+        for connection in list(self._connections):
+            connection.cut(reset=True)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+
+    async def _answer(self, request: Request, responder: Responder) -> None:
+        if self.mute:
+            await asyncio.sleep(3600)
+        if self.refuse_with:
+            responder.respond(self.refuse_with, [], b"{}")
+            return
+        status, body = await self._call(request)
+        headers = [(b"content-type", b"application/json")]
+        responder.respond(status, headers, msgspec.json.encode(body))
+
+    async def _call(self, request: Request) -> tuple[int, Any]:
+        url = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        core = self.core
+        core.expire()
+        if url.path == "/kv-key":
+            item = core.items.get(query["key"])
+            return (200, _item(item) | {"currentRev": core.revision}) if item else (404, {})
+        if url.path == "/kv-range":
+            return 200, self._page(query["prefix"], query.get("after", ""))
+        if url.path == "/kv-watch":
+            return await self._watch(query)
+        if url.path == "/kv-txn":
+            return self._txn(msgspec.json.decode(request.body))
+        if url.path == "/kv-lease":
+            ttl_ms = msgspec.json.decode(request.body)["ttlMs"]
+            return 200, {"lease": core.grant(ttl_ms / 1000), "ttlMs": ttl_ms}
+        lease_id = int(url.path.rpartition("/")[2])
+        if url.path.startswith("/kv-keep/"):
+            try:
+                core.renew(lease_id)
+            except LeaseLapsed:
+                return 404, {}
+            return 200, {"ttlMs": 0}
+        core.end_lease(lease_id)
+        return 200, {}
+
+    def _page(self, prefix: str, after: str) -> dict[str, Any]:
+        items = [
+            item
+            for key, item in sorted(self.core.items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        return {
+            "entries": [_item(item) for item in items[:PAGE_ITEMS]],
+            "hasMore": len(items) > PAGE_ITEMS,
+            "currentRev": self.core.revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + int(query["waitMs"]) / 1000
+        while True:
+            try:
+                found = self.core.since(query["prefix"], int(query["after"]))
+            except HistoryLost:
+                return 410, {}
+            left_s = end_s - loop.time()
+            if found or left_s <= 0:
+                events = [_event(change) for change in found]
+                return 200, {"events": events, "currentRev": self.core.revision}
+            await self.core.wait_for_change(min(left_s, 0.1))
+            self.core.expire()
+
+    def _txn(self, body: dict[str, Any]) -> tuple[int, Any]:
+        conditions = [Precondition(row["key"], row["revision"]) for row in body["expectedRevision"]]
+        puts = [
+            Put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+            for row in body["puts"]
+        ]
+        try:
+            revision = self.core.write(conditions, puts, body.get("remove", ()))
+        except TxnConflict as conflict:
+            return 412, {"entries": [_item(item) for item in conflict.current]}
+        except LeaseLapsed:
+            return 404, {}
+        return 200, {"revision": revision}
+
+
+def _item(item: Item) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "createRevision": item.created_revision,
+        "lease": item.lease_id,
+    }
+
+
+def _event(change: Change) -> dict[str, Any]:
+    if change.item is None:
+        return {"key": change.key, "revision": change.revision, "removed": True}
+    return _item(change.item)
--- /dev/null
+++ b/godwitpath_standin/gateway/store_core.py
@@ -0,0 +1,251 @@
+"""The platform's store in memory, for tests: linearizable, with leases, history and faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from godwitpath.gateway.store import (
+    Change,
+    HistoryLost,
+    Item,
+    Listing,
+    Precondition,
+    Put,
+    TxnConflict,
+)
+from godwitpath.ports.kv import LeaseLapsed, StoreRefused, StoreUncertain
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What goes wrong; all off at first.
+
+    :ivar down: calls are refused
+    :ivar silent: calls are not answered
+    :ivar lose_writes: next writes that are done and not answered
+    :ivar late_s: time after which writes that are refused to their caller are done all the same
+    """
+
+    down: bool = False
+    silent: bool = False
+    lose_writes: int = 0
+    late_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    ends_at_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+class StoreCore:
+    """State that all clients of the store share.
+
+    :ivar calls: calls by kind
+    """
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self._history: list[Change] = []
+        self._kept_after = 0
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease = 100
+        self._changed = asyncio.Event()
+
+    def write(
+        self,
+        conditions: Sequence[Precondition],
+        puts: Sequence[Put],
+        removals: Sequence[str] = (),
+    ) -> int:
+        """Write all or nothing."""
+        self.expire()
+        for condition in conditions:
+            item = self.items.get(condition.key)
+            if (item.revision if item else 0) != condition.revision:
+                keys = [condition.key for condition in conditions]
+                raise TxnConflict([self.items[key] for key in keys if key in self.items])
+        for put in puts:
+            if put.lease_id and put.lease_id not in self._leases:
+                raise LeaseLapsed("no such lease")
+        self.revision += 1
+        for put in puts:
+            old = self.items.get(put.key)
+            created = old.created_revision if old else self.revision
+            item = Item(put.key, put.value, self.revision, created, put.lease_id)
+            self.items[put.key] = item
+            if put.lease_id:
+                self._leases[put.lease_id].keys.add(put.key)
+            self._record(Change(put.key, self.revision, item))
+        for key in removals:
+            self._remove(key)
+        return self.revision
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key as the operator or an engine does."""
+        return self.write([], [Put(key, value)])
+
+    def remove(self, key: str) -> None:
+        """Remove a key as the operator or an engine does."""
+        self.revision += 1
+        self._remove(key)
+
+    def forget_history(self) -> None:
+        """Drop all history; watches that go on from it are told so."""
+        self._kept_after = self.revision
+        self._history.clear()
+        self._wake()
+
+    def grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        self._next_lease += 1
+        now_s = asyncio.get_running_loop().time()
+        self._leases[self._next_lease] = _Lease(ttl_s, now_s + ttl_s)
+        return self._next_lease
+
+    def renew(self, lease_id: int) -> None:
+        """Renew a lease."""
+        self.expire()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            raise LeaseLapsed("no such lease")
+        lease.ends_at_s = asyncio.get_running_loop().time() + lease.ttl_s
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        lease = self._leases.pop(lease_id, None)
+        if lease is not None and lease.keys:
+            self.revision += 1
+            for key in sorted(lease.keys):
+                self._remove(key)
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        now_s = asyncio.get_running_loop().time()
+        for lease_id, lease in list(self._leases.items()):
+            if now_s >= lease.ends_at_s:
+                self.end_lease(lease_id)
+
+    def since(self, prefix: str, after: int) -> list[Change]:
+        """Return the changes of a prefix after a revision."""
+        if after < self._kept_after:
+            raise HistoryLost("history is gone")
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until something was written."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            pass
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self._record(Change(key, self.revision, None))
+
+    def _record(self, change: Change) -> None:
+        self._history.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class FakeStore:
+    """One client's view of the store, with faults of its own.
+
+    :ivar faults: what goes wrong for this client
+    """
+
+    def __init__(self, core: StoreCore, latency_s: float = 0.004) -> None:
+        self.faults = StoreFaults()
+        self._core = core
+        self._latency_s = latency_s
+
+    async def get(self, key: str) -> Item | None:
+        await self._call("get")
+        self._core.expire()
+        return self._core.items.get(key)
+
+    async def list_items(self, prefix: str) -> Listing:
+        await self._call("list")
+        self._core.expire()
+        items = [item for key, item in sorted(self._core.items.items()) if key.startswith(prefix)]
+        return Listing(items, self._core.revision)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        await self._call("watch")
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while True:
+            self._core.expire()
+            found = self._core.since(prefix, after)
+            left_s = end_s - loop.time()
+            if found or left_s <= 0:
+                return found, self._core.revision
+            await self._core.wait_for_change(min(left_s, 0.1))
+            await self._call("")
+
+    async def transact(
+        self,
+        conditions: Sequence[Precondition],
+        puts: Sequence[Put] = (),
+        removals: Sequence[str] = (),
+    ) -> int:
+        if self.faults.late_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_s, self._write_late, conditions, puts, removals)
+            raise StoreUncertain("no answer")
+        await self._call("txn")
+        revision = self._core.write(conditions, puts, removals)
+        if self.faults.lose_writes:
+            self.faults.lose_writes -= 1
+            raise StoreUncertain("answer lost")
+        return revision
+
+    async def grant(self, ttl_s: float) -> int:
+        await self._call("grant")
+        return self._core.grant(ttl_s)
+
+    async def renew(self, lease_id: int) -> None:
+        await self._call("renew")
+        self._core.renew(lease_id)
+
+    async def end_lease(self, lease_id: int) -> None:
+        await self._call("end_lease")
+        self._core.end_lease(lease_id)
+
+    async def _call(self, kind: str) -> None:
+        if kind:
+            self._core.calls[kind] += 1
+        await asyncio.sleep(self._latency_s)
+        if self.faults.silent:
+            await asyncio.sleep(1.5)
+            raise StoreRefused("no answer")
+        if self.faults.down:
+            raise StoreRefused("refused")
+
+    def _write_late(
+        self,
+        conditions: Sequence[Precondition],
+        puts: Sequence[Put],
+        removals: Sequence[str],
+    ) -> None:
+        try:
+            self._core.write(conditions, puts, removals)
+        except (TxnConflict, LeaseLapsed):
+            # Its condition does not hold any more.
+            return
--- /dev/null
+++ b/test/test_gateway_parts.py
@@ -0,0 +1,433 @@
+"""Decisions and views of the gateway, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitpath.gateway.accounts import KeyIndex, QuotaBook, request_units
+from godwitpath.gateway.calls import PromptPart
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
+from godwitpath.gateway.events import EventSplitter
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.model import AccountSpec, Configuration, RequestKind, Route
+from godwitpath.gateway.peer_messages import seal, unseal
+from godwitpath.gateway.placing import Placer, PrefixMemory, Prompt
+from godwitpath.gateway.retry_budget import RepeatBudget
+from godwitpath.gateway.routes import RouteTable, choose_service
+from godwitpath.gateway.usage import UsageBook
+from godwitpath.platform import configuration as platform_configuration
+from godwitpath.platform import engines as platform_engines
+from godwitpath.ports.engine import Address
+from godwitpath.telemetry import decisions
+from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
+
+
+def route(name: str, prefix: str, services: tuple[tuple[str, int], ...] = (("s", 1),)) -> Route:
+    return Route(name, "h.example", prefix, RequestKind.IDEMPOTENT, 1.0, 0.1, 0, services)
+
+
+class TestRoutes:
+    table = RouteTable([route("a", "/a/"), route("ab", "/a/b/"), route("root", "/x/")])
+
+    @pytest.mark.parametrize(
+        ("path", "name"),
+        [("/a/", "a"), ("/a/c", "a"), ("/a/b/c/d", "ab"), ("/a/b", "a"), ("/x/a/b/", "root")],
+    )
+    def test_the_longest_prefix_wins(self, path: str, name: str) -> None:
+        found = self.table.find(b"H.example:80", path)
+        assert found is not None
+        assert found.name == name
+
+    @pytest.mark.parametrize("path", ["/", "/a", "/ab/", "", "a/", "//a/"])
+    def test_other_paths_have_none(self, path: str) -> None:
+        assert self.table.find(b"h.example", path) is None
+
+    def test_weights_share_the_requests_and_every_daemon_chooses_alike(self) -> None:
+        split = route("r", "/", (("new", 10), ("old", 90)))
+        chosen = [choose_service(split, b"%d" % number) for number in range(5000)]
+        assert chosen.count("new") / 5000 == pytest.approx(0.1, abs=0.02)
+        assert choose_service(split, b"7") == choose_service(split, b"7")
+
+    def test_a_weight_of_zero_gets_nothing(self) -> None:
+        split = route("r", "/", (("none", 0), ("all", 5)))
+        assert {choose_service(split, b"%d" % n) for n in range(200)} == {"all"}
+
+
+class TestEvents:
+    @given(st.lists(st.integers(0, 999), max_size=20), st.integers(1, 40))
+    def test_pieces_of_any_size_give_the_same_events(self, ids: list[int], size: int) -> None:
+        data = b"".join(b"id: %d\ndata: {}\n\n" % number for number in ids)
+        splitter = EventSplitter()
+        events = [
+            event
+            for start in range(0, len(data), size)
+            for event in splitter.feed(data[start : start + size])
+        ]
+        assert [event.event_id for event in events] == ids
+        assert b"".join(event.data for event in events) == data
+        assert splitter.rest == b""
+
+    def test_half_an_event_is_kept_back(self) -> None:
+        splitter = EventSplitter()
+        assert len(splitter.feed(b"data: 1\n\nid: 2\nda")) == 1
+        assert splitter.rest == b"id: 2\nda"
+
+
+class TestAccounts:
+    def test_a_key_finds_its_account(self) -> None:
+        index = KeyIndex([AccountSpec("a", ("k1", "k2")), AccountSpec("b", ("k3",))])
+        found = index.find(b"k2")
+        assert found is not None
+        assert found.name == "a"
+        assert index.find(b"k4") is None
+        assert index.find(b"") is None
+
+    def test_units_are_requests_or_tokens(self) -> None:
+        tokens = AccountSpec("a", (), counts_tokens=True, plain_tokens=200)
+        assert request_units(tokens, True, 1540) == 1540
+        assert request_units(tokens, False, 0) == 200
+        assert request_units(AccountSpec("a", ()), True, 1540) == 1
+
+
+class Fleet:
+    """Daemons that hold an account to its quota and tell one another of it every 0.4 s."""
+
+    def __init__(self, daemons: int, spec: AccountSpec) -> None:
+        self.books = [QuotaBook() for _ in range(daemons)]
+        self.spec = spec
+        self.told = [0.0] * daemons
+        self.passed: list[tuple[float, float]] = []
+
+    def run(self, seconds: float, units_per_s: float, share: float, talk: bool) -> None:
+        rng = Random(5)
+        step_s = 0.05
+        for step in range(int(seconds / step_s)):
+            now_s = step * step_s
+            for book in self.books:
+                units = 1000.0
+                offered = units_per_s * step_s / len(self.books) / units
+                for _ in range(int(offered + rng.random())):
+                    if not book.take(self.spec, units, share, now_s):
+                        self.passed.append((now_s, units))
+            if talk and step % 8 == 0:
+                self.tell()
+
+    def tell(self) -> None:
+        for index, book in enumerate(self.books):
+            used = book.used.get(self.spec.name, 0.0)
+            fresh, self.told[index] = used - self.told[index], used
+            for other in self.books:
+                if other is not book:
+                    other.note_peer_use(self.spec.name, fresh)
+
+    def most(self, window_s: float) -> float:
+        return max(
+            sum(units for at_s, units in self.passed if start_s <= at_s < start_s + window_s)
+            for start_s, _ in self.passed
+        )
+
+
+class TestQuota:
+    spec = AccountSpec("a", (), rate_per_s=60_000, burst=70_000, counts_tokens=True)
+    bound = (60_000 * 8 + 70_000) * 1.1 + 110_000
+
+    @pytest.mark.parametrize("daemons", [1, 6, 8, 30])
+    def test_the_sum_over_all_daemons_holds_under_six_times_the_load(self, daemons: int) -> None:
+        fleet = Fleet(daemons, self.spec)
+        fleet.run(24.0, 360_000, 1.0, talk=True)
+        assert fleet.most(8.0) <= self.bound
+        assert fleet.most(8.0) >= 60_000 * 8 * 0.9
+
+    def test_daemons_that_hear_nobody_keep_to_their_share(self) -> None:
+        fleet = Fleet(8, self.spec)
+        fleet.run(24.0, 360_000, 1 / 8, talk=False)
+        assert fleet.most(8.0) <= self.bound
+
+    def test_a_load_within_the_quota_is_not_refused(self) -> None:
+        fleet = Fleet(8, self.spec)
+        fleet.run(24.0, 40_000, 1.0, talk=True)
+        assert sum(units for _, units in fleet.passed) / 24.0 == pytest.approx(40_000, rel=0.15)
+
+    def test_a_request_larger_than_the_burst_passes_a_full_bucket(self) -> None:
+        book = QuotaBook()
+        assert book.take(self.spec, 500_000, 1.0, 0.0) == 0.0
+        assert book.take(self.spec, 1, 1.0, 0.1) == pytest.approx(7.07, abs=0.1)
+
+
+class TestRepeats:
+    @pytest.mark.parametrize("daemons", [1, 8])
+    def test_repeats_stay_within_the_written_budget(self, daemons: int) -> None:
+        budget = RepeatBudget(0.2, 10.0, 56.0)
+        budget.daemons = daemons
+        spent = []
+        for step in range(4000):
+            now_s = step * 0.01
+            if step % 10 == 0:
+                budget.note_first("s", now_s)
+            if budget.spend("s", now_s):
+                spent.append(now_s)
+        for start_s in range(30):
+            count = sum(start_s <= at_s < start_s + 10 for at_s in spent)
+            assert count <= 0.2 * 100 + 56 / daemons
+
+
+def engines(count: int, zones: str = "abc", slots: int = 64) -> list[EngineEntry]:
+    return [
+        EngineEntry(
+            f"e{n}", "lm", Address("h", n), zones[n % len(zones)], EngineState.READY, slots, 1
+        )
+        for n in range(count)
+    ]
+
+
+def prompt(document: int, own: int = 2000) -> Prompt:
+    parts = (
+        PromptPart(f"common{document % 4}", 2500),
+        PromptPart(f"document{document}", 3800),
+        PromptPart(f"own{own}{document}", own),
+    )
+    return Prompt(2500 + 3800 + own, 50, parts)
+
+
+@pytest.mark.looptime
+class TestPlacing:
+    async def test_daemons_send_a_document_to_one_engine_without_talking(self) -> None:
+        book = EngineBook()
+        for entry in engines(5, "a"):
+            book.put(entry)
+        chosen = set()
+        for _ in range(6):
+            placer = Placer("a", "r", {"a": "r"})
+            place = placer.place_generation(prompt(7), book.usable("lm", 0.0), 232_000)[0]
+            chosen.add(place.engine.entry.engine_id)
+        assert len(chosen) == 1
+
+    async def test_a_busy_home_is_left_when_reading_again_is_quicker(self) -> None:
+        book = EngineBook()
+        for entry in engines(3, "a"):
+            book.put(entry)
+        placer = Placer("a", "r", {"a": "r"})
+        home = placer.place_generation(prompt(7), book.usable("lm", 0.0), 232_000)[0].engine
+        placer.note_sent(prompt(7), home, 8000, 232_000)
+        home.prompt_tokens = 3000
+        assert placer.place_generation(prompt(7), book.usable("lm", 0.0), 232_000)[0].engine is home
+        home.prompt_tokens = 30_000
+        other = placer.place_generation(prompt(7), book.usable("lm", 0.0), 232_000)[0]
+        assert other.engine is not home
+
+    async def test_a_new_and_empty_engine_is_used_at_once(self) -> None:
+        book = EngineBook()
+        for entry in engines(2, "a"):
+            book.put(entry)
+        for engine in book.all():
+            engine.prompt_tokens = 20_000
+        placer = Placer("a", "r", {"a": "r"})
+        new = EngineEntry("new", "lm", Address("h", 9), "a", EngineState.READY, 64, 2)
+        book.put(new)
+        places = placer.place_generation(prompt(3), book.usable("lm", 0.0), 232_000)
+        assert places[0].engine.entry is new
+
+    async def test_tokens_read_again_under_the_heaviest_load(self) -> None:
+        """35 prompts a second of 160 documents, five engines: affinity against least work."""
+
+        def read_tokens(affinity: bool) -> int:
+            rng, total = Random(11), 0
+            book = EngineBook()
+            for entry in engines(5, "a"):
+                book.put(entry)
+            placers = [Placer("a", "r", {"a": "r"}) for _ in range(6)]
+            held = {entry.entry.engine_id: PrefixMemory(180_000) for entry in book.all()}
+            for number in range(2000):
+                for engine in book.all():
+                    engine.prompt_tokens = max(0, engine.prompt_tokens - 38_700 // 35)
+                one = prompt(int(160 * rng.random() ** 1.3), 1000 + number)
+                placer = rng.choice(placers)
+                usable = book.usable("lm", 0.0)
+                if affinity:
+                    chosen = placer.place_generation(one, usable, 232_000)[0].engine
+                    for each in placers:
+                        each.note_peer_prompt(chosen, one.shared, 232_000)
+                else:
+                    chosen = min(usable, key=lambda each: each.prompt_tokens)
+                memory = held[chosen.entry.engine_id]
+                read = one.tokens - memory.held(one.parts)
+                memory.note(one.parts)
+                chosen.prompt_tokens += read
+                total += read
+            return total
+
+        assert read_tokens(affinity=True) < 0.75 * read_tokens(affinity=False)
+
+    async def test_a_plain_call_stays_in_its_zone_until_that_is_busy(self) -> None:
+        book = EngineBook()
+        for entry in engines(3, slots=6):
+            book.put(entry)
+        placer = Placer("a", "r", {"a": "r", "b": "r", "c": "far"})
+        usable = book.usable("lm", 0.0)
+        assert placer.place_call(usable)[0].entry.zone == "a"
+        usable[0].running = 8
+        assert placer.place_call(usable)[0].entry.zone == "b"
+
+
+class TestEngineBook:
+    def test_a_new_start_under_an_old_id_is_another_engine(self) -> None:
+        book = EngineBook()
+        [entry] = engines(1)
+        book.put(entry)
+        known = book.get("e0")
+        assert known is not None
+        known.running = 5
+        again = EngineEntry("e0", "lm", entry.address, "a", EngineState.READY, 64, 2)
+        assert book.put(again)
+        fresh = book.get("e0")
+        assert fresh is not None
+        assert fresh.running == 0
+        assert not book.put(again)
+
+
+class Wire:
+    """The platform's keys and formats."""
+
+    configuration_key = platform_configuration.CONFIGURATION_KEY
+    configuration_prefix = platform_configuration.CONFIGURATION_PREFIX
+    engines_prefix = platform_engines.ENGINES_PREFIX
+    decode_configuration = staticmethod(platform_configuration.decode_configuration)
+    decode_entry = staticmethod(platform_engines.decode_entry)
+
+
+class View:
+    """A catalogue that follows a store."""
+
+    def __init__(self) -> None:
+        self.core = StoreCore()
+        self.store = FakeStore(self.core)
+        self.in_force = ConfigurationInForce()
+        self.book = EngineBook()
+        self.catalogue = Catalogue(self.store, Wire(), self.in_force, self.book, Random(1))
+        self.task = asyncio.create_task(self.catalogue.run())
+
+    def start(self, engine_id: str, **fields: object) -> None:
+        self.core.put(f"servers/{engine_id}", EngineStandin(engine_id).entry("lm", **fields))
+
+    def ids(self) -> list[str]:
+        return sorted(each.entry.engine_id for each in self.book.usable("lm", 0.0))
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+@pytest.mark.looptime
+class TestCatalogue:
+    async def test_changes_are_known_at_once_and_survive_lost_history(self) -> None:
+        view = View()
+        view.start("i1", address="h:1")
+        await asyncio.sleep(0.5)
+        assert view.ids() == ["i1"]
+        view.store.faults.down = True
+        view.start("i2", address="h:2")
+        view.core.forget_history()
+        await asyncio.sleep(1.0)
+        view.store.faults.down = False
+        await asyncio.sleep(1.5)
+        assert view.ids() == ["i1", "i2"]
+        await view.stop()
+
+    async def test_entries_that_lapsed_with_the_store_have_two_seconds_to_return(self) -> None:
+        view = View()
+        view.start("i1", address="h:1")
+        view.start("i2", address="h:2")
+        await asyncio.sleep(0.5)
+        view.store.faults.down = True
+        view.core.remove("servers/i1")
+        view.core.remove("servers/i2")
+        await asyncio.sleep(4.0)
+        view.store.faults.down = False
+        await asyncio.sleep(1.5)
+        assert view.ids() == ["i1", "i2"]
+        view.start("i2", address="h:2", sequence=9)
+        await asyncio.sleep(2.5)
+        assert view.ids() == ["i2"]
+        await view.stop()
+
+    async def test_a_removed_entry_is_gone_at_once_while_the_store_is_up(self) -> None:
+        view = View()
+        view.start("i1", address="h:1")
+        await asyncio.sleep(0.5)
+        view.core.remove("servers/i1")
+        await asyncio.sleep(0.2)
+        assert view.ids() == []
+        await view.stop()
+
+    async def test_a_silent_watch_is_noticed_in_time_for_a_configuration(self) -> None:
+        view = View()
+        await asyncio.sleep(0.5)
+        view.store.faults.silent = True
+        await asyncio.sleep(3.0)
+        assert view.catalogue.configuration.lost_at_s is not None
+        await view.stop()
+
+
+def test_a_configuration_never_goes_back() -> None:
+    in_force = ConfigurationInForce()
+    newer = Configuration(9, 20, (), {}, ())
+    assert in_force.apply(newer, b"n", "store")
+    assert not in_force.apply(Configuration(8, 15, (), {}, ()), b"o", "peer")
+    assert in_force.current is newer
+
+
+def test_a_jump_of_the_clock_moves_no_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = {"wall": 1_000_000.0, "boot": 50.0}
+    monkeypatch.setattr("time.time", lambda: now["wall"])
+    monkeypatch.setattr("time.clock_gettime", lambda _: now["boot"])
+    book = UsageBook(5.0)
+    book.note_started("a")
+    now["wall"] += 2400.0
+    now["boot"] += 1.0
+    book.note_started("a")
+    assert book.own == {200_000: {"a": 2}}
+
+
+def test_only_holders_of_the_secret_are_heard() -> None:
+    sealed = seal(b"s" * 32, b"payload")
+    assert unseal(b"s" * 32, sealed) == b"payload"
+    assert unseal(b"t" * 32, sealed) is None
+    assert unseal(b"s" * 32, sealed[:-1] + b"x") is None
+    assert unseal(b"s" * 32, b"") is None
+
+
+class TestDecisions:
+    def test_a_reader_that_does_not_read_costs_lines_and_no_time(self) -> None:
+        read_end, write_end = os.pipe()
+        sink = decisions.LineSink(write_end)
+        for number in range(5000):
+            sink({"message_type": "x", "number": number, "text": "y" * 100})
+        assert sink.dropped > 0
+        os.close(read_end)
+        sink({"message_type": "x"})
+        os.close(write_end)
+
+    def test_lines_of_a_kind_are_bounded_and_what_was_left_out_is_counted(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        lines: list[dict[str, object]] = []
+        now = {"s": 100.0}
+        monkeypatch.setattr("time.monotonic", lambda: now["s"])
+        monkeypatch.setattr(
+            "eliot.log_message", lambda kind, **inputs: lines.append({"kind": kind} | inputs)
+        )
+        monkeypatch.setattr(decisions, "_kinds", {})
+        for number in range(200):
+            decisions.decision("refused", number=number)
+        assert len(lines) == decisions.LINES_PER_S
+        now["s"] += 1.0
+        decisions.decision("refused", number=200)
+        assert lines[-1]["left_out"] == 200 - decisions.LINES_PER_S
--- /dev/null
+++ b/test/test_gateway_path.py
@@ -0,0 +1,310 @@
+"""The gateway as a process: what callers and engines see, also when engines fail."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import deque
+
+import pytest
+
+from godwitpath_standin.gateway.engine import Fault, Run
+from test.gateway_parts import Surroundings, ask, read_answer, surroundings
+
+PLAIN = {"d1": "desk", "d2": "desk"}
+STREAM = {"m1": "lm", "m2": "lm"}
+
+
+def stream_body(first: int, last: int) -> bytes:
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def runs(parts: Surroundings, request_id: str = "r1") -> list[Run]:
+    return [
+        run
+        for engine in parts.engines.values()
+        for run in engine.runs
+        if run.request_id == request_id.encode()
+    ]
+
+
+class TestPlain:
+    async def test_a_request_reaches_an_engine_unchanged_and_its_answer_the_caller(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            answer = await ask(
+                parts.port, "/book/x?a=1%20&b", method="POST", body=b"pay", headers={"X-Hold": "h"}
+            )
+            assert (answer.status, answer.body) == (200, b"answer to r1")
+            assert answer.headers["x-response-stamp"].startswith("stamp-d")
+            [run] = runs(parts)
+            seen = run.request
+            assert (seen.method, seen.target, seen.body) == ("POST", b"/book/x?a=1%20&b", b"pay")
+            assert seen.header(b"x-tenant") == b"hule"
+            assert not seen.header(b"api-key")
+            assert not seen.header(b"x-hold")
+            assert 0 < int(seen.header(b"x-deadline-ms")) <= 3000
+            assert seen.header(b"x-expect-instance") in (b"d1", b"d2")
+
+    async def test_a_caller_cannot_speak_for_another_account(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            await ask(parts.port, "/read/x", headers={"X-Tenant": "someone"})
+            [run] = runs(parts)
+            assert [v for n, v in run.request.headers if n == b"x-tenant"] == [b"hule"]
+
+    async def test_unknown_keys_and_routes_are_refused_and_not_run(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            assert (await ask(parts.port, "/read/x", key="wrong")).status == 401
+            assert (await ask(parts.port, "/read/x", key="")).status == 401
+            assert (await ask(parts.port, "/nothing/x")).status == 404
+            assert (await ask(parts.port, "/read/x", host="other.example")).status == 404
+            assert (await ask(parts.port, "/open/x", key="")).status == 200
+            assert len(runs(parts)) == 1
+
+    @pytest.mark.parametrize("fault", [Fault.RESET, Fault.SHORT_BODY, Fault.NO_STAMP])
+    async def test_a_lost_answer_of_a_request_that_may_not_repeat_promises_nothing(
+        self, fault: Fault
+    ) -> None:
+        async with surroundings(PLAIN) as parts:
+            for engine in parts.engines.values():
+                engine.script = deque([fault])
+            answer = await ask(parts.port, "/book/x", method="POST", body=b"1")
+            assert answer.status == 502
+            assert len(runs(parts)) == 1
+
+    @pytest.mark.parametrize("fault", [Fault.RESET, Fault.SHORT_BODY, Fault.ERROR, Fault.HANG])
+    async def test_a_request_that_may_repeat_is_sent_to_another_engine(self, fault: Fault) -> None:
+        # The budget allows a repeat only beside other requests.
+        async with surroundings(PLAIN, bounds={"retrySlack": 50}) as parts:
+            for engine in parts.engines.values():
+                engine.script = deque([fault])
+            parts.engines["d1"].script.clear()
+            answers = [await ask(parts.port, "/read/x", request_id=f"r{n}") for n in range(4)]
+            assert [answer.status for answer in answers] == [200] * 4
+
+    async def test_a_refusal_that_says_not_run_is_passed_on_as_that(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].script = deque([Fault.SHED])
+            answer = await ask(parts.port, "/book/x", method="POST", body=b"1")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert not runs(parts)
+
+    async def test_an_engine_failure_is_passed_on_as_it_is(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].script = deque([Fault.ERROR])
+            answer = await ask(parts.port, "/book/x", method="POST", body=b"1")
+            assert (answer.status, answer.body) == (500, b"failed")
+            assert answer.headers["x-response-stamp"] == "stamp-d1"
+
+    async def test_a_second_answer_reaches_no_other_request(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].script = deque([Fault.SECOND_ANSWER] * 5)
+            for number in range(6):
+                name = f"r{number}"
+                answer = await ask(parts.port, "/read/x", request_id=name)
+                assert answer.body == b"answer to " + name.encode()
+
+    async def test_a_silent_engine_costs_a_final_answer_at_the_timeout(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].script = deque([Fault.HANG])
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            answer = await ask(
+                parts.port, "/book/x", method="POST", headers={"X-Deadline-Ms": "700"}
+            )
+            assert answer.status == 504
+            assert 0.5 < loop.time() - started_s < 0.9
+
+    async def test_nobody_listening_is_certainly_not_run(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            await parts.engines["d1"].stop()
+            answer = await ask(parts.port, "/book/x", method="POST", body=b"1")
+            assert answer.status == 503
+            assert b'"no"' in answer.body
+
+    async def test_an_engine_whose_address_another_one_has_taken_runs_nothing(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].engine_id = "someone-else"
+            answer = await ask(parts.port, "/read/x")
+            assert answer.status == 503
+            assert not runs(parts)
+
+
+class TestStreams:
+    async def test_events_arrive_whole_and_as_they_come(self) -> None:
+        async with surroundings(STREAM) as parts:
+            answer = await ask(parts.port, "/stream/x", method="POST", body=b"prompt")
+            assert (answer.status, answer.complete) == (200, True)
+            assert answer.body == stream_body(1, 5)
+
+    async def test_a_broken_stream_that_may_resume_goes_on_at_another_engine(self) -> None:
+        async with surroundings(STREAM, bounds={"retrySlack": 50}) as parts:
+            for engine in parts.engines.values():
+                engine.script = deque([Fault.RESET_MID_STREAM])
+                engine.events = 9
+            answer = await ask(parts.port, "/stream/digest/x", method="POST", body=b"prompt")
+            assert answer.complete is False
+            _, second = runs(parts)
+            assert second.request.header(b"last-event-id") == b"2"
+            assert answer.body == stream_body(1, 4)
+
+    async def test_a_stream_resumed_once_ends_as_one(self) -> None:
+        async with surroundings(STREAM, bounds={"retrySlack": 50}) as parts:
+            parts.engines["m1"].script = deque([Fault.RESET_MID_STREAM])
+            parts.engines["m2"].script = deque()
+            complete = 0
+            for number in range(4):
+                answer = await ask(
+                    parts.port, "/stream/digest/x", method="POST", request_id=f"r{number}"
+                )
+                complete += answer.complete
+                assert answer.body == stream_body(1, 5)
+            assert complete == 4
+
+    async def test_a_broken_stream_that_may_not_resume_never_looks_complete(self) -> None:
+        async with surroundings(STREAM) as parts:
+            for engine in parts.engines.values():
+                engine.script = deque([Fault.RESET_MID_STREAM])
+            answer = await ask(parts.port, "/stream/x", method="POST", body=b"prompt")
+            assert answer.complete is False
+            assert answer.body == stream_body(1, 2)
+            assert len(runs(parts)) == 1
+
+    async def test_a_caller_that_leaves_ends_the_work_of_its_engine(self) -> None:
+        async with surroundings({"m1": "lm"}) as parts:
+            parts.engines["m1"].event_s = 0.2
+            with pytest.raises(TimeoutError):
+                await ask(parts.port, "/stream/x", method="POST", timeout_s=0.5)
+            await asyncio.sleep(0.2)
+            [run] = runs(parts)
+            assert run.cancelled
+
+
+class TestLimits:
+    async def test_a_request_beyond_the_bounds_gets_a_clear_status(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            large = await ask(parts.port, "/book/x", method="POST", body=b"x" * 70_000)
+            assert large.status == 413
+            wide = await ask(parts.port, "/read/x", headers={"X-Wide": "x" * 20_000})
+            assert wide.status == 431
+            assert not runs(parts)
+
+    async def test_an_account_beyond_its_quota_is_told_when_to_come_back(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            tenants = [{"name": "hule", "apiKeys": ["key-of-hule"], "ratePerS": 5, "burst": 3}]
+            parts.configure(tenants=tenants)
+            await asyncio.sleep(0.3)
+            answers = [await ask(parts.port, "/read/x", request_id=f"q{n}") for n in range(8)]
+            refused = [answer for answer in answers if answer.status == 429]
+            assert 2 <= len(refused) <= 6
+            assert all(0 < float(answer.headers["retry-after"]) <= 1 for answer in refused)
+
+
+class TestLife:
+    async def test_without_a_configuration_it_is_not_ready_and_refuses_as_not_run(self) -> None:
+        async with surroundings(PLAIN, configure=False) as parts:
+            await asyncio.sleep(1.0)
+            assert not await parts.ready()
+            answer = await ask(parts.port, "/read/x")
+            assert answer.status == 503
+
+    async def test_a_revoked_key_is_refused_and_an_older_configuration_never_returns(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            parts.configure(version=8, tenants=[{"name": "hule", "apiKeys": ["new"]}])
+            await asyncio.sleep(0.5)
+            assert (await ask(parts.port, "/read/x")).status == 401
+            assert (await ask(parts.port, "/read/x", key="new")).status == 200
+
+    async def test_it_serves_on_while_the_store_is_away_and_hears_of_changes_after(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            parts.store.refuse_with = 503
+            parts.store.cut()
+            await asyncio.sleep(0.5)
+            assert (await ask(parts.port, "/read/x")).status == 200
+            assert await parts.ready()
+            parts.configure(version=9, routes=[])
+            parts.store.refuse_with = 0
+            await asyncio.sleep(1.5)
+            assert (await ask(parts.port, "/read/x")).status == 404
+
+    async def test_a_leaving_engine_gets_no_new_requests(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            parts.register("d1", "desk", state="draining")
+            await asyncio.sleep(0.3)
+            for number in range(6):
+                await ask(parts.port, "/read/x", request_id=f"r{number}")
+            assert not parts.engines["d1"].runs
+            assert len(parts.engines["d2"].runs) == 6
+
+    async def test_a_damaged_entry_names_no_engine_and_harms_no_other(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            for value in (b"", b"\xff\xfe", b"[]", b'{"service": 3}', b'{"state":"ready"}'):
+                parts.core.put("servers/d1", value)
+            await asyncio.sleep(0.3)
+            assert (await ask(parts.port, "/read/x")).status == 200
+            assert not parts.engines["d1"].runs
+
+    async def test_told_to_stop_it_finishes_what_runs_and_refuses_late_comers(self) -> None:
+        async with surroundings({"m1": "lm"}) as parts:
+            parts.engines["m1"].events = 20
+            parts.engines["m1"].event_s = 0.1
+            running = asyncio.create_task(ask(parts.port, "/stream/x", method="POST"))
+            await asyncio.sleep(0.3)
+            parts.process.send_signal(signal.SIGTERM)
+            await parts.until_ready(False, timeout_s=1.0)
+            later = await ask(parts.port, "/stream/x", method="POST", request_id="r2")
+            answer = await running
+            assert answer.complete
+            assert answer.body == stream_body(1, 20)
+            assert later.complete
+            assert later.headers["connection"] == "close"
+            async with asyncio.timeout(8.0):
+                assert await parts.process.wait() == 0
+
+    async def test_changed_settings_are_taken_up_and_damaged_ones_refused(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            sound = parts.settings.read_text()
+            parts.settings.write_text("{broken")
+            parts.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert (await ask(parts.port, "/read/x")).status == 200
+            parts.settings.write_text(sound.replace('"leaseMs": 3000', '"leaseMs": 4000'))
+            await asyncio.sleep(1.5)
+            kinds = [line["message_type"] for line in await parts.log()]
+            assert "settings_refused" in kinds
+            assert "settings_reloaded" in kinds
+
+    async def test_pipelined_requests_are_answered_in_their_order(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            reader, writer = await asyncio.open_connection("127.0.0.1", parts.port)
+            for number in range(3):
+                head = f"GET /read/{number} HTTP/1.1\r\nHost: shop.example\r\n"
+                head += f"Api-Key: key-of-hule\r\nX-Attempt-Id: p{number}\r\n\r\n"
+                writer.write(head.encode())
+            bodies = [(await read_answer(reader)).body for _ in range(3)]
+            writer.close()
+            assert bodies == [b"answer to p0", b"answer to p1", b"answer to p2"]
+
+    async def test_metrics_tell_of_answers_engines_and_the_store(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            await ask(parts.port, "/read/x")
+            await ask(parts.port, "/read/x", key="wrong")
+            text = (await ask(parts.metrics_port, "/metrics", key="")).body.decode()
+            for part in (
+                'reason="200",route="read"',
+                'reason="unknown_key"',
+                "godwitpath_gateway_request_duration_seconds_bucket",
+                'kind="lasting",service="desk",state="ready"',
+                'client="store",kind="watch",outcome="200"',
+                "godwitpath_gateway_configuration_revision",
+            ):
+                assert part in text
+            assert "key-of-hule" not in text
+
+    async def test_each_answer_of_its_own_can_be_found_in_the_log(self) -> None:
+        async with surroundings({"d1": "desk"}) as parts:
+            parts.engines["d1"].script = deque([Fault.SHED])
+            await ask(parts.port, "/book/x", method="POST", request_id="lost-booking")
+            lines = [line for line in await parts.log() if line.get("request") == "lost-booking"]
+            assert [line["reason"] for line in lines] == ["engines_full"]
+            assert "key-of-hule" not in str(lines)
