Move streams from engines that leave; a reclaim voids an order on its way

The line for an engine's new state was never written, since the state was compared with itself. Change: 1.3 s after the notice the engine stops each stream that has shown an event and copies its memory to another engine, where the same run goes on; reclaimable engines that leave without an order are noted and their order counts as settled.

--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -25,6 +25,7 @@
     :ivar units: what it took from its account's quota
     :ivar attempts: sends that reached an engine
     :ivar may_have_run: whether a send is not known to have been refused
+    :ivar counted: whether it was counted as usage
     :ivar tried: engines that it was sent to, or that could not be reached
     """
 
@@ -40,6 +41,7 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
+    counted: bool = False
 
     @property
     def account_name(self) -> str:
--- a/godwitpath/gateway/calls.py
+++ b/godwitpath/gateway/calls.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from godwitpath.ports.engine import Address
+
 
 @dataclass(slots=True, frozen=True)
 class PromptPart:
@@ -37,6 +39,14 @@
     last_event_id: int | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class MemorySource:
+    """Memory of a run that was stopped, at the engine that ran it."""
+
+    address: Address
+    handle: str
+
+
 @dataclass(slots=True)
 class SendFields:
     """What the system says with one send to an engine.
@@ -46,6 +56,7 @@
     :ivar priority: rank at the engine, 0 first; None for the engine's default
     :ivar last_event_id: event after which a stream goes on, None from its start or as the caller
         said
+    :ivar memory: memory of the same run to go on from
     """
 
     engine_id: str
@@ -53,6 +64,7 @@
     account: str = ""
     priority: int | None = None
     last_event_id: int | None = None
+    memory: MemorySource | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -89,9 +89,10 @@
         """Take in an engine's entry."""
         self._absent.pop(entry.engine_id, None)
         known = self._engines.get(entry.engine_id)
+        state_before = known.entry.state if known is not None else None
         if not self._engines.put(entry):
             return
-        if known is None or known.entry.state is not entry.state:
+        if state_before is not entry.state:
             decision(
                 "engine_state",
                 engine=entry.engine_id,
@@ -102,7 +103,7 @@
                 leaves_in_s=entry.leaves_in_s,
                 source=source,
             )
-        if entry.state is EngineState.DRAINING:
+        if entry.state is EngineState.DRAINING and state_before is not EngineState.DRAINING:
             self._tell_leaving(entry)
 
     def drop_entry(self, engine_id: str, source: str) -> None:
--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -10,6 +10,7 @@
 from godwitpath.gateway.accounts import QuotaBook
 from godwitpath.gateway.calls import CallerFields, EngineVerdict, SendFields
 from godwitpath.gateway.engines import EngineBook
+from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.instruments import Instruments
 from godwitpath.gateway.placing import Placer
@@ -41,6 +42,7 @@
     """Everything that the requests of one daemon share.
 
     :ivar quota_share: part of an account's rate that this daemon may use by itself
+    :ivar evacuator: moves streams away from engines that leave
     :ivar instruments: what is counted and measured
     """
 
@@ -55,4 +57,5 @@
     pool: ConnectionPool
     rng: Random
     quota_share: Callable[[], float] = lambda: 1.0
+    evacuator: Evacuator | None = None
     instruments: Instruments = field(default_factory=Instruments)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -14,7 +14,8 @@
 from godwitpath.gateway.accounts import QuotaBook
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.engines import EngineBook, EngineEntry
+from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
+from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.fleet_duty import FleetDuty
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
@@ -77,6 +78,7 @@
             rng=rng,
         )
         self._catalogue = Catalogue(self._store, wire, in_force, engines, rng)
+        self._ctx.evacuator = Evacuator(self._ctx, wire.runs)
         self._catalogue.leaving_listeners.append(self._on_leaving)
         incarnation = rng.getrandbits(63)
         entry = MemberEntry(settings.host, settings.peer_ports[0], settings.zone, incarnation)
@@ -206,6 +208,8 @@
 
     def _on_leaving(self, entry: EngineEntry) -> None:
         self._ctx.pool.drop_server(entry.address.host, entry.address.port)
+        if entry.state is EngineState.DRAINING and self._ctx.evacuator is not None:
+            self._ctx.evacuator.engine_leaves(entry)
 
 
 async def run_gateway(settings: GatewaySettings, path: Path) -> None:
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -82,6 +82,7 @@
         self._load = load
         self._demands: dict[str, Demand] = {}
         self._orders: dict[Kind, _Order] = {}
+        self._present: dict[Kind, int] = {}
         self._none_until_s: dict[Kind, float] = {}
         self._enough_since_s: dict[Kind, float] = {}
         self._token = 0
@@ -125,6 +126,7 @@
             most = scaling.max_per_zone * len(scaling.zone_prices)
             need = need.at_least(math.ceil(START_SHARE * most))
         needed = need.after_reclaim
+        self._note_reclaims(service.name, scaling, found)
         wanted = self._wanted(service.name, need, scaling, found, now_s)
         there = {
             zone: min(found.reclaimable[zone], wanted.reclaimable[zone])
@@ -142,6 +144,17 @@
                 kind = (service.name, zone, reclaimable)
                 await self._state(kind, count, present[zone], scaling, needed, demand)
 
+    def _note_reclaims(self, service: str, scaling: ScalingSpec, found: FleetCount) -> None:
+        """Take engines that left without an order for what they are: gone, and not on their way."""
+        for zone in scaling.zone_prices:
+            kind = (service, zone, True)
+            present, before = found.reclaimable[zone], self._present.get(kind, 0)
+            self._present[kind] = present
+            order = self._orders.get(kind)
+            if order is not None and present < min(before, order.count):
+                decision("reclaim_seen", service=service, zone=zone, present=present, before=before)
+                order.at_s = float("-inf")
+
     def _wanted(
         self, service: str, need: Need, scaling: ScalingSpec, found: FleetCount, now_s: float
     ) -> FleetPlan:
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from godwitpath.gateway.call import Call
-from godwitpath.gateway.calls import EngineVerdict, SendFields
+from godwitpath.gateway.calls import EngineVerdict, MemorySource, SendFields
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import Engine
 from godwitpath.http1.client import ClientConnection
@@ -38,10 +38,13 @@
         self._context_tokens = 0
         self._booked = False
 
-    async def open(self, last_event_id: int | None = None) -> tuple[ResponseHead, EngineVerdict]:
+    async def open(
+        self, last_event_id: int | None = None, memory: MemorySource | None = None
+    ) -> tuple[ResponseHead, EngineVerdict]:
         """Send the request and return the head of its response.
 
         :param last_event_id: event after which a stream goes on
+        :param memory: of the same run; the send goes on with that and is no further attempt
         :raises NotSent: no byte left; the engine has not run the request
         :raises ResponseLost: the engine may have run it
         """
@@ -64,6 +67,7 @@
             account=call.account_name,
             priority=call.priority,
             last_event_id=last_event_id,
+            memory=memory,
         )
         request = call.request
         headers = ctx.wire.engine_headers(request.headers, send)
@@ -75,7 +79,7 @@
             accept=lambda head: ctx.wire.read_verdict(head, call.fields.request_id).belongs,
         )
         self.sent_at_s = loop.time()
-        call.attempts += 1
+        call.attempts += memory is None
         call.may_have_run = True
         if call.prompt is not None:
             spec = call.service.engine
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 
 from godwitpath.gateway.call import Call, OwnAnswer, answer_call
+from godwitpath.gateway.calls import MemorySource
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.evacuate import Continuation, StreamRun
 from godwitpath.gateway.events import EventSplitter, EventTooLong
 from godwitpath.gateway.forward import (
     MAX_UNREACHABLE,
@@ -49,24 +51,33 @@
     progress = _Progress(call.fields.last_event_id)
     last: PlainResponse | None = None
     unreachable = 0
+    continuation: Continuation | None = None
     while unreachable < MAX_UNREACHABLE:
-        place = _next_place(ctx, call)
+        place = _moved_place(continuation) if continuation else _next_place(ctx, call)
         if place is None:
             break
         engine = place.engine
         call.tried.add(engine.entry.engine_id)
         send = Send(ctx, call, engine, place.read_tokens)
+        run = StreamRun(call, engine)
+        memory = continuation.memory if continuation else None
+        continuation = None
         try:
             async with asyncio.timeout(call.time_left_s()):
-                last = await _run(ctx, call, send, progress, place)
+                last = await _run(ctx, call, send, progress, place, run, memory)
         except NotSent as error:
             unreachable += 1
             note_failure(ctx, call, engine, "unreachable", error)
+            if memory is not None:
+                break
             continue
         except TimeoutError as error:
             note_failure(ctx, call, engine, "late", error)
             break
         except ResponseLost as error:
+            continuation = await run.continuation()
+            if continuation is not None:
+                continue
             note_failure(ctx, call, engine, "stream_broken", error)
             if call.time_left_s() <= 0 or not may_repeat(ctx, call):
                 break
@@ -84,6 +95,11 @@
     _give_up(ctx, call, last)
 
 
+def _moved_place(continuation: Continuation) -> Place:
+    """Return the place of a stream whose memory lies at an engine already."""
+    return Place(continuation.engine, 0, 0.0, 0.0)
+
+
 def _next_place(ctx: GatewayContext, call: Call) -> Place | None:
     now_s = asyncio.get_running_loop().time()
     if call.prompt is None or call.time_left_s() <= 0:
@@ -100,18 +116,27 @@
 
 
 async def _run(
-    ctx: GatewayContext, call: Call, send: Send, progress: _Progress, place: Place
+    ctx: GatewayContext,
+    call: Call,
+    send: Send,
+    progress: _Progress,
+    place: Place,
+    run: StreamRun,
+    memory: MemorySource | None,
 ) -> PlainResponse | None:
     """Run one send.
 
+    :param memory: of the run that the stream goes on with
     :returns: None when the stream was passed on to its end, else the engine's refusal or failure
     """
     loop = asyncio.get_running_loop()
     whole: ResponseHead | None = None
     began = False
+    if ctx.evacuator is not None:
+        ctx.evacuator.begin(run)
     try:
         resumed = progress.last_event_id if progress.events else None
-        head, verdict = await send.open(resumed)
+        head, verdict = await send.open(resumed, memory)
         if head.status >= 300:
             body = await send.read_whole()
             whole = head
@@ -124,6 +149,7 @@
                 began = True
                 _note_began(ctx, call, send, place, loop.time() - send.sent_at_s)
             _pass_on(call, head, splitter, data, progress)
+            run.events = progress.events
             await call.responder.drain()
         if splitter.rest:
             raise StreamBroken("the stream ended in the middle of an event")
@@ -134,6 +160,8 @@
         whole = head
         return None
     finally:
+        if ctx.evacuator is not None:
+            ctx.evacuator.end(run)
         send.close(whole)
 
 
@@ -156,8 +184,10 @@
 def _note_began(ctx: GatewayContext, call: Call, send: Send, place: Place, took_s: float) -> None:
     send.first_token()
     ctx.instruments.first_event_s.record(took_s, service=call.service.name)
-    place.engine.measured(took_s, max(0.02, place.first_token_s))
-    if call.account is not None:
+    if place.first_token_s:
+        place.engine.measured(took_s, max(0.02, place.first_token_s))
+    if call.account is not None and not call.counted:
+        call.counted = True
         ctx.usage.note_started(call.account.name)
 
 
--- a/godwitpath/platform/headers.py
+++ b/godwitpath/platform/headers.py
@@ -17,6 +17,7 @@
 _RETRY_AFTER = b"retry-after"
 _EXPECT_ENGINE = b"x-expect-instance"
 _ACCOUNT = b"x-tenant"
+_MEMORY_SOURCE = b"kv-from"
 _PRIORITY = b"x-request-priority"
 
 _OWN_FIELDS = frozenset(
@@ -31,7 +32,7 @@
         b"x-hold",
         b"x-pin-ms",
         b"x-kv-backup",
-        b"kv-from",
+        _MEMORY_SOURCE,
         b"kv-fetch",
     )
 )
@@ -80,6 +81,9 @@
         fields.append((_PRIORITY, b"%d" % min(MAX_PRIORITY, max(0, send.priority))))
     if send.last_event_id is not None:
         fields.append((_LAST_EVENT, b"%d" % send.last_event_id))
+    if send.memory is not None:
+        source = f"{send.memory.address}/{send.memory.handle}"
+        fields.append((_MEMORY_SOURCE, source.encode()))
     return fields
 
 
--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -61,7 +61,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                status, answer = await self._exchange(method, target, body, headers)
+                status, answer = await self.exchange(method, target, body, headers)
         except NotSent:
             self.calls[(kind, "unreachable")] += 1
             raise
@@ -78,9 +78,18 @@
             raise ResponseLost(f"unexpected status {status}")
         return status, answer
 
-    async def _exchange(
-        self, method: str, target: str, body: Any, headers: tuple[tuple[bytes, bytes], ...]
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        body: Any,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> tuple[int, bytes]:
+        """Return status and body of an answer, whatever the status.
+
+        :raises NotSent: no byte left
+        :raises ResponseLost: the answer did not arrive whole
+        """
         address = self._address
         payload = b"" if body is None else msgspec.json.encode(body)
         fields = [(b"Host", self._host), *headers]
--- a/godwitpath/platform/wire.py
+++ b/godwitpath/platform/wire.py
@@ -5,6 +5,7 @@
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.platform import configuration, engines, headers
 from godwitpath.platform.cloud import PlatformCloud
+from godwitpath.platform.runs import PlatformRuns
 from godwitpath.platform.store import PlatformStore
 
 
@@ -12,6 +13,7 @@
     """The platform's clients, keys and formats.
 
     :ivar store: client of the store
+    :ivar runs: the engines' calls about runs
     :ivar cloud: client of the cloud API, None where the deployment has none
     """
 
@@ -28,5 +30,6 @@
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.store = PlatformStore(settings.store_address)
+        self.runs = PlatformRuns()
         address = settings.cloud_address
         self.cloud = PlatformCloud(address) if address else None
