--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -43,12 +43,14 @@
 
     :ivar ended: whether it ran to its end
     :ivar cancelled: whether its connection was closed before
+    :ivar stopped: whether it was moved away
     """
 
     request_id: bytes
     request: Request
     ended: bool = False
     cancelled: bool = False
+    stopped: bool = False
 
 
 @dataclass(slots=True)
@@ -61,6 +63,8 @@
     :ivar script: faults of the next requests, in their order
     :ivar runs: requests that it ran
     :ivar refused: requests that it refused as not run, by status
+    :ivar moves: runs that were moved away, with where they went
+    :ivar move_status: answer to the call that moves a run
     """
 
     engine_id: str
@@ -69,6 +73,8 @@
     script: deque[Fault] = field(default_factory=deque)
     runs: list[Run] = field(default_factory=list)
     refused: Counter[int] = field(default_factory=Counter)
+    moves: list[tuple[str, str]] = field(default_factory=list)
+    move_status: int = 200
     address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
     connections: set[ServerConnection] = field(default_factory=set)
     _server: asyncio.Server | None = None
@@ -107,6 +113,9 @@
         )
 
     async def _answer(self, request: Request, responder: Responder) -> None:
+        if request.target == b"/kv-move":
+            self._move(request, responder)
+            return
         request_id = request.header(b"x-attempt-id")
         headers: Headers = [(b"X-Attempt-Id", request_id)]
         expected = request.header(b"x-expect-instance")
@@ -125,7 +134,7 @@
             headers.append((b"X-Response-Stamp", f"stamp-{self.engine_id}".encode()))
         try:
             if b"stream" in request.target:
-                await self._stream(request, responder, headers, fault)
+                await self._stream(run, responder, headers, fault)
             else:
                 await self._plain(responder, headers, fault, request_id)
             run.ended = True
@@ -133,6 +142,18 @@
             run.cancelled = True
             raise
 
+    def _move(self, request: Request, responder: Responder) -> None:
+        """Stop a run; its connection is closed without its end."""
+        order = msgspec.json.decode(request.body)
+        running = [run for run in self.runs if run.request_id.decode() == order["id"]]
+        if not running or running[-1].ended or self.move_status == 404:
+            responder.respond(404, [], b"{}")
+            return
+        self.moves.append((order["id"], order["to"]))
+        running[-1].stopped = True
+        answer = {"handle": f"h-{order['id']}", "createRevision": 1}
+        responder.respond(self.move_status, [], msgspec.json.encode(answer))
+
     async def _plain(
         self, responder: Responder, headers: Headers, fault: Fault, request_id: bytes
     ) -> None:
@@ -155,14 +176,15 @@
                 extra = [(b"X-Attempt-Id", b"other"), (b"Content-Length", b"5")]
                 responder._connection.write(write_response(200, b"OK", extra) + b"wrong")
 
-    async def _stream(
-        self, request: Request, responder: Responder, headers: Headers, fault: Fault
-    ) -> None:
-        last = request.header(b"last-event-id")
+    async def _stream(self, run: Run, responder: Responder, headers: Headers, fault: Fault) -> None:
+        last = run.request.header(b"last-event-id")
         first = int(last) + 1 if last else 1
         responder.start(200, b"", [*headers, (b"content-type", b"text/event-stream")], None)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
+            if run.stopped:
+                responder.abort()
+                return
             if fault is Fault.HANG:
                 await asyncio.sleep(3600)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/test/gateway_parts.py
+++ b/test/gateway_parts.py
@@ -103,7 +103,12 @@
                 "name": "lm",
                 "healthCheckPath": "/healthz",
                 "maxConnections": 100,
-                "engine": {"slots": 8, "kvCapacity": 232000, "models": [{"name": "m"}]},
+                "engine": {
+                    "slots": 8,
+                    "kvCapacity": 232000,
+                    "models": [{"name": "m"}],
+                    "moves": True,
+                },
             },
         ],
         "limits": {
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -394,6 +394,22 @@
         task.cancel()
         await daemon.stop()
 
+    async def test_a_reclaim_right_after_an_order_is_answered_at_once(self) -> None:
+        core, platform = StoreCore(), Platform()
+        daemon = Daemon(core, 0, set())
+        task = fleet(platform, daemon, Load(1.1))
+        await asyncio.sleep(30)
+        # A new holder states all orders anew: they say nothing of engines that are on their way.
+        await daemon.holder.leave()
+        daemon.holder._leaving = False
+        daemon.holder._held_at_s = float("-inf")
+        await asyncio.sleep(1.5)
+        platform.reclaim("cheap")
+        await asyncio.sleep(0.6)
+        assert sum(platform.wanted[zone, False] for zone in SCALING.zone_prices) >= 1
+        task.cancel()
+        await daemon.stop()
+
     async def test_an_order_that_was_carried_out_late_is_corrected(self) -> None:
         core, platform = StoreCore(), Platform()
         daemon = Daemon(core, 0, set())
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from godwitpath_standin.gateway.engine import Fault, Run
-from test.gateway_parts import Surroundings, ask, read_answer, surroundings
+from godwitpath_standin.gateway.engine import EngineStandin, Fault, Run
+from test.gateway_parts import Answer, Surroundings, ask, read_answer, surroundings
 
 PLAIN = {"d1": "desk", "d2": "desk"}
 STREAM = {"m1": "lm", "m2": "lm"}
@@ -180,6 +180,48 @@
             assert run.cancelled
 
 
+class TestEvacuation:
+    """Streams of engines that leave, also those that may not be repeated."""
+
+    async def leave(self, move_status: int = 200) -> tuple[Answer, Surroundings]:
+        async with surroundings({"m1": "lm"}) as parts:
+            first = parts.engines["m1"]
+            first.events, first.event_s, first.move_status = 40, 0.1, move_status
+            parts.engines["m2"] = second = EngineStandin("m2", events=40, event_s=0.02)
+            await second.start()
+            running = asyncio.create_task(ask(parts.port, "/stream/x", method="POST", body=b"p"))
+            await asyncio.sleep(0.4)
+            parts.register("m2", "lm")
+            parts.register("m1", "lm", state="draining", spot=True)
+            answer = await running
+            return answer, parts
+
+    async def test_a_stream_goes_on_as_the_same_run_at_another_engine(self) -> None:
+        answer, parts = await self.leave()
+        assert answer.complete
+        assert answer.body == stream_body(1, 40)
+        first, second = parts.engines["m1"], parts.engines["m2"]
+        assert first.moves == [("r1", str(second.address))]
+        [run] = second.runs
+        assert run.request.header(b"kv-from") == f"{first.address}/h-r1".encode()
+        last = int(run.request.header(b"last-event-id"))
+        assert 10 <= last <= 20
+
+    async def test_a_run_whose_memory_found_no_room_goes_on_where_it_was(self) -> None:
+        answer, parts = await self.leave(move_status=503)
+        first = parts.engines["m1"]
+        assert answer.complete
+        assert answer.body == stream_body(1, 40)
+        assert not parts.engines["m2"].runs
+        assert first.runs[1].request.header(b"kv-from") == f"{first.address}/h-r1".encode()
+
+    async def test_a_run_that_is_not_known_is_left_to_end(self) -> None:
+        answer, parts = await self.leave(move_status=404)
+        assert answer.complete
+        assert len(parts.engines["m1"].runs) == 1
+        assert not parts.engines["m2"].runs
+
+
 class TestLimits:
     async def test_a_request_beyond_the_bounds_gets_a_clear_status(self) -> None:
         async with surroundings(PLAIN) as parts:
