--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -162,7 +162,7 @@
                 self._holder,
                 ctx.usage,
                 settings.bounds,
-                self._peers.usage_of_peers,
+                self._peers.usage_counts,
             ),
             FleetDuty(wire.cloud, self._holder, ctx.engines, ctx.in_force, self._peers.load),
         ]
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -21,6 +21,7 @@
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import CatalogueView, PeerReport, seal, unseal
+from godwitpath.gateway.usage_duty import CountsByStart
 from godwitpath.http1.messages import NotSent, Request, ResponseLost, write_request
 from godwitpath.http1.pool import ConnectionPool
 from godwitpath.http1.server import (
@@ -156,9 +157,11 @@
         known = 1 + len(registered | self.heard())
         return (1 + len(self.heard())) / known
 
-    def usage_of_peers(self, window: int) -> list[Mapping[str, int]]:
-        """Return the counts of a window, one mapping for each start of another daemon."""
-        return [state.usage[window] for state in self.states.values() if window in state.usage]
+    def usage_counts(self) -> CountsByStart:
+        """Return the usage of each start of a daemon, this one included."""
+        counts = {f"{name}/{start}": state.usage for (name, start), state in self.states.items()}
+        counts[f"{self._ctx.settings.name}/{self._incarnation}"] = self._ctx.usage.own
+        return counts
 
     def load(self, service: str) -> tuple[int, int]:
         """Return prompt tokens read and streams that run at a service, of all daemons."""
--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -2,13 +2,15 @@
 
 A window's counts are written to the store before they are reported, under the condition that the
 writer still holds the duty. A successor repeats exactly those, and goes on with the next window.
+The counts of windows that are still open are kept in the store too, each second, so that they
+outlive all daemons.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 
 import msgspec
 
@@ -23,6 +25,11 @@
 PIN_KEY = "usage-report/last"
 """Not under the prefix that all daemons follow: nobody needs to hear of each report."""
 
+OPEN_KEY = "usage-report/open"
+
+OPEN_S = 1.0
+"""Time between two writes of the counts of open windows: what a loss of all daemons costs."""
+
 SETTLE_S = 3.0
 """Time after a window's end when its counts are complete: requests are counted when their answer
 comes, and daemons tell one another of them within two reports."""
@@ -38,10 +45,14 @@
     counts: dict[str, int]
 
 
+CountsByStart = dict[str, dict[int, dict[str, int]]]
+"""Counts by start of a daemon, window and account."""
+
+
 class UsageDuty:
     """The duty of reporting usage.
 
-    :param of_peers: returns the other daemons' counts of a window
+    :param counts: returns the counts of all daemons as this one has them
     :ivar reported: windows that were reported
     """
 
@@ -52,7 +63,7 @@
         holder: DutyHolder,
         book: UsageBook,
         bounds: Bounds,
-        of_peers: Callable[[int], Iterable[Mapping[str, int]]],
+        counts: Callable[[], CountsByStart],
     ) -> None:
         self.reported = 0
         self._store = store
@@ -60,7 +71,9 @@
         self._holder = holder
         self._book = book
         self._bounds = bounds
-        self._of_peers = of_peers
+        self._counts = counts
+        self._kept: CountsByStart = {}
+        self._kept_at_s = 0.0
         self._first_window = book.window_at(book.clock.now_s())
         self._token = 0
         self._pin_revision = 0
@@ -92,8 +105,11 @@
             self._token = proof.token
         if self._pinned is not None and not self._pin_reported:
             await self._report(self._pinned)
-        window = self._next_window()
         now_s = self._book.clock.now_s()
+        if now_s - self._kept_at_s >= OPEN_S:
+            self._kept_at_s = now_s
+            await self._keep_open(proof)
+        window = self._next_window()
         if (window + 1) * self._book.window_s + SETTLE_S > now_s:
             return
         pinned = PinnedWindow(window, self._total(window))
@@ -112,6 +128,28 @@
         self._pin_revision = found.revision if found else 0
         self._pinned = msgspec.json.decode(found.value, type=PinnedWindow) if found else None
         self._pin_reported = False
+        kept = await self._store.get(OPEN_KEY)
+        if kept is not None:
+            self._kept = msgspec.msgpack.decode(kept.value, type=CountsByStart)
+            open_windows = [window for windows in self._kept.values() for window in windows]
+            self._first_window = min([self._first_window, *open_windows])
+
+    async def _keep_open(self, proof: DutyProof) -> None:
+        """Write the counts of the windows that were not reported yet."""
+        first = self._next_window()
+        for start, windows in self._counts().items():
+            kept = self._kept.setdefault(start, {})
+            for window, counts in windows.items():
+                if sum(counts.values()) >= sum(kept.get(window, {}).values()):
+                    kept[window] = dict(counts)
+        for start, windows in list(self._kept.items()):
+            self._kept[start] = {key: value for key, value in windows.items() if key >= first}
+            if not self._kept[start]:
+                del self._kept[start]
+        await self._store.transact(
+            [Precondition(HOLDER_KEY, proof.token)],
+            [Put(OPEN_KEY, msgspec.msgpack.encode(self._kept))],
+        )
 
     async def _report(self, pinned: PinnedWindow) -> None:
         proof = self._holder.proof()
@@ -130,7 +168,11 @@
         return max(oldest, after)
 
     def _total(self, window: int) -> dict[str, int]:
-        total: Counter[str] = Counter(self._book.own.get(window, {}))
-        for counts in self._of_peers(window):
-            total.update(counts)
+        """Return the sum over all starts of daemons: of each the larger of heard and kept."""
+        heard = self._counts()
+        total: Counter[str] = Counter()
+        for start in heard.keys() | self._kept.keys():
+            one = heard.get(start, {}).get(window, {})
+            other = self._kept.get(start, {}).get(window, {})
+            total.update(max(one, other, key=lambda counts: sum(counts.values())))
         return dict(total)
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -166,7 +166,7 @@
         daemon.holder,
         book,
         BOUNDS,
-        lambda window: [peers[window]] if window in peers else [],
+        lambda: {f"own/{daemon.members.incarnation}": book.own, "peer/77": peers},
     )
 
 
@@ -194,6 +194,29 @@
         duty.cancel()
         await daemon.stop()
 
+    async def test_counts_outlive_all_daemons(self) -> None:
+        core, cloud = StoreCore(), FakeCloud()
+        silent: set[int] = set()
+        daemon = Daemon(core, 0, silent)
+        duty = usage_duty(daemon, cloud, {200: {"hule": 2}, 201: {"fida": 6}})
+        task = asyncio.create_task(duty.run())
+        await asyncio.sleep(7.0)
+        assert 200 not in cloud.usage
+        # All daemons are killed, and start again with nothing counted.
+        task.cancel()
+        await daemon.stop()
+        silent.add(0)
+        again = Daemon(core, 1, silent)
+        later = usage_duty(again, cloud, {})
+        later._book.own.clear()
+        later._book.own[201] = {"hule": 1}
+        task = asyncio.create_task(later.run())
+        await asyncio.sleep(9.0)
+        assert cloud.usage[200] == [{"hule": 5}]
+        assert cloud.usage[201] == [{"hule": 2, "fida": 6}]
+        task.cancel()
+        await again.stop()
+
     async def test_lost_answers_never_make_two_counts(self) -> None:
         core, cloud = StoreCore(), FakeCloud(lose=3)
         daemon = Daemon(core, 0, set())
