--- a/godwitpath_standin/gateway/store_core.py
+++ b/godwitpath_standin/gateway/store_core.py
@@ -77,6 +77,9 @@
         self.revision += 1
         for put in puts:
             old = self.items.get(put.key)
+            if old is not None and old.lease_id in self._leases:
+                # A key belongs to the lease of its last write only.
+                self._leases[old.lease_id].keys.discard(put.key)
             created = old.created_revision if old else self.revision
             item = Item(put.key, put.value, self.revision, created, put.lease_id)
             self.items[put.key] = item
