--- a/godwitpath/commands/__init__.py
+++ b/godwitpath/commands/__init__.py
@@ -4,7 +4,17 @@
 
 import typer
 
-from godwitpath.commands import config, explain, keys, serve, state, status, stop, version
+from godwitpath.commands import (
+    check_settings,
+    config,
+    explain,
+    keys,
+    serve,
+    state,
+    status,
+    stop,
+    version,
+)
 from godwitpath.commands.console import ErrorsAsExitCodes
 
 app = typer.Typer(
@@ -15,6 +25,7 @@
     pretty_exceptions_show_locals=False,
 )
 app.command("serve")(serve.serve)
+app.command("check-settings")(check_settings.check_settings)
 app.add_typer(config.app, name="config", no_args_is_help=True)
 app.add_typer(stop.app, name="stop", no_args_is_help=True)
 app.command("status")(status.status)
--- a/godwitpath/commands/explain.py
+++ b/godwitpath/commands/explain.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import sys
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Annotated
 
 import msgspec
 import typer
 
-from godwitpath.commands.console import JsonOption, print_json
+from godwitpath.commands.console import JsonOption, print_json, read_text
 from godwitpath.commands.exit_codes import EntryUnreachable, NotFound
 from godwitpath.commands.operator_client import (
     DEFAULT_ENTRY,
@@ -19,6 +21,7 @@
 )
 from godwitpath.errors import GodwitpathError
 from godwitpath.explain.record import DecisionRecord, Story
+from godwitpath.gateway.log_story import LogLine, parse_lines, tell_request
 
 
 def explain(
@@ -30,14 +33,21 @@
     ] = "",
     entry: EntryOption = DEFAULT_ENTRY,
     operator_key: OperatorKeyOption = "",
+    log: Annotated[
+        str, typer.Option(help="Read log lines of the platform's daemons; - reads standard input.")
+    ] = "",
     json_output: JsonOption = False,
 ) -> None:
     """Tell what was decided about a request or a configuration change, and why.
 
-    Any entry can be asked, also when the one that decided is gone.
+    Any entry can be asked, also when the one that decided is gone. With --log the story comes from
+    the log lines of the daemons on the platform, and nobody is asked.
 
     Example: godwitpath explain req-5f0c... --around 2026-03-01T14:00
     """
+    if log:
+        _explain_from_log(subject_id, log, json_output)
+        return
     query = f"?around_s={_seconds(around):.0f}" if around else ""
     answer = ask_entry(entry, operator_key, f"/admin/explain/{path_part(subject_id)}{query}")
     try:
@@ -53,6 +63,20 @@
         raise NotFound(f"nothing is known of {subject_id}{note}")
 
 
+def _explain_from_log(request_id: str, log: str, json_output: bool) -> None:
+    text = sys.stdin.read() if log == "-" else read_text(Path(log))
+    lines = tell_request(request_id, parse_lines(text.splitlines()))
+    if json_output:
+        print_json([{name: getattr(line, name) for name in LogLine.__slots__} for line in lines])
+    for line in [] if json_output else lines:
+        moment = datetime.fromtimestamp(line.at_s, UTC).isoformat(timespec="milliseconds")
+        values = " ".join(f"{name}={value}" for name, value in line.fields.items())
+        mark = "" if line.own else "  (beside) "
+        typer.echo(f"{moment}  {line.daemon}  {mark}{line.kind}: {values}")
+    if not lines:
+        raise NotFound(f"no line names {request_id}")
+
+
 def _seconds(text: str) -> float:
     try:
         moment = datetime.fromisoformat(text)
--- a/godwitpath/gateway/intake.py
+++ b/godwitpath/gateway/intake.py
@@ -50,6 +50,14 @@
             took_s = asyncio.get_running_loop().time() - request.received_at_s
             outcome = str(responder.status) if responder.finished else "unfinished"
             self._ctx.instruments.request_s.record(took_s, outcome=outcome)
+            request_id = self._ctx.wire.decode_caller(request.headers).request_id
+            decision(
+                "request_ended",
+                request=request_id.decode("latin-1"),
+                status=responder.status,
+                finished=responder.finished,
+                took_s=round(took_s, 3),
+            )
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         ctx = self._ctx
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -11,6 +11,7 @@
 from godwitpath.http1.client import ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, write_request
 from godwitpath.http1.pool import keep_alive_limit_s
+from godwitpath.telemetry.decisions import decision
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to open a connection to an engine: ten round trips between regions."""
@@ -85,12 +86,32 @@
             spec = call.service.engine
             cache_tokens = spec.cache_tokens if spec else 0
             ctx.placer.note_sent(call.prompt, self.engine, self.read_tokens, cache_tokens)
+        self._note_placed(left_s)
         head = await self._connection.head()
         verdict = ctx.wire.read_verdict(head, call.fields.request_id)
         if head.status < 300 and not verdict.genuine:
             raise ResponseLost("success without the engine's mark")
         return head, verdict
 
+    def _note_placed(self, left_s: float) -> None:
+        """Say where the request went, and what was known of that engine."""
+        call, engine = self._call, self.engine
+        decision(
+            "request_sent",
+            request=call.request_id,
+            route=call.route.name,
+            account=call.account_name,
+            engine=engine.entry.engine_id,
+            zone=engine.entry.zone,
+            attempt=call.attempts,
+            left_s=round(left_s, 3),
+            running=engine.all_running,
+            waiting_tokens=engine.all_prompt_tokens,
+            read_tokens=self.read_tokens,
+            pace=round(engine.pace, 2),
+            configuration=self._ctx.in_force.revision,
+        )
+
     async def read(self) -> bytes:
         """Return body bytes; nothing at the end.
 
