Fewer calls to the store: lazy watch of the daemons, urgent watches within the contact time

A watch of the daemons' keys waits up to 20 s and pauses after news; the other two wait a second less than the contact time, since a connection that goes silent puts the machine out of touch for that long.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -37,6 +37,7 @@
 class Catalogue:
     """Follows the operator's and the engines' keys.
 
+    :param wait_s: longest wait of one watch
     :ivar leaving_listeners: called with each engine that leaves or is gone
     :ivar raw_entries: values of the engines' keys, for a daemon that the store turns away
     """
@@ -48,6 +49,7 @@
         in_force: ConfigurationInForce,
         engines: EngineBook,
         rng: random.Random,
+        wait_s: float,
     ) -> None:
         self.leaving_listeners: list[Callable[[EngineEntry], None]] = []
         self._wire = wire
@@ -56,10 +58,15 @@
         self._absent: dict[str, float] = {}
         self.raw_entries: dict[str, bytes] = {}
         self.configuration = Follower(
-            store, wire.configuration_prefix, self._on_configuration, self._ignore_removal, rng
+            store,
+            wire.configuration_prefix,
+            self._on_configuration,
+            self._ignore_removal,
+            rng,
+            wait_s,
         )
         self.entries = Follower(
-            store, wire.engines_prefix, self._on_entry, self._on_entry_removed, rng
+            store, wire.engines_prefix, self._on_entry, self._on_entry_removed, rng, wait_s
         )
 
     @property
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -17,6 +17,7 @@
 from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
 from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.fleet_duty import FleetDuty
+from godwitpath.gateway.follow import WATCH_SLACK_S
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.intake import Intake
@@ -77,7 +78,9 @@
             pool=ConnectionPool(),
             rng=rng,
         )
-        self._catalogue = Catalogue(self._store, wire, in_force, engines, rng)
+        self._catalogue = Catalogue(
+            self._store, wire, in_force, engines, rng, settings.bounds.contact_s - WATCH_SLACK_S
+        )
         self._ctx.evacuator = Evacuator(self._ctx, wire.runs)
         self._catalogue.leaving_listeners.append(self._on_leaving)
         incarnation = rng.getrandbits(63)
--- a/godwitpath/gateway/follow.py
+++ b/godwitpath/gateway/follow.py
@@ -10,9 +10,12 @@
 from godwitpath.ports.kv import StoreError
 from godwitpath.telemetry.decisions import decision
 
-WATCH_WAIT_S = 2.4
-"""Longest wait of one watch: a connection that went silent is noticed within it, and so within
-the time in which a configuration has to be in force."""
+WATCH_SLACK_S = 1.0
+"""Part of the time without disruption after which every bound holds that is left when a watch on a
+connection that went silent is given up."""
+
+LAZY_WAIT_S = 20.0
+"""Longest wait of a watch whose news are not urgent."""
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
@@ -22,6 +25,8 @@
 class Follower:
     """Keeps a copy of a prefix up to date.
 
+    :param wait_s: longest wait of one watch
+    :param pause_s: returns the pause after changes before the next watch
     :ivar synced_at_s: loop time of the last answer, None before the first
     :ivar lost_at_s: loop time since which the store has not answered, None while it does
     :ivar regained_at_s: loop time at which the last outage ended
@@ -34,6 +39,8 @@
         on_item: Callable[[Item], None],
         on_removed: Callable[[str, int], None],
         rng: random.Random,
+        wait_s: float,
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.synced_at_s: float | None = None
         self.lost_at_s: float | None = None
@@ -44,6 +51,8 @@
         self._on_item = on_item
         self._on_removed = on_removed
         self._rng = rng
+        self._wait_s = wait_s
+        self._pause_s = pause_s
         self._keys: set[str] = set()
 
     async def run(self) -> None:
@@ -73,11 +82,14 @@
             self._keys = found
             self.revision = listing.revision
             return
-        changes, revision = await self._store.changes(self._prefix, self.revision, WATCH_WAIT_S)
+        changes, revision = await self._store.changes(self._prefix, self.revision, self._wait_s)
         self._note_answer()
         for change in changes:
             self._apply(change)
         self.revision = max(self.revision, revision)
+        if changes:
+            # Changes that come one after the other are taken together.
+            await asyncio.sleep(self._pause_s())
 
     def _apply(self, change: Change) -> None:
         if change.item is None:
--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from godwitpath.gateway.follow import Follower
+from godwitpath.gateway.follow import LAZY_WAIT_S, Follower
 from godwitpath.gateway.store import Item, Precondition, Put, Store, TxnConflict
 from godwitpath.ports.kv import LeaseLapsed, StoreError, StoreUncertain
 from godwitpath.telemetry.decisions import decision
@@ -23,6 +23,13 @@
 RENEW_S = 2.5
 """Time between renewals: three may fail."""
 
+PAUSE_PER_DAEMON_S = 0.02
+"""Pause between two looks at the list, for each daemon on it: where all start at once, each would
+otherwise hear of every other one singly."""
+
+SECRET_WAIT_S = 0.6
+"""Longest time for which a daemon waits whether another one makes the secret."""
+
 RETRY_S = 0.5
 """Pause after a call of the store that failed."""
 
@@ -48,7 +55,10 @@
         self.secret = b""
         self.entries: dict[str, MemberEntry] = {}
         self.items: dict[str, Item] = {}
-        self.follower = Follower(store, PREFIX, self._on_item, self._on_removed, rng)
+        self.follower = Follower(
+            store, PREFIX, self._on_item, self._on_removed, rng, LAZY_WAIT_S, self._pause_s
+        )
+        self._rng = rng
         self.incarnation = entry.incarnation
         self._store = store
         self._name = name
@@ -96,9 +106,14 @@
             value = msgspec.json.encode(self._entry)
             await self._store.transact([], [Put(MEMBERS_PREFIX + self._name, value, lease_id)])
             self._lease_id = lease_id
+        if not self.secret and self.follower.synced_at_s is not None:
+            await asyncio.sleep(SECRET_WAIT_S * self._rng.random())
         if not self.secret and self.follower.synced_at_s is not None:
             await self._make_secret()
 
+    def _pause_s(self) -> float:
+        return PAUSE_PER_DAEMON_S * len(self.entries)
+
     async def _make_secret(self) -> None:
         found = await self._store.get(SECRET_KEY)
         if found is None:
