--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -22,9 +22,6 @@
 STEADY_SHARE = 0.1
 """Part by which the load has to fall below a smaller need before that is taken."""
 
-RUNNING_PER_ENGINE = 64.0
-"""Streams beside one another that keep an engine busy: the size of a batch."""
-
 MIN_ENGINES = 2
 """Fewest engines that are planned: one that fails leaves another."""
 
@@ -48,11 +45,13 @@
 class Demand:
     """Follows the load of one service in engines kept busy.
 
+    :param slots: streams beside one another that keep an engine busy: the size of its batch
     :ivar busy_engines: the load
     :ivar read_tokens: prompt tokens read since the start, as last observed
     """
 
-    def __init__(self) -> None:
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
         self.busy_engines = 0.0
         self.read_tokens: int | None = None
         self._seen_at_s = 0.0
@@ -74,7 +73,7 @@
             return
         reading = (read_tokens - self.read_tokens) / elapsed_s / READ_TOKENS_PER_S
         # An engine reads prompts between the steps of its streams; both at once cost little more.
-        sample = max(reading, running / RUNNING_PER_ENGINE)
+        sample = max(reading, running / max(1, self._slots))
         if sample > 0 and self._started_at_s is None:
             self._started_at_s = now_s
         weight = 1 - math.exp(-elapsed_s / FOLLOW_S)
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain
@@ -34,6 +34,9 @@
 FEWER_AFTER_S = 2.0
 """Time for which fewer engines must have been enough before fewer are ordered."""
 
+PLANS_KEPT = 64
+"""Plans that are remembered: a large one takes 15 ms, and little changes from step to step."""
+
 Kind = tuple[str, str, bool]
 """Service, availability zone, and whether the engines are reclaimable."""
 
@@ -86,6 +89,7 @@
         self._none_until_s: dict[Kind, float] = {}
         self._enough_since_s: dict[Kind, float] = {}
         self._token = 0
+        self._plans: dict[tuple[object, ...], FleetPlan] = {}
 
     async def run(self) -> None:
         """Order while this daemon holds the duty, until cancelled."""
@@ -98,12 +102,31 @@
             for service in current.services.values():
                 if service.scaling is None:
                     continue
-                demand = self._demands.setdefault(service.name, Demand())
+                demand = self._demand_of(service)
                 read_tokens, running = self._load(service.name)
                 demand.observe(read_tokens, running, loop.time())
                 if self._holder.proof() is not None:
                     await self._look_after(service, service.scaling, demand)
 
+    def _demand_of(self, service: ServiceSpec) -> Demand:
+        demand = self._demands.get(service.name)
+        if demand is None:
+            slots = service.engine.slots if service.engine else 1
+            demand = self._demands[service.name] = Demand(slots)
+        return demand
+
+    def _plan(
+        self, service: str, need: Need, scaling: ScalingSpec, to_be_had: Mapping[str, int]
+    ) -> FleetPlan:
+        """Return the plan, worked out only when what it depends on has changed."""
+        key = (service, self._in_force.revision, need, *to_be_had.items())
+        plan = self._plans.get(key)
+        if plan is None:
+            if len(self._plans) >= PLANS_KEPT:
+                self._plans.clear()
+            plan = self._plans[key] = plan_fleet(need, scaling, to_be_had)
+        return plan
+
     def count(self, service: str) -> FleetCount:
         """Return the engines of a service that take work."""
         found = FleetCount(Counter(), Counter())
@@ -170,12 +193,12 @@
             to_be_had[zone] = max(0, scaling.max_per_zone - expected[False][zone])
             if now_s < self._none_until_s.get((service, zone, True), 0.0):
                 to_be_had[zone] = min(to_be_had[zone], found.reclaimable[zone])
-        ideal = plan_fleet(need, scaling, to_be_had)
+        ideal = self._plan(service, need, scaling, to_be_had)
         # What is on its way counts; what is not there when it should be is replaced.
         reachable = {
             zone: min(count, expected[True][zone]) for zone, count in ideal.reclaimable.items()
         }
-        bridged = plan_fleet(need, scaling, reachable)
+        bridged = self._plan(service, need, scaling, reachable)
         engines = max(sum(ideal.lasting.values()), sum(bridged.lasting.values()))
         # Engines that were ordered and boot count where they are, so that the plan does not move.
         return with_lasting(engines, ideal.reclaimable, expected[False], scaling)
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -18,7 +18,7 @@
 from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.members import MemberEntry, Members
-from godwitpath.gateway.model import Configuration, ScalingSpec, ServiceSpec
+from godwitpath.gateway.model import Configuration, EngineSpec, ScalingSpec, ServiceSpec
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.usage import UsageBook
 from godwitpath.gateway.usage_duty import PIN_KEY, PinnedWindow, UsageDuty
@@ -283,14 +283,14 @@
 
 class TestDemand:
     def test_a_steady_load_is_measured_as_it_is(self) -> None:
-        demand = Demand()
+        demand = Demand(64)
         for step in range(200):
             demand.observe(int(38_700 * 1.5 * step * 0.2), 4, step * 0.2)
         assert demand.busy_engines == pytest.approx(1.5, rel=0.01)
         assert demand.need() == Need(3, 5)
 
     def test_uneven_traffic_is_not_taken_for_more_than_it_is(self) -> None:
-        demand, rng, tokens = Demand(), Random(3), 0
+        demand, rng, tokens = Demand(64), Random(3), 0
         seen = []
         for step in range(2000):
             tokens += 9000 * (rng.random() < 0.86) if step % 5 == 0 else 0
@@ -300,7 +300,7 @@
         assert sum(seen[200:]) / len(seen[200:]) == pytest.approx(true, rel=0.1)
 
     def test_a_need_does_not_flap_at_its_border(self) -> None:
-        demand = Demand()
+        demand = Demand(64)
         needs = []
         tokens = 0.0
         for step in range(600):
@@ -372,7 +372,7 @@
 
 def fleet(platform: Platform, daemon: Daemon, load: Any) -> asyncio.Task[None]:
     in_force = ConfigurationInForce()
-    services = {"lm": ServiceSpec("lm", scaling=SCALING)}
+    services = {"lm": ServiceSpec("lm", engine=EngineSpec(64, 232_000), scaling=SCALING)}
     in_force.apply(Configuration(1, 1, (), services, ()), b"", "test")
     duty = FleetDuty(platform.cloud, daemon.holder, platform.book, in_force, load)
     return asyncio.create_task(duty.run())
