A request at a daemon that has just started waits for what the daemon reads

Cause: after a loss of all daemons 11 requests of a second were refused with no_configuration in the 0.4 s in which a started daemon reads configuration and engines; callers come back once only. Change: such a request waits up to 0.8 s, and a quarter of its time, before it is refused. Tests take reserved ports: one failed with 'address already in use', its port had gone to an outgoing connection of another test.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -39,6 +39,7 @@
 
     :param wait_s: longest wait of one watch
     :ivar leaving_listeners: called with each engine that leaves or is gone
+    :ivar informed: set once configuration and engines are known
     :ivar raw_entries: values of the engines' keys, for a daemon that the store turns away
     """
 
@@ -55,6 +56,8 @@
         self._wire = wire
         self._in_force = in_force
         self._engines = engines
+        self.informed = asyncio.Event()
+        self._configured = asyncio.Event()
         self._absent: dict[str, float] = {}
         self.raw_entries: dict[str, bytes] = {}
         self.configuration = Follower(
@@ -72,7 +75,7 @@
     @property
     def complete(self) -> bool:
         """Whether configuration and engines are known."""
-        return self._in_force.current is not None and self.entries.synced_at_s is not None
+        return self.informed.is_set()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -80,6 +83,12 @@
             group.create_task(self.configuration.run())
             group.create_task(self.entries.run())
             group.create_task(self._drop_absent())
+            group.create_task(self._note_informed())
+
+    async def _note_informed(self) -> None:
+        await self._configured.wait()
+        await self.entries.synced.wait()
+        self.informed.set()
 
     def take_configuration(self, value: bytes, revision: int, source: str) -> None:
         """Take in a configuration, wherever it was heard."""
@@ -90,7 +99,8 @@
         except GodwitpathError as error:
             decision("configuration_unreadable", revision=revision, reason=str(error))
             return
-        self._in_force.apply(configuration, value, source)
+        if self._in_force.apply(configuration, value, source):
+            self._configured.set()
 
     def take_entry(self, entry: EngineEntry, source: str) -> None:
         """Take in an engine's entry."""
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -117,7 +117,7 @@
         reloader = SettingsReloader(self._path, settings, decode_settings, self._apply)
         loop.add_signal_handler(signal.SIGHUP, reloader.signalled)
         policy = ServerPolicy(
-            Intake(self._ctx, lambda: self._closed).handle,
+            Intake(self._ctx, lambda: self._closed, self._catalogue.informed).handle,
             lambda: self._ctx.in_force.limits,
             lambda: not self.stopping,
         )
--- a/godwitpath/gateway/follow.py
+++ b/godwitpath/gateway/follow.py
@@ -28,6 +28,7 @@
     :param wait_s: longest wait of one watch
     :param pause_s: returns the pause after changes before the next watch
     :ivar synced_at_s: loop time of the last answer, None before the first
+    :ivar synced: set once the prefix was read whole
     :ivar lost_at_s: loop time since which the store has not answered, None while it does
     :ivar regained_at_s: loop time at which the last outage ended
     """
@@ -43,6 +44,7 @@
         pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.synced_at_s: float | None = None
+        self.synced = asyncio.Event()
         self.lost_at_s: float | None = None
         self.regained_at_s = float("-inf")
         self.revision = 0
@@ -81,6 +83,7 @@
                 self._on_removed(key, listing.revision)
             self._keys = found
             self.revision = listing.revision
+            self.synced.set()
             return
         changes, revision = await self._store.changes(self._prefix, self.revision, self._wait_s)
         self._note_answer()
--- a/godwitpath/gateway/intake.py
+++ b/godwitpath/gateway/intake.py
@@ -19,6 +19,13 @@
 from godwitpath.http1.server import Responder
 from godwitpath.telemetry.decisions import decision
 
+START_WAIT_S = 0.8
+"""Longest time for which a request waits at a daemon that has just started and reads configuration
+and engines: that takes two round trips between regions, and a refusal costs the caller a retry."""
+
+START_SHARE = 0.25
+"""Largest part of a request's time that is waited so."""
+
 STARTING_RETRY_AFTER_S = 0.5
 """When to come back to a daemon that knows no configuration yet."""
 
@@ -36,10 +43,14 @@
     """The handler of a daemon's callers.
 
     :param closed: tells whether the daemon takes no more requests
+    :param informed: set once configuration and engines are known
     """
 
-    def __init__(self, ctx: GatewayContext, closed: Callable[[], bool]) -> None:
+    def __init__(
+        self, ctx: GatewayContext, closed: Callable[[], bool], informed: asyncio.Event
+    ) -> None:
         self._ctx = ctx
+        self._informed = informed
         self._closed = closed
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -62,6 +73,8 @@
     async def _handle(self, request: Request, responder: Responder) -> None:
         ctx = self._ctx
         fields = ctx.wire.decode_caller(request.headers)
+        if not self._informed.is_set():
+            await self._wait_informed(fields)
         checked = self._check(request, fields)
         if isinstance(checked, OwnAnswer):
             self._refuse(fields, responder, checked, request)
@@ -83,6 +96,18 @@
         else:
             await forward_plain(ctx, call)
 
+    async def _wait_informed(self, fields: CallerFields) -> None:
+        """Wait until the daemon knows where requests go, as long as that is of use."""
+        wait_s = START_WAIT_S
+        if fields.deadline_s is not None:
+            wait_s = min(wait_s, fields.deadline_s * START_SHARE)
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._informed.wait()
+        except TimeoutError:
+            # The request is refused as not run.
+            return
+
     def _check(
         self, request: Request, fields: CallerFields
     ) -> OwnAnswer | tuple[Route, AccountSpec | None]:
--- a/test/gateway_parts.py
+++ b/test/gateway_parts.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,22 +18,12 @@
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
+from godwitpath_standin.ports import ReservedPorts
 
 ROOT = Path(__file__).parent.parent
 KEY = "key-of-hule"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def settings_document(
     store: Address | None = None, ports: list[int] | None = None, **changes: Any
 ) -> dict[str, Any]:
@@ -252,7 +241,8 @@
     engines = {name: EngineStandin(name) for name in services}
     for engine in engines.values():
         await engine.start()
-    *ports, metrics_port = free_ports(4)
+    reserved = ReservedPorts(4)
+    *ports, metrics_port = reserved.ports
     folder = Path(os.environ.get("PYTEST_TMP", "/tmp"))
     settings = folder / f"gateway-settings-{ports[0]}.json"
     settings.write_text(json.dumps(settings_document(address, ports, **changes)))
@@ -284,6 +274,7 @@
             await engine.stop()
         await store.stop()
         settings.unlink()
+        reserved.release()
 
 
 def json_bytes(document: dict[str, Any]) -> bytes:
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -250,6 +250,16 @@
             answer = await ask(parts.port, "/read/x")
             assert answer.status == 503
 
+    async def test_a_request_at_a_daemon_that_has_just_started_waits_for_its_knowledge(
+        self,
+    ) -> None:
+        async with surroundings(PLAIN, configure=False) as parts:
+            await asyncio.sleep(1.0)
+            early = asyncio.create_task(ask(parts.port, "/read/x"))
+            await asyncio.sleep(0.3)
+            parts.configure()
+            assert (await early).status == 200
+
     async def test_a_revoked_key_is_refused_and_an_older_configuration_never_returns(self) -> None:
         async with surroundings(PLAIN) as parts:
             parts.configure(version=8, tenants=[{"name": "hule", "apiKeys": ["new"]}])
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -24,7 +24,8 @@
 from godwitpath.platform.wire import PlatformWire
 from godwitpath.ports.engine import Address
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
-from test.gateway_parts import configuration_document, free_ports, json_bytes, settings_document
+from godwitpath_standin.ports import ReservedPorts
+from test.gateway_parts import configuration_document, json_bytes, settings_document
 
 SPEC = AccountSpec("hule", (), rate_per_s=1000, burst=1000, counts_tokens=True)
 
@@ -82,7 +83,8 @@
 async def fleet(count: int, zones: str) -> AsyncIterator[list[Daemon]]:
     core = StoreCore()
     core.put("op/config", json_bytes(configuration_document()))
-    ports = free_ports(count)
+    reserved = ReservedPorts(count)
+    ports = reserved.ports
     daemons = [
         Daemon(core, f"d{index:02d}", zones[index % len(zones)], ports[index])
         for index in range(count)
@@ -94,6 +96,7 @@
     finally:
         for daemon in daemons:
             await daemon.stop()
+        reserved.release()
 
 
 @pytest.mark.parametrize(("count", "zones"), [(4, "abc"), (18, "abc")])
