In a large fleet two daemons of each zone follow the store; the others hear from them

Change: beyond a dozen daemons the first two of a zone by name that the store serves follow it; reports carry the revision of the newest change that is known, and one that is behind asks a watcher of its zone. What was heard from another daemon is not undone by older changes of the store.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -40,6 +40,8 @@
     :param wait_s: longest wait of one watch
     :ivar leaving_listeners: called with each engine that leaves or is gone
     :ivar informed: set once configuration and engines are known
+    :ivar engines_revision: store revision of the newest change of an engine that is known here
+    :ivar followed: whether this daemon follows the store, not another daemon
     :ivar raw_entries: values of the engines' keys, for a daemon that the store turns away
     """
 
@@ -59,6 +61,9 @@
         self.informed = asyncio.Event()
         self._configured = asyncio.Event()
         self._absent: dict[str, float] = {}
+        self._revisions: dict[str, int] = {}
+        self.engines_revision = 0
+        self.followed = True
         self.raw_entries: dict[str, bytes] = {}
         self.configuration = Follower(
             store,
@@ -67,9 +72,16 @@
             self._ignore_removal,
             rng,
             wait_s,
+            wanted=lambda: self.followed,
         )
         self.entries = Follower(
-            store, wire.engines_prefix, self._on_entry, self._on_entry_removed, rng, wait_s
+            store,
+            wire.engines_prefix,
+            self._on_entry,
+            self._on_entry_removed,
+            rng,
+            wait_s,
+            wanted=lambda: self.followed,
         )
 
     @property
@@ -77,6 +89,12 @@
         """Whether configuration and engines are known."""
         return self.informed.is_set()
 
+    @property
+    def fresh(self) -> bool:
+        """Whether this daemon follows the store, and the store answers."""
+        lost = self.entries.lost_at_s is not None or self.configuration.lost_at_s is not None
+        return self.followed and self.informed.is_set() and not lost
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -132,15 +150,33 @@
             decision("engine_state", engine=engine_id, state="gone", source=source)
             self._tell_leaving(engine.entry)
 
-    def take_peer_entries(self, entries: Mapping[str, bytes], source: str) -> None:
-        """Take in all engines' entries as a daemon has them that the store serves."""
+    def take_peer_entries(self, entries: Mapping[str, bytes], revision: int, source: str) -> None:
+        """Take in all engines' entries as a daemon has them that the store serves.
+
+        :param revision: store revision of the newest change in them
+        """
         for key, value in entries.items():
             entry = self._wire.decode_entry(key, value)
             if entry is not None:
                 self.take_entry(entry, source)
+            else:
+                self.drop_entry(key.removeprefix(self._wire.engines_prefix), source)
         for key in self.raw_entries.keys() - entries.keys():
             self.drop_entry(key.removeprefix(self._wire.engines_prefix), source)
+        for key in self.raw_entries.keys() | entries.keys():
+            self._revisions[key] = max(self._revisions.get(key, 0), revision)
         self.raw_entries = dict(entries)
+        self.engines_revision = max(self.engines_revision, revision)
+        # What the store says of changes up to there is known.
+        self.entries.skip_to(revision)
+
+    def _is_old(self, key: str, revision: int) -> bool:
+        """Return whether something newer is known of a key, and remember the revision if not."""
+        if revision < self._revisions.get(key, 0):
+            return True
+        self._revisions[key] = revision
+        self.engines_revision = max(self.engines_revision, revision)
+        return False
 
     def _on_configuration(self, item: Item) -> None:
         if item.key == self._wire.configuration_key:
@@ -150,6 +186,8 @@
         decision("configuration_removed", item=key, revision=revision)
 
     def _on_entry(self, item: Item) -> None:
+        if self._is_old(item.key, item.revision):
+            return
         self.raw_entries[item.key] = item.value
         entry = self._wire.decode_entry(item.key, item.value)
         if entry is None:
@@ -159,6 +197,8 @@
         self.take_entry(entry, "store")
 
     def _on_entry_removed(self, key: str, revision: int) -> None:
+        if self._is_old(key, revision):
+            return
         engine_id = key.removeprefix(self._wire.engines_prefix)
         now_s = asyncio.get_running_loop().time()
         # An entry that lapsed with the store comes back with it.
--- a/godwitpath/gateway/follow.py
+++ b/godwitpath/gateway/follow.py
@@ -17,6 +17,9 @@
 LAZY_WAIT_S = 20.0
 """Longest wait of a watch whose news are not urgent."""
 
+UNWANTED_STEP_S = 0.1
+"""Time between two looks whether a follower that rests is wanted again."""
+
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 """Pauses between tries while the store does not answer."""
@@ -26,6 +29,7 @@
     """Keeps a copy of a prefix up to date.
 
     :param wait_s: longest wait of one watch
+    :param wanted: returns whether to go on once the prefix was read
     :param pause_s: returns the pause after changes before the next watch
     :ivar synced_at_s: loop time of the last answer, None before the first
     :ivar synced: set once the prefix was read whole
@@ -42,6 +46,7 @@
         rng: random.Random,
         wait_s: float,
         pause_s: Callable[[], float] = lambda: 0.0,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self.synced_at_s: float | None = None
         self.synced = asyncio.Event()
@@ -55,6 +60,7 @@
         self._rng = rng
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._wanted = wanted
         self._keys: set[str] = set()
 
     async def run(self) -> None:
@@ -72,6 +78,11 @@
                 await asyncio.sleep(pause_s * (0.75 + 0.5 * self._rng.random()))
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
+    def skip_to(self, revision: int) -> None:
+        """Go on after a revision, whose changes were heard elsewhere."""
+        if self.revision:
+            self.revision = max(self.revision, revision)
+
     async def _step(self) -> None:
         if not self.revision:
             listing = await self._store.list_items(self._prefix)
@@ -85,6 +96,11 @@
             self.revision = listing.revision
             self.synced.set()
             return
+        if not self._wanted():
+            # Another daemon tells of changes meanwhile.
+            self.lost_at_s = None
+            await asyncio.sleep(UNWANTED_STEP_S)
+            return
         changes, revision = await self._store.changes(self._prefix, self.revision, self._wait_s)
         self._note_answer()
         for change in changes:
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -22,6 +22,8 @@
     :ivar loads: running requests and waiting prompt tokens by engine
     :ivar prompts: shared prompt parts with their tokens that were lately given to an engine
     :ivar read_tokens: prompt tokens given to engines to read since the start, by service
+    :ivar fresh: whether it follows the store, and the store answers
+    :ivar engines: store revision of the newest change of an engine that it knows
     """
 
     name: str
@@ -34,6 +36,8 @@
     loads: dict[str, tuple[int, int]]
     read_tokens: dict[str, int]
     prompts: list[tuple[str, list[tuple[str, int]]]]
+    fresh: bool = True
+    engines: int = 0
 
 
 class ZoneDigest(msgspec.Struct, array_like=True, tag="zone"):
@@ -68,6 +72,7 @@
     """A daemon's view of configuration and engines, for one that the store turns away.
 
     :ivar fresh: whether the daemon itself hears from the store
+    :ivar engines: store revision of the newest change in the entries
     :ivar configuration: revision of the configuration, 0 for none
     :ivar value: bytes of the configuration, empty where the asker has it
     :ivar entries: values of the engines' keys, as they lie in the store
@@ -77,6 +82,7 @@
     configuration: int
     value: bytes
     entries: dict[str, bytes]
+    engines: int
 
 
 def seal(secret: bytes, payload: bytes) -> bytes:
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -20,6 +20,9 @@
 """Most daemons that report to one another directly: beyond it the reports of a full mesh cost more
 than a percent of the smallest daemon's core and link."""
 
+WATCHERS = 2
+"""Daemons of a zone that follow the store in a large fleet: one may be lost."""
+
 HEARD_S = 1.6
 """Time after which a daemon that sent no report counts as not heard: four reports."""
 
@@ -49,6 +52,8 @@
     read_tokens: Mapping[str, int] = field(default_factory=dict)
     loads: Loads = field(default_factory=dict)
     prompts: Prompts = field(default_factory=list)
+    fresh: bool = False
+    engines: int = 0
 
 
 @dataclass(slots=True)
@@ -126,6 +131,27 @@
         ]
         return min([*names, self._ctx.settings.name])
 
+    def watchers(self) -> list[str]:
+        """Return the zone's other daemons that follow the store, in their order."""
+        zone = self._ctx.settings.zone
+        return sorted(
+            name
+            for name, state in self.heard_directly().items()
+            if state.fresh
+            and (entry := self._members.entries.get(name)) is not None
+            and entry.zone == zone
+        )
+
+    def should_watch(self) -> bool:
+        """Return whether this daemon has to follow the store itself.
+
+        In a large fleet two daemons of each zone do, the first by name that the store serves.
+        """
+        if self.meshed:
+            return True
+        before = [name for name in self.watchers() if name < self._ctx.settings.name]
+        return len(before) < WATCHERS
+
     def silence_s(self, name: str, incarnation: int) -> float:
         """Return for how long a start of a daemon has not been heard.
 
@@ -182,6 +208,8 @@
         state.configuration = report.configuration
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
         state.usage.update(report.usage)
+        state.fresh = report.fresh
+        state.engines = report.engines
         if not self.near(report.name):
             # A digest of its zone tells of its work.
             return
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -54,7 +54,9 @@
 PULL_AFTER_S = 0.5
 """Time for which the store may be silent before a peer is asked in its place."""
 
-PULL_S = 0.5
+PULL_S = 0.2
+"""Time between two looks whether another daemon knows more."""
+
 PULL_TIMEOUT_S = 0.8
 REPORTED_WINDOWS = 3
 """Usage windows in a report: the present one and those whose report may not have gone out."""
@@ -149,6 +151,7 @@
                     await self._ctx.quota.urgent.wait()
             except TimeoutError:
                 pass
+            self._catalogue.followed = self.view.should_watch()
             self.view.forget_silent()
             self.view.correct_clock()
             if self._members.secret and self._transport is not None:
@@ -215,6 +218,8 @@
                 (engine_id, [(part.part_id, part.tokens) for part in parts])
                 for engine_id, parts in ctx.placer.sent_since(self._loop.time() - TOLD_S)
             ],
+            fresh=self._catalogue.fresh,
+            engines=self._catalogue.engines_revision,
         )
 
     def _digest(self, own: PeerReport) -> ZoneDigest:
@@ -250,10 +255,11 @@
         known = msgspec.msgpack.decode(payload, type=int)
         in_force = self._ctx.in_force
         view = CatalogueView(
-            fresh=self._catalogue.entries.lost_at_s is None,
+            fresh=self._catalogue.fresh,
             configuration=in_force.revision,
             value=in_force.value if in_force.revision > known else b"",
             entries=dict(self._catalogue.raw_entries),
+            engines=self._catalogue.engines_revision,
         )
         responder.respond(200, [], seal(secret, msgspec.msgpack.encode(view)))
 
@@ -285,6 +291,9 @@
         newest = max(revisions, key=lambda name: revisions[name])
         if revisions[newest] > self._ctx.in_force.revision:
             return newest
+        for name in [] if self._catalogue.fresh else self.view.watchers():
+            if direct[name].engines > self._catalogue.engines_revision:
+                return name
         lost_at_s = self._catalogue.entries.lost_at_s
         if lost_at_s is not None and now_s - lost_at_s >= PULL_AFTER_S:
             return self._ctx.rng.choice(sorted(revisions))
@@ -317,5 +326,6 @@
         self.counts["pulls"] += 1
         if view.value:
             self._catalogue.take_configuration(view.value, view.configuration, f"peer {peer}")
-        if view.fresh and self._catalogue.entries.lost_at_s is not None:
-            self._catalogue.take_peer_entries(view.entries, f"peer {peer}")
+        newer = view.engines > self._catalogue.engines_revision
+        if view.fresh and newer and not self._catalogue.fresh:
+            self._catalogue.take_peer_entries(view.entries, view.engines, f"peer {peer}")
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
@@ -23,6 +24,7 @@
 from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.wire import PlatformWire
 from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 from godwitpath_standin.ports import ReservedPorts
 from test.gateway_parts import configuration_document, json_bytes, settings_document
@@ -164,3 +166,47 @@
         current = daemons[0].ctx.in_force.current
         assert current is not None
         assert (current.version, current.revision) == (99, revision)
+
+
+async def test_in_a_large_fleet_two_of_a_zone_watch_and_the_others_hear_in_time() -> None:
+    async with fleet(18, "abc") as daemons:
+        await asyncio.sleep(3.0)
+        watching = Counter(each.zone for each in daemons if each.catalogue.followed)
+        assert watching == {"a": 2, "b": 2, "c": 2}
+        core = daemons[0].store._core
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+        await asyncio.sleep(1.5)
+        assert all(each.catalogue.raw_entries for each in daemons)
+        # The store turns the watchers of a zone away: others of it take their place.
+        for each in daemons:
+            each.store.faults.down = each.zone == "a" and each.catalogue.followed
+        await asyncio.sleep(1.0)
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1", state="draining"))
+        await asyncio.sleep(2.5)
+        for each in daemons:
+            engine = each.catalogue._engines.get("e1")
+            assert engine is not None
+            assert engine.entry.state is EngineState.DRAINING
+
+
+async def test_what_a_daemon_heard_from_another_is_not_undone_by_the_store() -> None:
+    async with fleet(4, "ab") as daemons:
+        await asyncio.sleep(2.0)
+        core = daemons[0].store._core
+        first = daemons[0]
+        first.store.faults.down = True
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1", state="draining"))
+        await asyncio.sleep(2.0)
+        states = []
+        engine = first.catalogue._engines.get("e1")
+        assert engine is not None
+        assert engine.entry.state is EngineState.DRAINING
+        put = first.catalogue._engines.put
+        first.catalogue._engines.put = lambda entry: (  # type: ignore[method-assign]
+            states.append(entry.state),
+            put(entry),
+        )[1]
+        first.store.faults.down = False
+        await asyncio.sleep(2.0)
+        assert EngineState.READY not in states
