--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -57,15 +57,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def holder_name(members: Members) -> str:
-    """Return the name of the daemon that holds the duties, empty when none does."""
+def known_holder(members: Members) -> tuple[str, int]:
+    """Return the daemon that holds the duties and its fencing token, ("", 0) when none does."""
     item = members.items.get(HOLDER_KEY)
     if item is None:
-        return ""
+        return "", 0
     try:
-        return msgspec.json.decode(item.value, type=HolderEntry).name
+        return msgspec.json.decode(item.value, type=HolderEntry).name, item.revision
     except msgspec.DecodeError:
-        return ""
+        return "", 0
 
 
 class DutyHolder:
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -24,6 +24,7 @@
     :ivar read_tokens: prompt tokens given to engines to read since the start, by service
     :ivar fresh: whether it follows the store, and the store answers
     :ivar engines: store revision of the newest change of an engine that it knows
+    :ivar holder: the daemon that holds the duties as far as it knows, with its fencing token
     """
 
     name: str
@@ -38,6 +39,7 @@
     prompts: list[tuple[str, list[tuple[str, int]]]]
     fresh: bool = True
     engines: int = 0
+    holder: tuple[str, int] = ("", 0)
 
 
 class ZoneDigest(msgspec.Struct, array_like=True, tag="zone"):
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -79,6 +79,7 @@
     :ivar states: daemons that report directly, by name and start
     :ivar zones: other zones by name, where their daemons do not
     :ivar zone_used: units that the own zone's daemons have let through, as counted here
+    :ivar holder: the holder of the duties that others last told of, with its fencing token
     :ivar zone_read: prompt tokens that they have given to engines to read
     """
 
@@ -87,6 +88,7 @@
         self.zones: dict[str, ZoneState] = {}
         self.zone_used: Counter[str] = Counter()
         self.zone_read: Counter[str] = Counter()
+        self.holder: tuple[str, int] = ("", 0)
         self._far_read: Counter[str] = Counter()
         self._ctx = ctx
         self._members = members
@@ -210,6 +212,8 @@
         state.usage.update(report.usage)
         state.fresh = report.fresh
         state.engines = report.engines
+        if report.holder[1] > self.holder[1]:
+            self.holder = report.holder
         if not self.near(report.name):
             # A digest of its zone tells of its work.
             return
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -17,7 +17,7 @@
 
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.holder import holder_name
+from godwitpath.gateway.holder import known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import (
     CatalogueView,
@@ -167,7 +167,8 @@
             return
         zone = self._ctx.settings.zone
         near = set(self._of_zone(zone))
-        holder = holder_name(self._members)
+        # One that the store turns away learns from the others who holds the duties now.
+        holder, _ = max(report.holder, self.view.holder, key=lambda known: known[1])
         told = self._seal(report)
         self._send(told, near | ({holder} & self._members.entries.keys()))
         if self.view.speaker() == self._ctx.settings.name:
@@ -220,6 +221,7 @@
             ],
             fresh=self._catalogue.fresh,
             engines=self._catalogue.engines_revision,
+            holder=known_holder(self._members),
         )
 
     def _digest(self, own: PeerReport) -> ZoneDigest:
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -8,12 +8,14 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+import msgspec
 import pytest
 
 from godwitpath.gateway.accounts import QuotaBook
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
+from godwitpath.gateway.holder import HOLDER_KEY, HolderEntry
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.members import MemberEntry, Members
 from godwitpath.gateway.model import AccountSpec
@@ -210,3 +212,18 @@
         first.store.faults.down = False
         await asyncio.sleep(2.0)
         assert EngineState.READY not in states
+
+
+async def test_usage_reaches_a_new_holder_also_from_one_that_the_store_turns_away() -> None:
+    async with fleet(18, "abc") as daemons:
+        await asyncio.sleep(2.5)
+        away = next(each for each in daemons if each.zone == "a" and each.name != "d00")
+        away.store.faults.down = True
+        holder = next(each for each in daemons if each.zone == "c")
+        entry = HolderEntry(holder.name, holder.peers._incarnation, 1)
+        daemons[0].store._core.put(HOLDER_KEY, msgspec.json.encode(entry))
+        away.ctx.usage.note_started("hule")
+        await asyncio.sleep(3.0)
+        counts = holder.peers.view.usage_counts()
+        start = f"{away.name}/{away.peers._incarnation}"
+        assert sum(sum(each.values()) for each in counts[start].values()) == 1
