Share the allowance for repeats among the daemons; read the diff: names, dead fields, one copy each

Found on reading the change again: nobody told the repeat budget how many daemons share the fixed allowance, so each took it whole. The most that were ever known share it now, eight until then. What an engine has read is forgotten when it is gone. Unused settings fields, a wrapper and a second copy of the choice among engines are removed.

--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -14,7 +14,7 @@
 from godwitpath.gateway.accounts import QuotaBook
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
+from godwitpath.gateway.engines import EngineBook, EngineEntry
 from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.fleet_duty import FleetDuty
 from godwitpath.gateway.follow import WATCH_SLACK_S
@@ -211,7 +211,9 @@
 
     def _on_leaving(self, entry: EngineEntry) -> None:
         self._ctx.pool.drop_server(entry.address.host, entry.address.port)
-        if entry.state is EngineState.DRAINING and self._ctx.evacuator is not None:
+        if self._ctx.engines.get(entry.engine_id) is None:
+            self._ctx.placer.forget(entry)
+        elif self._ctx.evacuator is not None:
             self._ctx.evacuator.engine_leaves(entry)
 
 
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -64,7 +64,7 @@
         elif response.head.status < 500:
             engine.health.succeeded()
             ctx.instruments.sends[(call.service.name, "answered")] += 1
-            _deliver(ctx, call, response)
+            deliver(ctx, call, response)
             return
         if not may_repeat(ctx, call):
             break
@@ -93,17 +93,21 @@
 
 
 def _next_engine(ctx: GatewayContext, call: Call) -> Engine | None:
-    now_s = asyncio.get_running_loop().time()
+    placed = ctx.placer.place_call(engines_left(ctx, call))
+    return placed[0] if placed else None
+
+
+def engines_left(ctx: GatewayContext, call: Call) -> list[Engine]:
+    """Return the engines that the request may still be sent to, full ones only if all are."""
     if call.time_left_s() <= 0:
-        return None
+        return []
+    now_s = asyncio.get_running_loop().time()
     usable = [
         engine
         for engine in ctx.engines.usable(call.service.name, now_s)
         if engine.entry.engine_id not in call.tried
     ]
-    free = [engine for engine in usable if engine.full_until_s <= now_s] or usable
-    placed = ctx.placer.place_call(free)
-    return placed[0] if placed else None
+    return [engine for engine in usable if engine.full_until_s <= now_s] or usable
 
 
 def may_repeat(ctx: GatewayContext, call: Call) -> bool:
@@ -139,12 +143,8 @@
     engine.full_until_s = now_s + (verdict.retry_after_s or RETRY_AFTER_S)
 
 
-def deliver_failure(ctx: GatewayContext, call: Call, response: PlainResponse) -> None:
-    """Pass on an engine's failure as it is."""
-    _deliver(ctx, call, response)
-
-
-def _deliver(ctx: GatewayContext, call: Call, response: PlainResponse) -> None:
+def deliver(ctx: GatewayContext, call: Call, response: PlainResponse) -> None:
+    """Pass on an engine's response as it is, success or failure."""
     head = response.head
     ctx.instruments.answers[(call.route.name, "engine", str(head.status))] += 1
     call.responder.respond(head.status, end_to_end(head.headers), response.body, head.reason)
@@ -153,7 +153,7 @@
 def _give_up(ctx: GatewayContext, call: Call, last: PlainResponse | None) -> None:
     """Give the final answer of a request that no engine served."""
     if last is not None and not last.verdict.not_run:
-        deliver_failure(ctx, call, last)
+        deliver(ctx, call, last)
         return
     if call.may_have_run:
         late = call.time_left_s() <= 0
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -152,6 +152,7 @@
             except TimeoutError:
                 pass
             self._catalogue.followed = self.view.should_watch()
+            self._ctx.repeats.note_daemons(1 + len(self._members.entries))
             self.view.forget_silent()
             self.view.correct_clock()
             if self._members.secret and self._transport is not None:
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from godwitpath.gateway.calls import PromptPart
-from godwitpath.gateway.engines import Engine
+from godwitpath.gateway.engines import Engine, EngineEntry
 from godwitpath.ranking import score
 
 READ_TOKENS_PER_S = 38_700.0
@@ -178,9 +178,9 @@
         """Remember that an engine read a prompt for another daemon."""
         self._memory(engine, cache_tokens).note(parts)
 
-    def forget(self, engine: Engine) -> None:
-        """Drop what was remembered of an engine."""
-        self._memories.pop(_key(engine), None)
+    def forget(self, entry: EngineEntry) -> None:
+        """Drop what was remembered of an engine that is gone."""
+        self._memories.pop(_key(entry), None)
 
     def distance_s(self, engine: Engine) -> float:
         """Return the time to an engine and back, with what its bytes cost."""
@@ -212,12 +212,12 @@
         return Place(engine, read_tokens, first_s, weight)
 
     def _memory(self, engine: Engine, cache_tokens: int) -> PrefixMemory:
-        key = _key(engine)
+        key = _key(engine.entry)
         memory = self._memories.get(key)
         if memory is None:
             memory = self._memories[key] = PrefixMemory(cache_tokens)
         return memory
 
 
-def _key(engine: Engine) -> tuple[str, int]:
-    return engine.entry.engine_id, engine.entry.started_at_ms
+def _key(entry: EngineEntry) -> tuple[str, int]:
+    return entry.engine_id, entry.started_at_ms
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -13,6 +13,10 @@
 """Part of the written budget that is used: requests that a caller gave up are not counted there."""
 
 
+DAEMONS_AT_FIRST = 8
+"""Daemons that are taken to share the allowance until the others are known."""
+
+
 @dataclass(slots=True)
 class _Window:
     first: deque[float] = field(default_factory=deque)
@@ -23,11 +27,12 @@
     """Counts first and repeated sends by service in a sliding window.
 
     :ivar denied: repeats that were not allowed
+    :ivar daemons: daemons that share the allowance; the most that were ever known
     """
 
     def __init__(self, ratio: float, window_s: float, slack: float) -> None:
         self.denied = 0
-        self.daemons = 1
+        self.daemons = DAEMONS_AT_FIRST
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
@@ -37,6 +42,10 @@
         """Change the budget."""
         self._ratio, self._window_s, self._slack = ratio, window_s, slack
 
+    def note_daemons(self, known: int) -> None:
+        """Note how many daemons there are; some that are not known now may still repeat."""
+        self.daemons = max(self.daemons, known)
+
     def note_first(self, service: str, now_s: float) -> None:
         """Note the first send of a request."""
         window = self._windows.setdefault(service, _Window())
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -14,7 +14,8 @@
     MAX_UNREACHABLE,
     NO_ENGINE_RETRY_AFTER_S,
     PlainResponse,
-    deliver_failure,
+    deliver,
+    engines_left,
     may_repeat,
     note_failure,
     note_full,
@@ -101,17 +102,11 @@
 
 
 def _next_place(ctx: GatewayContext, call: Call) -> Place | None:
-    now_s = asyncio.get_running_loop().time()
-    if call.prompt is None or call.time_left_s() <= 0:
+    if call.prompt is None:
         return None
-    usable = [
-        engine
-        for engine in ctx.engines.usable(call.service.name, now_s)
-        if engine.entry.engine_id not in call.tried
-    ]
-    free = [engine for engine in usable if engine.full_until_s <= now_s] or usable
     spec = call.service.engine
-    places = ctx.placer.place_generation(call.prompt, free, spec.cache_tokens if spec else 0)
+    cache_tokens = spec.cache_tokens if spec else 0
+    places = ctx.placer.place_generation(call.prompt, engines_left(ctx, call), cache_tokens)
     return places[0] if places else None
 
 
@@ -238,7 +233,7 @@
     """Give the final answer of a stream that no engine brought to its end."""
     started = call.responder.started
     if last is not None and not last.verdict.not_run and not started:
-        deliver_failure(ctx, call, last)
+        deliver(ctx, call, last)
     elif call.may_have_run or started:
         late = call.time_left_s() <= 0
         answer = OwnAnswer(504 if late else 502, "late" if late else "stream_broken", "unknown")
--- a/godwitpath/platform/cloud.py
+++ b/godwitpath/platform/cloud.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from godwitpath.gateway.cloud import CloudRefused, CloudUncertain, DutyProof, FencedOff
+from godwitpath.http1.messages import NotSent, ResponseLost
 from godwitpath.platform.http_api import HttpApi
 from godwitpath.ports.engine import Address
 
@@ -65,9 +66,9 @@
             status, _ = await self._api.call(
                 kind, "POST", target, body, timeout_s=CALL_TIMEOUT_S, headers=headers
             )
-        except HttpApi.NotSent as error:
+        except NotSent as error:
             raise CloudRefused(str(error)) from error
-        except HttpApi.Lost as error:
+        except ResponseLost as error:
             raise CloudUncertain(str(error)) from error
         return status
 
--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -31,12 +31,6 @@
     :ivar calls: calls by kind and outcome
     """
 
-    NotSent = NotSent
-    """Nothing was done."""
-
-    Lost = ResponseLost
-    """It may have been done, or may be done yet."""
-
     def __init__(self, address: Address) -> None:
         self.calls: Counter[tuple[str, str]] = Counter()
         self._address = address
--- a/godwitpath/platform/settings.py
+++ b/godwitpath/platform/settings.py
@@ -29,12 +29,6 @@
 class _Listen(msgspec.Struct):
     frontend: str
     readiness: str
-    control: str = ""
-
-
-class _Limits(msgspec.Struct, rename="camel"):
-    memory_mb: int = 256
-    max_fds: int = 1024
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -59,7 +53,6 @@
     address: str
     writes_per_s: float = 100
     reads_per_s: float = 500
-    value_bytes: int = 1_048_576
     ttl_min_ms: float = 1000
 
 
@@ -80,11 +73,6 @@
     zones: dict[str, str] = {}
     # First and last port that daemons may use among themselves.
     port_range: list[int] = []
-    seeds: list[str] = []
-    # True only at the first start of the whole deployment.
-    bootstrap: bool | None = False
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-    heartbeat_ms: float | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud: _Cloud | None = None
 
--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -18,6 +18,7 @@
     Put,
     TxnConflict,
 )
+from godwitpath.http1.messages import NotSent, ResponseLost
 from godwitpath.platform.http_api import HttpApi
 from godwitpath.ports.engine import Address
 from godwitpath.ports.kv import LeaseLapsed, StoreRefused, StoreUncertain
@@ -163,9 +164,9 @@
     ) -> tuple[int, bytes]:
         try:
             return await self._api.call(kind, method, target, body, timeout_s=timeout_s)
-        except self._api.NotSent as error:
+        except NotSent as error:
             raise StoreRefused(f"{kind}: {error}") from error
-        except self._api.Lost as error:
+        except ResponseLost as error:
             raise StoreUncertain(f"{kind}: {error}") from error
 
 
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -117,6 +117,7 @@
             true = sum(1 + index for index in range(count) if index % 3 == engine)
             assert {daemon.at(f"e{engine}") for daemon in daemons} == {true}
         assert {daemon.peers.view.quota_share() for daemon in daemons} == {1.0}
+        assert {daemon.ctx.repeats.daemons for daemon in daemons} == {max(8, count)}
         # All use of the others has been taken from each daemon's bucket, and its own.
         for daemon in daemons:
             bucket = daemon.ctx.quota._buckets["hule"]
