--- a/godwitpath/gateway/in_force.py
+++ b/godwitpath/gateway/in_force.py
@@ -5,7 +5,7 @@
 from godwitpath.gateway.accounts import KeyIndex
 from godwitpath.gateway.model import Configuration, ServiceSpec
 from godwitpath.gateway.routes import RouteTable
-from godwitpath.http1.server import CallerLimits
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.telemetry.decisions import decision
 
 
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -15,8 +15,9 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.peers import Peers
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
-from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.platform.wire import PlatformWire
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
--- a/godwitpath/gateway/model.py
+++ b/godwitpath/gateway/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from godwitpath.http1.server import CallerLimits
+from godwitpath.http1.limits import CallerLimits
 
 
 class RequestKind(StrEnum):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -28,15 +28,10 @@
     unseal,
 )
 from godwitpath.gateway.peer_view import HEARD_S, PeerView, sum_loads
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import NotSent, Request, ResponseLost, write_request
 from godwitpath.http1.pool import ConnectionPool
-from godwitpath.http1.server import (
-    CallerLimits,
-    Responder,
-    ServerConnection,
-    ServerPolicy,
-    listen,
-)
+from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.telemetry.decisions import decision
 
 REPORT_S = 0.4
--- a/godwitpath/gateway/readiness.py
+++ b/godwitpath/gateway/readiness.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
-from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
 
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Headers, Request, write_response
 
 MAX_PIPELINED = 16
@@ -29,22 +30,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(slots=True)
-class CallerLimits:
-    """Bounds on what a caller may send, and on how long it may take.
-
-    :ivar max_header_bytes: largest head of a request
-    :ivar max_body_bytes: largest body
-    :ivar header_timeout_s: longest time for the head to arrive
-    :ivar idle_timeout_s: longest time between two requests
-    """
-
-    max_header_bytes: int = 65_536
-    max_body_bytes: int = 16_777_216
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 60.0
-
-
 Handler = Callable[[Request, "Responder"], Awaitable[None]]
 
 
--- a/godwitpath/platform/configuration.py
+++ b/godwitpath/platform/configuration.py
@@ -14,7 +14,7 @@
     ScalingSpec,
     ServiceSpec,
 )
-from godwitpath.http1.server import CallerLimits
+from godwitpath.http1.limits import CallerLimits
 
 CONFIGURATION_KEY = "op/config"
 CONFIGURATION_PREFIX = "op/"
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Headers, Request, write_response
-from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.ports.engine import Address
 
 
--- a/godwitpath_standin/gateway/store_app.py
+++ b/godwitpath_standin/gateway/store_app.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from godwitpath.gateway.store import Change, HistoryLost, Item, Precondition, Put, TxnConflict
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
-from godwitpath.http1.server import CallerLimits, Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.ports.engine import Address
 from godwitpath.ports.kv import LeaseLapsed
 from godwitpath_standin.gateway.store_core import StoreCore
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from godwitpath.http1.client import ClientConnection, connect
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import (
     NotSent,
     Request,
@@ -22,14 +23,7 @@
     write_request,
 )
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
-from godwitpath.http1.server import (
-    CallerLimits,
-    Handler,
-    Responder,
-    ServerConnection,
-    ServerPolicy,
-    listen,
-)
+from godwitpath.http1.server import Handler, Responder, ServerConnection, ServerPolicy, listen
 from test.gateway_parts import read_answer
 
 LIMITS = CallerLimits(2048, 4096, 0.3, 0.6)
