A cancelled call of the HTTP client ends in every case

Cause: `asyncio.wait_for` of Python 3.11 returns its result and forgets a cancellation where both come in one step of the loop. The HTTP library waits that way for a connection. At a planned stop an entry cancels its work and waits for it; a part whose cancellation was forgotten ran on, and the process with it. Seen in a trial with the stages of a stop written out: the entry hung after all its servers had stopped, with the look at the stops still running in a task that was "cancelling".

Ruled out: news of the stop that did not arrive (the drain had begun and ended), requests that do not end, the store's outage, servers that do not close.

Change: the client looks whether its task was cancelled meanwhile, closes the connection and ends. Own waits use `asyncio.timeout`, which does not forget. The test cancels a call at each step of the loop; before the change it ran on from step 1.

--- a/godwitpath/adapters/http_client.py
+++ b/godwitpath/adapters/http_client.py
@@ -277,9 +277,7 @@
         client = self._fresh_client() if fresh else self._pooled
         try:
             async with asyncio.timeout(timeout_s):
-                response = await client.request(
-                    url, method=method, headers=sent_headers, data=body or None, stream=True
-                )
+                response = await _request(client, method, url, sent_headers, body)
             return Answer(response, method, idle_timeout_s or timeout_s)
         except NotSent:
             raise
@@ -345,6 +343,27 @@
         return HTTPClient(connector)
 
 
+async def _request(
+    client: HTTPClient, method: str, url: str, headers: dict[str, str], body: bytes
+) -> Any:
+    """Send a request, and end when cancelled in every case.
+
+    The library waits with `asyncio.wait_for`, which forgets a cancellation that meets the end of
+    the wait in one step of the loop; the cancelled task would run on for ever.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    cancelled_before = task.cancelling()
+    response = await client.request(
+        url, method=method, headers=headers, data=body or None, stream=True
+    )
+    if task.cancelling() > cancelled_before:
+        if response._owns_connection:
+            response._connection.ensure_released(response_read=False)
+        raise asyncio.CancelledError
+    return response
+
+
 def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers that travel past one connection, names in lower case."""
     lowered = ((name.lower(), value) for name, value in headers)
--- a/godwitpath/membership/swim.py
+++ b/godwitpath/membership/swim.py
@@ -122,7 +122,8 @@
         if not self._seeds and not self._found_seeds:
             return
         try:
-            await asyncio.wait_for(self._roster.met.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._roster.met.wait()
         except TimeoutError:
             return
 
@@ -247,7 +248,8 @@
         for helper in helpers:
             await self._transport.send(helper.entry_id, PingRequest(number, target.entry_id))
         try:
-            await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await future
             return None
         except TimeoutError:
             return self._silent_helpers
--- a/godwitpath/peers/dispatch.py
+++ b/godwitpath/peers/dispatch.py
@@ -90,7 +90,8 @@
             if not await self._transmit(entry_id, frame):
                 self._unanswered(entry_id)
                 raise PeerUnreachable(f"{entry_id} cannot be reached")
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             self.counts["request_timeouts"] += 1
             self._unanswered(entry_id)
@@ -191,7 +192,8 @@
         try:
             while True:
                 try:
-                    delivery, reply = await asyncio.wait_for(lane.get(), LANE_IDLE_S)
+                    async with asyncio.timeout(LANE_IDLE_S):
+                        delivery, reply = await lane.get()
                 except TimeoutError:
                     # A message may have come between the time-out and here.
                     if lane.empty():
--- a/godwitpath/records/copies.py
+++ b/godwitpath/records/copies.py
@@ -103,7 +103,8 @@
         while True:
             await link.wakeup.wait()
             with suppress(TimeoutError):
-                await asyncio.wait_for(link.urgent.wait(), BATCH_INTERVAL_S)
+                async with asyncio.timeout(BATCH_INTERVAL_S):
+                    await link.urgent.wait()
             link.wakeup.clear()
             link.urgent.clear()
             request_ids = list(link.dirty)
--- a/godwitpath/records/reader.py
+++ b/godwitpath/records/reader.py
@@ -135,7 +135,8 @@
         self._polls[message.poll_id] = future
         try:
             await self._calls.transport.send(ref.holder, message)
-            reply = await asyncio.wait_for(future, POLL_S + POLL_MARGIN_S)
+            async with asyncio.timeout(POLL_S + POLL_MARGIN_S):
+                reply = await future
         except TimeoutError:
             raise RecordMoved(ref.request_id, "") from None
         finally:
--- a/test/test_http_adapters.py
+++ b/test/test_http_adapters.py
@@ -301,3 +301,26 @@
     with pytest.raises(NotSent):
         await client.call("GET", url, [("x", "a\r\nb: c")], timeout_s=1, max_bytes=9)
     await client.close()
+
+
+async def test_a_cancelled_call_ends_at_whatever_step_it_is_cancelled() -> None:
+    """The library waits in a way that forgets a cancellation which meets the end of the wait."""
+
+    async def handle(exchange: Exchange) -> None:
+        exchange.answer(b"ok")
+
+    async def call(client: HttpClient, url: str) -> None:
+        await client.call("POST", url, timeout_s=2, max_bytes=99)
+        await asyncio.sleep(3600)
+
+    async with raw_server(handle) as server:
+        for steps in range(60):
+            client = HttpClient()
+            await client.call("POST", server.url + "/", timeout_s=2, max_bytes=99)
+            calling = asyncio.create_task(call(client, server.url + "/"))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            calling.cancel()
+            done, _ = await asyncio.wait([calling], timeout=1)
+            assert done, f"still running after a cancellation at step {steps}"
+            await client.close()
