--- a/godwitpath/gateway/__main__.py
+++ b/godwitpath/gateway/__main__.py
@@ -5,16 +5,21 @@
 
 from __future__ import annotations
 
-import asyncio
+import signal
 import sys
 
-from godwitpath.errors import GodwitpathError
-from godwitpath.gateway.daemon import run_gateway
-from godwitpath.platform.settings import decode_settings, settings_path
-
 
 def main() -> int:
     """Run until told to stop; returns the exit status."""
+    # The settings are read after the imports, so that news of changed ones may be missed until
+    # then, but must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import asyncio
+
+    from godwitpath.errors import GodwitpathError
+    from godwitpath.gateway.daemon import run_gateway
+    from godwitpath.platform.settings import decode_settings, settings_path
+
     path = settings_path()
     try:
         settings = decode_settings(path.read_bytes(), str(path))
--- a/godwitpath/gateway/reload.py
+++ b/godwitpath/gateway/reload.py
@@ -36,7 +36,8 @@
         self._current = current
         self._read = read
         self._apply = apply
-        self._seen = path.read_bytes()
+        # The file may have changed since the current settings were read from it.
+        self._seen = b""
         self._signalled = asyncio.Event()
 
     def signalled(self) -> None:
@@ -72,6 +73,10 @@
         except GodwitpathError as error:
             decision("settings_refused", reason=str(error))
             return
+        if settings == self._current:
+            if told:
+                decision("settings_unchanged")
+            return
         changed = [
             each.name
             for each in fields(settings)
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import sys
 from collections import deque
 
 import pytest
 
+from godwitpath_standin.gateway.caller import Answer, ask, read_answer
 from godwitpath_standin.gateway.engine import EngineStandin, Fault, Run
-from test.gateway_parts import Answer, Surroundings, ask, read_answer, surroundings
+from test.gateway_parts import ROOT, Surroundings, surroundings
 
 PLAIN = {"d1": "desk", "d2": "desk"}
 STREAM = {"m1": "lm", "m2": "lm"}
@@ -363,3 +366,31 @@
             assert [line["message_type"] for line in lines] == kinds
             assert lines[1]["reason"] == "engines_full"
             assert "key-of-hule" not in str(log)
+
+
+INTERRUPTED_START = """
+import os, runpy, signal, sys
+
+class Interrupts:
+    def find_spec(self, name, path=None, target=None):
+        if name == "godwitpath.gateway.daemon":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Interrupts())
+runpy.run_module("godwitpath.gateway", run_name="__main__")
+"""
+
+
+async def test_changed_settings_do_not_end_a_daemon_that_starts() -> None:
+    """Found by the soak, seed 5: the signal came while the process still imported its modules."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        INTERRUPTED_START,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": str(ROOT), "GODWITPATH_SETTINGS": "/nowhere"},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert b"/nowhere" in errors
