--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 from pathlib import Path
 from typing import Annotated
 
@@ -193,5 +194,28 @@
     asyncio.run(run_fleet(deployment, entries, seed))
 
 
+@app.command()
+def soak(
+    seed: Seed = 1,
+    minutes: Annotated[float, typer.Option(help="Time during which faults begin.")] = 1.0,
+    processes: Annotated[int, typer.Option(help="Daemons to start.")] = 5,
+    runs: Annotated[int, typer.Option(help="Soaks, with seeds that follow one another.")] = 1,
+    logs: Annotated[Path | None, typer.Option(help="Folder for the logs of broken runs.")] = None,
+) -> None:
+    """Let random faults happen to a gateway's daemons; exit 1 when a promise is broken."""
+    from godwitpath_standin.soak.run import SoakPlan, run_soak
+
+    broken = 0
+    for number in range(seed, seed + runs):
+        folder = logs / f"seed-{number}" if logs is not None else None
+        outcome = asyncio.run(run_soak(SoakPlan(number, minutes * 60, processes), folder))
+        for line in outcome.lines():
+            typer.echo(line)
+        broken += bool(outcome.violations)
+        if folder is not None and not outcome.violations:
+            shutil.rmtree(folder)
+    raise typer.Exit(1 if broken else 0)
+
+
 if __name__ == "__main__":
     app()
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -42,6 +42,7 @@
 class Run:
     """A request that an engine ran.
 
+    :ivar began_at_s: loop time at which it began
     :ivar ended: whether it ran to its end
     :ivar cancelled: whether its connection was closed before
     :ivar stopped: whether it was moved away
@@ -49,6 +50,7 @@
 
     request_id: bytes
     request: Request
+    began_at_s: float = 0.0
     ended: bool = False
     cancelled: bool = False
     stopped: bool = False
@@ -129,7 +131,7 @@
             self.refused[503] += 1
             responder.respond(503, [*headers, (b"X-Not-Executed", b"1")], b"")
             return
-        run = Run(request_id, request)
+        run = Run(request_id, request, asyncio.get_running_loop().time())
         self.runs.append(run)
         if fault is not Fault.NO_STAMP:
             headers.append((b"X-Response-Stamp", f"stamp-{self.engine_id}".encode()))
--- a/godwitpath_standin/gateway/store_app.py
+++ b/godwitpath_standin/gateway/store_app.py
@@ -25,12 +25,14 @@
 
     :ivar refuse_with: status that answers every call, 0 for none
     :ivar mute: whether calls are read and not answered
+    :ivar lose_answers: next writes that are done and not answered
     """
 
     def __init__(self, core: StoreCore) -> None:
         self.core = core
         self.refuse_with = 0
         self.mute = False
+        self.lose_answers = 0
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -60,6 +62,10 @@
             responder.respond(self.refuse_with, [], b"{}")
             return
         status, body = await self._call(request)
+        if self.lose_answers and request.target == b"/kv-txn":
+            self.lose_answers -= 1
+            responder.abort()
+            return
         headers = [(b"content-type", b"application/json")]
         responder.respond(status, headers, msgspec.json.encode(body))
 
--- a/test/gateway_parts.py
+++ b/test/gateway_parts.py
@@ -8,172 +8,20 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from godwitpath.platform.configuration import CONFIGURATION_KEY
 from godwitpath.platform.engines import ENGINES_PREFIX
-from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.caller import ask
+from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
 from godwitpath_standin.ports import ReservedPorts
 
 ROOT = Path(__file__).parent.parent
-KEY = "key-of-hule"
-
-
-def settings_document(
-    store: Address | None = None, ports: list[int] | None = None, **changes: Any
-) -> dict[str, Any]:
-    """Return a settings file as the platform writes it."""
-    front, ready, peer = ports or [8221, 8224, 7600]
-    return {
-        "nodeName": "edge-a-1",
-        "ip": "127.0.0.1",
-        "zone": "a",
-        "region": "r",
-        "zones": {"a": "r", "b": "r", "c": "far"},
-        "listen": {"frontend": f"127.0.0.1:{front}", "readiness": f"127.0.0.1:{ready}"},
-        "portRange": [peer, peer],
-        "seeds": [],
-        "bootstrap": True,
-        "limits": {"memoryMb": 300, "maxFds": 4100},
-        "bounds": {"graceS": 8, "leaseMs": 3000, "enforceFencing": True, "usageWindowS": 5},
-        "platform": {"address": str(store or Address("127.0.0.1", 1)), "ttlMinMs": 1000},
-        "cloud": None,
-        "heartbeatMs": 1200,
-        "unknownField": [1, 2],
-    } | changes
-
-
-def route(name: str, prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
-    """Return a route as the operator writes it."""
-    return {
-        "name": name,
-        "host": "shop.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeoutMs": 3000,
-        "targetLatencyMs": 200,
-        "priority": 1,
-        "service": "desk",
-        "maxAttempts": 1,
-        "allowAnonymous": False,
-        "sessionAffinity": False,
-        "streamResume": False,
-    } | changes
-
-
-def configuration_document(**changes: Any) -> dict[str, Any]:
-    """Return a configuration as the operator writes it."""
-    return {
-        "version": 7,
-        "routes": [
-            route("read", "/read/", "idempotent", maxAttempts=2),
-            route("book", "/book/", "non_idempotent"),
-            route("plan", "/stream/", "streaming", service="lm", timeoutMs=6000),
-            route(
-                "digest",
-                "/stream/digest/",
-                "streaming",
-                service="lm",
-                timeoutMs=6000,
-                maxAttempts=2,
-                streamResume=True,
-                gapAimMs=100,
-            ),
-            route("open", "/open/", "idempotent", allowAnonymous=True),
-        ],
-        "services": [
-            {"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 100},
-            {
-                "name": "lm",
-                "healthCheckPath": "/healthz",
-                "maxConnections": 100,
-                "engine": {
-                    "slots": 8,
-                    "kvCapacity": 232000,
-                    "models": [{"name": "m"}],
-                    "moves": True,
-                },
-            },
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{"name": "hule", "apiKeys": [KEY], "priority": 1}],
-    } | changes
-
-
-@dataclass(slots=True)
-class Answer:
-    """A response as a caller sees it.
-
-    :ivar complete: whether its end arrived
-    """
-
-    status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
-    complete: bool = False
-
-
-async def ask(
-    port: int,
-    target: str,
-    *,
-    method: str = "GET",
-    key: str = KEY,
-    body: bytes = b"",
-    request_id: str = "r1",
-    host: str = "shop.example",
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 8.0,
-) -> Answer:
-    """Send a request on a new connection and read the response to its end."""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", f"X-Attempt-Id: {request_id}"]
-    if key:
-        lines.append(f"Api-Key: {key}")
-    fields = {"X-Deadline-Ms": "5000"} | (headers or {})
-    lines += [f"{name}: {value}" for name, value in fields.items()]
-    if body:
-        lines.append(f"Content-Length: {len(body)}")
-    async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        try:
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            return await read_answer(reader)
-        finally:
-            writer.close()
-
-
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    """Read one response; one that is cut short is not complete."""
-    answer = Answer()
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        answer.status = int(lines[0].split(" ")[1])
-        for line in lines[1:-2]:
-            name, _, value = line.partition(":")
-            answer.headers[name.strip().lower()] = value.strip()
-        if answer.headers.get("transfer-encoding") == "chunked":
-            while size := int((await reader.readline()) or b"x", 16):
-                answer.body += await reader.readexactly(size)
-                await reader.readexactly(2)
-            await reader.readexactly(2)
-        else:
-            length = int(answer.headers.get("content-length", "0"))
-            answer.body = await reader.readexactly(length)
-        answer.complete = True
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        pass
-    return answer
 
 
 @dataclass(slots=True)
--- a/test/test_gateway_log_story.py
+++ b/test/test_gateway_log_story.py
@@ -10,7 +10,7 @@
 
 from godwitpath.commands import app
 from godwitpath.gateway.log_story import parse_lines, tell_request
-from test.gateway_parts import settings_document
+from godwitpath_standin.gateway.documents import settings_document
 
 
 def line(at_s: float, kind: str, daemon: str = "edge-a-1", **fields: object) -> str:
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -26,10 +26,11 @@
 from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.wire import PlatformWire
 from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 from godwitpath_standin.ports import ReservedPorts
-from test.gateway_parts import configuration_document, json_bytes, settings_document
+from test.gateway_parts import json_bytes
 
 SPEC = AccountSpec("hule", (), rate_per_s=1000, burst=1000, counts_tokens=True)
 
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -24,7 +24,7 @@
 )
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
 from godwitpath.http1.server import Handler, Responder, ServerConnection, ServerPolicy, listen
-from test.gateway_parts import read_answer
+from godwitpath_standin.gateway.caller import read_answer
 
 LIMITS = CallerLimits(2048, 4096, 0.3, 0.6)
 
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -26,10 +26,10 @@
 from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.store import PlatformStore
 from godwitpath.ports.kv import LeaseLapsed, StoreRefused, StoreUncertain
+from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
-from test.gateway_parts import configuration_document, settings_document
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
