The gateway tells its state on request; state and status work against it

Cause: the commands of the first form had nothing to ask under the platform's settings, and a daemon's view could only be guessed from its log. The metrics address now answers /admin/status and /admin/state with what the daemon knows and what its decisions rest on; no key and no caller's text is in it.

Test: test_the_state_is_dumped_on_request_and_shown_by_the_commands, over the real process and commands.

--- a/godwitpath/gateway/accounts.py
+++ b/godwitpath/gateway/accounts.py
@@ -88,6 +88,10 @@
             self.urgent.set()
         return 0.0
 
+    def levels(self) -> dict[str, int]:
+        """Return the units left in the bucket of each account, as of its last request."""
+        return {name: int(bucket.level) for name, bucket in self._buckets.items()}
+
     def told(self) -> None:
         """Note that the other daemons were told of all use."""
         self._untold.clear()
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -29,6 +29,7 @@
 from godwitpath.gateway.reload import SettingsReloader
 from godwitpath.gateway.retry_budget import RepeatBudget
 from godwitpath.gateway.settings import GatewaySettings
+from godwitpath.gateway.state_dump import StateDump
 from godwitpath.gateway.usage import UsageBook
 from godwitpath.gateway.usage_duty import UsageDuty
 from godwitpath.http1.pool import ConnectionPool
@@ -97,7 +98,10 @@
             self._peers.view.silence_s,
         )
         self._duties = self._make_duties(wire)
-        self._metrics = MetricsPage(self._ctx, wire, self._catalogue, self._peers, self._holder)
+        dump = StateDump(self._ctx, self._catalogue, self._members, self._peers.view, self._holder)
+        self._metrics = MetricsPage(
+            self._ctx, wire, self._catalogue, self._peers, self._holder, dump
+        )
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
         self._closed = False
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -1,4 +1,4 @@
-"""Serves the daemon's metrics as text, in the form of Prometheus.
+"""Serves the daemon's metrics as text, in the form of Prometheus, and its state as JSON.
 
 The metrics library is loaded in a thread when the page is first asked for: a restart in the middle
 of a day does not wait for it, and a daemon that nobody looks at does without its memory.
@@ -10,11 +10,14 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from godwitpath import __version__
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.peers import Peers
+from godwitpath.gateway.state_dump import StateDump
 from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
 from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
@@ -25,6 +28,10 @@
 if TYPE_CHECKING:
     from godwitpath.telemetry.metrics import Metrics
 
+METRICS_PATH = "/metrics"
+STATE_PATH = "/admin/state"
+STATUS_PATH = "/admin/status"
+
 Readings = Iterable[tuple[float, dict[str, str]]]
 
 
@@ -38,12 +45,14 @@
         catalogue: Catalogue,
         peers: Peers,
         holder: DutyHolder,
+        dump: StateDump,
     ) -> None:
         self._ctx = ctx
         self._wire = wire
         self._catalogue = catalogue
         self._peers = peers
         self._holder = holder
+        self._dump = dump
         self._metrics: Metrics | None = None
         self._connections: set[ServerConnection] = set()
 
@@ -58,8 +67,15 @@
             return None
 
     async def _answer(self, request: Request, responder: Responder) -> None:
-        text, content_type = await asyncio.to_thread(self._render)
-        responder.respond(200, [(b"content-type", content_type.encode())], text)
+        if request.path == METRICS_PATH:
+            text, content_type = await asyncio.to_thread(self._render)
+            responder.respond(200, [(b"content-type", content_type.encode())], text)
+        elif request.path in (STATE_PATH, STATUS_PATH):
+            found = self._dump.state() if request.path == STATE_PATH else self._dump.status()
+            headers = [(b"content-type", b"application/json")]
+            responder.respond(200, headers, msgspec.json.encode(found))
+        else:
+            responder.respond(404, [], b"")
 
     def _render(self) -> tuple[bytes, str]:
         from godwitpath.telemetry.metrics import Metrics
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -356,6 +357,36 @@
                 assert part in text
             assert "key-of-hule" not in text
 
+    async def test_the_state_is_dumped_on_request_and_shown_by_the_commands(self) -> None:
+        async with surroundings(PLAIN) as parts:
+            await ask(parts.port, "/read/x")
+            answer = await ask(parts.metrics_port, "/admin/state", key="")
+            state = json.loads(answer.body)
+            assert state["daemon"] == "edge-a-1"
+            assert state["informed"]
+            assert state["accounts"] == ["hule"]
+            assert {engine["name"] for engine in state["engines"]} == {"d1", "d2"}
+            assert [engine["own_running"] for engine in state["engines"]] == [0, 0]
+            assert {"route": "read", "by": "engine", "reason": "200", "count": 1} in state[
+                "answers"
+            ]
+            assert "key-of-hule" not in answer.body.decode()
+            assert (await ask(parts.metrics_port, "/admin/other", key="")).status == 404
+            for command, shown in (("status", "d1"), ("state", '"quota_share"')):
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "godwitpath",
+                    command,
+                    "--entry",
+                    f"http://127.0.0.1:{parts.metrics_port}",
+                    cwd=ROOT,
+                    stdout=asyncio.subprocess.PIPE,
+                )
+                output, _ = await process.communicate()
+                assert process.returncode == 0
+                assert shown in output.decode()
+
     async def test_each_answer_of_its_own_can_be_found_in_the_log(self) -> None:
         async with surroundings({"d1": "desk"}) as parts:
             parts.engines["d1"].script = deque([Fault.SHED])
