Idle connections keep within what an engine accepts from all daemons

Cause: an engine resets connections beyond its limit, which is for all callers together; each daemon kept up to eight idle ones whatever the number of daemons. At 84 daemons that is 672 of 560 that an engine of the grown site's plain service accepts; not seen to happen there, since few are idle at once.

Test: test_idle_connections_leave_an_engine_room_for_requests.

--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -10,13 +10,29 @@
 from godwitpath.gateway.engines import Engine
 from godwitpath.http1.client import ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, write_request
-from godwitpath.http1.pool import keep_alive_limit_s
+from godwitpath.http1.pool import MAX_IDLE_PER_SERVER, keep_alive_limit_s
 from godwitpath.telemetry.decisions import decision
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to open a connection to an engine: ten round trips between regions."""
 
 
+IDLE_SHARE = 0.5
+"""Part of the connections that an engine accepts which all daemons together may keep idle there;
+the rest is for requests that run."""
+
+
+def idle_connections(accepted: int, daemons: int) -> int:
+    """Return how many idle connections one daemon keeps to an engine.
+
+    :param accepted: connections that the engine accepts from all daemons, 0 when not stated
+    :param daemons: daemons that share them
+    """
+    if not accepted:
+        return MAX_IDLE_PER_SERVER
+    return min(MAX_IDLE_PER_SERVER, max(1, int(accepted * IDLE_SHARE / max(1, daemons))))
+
+
 class Send:
     """Sends a request to an engine and reads its response.
 
@@ -148,7 +164,8 @@
             return
         connection.idle_limit_s = keep_alive_limit_s(head.header(b"keep-alive"))
         address = self.engine.entry.address
-        self._ctx.pool.give_back(address.host, address.port, connection)
+        most_idle = idle_connections(self._call.service.max_connections, self._ctx.repeats.daemons)
+        self._ctx.pool.give_back(address.host, address.port, connection, most_idle)
 
     def _book(self) -> None:
         prompt = self._call.prompt
--- a/godwitpath/http1/pool.py
+++ b/godwitpath/http1/pool.py
@@ -50,10 +50,19 @@
         self.opened += 1
         return await connect(host, port, timeout_s)
 
-    def give_back(self, host: str, port: int, connection: ClientConnection) -> None:
-        """Keep a connection for later if it may be used again, and close it otherwise."""
+    def give_back(
+        self,
+        host: str,
+        port: int,
+        connection: ClientConnection,
+        most_idle: int = MAX_IDLE_PER_SERVER,
+    ) -> None:
+        """Keep a connection for later if it may be used again, and close it otherwise.
+
+        :param most_idle: idle connections that are kept for the server
+        """
         idle = self._idle.setdefault((host, port), [])
-        if not connection.reusable or connection.closed or len(idle) >= MAX_IDLE_PER_SERVER:
+        if not connection.reusable or connection.closed or len(idle) >= most_idle:
             connection.close()
             return
         idle.append(connection)
--- a/test/test_gateway_parts.py
+++ b/test/test_gateway_parts.py
@@ -19,6 +19,7 @@
 from godwitpath.gateway.peer_messages import seal, unseal
 from godwitpath.gateway.retry_budget import RepeatBudget
 from godwitpath.gateway.routes import RouteTable, choose_service
+from godwitpath.gateway.send import idle_connections
 from godwitpath.gateway.usage import UsageBook
 from godwitpath.platform import configuration as platform_configuration
 from godwitpath.platform import engines as platform_engines
@@ -184,6 +185,16 @@
             assert count <= 0.2 * 100 + 56 / daemons
 
 
+@pytest.mark.parametrize(
+    ("accepted", "daemons", "kept"),
+    [(0, 8, 8), (370, 8, 8), (560, 84, 3), (100, 300, 1), (3, 8, 1)],
+)
+def test_idle_connections_leave_an_engine_room_for_requests(
+    accepted: int, daemons: int, kept: int
+) -> None:
+    assert idle_connections(accepted, daemons) == kept
+
+
 class TestEngineBook:
     def test_a_new_start_under_an_old_id_is_another_engine(self) -> None:
         book = EngineBook()
