A daemon that the store turned away goes on being told; a waiting removal is not told as known

Change: a daemon whose lease has ended stays on the list while it is heard; a catalogue tells a revision only once every change up to it is in force. A test for each, both failed before.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from godwitpath.errors import GodwitpathError
@@ -34,13 +35,24 @@
         """Return an engine's entry, None for a damaged one."""
 
 
+@dataclass(slots=True, frozen=True)
+class _Absent:
+    """An engine whose entry was removed and may come back.
+
+    :ivar gone_at_s: loop time at which it is taken as gone
+    :ivar revision: store revision of the removal
+    """
+
+    gone_at_s: float
+    revision: int
+
+
 class Catalogue:
     """Follows the operator's and the engines' keys.
 
     :param wait_s: longest wait of one watch
     :ivar leaving_listeners: called with each engine that leaves or is gone
     :ivar informed: set once configuration and engines are known
-    :ivar engines_revision: store revision of the newest change of an engine that is known here
     :ivar followed: whether this daemon follows the store, not another daemon
     :ivar raw_entries: values of the engines' keys, for a daemon that the store turns away
     """
@@ -60,9 +72,9 @@
         self._engines = engines
         self.informed = asyncio.Event()
         self._configured = asyncio.Event()
-        self._absent: dict[str, float] = {}
+        self._absent: dict[str, _Absent] = {}
         self._revisions: dict[str, int] = {}
-        self.engines_revision = 0
+        self._newest_revision = 0
         self.followed = True
         self.raw_entries: dict[str, bytes] = {}
         self.configuration = Follower(
@@ -84,6 +96,16 @@
             wanted=lambda: self.followed,
         )
 
+    @property
+    def engines_revision(self) -> int:
+        """Store revision up to which every change of an engine is known here.
+
+        A removal that waits for the entry to come back is not: whoever took the entries as of its
+        revision would take the engine for one that is there.
+        """
+        waiting = [absent.revision - 1 for absent in self._absent.values()]
+        return min([self._newest_revision, *waiting])
+
     @property
     def complete(self) -> bool:
         """Whether configuration and engines are known."""
@@ -166,7 +188,7 @@
         for key in self.raw_entries.keys() | entries.keys():
             self._revisions[key] = max(self._revisions.get(key, 0), revision)
         self.raw_entries = dict(entries)
-        self.engines_revision = max(self.engines_revision, revision)
+        self._newest_revision = max(self._newest_revision, revision)
         # What the store says of changes up to there is known.
         self.entries.skip_to(revision)
 
@@ -175,7 +197,7 @@
         if revision < self._revisions.get(key, 0):
             return True
         self._revisions[key] = revision
-        self.engines_revision = max(self.engines_revision, revision)
+        self._newest_revision = max(self._newest_revision, revision)
         return False
 
     def _on_configuration(self, item: Item) -> None:
@@ -204,7 +226,7 @@
         # An entry that lapsed with the store comes back with it.
         gone_at_s = self.entries.regained_at_s + RETURN_GRACE_S
         if gone_at_s > now_s and self._engines.get(engine_id) is not None:
-            self._absent[engine_id] = gone_at_s
+            self._absent[engine_id] = _Absent(gone_at_s, revision)
             return
         self.drop_entry(engine_id, "store")
 
@@ -212,8 +234,8 @@
         while True:
             await asyncio.sleep(0.1)
             now_s = asyncio.get_running_loop().time()
-            for engine_id, gone_at_s in list(self._absent.items()):
-                if now_s >= gone_at_s:
+            for engine_id, absent in list(self._absent.items()):
+                if now_s >= absent.gone_at_s:
                     self.drop_entry(engine_id, "store, still missing after its outage")
 
     def _tell_leaving(self, entry: EngineEntry) -> None:
--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Callable
 
 import msgspec
 
@@ -49,12 +50,16 @@
     :ivar secret: shared by all daemons, empty before it is known
     :ivar entries: the other daemons by name
     :ivar items: the followed keys as they stand
+    :ivar is_heard: tells whether a daemon was heard lately; one whose lease has ended since the
+        store turns it away stays on the list as long as it is
     """
 
     def __init__(self, store: Store, name: str, entry: MemberEntry, rng: random.Random) -> None:
         self.secret = b""
         self.entries: dict[str, MemberEntry] = {}
         self.items: dict[str, Item] = {}
+        self.is_heard: Callable[[str], bool] = lambda name: False
+        self._lapsed: set[str] = set()
         self.follower = Follower(
             store, PREFIX, self._on_item, self._on_removed, rng, LAZY_WAIT_S, self._pause_s
         )
@@ -66,6 +71,13 @@
         self._lease_id = 0
         self._listeners: list[asyncio.Event] = []
 
+    def forget_silent(self) -> None:
+        """Take daemons off the list whose lease has ended and that are not heard any more."""
+        for name in [name for name in self._lapsed if not self.is_heard(name)]:
+            self._lapsed.discard(name)
+            self.entries.pop(name, None)
+            decision("member_gone", member=name)
+
     def changed_event(self) -> asyncio.Event:
         """Return an event that is set whenever one of the followed keys changes."""
         event = asyncio.Event()
@@ -134,6 +146,7 @@
         elif item.key.startswith(MEMBERS_PREFIX):
             name = item.key.removeprefix(MEMBERS_PREFIX)
             if name != self._name:
+                self._lapsed.discard(name)
                 try:
                     self.entries[name] = msgspec.json.decode(item.value, type=MemberEntry)
                 except msgspec.DecodeError as error:
@@ -142,7 +155,11 @@
 
     def _on_removed(self, key: str, revision: int) -> None:
         self.items.pop(key, None)
-        self.entries.pop(key.removeprefix(MEMBERS_PREFIX), None)
+        name = key.removeprefix(MEMBERS_PREFIX)
+        if name in self.entries and self.is_heard(name):
+            self._lapsed.add(name)
+        else:
+            self.entries.pop(name, None)
         self._tell()
 
     def _tell(self) -> None:
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -74,6 +74,7 @@
         self._ctx = ctx
         self._catalogue = catalogue
         self._members = members
+        members.is_heard = lambda name: name in self.view.heard()
         self._incarnation = incarnation
         self._number = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -149,6 +150,7 @@
             self._catalogue.followed = self.view.should_watch()
             self._ctx.repeats.note_daemons(1 + len(self._members.entries))
             self.view.forget_silent()
+            self._members.forget_silent()
             self.view.correct_clock()
             if self._members.secret and self._transport is not None:
                 self._ctx.quota.told()
--- a/test/test_gateway_parts.py
+++ b/test/test_gateway_parts.py
@@ -276,6 +276,28 @@
         assert view.ids() == ["i2"]
         await view.stop()
 
+    async def test_a_removal_that_waits_is_not_told_as_known(self) -> None:
+        """Others would take an engine that is gone for one that is there, as newer news."""
+        view = View()
+        view.start("i1", address="h:1")
+        view.start("i2", address="h:2")
+        await asyncio.sleep(0.5)
+        view.store.faults.down = True
+        await asyncio.sleep(2.0)
+        view.store.faults.down = False
+        await asyncio.sleep(1.0)
+        view.core.remove("servers/i1")
+        removed = view.core.revision
+        await asyncio.sleep(0.1)
+        view.start("i2", address="h:2", state="draining")
+        await asyncio.sleep(0.1)
+        assert "servers/i1" in view.catalogue.raw_entries
+        assert view.catalogue.engines_revision < removed
+        await asyncio.sleep(2.5)
+        assert "servers/i1" not in view.catalogue.raw_entries
+        assert view.catalogue.engines_revision == view.core.revision
+        await view.stop()
+
     async def test_a_removed_entry_is_gone_at_once_while_the_store_is_up(self) -> None:
         view = View()
         view.start("i1", address="h:1")
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -17,8 +17,9 @@
 from godwitpath.gateway.engines import EngineBook, EngineEntry, EngineState
 from godwitpath.gateway.holder import HOLDER_KEY, HolderEntry
 from godwitpath.gateway.in_force import ConfigurationInForce
-from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.members import LEASE_S, MemberEntry, Members
 from godwitpath.gateway.model import AccountSpec
+from godwitpath.gateway.peer_view import HEARD_S
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placing import Placer
 from godwitpath.gateway.retry_budget import RepeatBudget
@@ -193,6 +194,27 @@
             assert engine.entry.state is EngineState.DRAINING
 
 
+async def test_one_whose_lease_has_ended_is_told_of_changes_while_it_is_heard() -> None:
+    async with fleet(18, "abc") as daemons:
+        await asyncio.sleep(2.0)
+        core = daemons[0].store._core
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+        await asyncio.sleep(1.0)
+        cut = next(each for each in reversed(daemons) if not each.catalogue.followed)
+        cut.store.faults.down = True
+        await asyncio.sleep(LEASE_S + 1.0)
+        assert f"gateway/daemons/{cut.name}" not in core.items
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1", state="draining"))
+        await asyncio.sleep(1.5)
+        engine = cut.catalogue._engines.get("e1")
+        assert engine is not None
+        assert engine.entry.state is EngineState.DRAINING
+        # One that is gone is taken off the list, by whoever was told of it.
+        await cut.stop()
+        await asyncio.sleep(HEARD_S + 1.0)
+        assert not any(cut.name in each.members.entries for each in daemons if each is not cut)
+
+
 async def test_what_a_daemon_heard_from_another_is_not_undone_by_the_store() -> None:
     async with fleet(4, "ab") as daemons:
         await asyncio.sleep(2.0)
