A new holder of the duties has time to be heard

A holder of another zone is heard of by that zone's next digest, the list tells of it sooner, and whoever had not heard it took it for silent, counting from its own start.

Change: silence counts at most from when the holding was first seen; one that was never heard is replaced after the platform's lease time; one that has started anew since is replaced at once. Digests are remembered for that, also when the next one leaves a daemon out.

--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -73,7 +73,8 @@
 
     :param bounds: of the deployment; its lease time is the shortest time between two turns of one
         holder
-    :param silence_s: returns for how long a start of a daemon has sent no report
+    :param silence_s: returns for how long a start of a daemon has sent no report, None where it was
+        never heard
     """
 
     def __init__(
@@ -83,13 +84,14 @@
         name: str,
         bounds: Bounds,
         rng: random.Random,
-        silence_s: Callable[[str, int], float],
+        silence_s: Callable[[str, int], float | None],
     ) -> None:
         self._store = store
         self._members = members
         self._name = name
         self._lease_s = bounds.lease_s * LEASE_FACTOR
         self._rest_s = bounds.lease_s + MARGIN_S
+        self._unheard_s = bounds.lease_s
         self._may_replace = bounds.fencing_checked
         self._silence_s = silence_s
         self._rng = rng
@@ -99,6 +101,8 @@
         self._held_at_s = float("-inf")
         self._leaving = False
         self._changed = members.changed_event()
+        self._seen_revision = 0
+        self._seen_at_s = 0.0
 
     def proof(self) -> DutyProof | None:
         """Return the proof of holding the duties, to be asked for right before each action."""
@@ -161,14 +165,25 @@
                 await self._take(holder)
 
     def _silent(self, holder: Item) -> bool:
-        """Return whether the holder has sent no report for so long that it is replaced."""
+        """Return whether the holder has sent no report for so long that it is replaced.
+
+        One that has just taken the duties counts as silent only from then on: its reports may take
+        longer to arrive than the news of it, and one that replaced it would be no better known.
+        """
         if not self._may_replace:
             return False
+        if holder.revision != self._seen_revision:
+            self._seen_revision = holder.revision
+            self._seen_at_s = boot_time_s()
+        known_s = boot_time_s() - self._seen_at_s
         try:
             entry = msgspec.json.decode(holder.value, type=HolderEntry)
         except msgspec.DecodeError:
             return False
-        return self._silence_s(entry.name, entry.incarnation) >= SILENT_S
+        silence_s = self._silence_s(entry.name, entry.incarnation)
+        if silence_s is None:
+            return known_s >= self._unheard_s
+        return min(silence_s, known_s) >= SILENT_S
 
     async def _renew(self) -> None:
         now_s = boot_time_s()
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -90,11 +90,12 @@
         self.zone_read: Counter[str] = Counter()
         self.holder: tuple[str, int] = ("", 0)
         self._far_read: Counter[str] = Counter()
+        # When a digest last named a start of a daemon of another zone.
+        self._far_heard_at_s: dict[tuple[str, int], float] = {}
         self._ctx = ctx
         self._members = members
         self._incarnation = incarnation
         self._loop = asyncio.get_running_loop()
-        self._started_at_s = self._loop.time()
 
     @property
     def meshed(self) -> bool:
@@ -154,25 +155,26 @@
         before = [name for name in self.watchers() if name < self._ctx.settings.name]
         return len(before) < WATCHERS
 
-    def silence_s(self, name: str, incarnation: int) -> float:
-        """Return for how long a start of a daemon has not been heard.
+    def silence_s(self, name: str, incarnation: int) -> float | None:
+        """Return for how long a start of a daemon has not been heard, None where it never was.
 
-        Zero where this daemon itself seems to be the one that is cut off: it hears less than half
-        of the others.
+        Infinite where the daemon has started anew since. Zero where this daemon itself seems to be
+        the one that is cut off: it hears less than half of the others.
         """
         if name == self._ctx.settings.name:
             return 0.0 if incarnation == self._incarnation else math.inf
+        entry = self._members.entries.get(name)
+        if entry is not None and entry.incarnation != incarnation:
+            return math.inf
         others = self._members.entries.keys() - {name}
         if 2 * len(self.heard() & others) < len(others):
             return 0.0
-        heard_at_s = [self._started_at_s]
-        state = self.states.get((name, incarnation))
+        key = (name, incarnation)
+        heard_at_s = [self._far_heard_at_s[key]] if key in self._far_heard_at_s else []
+        state = self.states.get(key)
         if state is not None:
             heard_at_s.append(state.heard_at_s)
-        for zone in self.zones.values():
-            if (name, incarnation) in zone.members:
-                heard_at_s.append(zone.heard_at_s)
-        return self._loop.time() - max(heard_at_s)
+        return self._loop.time() - max(heard_at_s) if heard_at_s else None
 
     def quota_share(self) -> float:
         """Return the part of each quota that the daemons which hear one another may use."""
@@ -245,6 +247,7 @@
         state.number = digest.number
         state.heard_at_s = self._loop.time()
         state.members = digest.members
+        self._far_heard_at_s.update(dict.fromkeys(digest.members, state.heard_at_s))
         state.configuration = digest.configuration
         self._take_use(_growth(state.quota_used, digest.quota_used))
         self._far_read.update(_growth(state.read_tokens, digest.read_tokens))
@@ -266,6 +269,9 @@
                 self._ctx.engines.drop_peer(key[0])
             if silent_s >= FORGET_S:
                 del self.states[key]
+        for key, heard_at_s in list(self._far_heard_at_s.items()):
+            if now_s - heard_at_s >= FORGET_S:
+                del self._far_heard_at_s[key]
         for name, zone in self.zones.items():
             if now_s - zone.heard_at_s >= HEARD_S and zone.loads:
                 decision("zone_silent", zone=name, speaker=zone.speaker[0])
