The soak's check of answers: what an engine broke off itself is not made; what ran later was not lost

The stand-in now says when a run ended whole; a run that ended after the caller's answer is no delivery that was lost.

--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -43,7 +43,8 @@
     """A request that an engine ran.
 
     :ivar began_at_s: loop time at which it began
-    :ivar ended: whether it ran to its end
+    :ivar ended: whether it ran to its end and was answered whole
+    :ivar ended_at_s: loop time at which it ended, 0 before
     :ivar cancelled: whether its connection was closed before
     :ivar stopped: whether it was moved away
     """
@@ -52,6 +53,7 @@
     request: Request
     began_at_s: float = 0.0
     ended: bool = False
+    ended_at_s: float = 0.0
     cancelled: bool = False
     stopped: bool = False
 
@@ -140,7 +142,8 @@
                 await self._stream(run, responder, headers, fault)
             else:
                 await self._plain(responder, headers, fault, request_id)
-            run.ended = True
+            run.ended = responder.finished
+            run.ended_at_s = asyncio.get_running_loop().time()
         except asyncio.CancelledError:
             run.cancelled = True
             raise
--- a/godwitpath_standin/soak/promises.py
+++ b/godwitpath_standin/soak/promises.py
@@ -89,7 +89,9 @@
         delivered = [
             run
             for engine_id, run in runs[sent.request_id]
-            if run.ended and not history.broken(engine_id, run.began_at_s, sent.ended_at_s)
+            if run.ended
+            and run.ended_at_s <= sent.ended_at_s
+            and not history.broken(engine_id, run.began_at_s, sent.ended_at_s)
         ]
         # A stream that its engine broke off, or that was lost on the way here, may end so.
         if delivered if sent.stream else runs[sent.request_id]:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -119,6 +119,8 @@
     def test_a_stream_that_its_engine_made_and_that_arrived(self) -> None:
         request = sent(stream=True, route="plan", answer=Answer(), closed=True)
         assert broken(history(request, run_of(request, ended=False))) == set()
+        # One that had been held on its way ran when its caller had been told already.
+        assert broken(history(request, run_of(request, ended_at_s=100.2))) == set()
         seen = history(request, run_of(request))
         assert broken(seen) == {"answered"}
         seen.disruptions.append(Disruption("i-1", 100.05, 100.06, fatal=True))
