The load is known soon after it began

The average is now scaled by what a steady load would have reached by then, from 1.5 s on.

Ruled out: a shorter time constant, which takes uneven traffic for more than it is (tested before).

--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -19,6 +19,10 @@
 """Time constant with which a load is followed, about the time in which an engine boots. It is the
 same both ways: following a rise faster would take uneven traffic for more than it is."""
 
+WARM_S = 1.5
+"""Time of work before which the average is not scaled up to what it will be: a burst of the first
+second says little."""
+
 STEADY_SHARE = 0.1
 """Part by which the load has to fall below a smaller need before that is taken."""
 
@@ -46,13 +50,12 @@
     """Follows the load of one service in engines kept busy.
 
     :param slots: streams beside one another that keep an engine busy: the size of its batch
-    :ivar busy_engines: the load
     :ivar read_tokens: prompt tokens read since the start, as last observed
     """
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
-        self.busy_engines = 0.0
+        self._average = 0.0
         self.read_tokens: int | None = None
         self._seen_at_s = 0.0
         self._started_at_s: float | None = None
@@ -75,12 +78,22 @@
         # An engine reads prompts between the steps of its streams; both at once cost little more.
         sample = max(reading, running / max(1, self._slots))
         if sample > 0 and self._started_at_s is None:
-            self._started_at_s = now_s
+            self._started_at_s = self._seen_at_s
         weight = 1 - math.exp(-elapsed_s / FOLLOW_S)
-        self.busy_engines += weight * (sample - self.busy_engines)
+        self._average += weight * (sample - self._average)
         self.read_tokens = read_tokens
         self._seen_at_s = now_s
 
+    @property
+    def busy_engines(self) -> float:
+        """The load.
+
+        The average rises from zero, so shortly after the start it is scaled by the part of it that
+        a steady load would have reached by now.
+        """
+        measured_s = max(WARM_S, self.measured_for_s(self._seen_at_s))
+        return self._average / (1 - math.exp(-measured_s / FOLLOW_S))
+
     def measured_for_s(self, now_s: float) -> float:
         """Return for how long there has been work to measure."""
         return 0.0 if self._started_at_s is None else now_s - self._started_at_s
--- a/test/test_gateway_fleet_plan.py
+++ b/test/test_gateway_fleet_plan.py
@@ -58,6 +58,15 @@
         assert demand.busy_engines == pytest.approx(1.5, rel=0.01)
         assert demand.need() == Need(3, 5)
 
+    def test_a_load_is_known_soon_after_it_began(self) -> None:
+        """A reclaim in the first seconds found too few engines: the average rose from nothing."""
+        demand = Demand(64)
+        for step in range(50):
+            demand.observe(0, 0, step * 0.2)
+        for step in range(16):
+            demand.observe(int(38_700 * 6 * step * 0.2), 0, 10 + step * 0.2)
+        assert demand.busy_engines == pytest.approx(6, rel=0.1)
+
     def test_uneven_traffic_is_not_taken_for_more_than_it_is(self) -> None:
         demand, rng, tokens = Demand(64), Random(3), 0
         seen = []
