--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -5,10 +5,11 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Iterator, Mapping
 from dataclasses import dataclass
+from typing import Any
 
-from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain
+from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain, DutyProof
 from godwitpath.gateway.demand import Demand, Need
 from godwitpath.gateway.engines import EngineBook, EngineState
 from godwitpath.gateway.fleet_plan import FleetPlan, plan_fleet, with_lasting
@@ -90,9 +91,14 @@
         self._enough_since_s: dict[Kind, float] = {}
         self._token = 0
         self._plans: dict[tuple[object, ...], FleetPlan] = {}
+        self._asked: set[Kind] = set()
 
     async def run(self) -> None:
         """Order while this daemon holds the duty, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            await self._run(group)
+
+    async def _run(self, group: asyncio.TaskGroup) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(STEP_S)
@@ -106,7 +112,9 @@
                 read_tokens, running = self._load(service.name)
                 demand.observe(read_tokens, running, loop.time())
                 if self._holder.proof() is not None:
-                    await self._look_after(service, service.scaling, demand)
+                    for order in self._look_after(service, service.scaling, demand):
+                        # One whose answer does not come holds up no other.
+                        group.create_task(order)
 
     def _demand_of(self, service: ServiceSpec) -> Demand:
         demand = self._demands.get(service.name)
@@ -136,7 +144,10 @@
                 (found.reclaimable if entry.reclaimable else found.lasting)[entry.zone] += 1
         return found
 
-    async def _look_after(self, service: ServiceSpec, scaling: ScalingSpec, demand: Demand) -> None:
+    def _look_after(
+        self, service: ServiceSpec, scaling: ScalingSpec, demand: Demand
+    ) -> Iterator[Coroutine[Any, Any, None]]:
+        """Yield the orders that are due."""
         now_s = asyncio.get_running_loop().time()
         proof = self._holder.proof()
         if proof is not None and proof.token != self._token:
@@ -165,7 +176,9 @@
                     # Lasting engines go only once those that replace them are there.
                     count = max(count, present[zone])
                 kind = (service.name, zone, reclaimable)
-                await self._state(kind, count, present[zone], scaling, needed, demand)
+                if kind not in self._asked and self._is_due(kind, count, present[zone], scaling):
+                    self._asked.add(kind)
+                    yield self._order(kind, count, present[zone], needed, demand)
 
     def _note_reclaims(self, service: str, scaling: ScalingSpec, found: FleetCount) -> None:
         """Take engines that left without an order for what they are: gone, and not on their way."""
@@ -212,38 +225,41 @@
             return present
         return max(present, order.count)
 
-    async def _state(
-        self,
-        kind: Kind,
-        count: int,
-        present: int,
-        scaling: ScalingSpec,
-        needed: int,
-        demand: Demand,
-    ) -> None:
-        """Order a number of engines of a kind unless that is what holds or is on its way."""
+    def _is_due(self, kind: Kind, count: int, present: int, scaling: ScalingSpec) -> bool:
+        """Return whether a number is to be ordered: not what holds, nor what is on its way."""
         now_s = asyncio.get_running_loop().time()
-        service, zone, reclaimable = kind
         order = self._orders.get(kind)
         if now_s < self._none_until_s.get(kind, 0.0) and count > present:
-            return
+            return False
         if not self._lowers(kind, count, present, order, now_s):
-            return
+            return False
         if order is not None and order.count == count and order.accepted:
             # A call without an answer may have been carried out after this one.
             settled = now_s - order.at_s > scaling.boot_s + BOOT_SLACK_S
-            if count == present or not settled:
-                return
-        elif order is None and count == present == 0:
-            return
-        proof = self._holder.proof()
-        if proof is None:
-            return
+            return count != present and settled
+        return order is not None or count > 0 or present > 0
+
+    async def _order(
+        self, kind: Kind, count: int, present: int, needed: int, demand: Demand
+    ) -> None:
+        try:
+            proof = self._holder.proof()
+            if proof is not None:
+                await self._call(proof, kind, count, present, needed, demand)
+        finally:
+            self._asked.discard(kind)
+
+    async def _call(
+        self, proof: DutyProof, kind: Kind, count: int, present: int, needed: int, demand: Demand
+    ) -> None:
+        """Order a number of engines of a kind."""
+        now_s = asyncio.get_running_loop().time()
+        service, zone, reclaimable = kind
         self.orders += 1
         try:
             accepted = await self._cloud.order_engines(proof, service, zone, count, reclaimable)
             outcome = "accepted" if accepted else "none_to_be_had"
-            if accepted:
+            if accepted and proof.token == self._token:
                 self._orders[kind] = _Order(count, now_s, accepted=True)
         except CloudRefused as error:
             outcome = f"refused: {error}"
--- a/godwitpath_standin/gateway/cloud.py
+++ b/godwitpath_standin/gateway/cloud.py
@@ -9,6 +9,10 @@
 from godwitpath.gateway.cloud import CloudRefused, CloudUncertain, DutyProof, FencedOff
 
 
+SILENCE_S = 2.0
+"""Time for which a call waits that gets no answer."""
+
+
 @dataclass(slots=True)
 class FakeCloud:
     """A cloud.
@@ -16,6 +20,7 @@
     :ivar usage: accepted counts by window, every distinct one
     :ivar orders: accepted orders: service, zone, reclaimable, count
     :ivar none_to_be_had: zones without reclaimable engines
+    :ivar silent_zones: zones whose orders are not answered
     :ivar down: whether calls are refused
     :ivar lose: next calls that are done and not answered
     :ivar on_order: told of each accepted order
@@ -25,6 +30,7 @@
     orders: list[tuple[str, str, bool, int]] = field(default_factory=list)
     calls: list[DutyProof] = field(default_factory=list)
     none_to_be_had: set[str] = field(default_factory=set)
+    silent_zones: set[str] = field(default_factory=set)
     down: bool = False
     lose: int = 0
     on_order: Callable[[str, str, bool, int], None] | None = None
@@ -43,6 +49,9 @@
         self, proof: DutyProof, service: str, zone: str, count: int, reclaimable: bool
     ) -> bool:
         await self._call(proof)
+        if zone in self.silent_zones:
+            await asyncio.sleep(SILENCE_S)
+            raise CloudUncertain("no answer")
         if reclaimable and zone in self.none_to_be_had:
             return False
         self.orders.append((service, zone, reclaimable, count))
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -398,6 +398,19 @@
         task.cancel()
         await daemon.stop()
 
+    async def test_an_order_without_an_answer_holds_up_no_other(self) -> None:
+        core, platform = StoreCore(), Platform()
+        daemon = Daemon(core, 0, set())
+        platform.cloud.silent_zones.add("cheap")
+        task = fleet(platform, daemon, Load(2.5))
+        await asyncio.sleep(2.0)
+        assert {zone for zone, _ in platform.wanted} == {"dear", "middle"}
+        platform.cloud.silent_zones.clear()
+        await asyncio.sleep(6.0)
+        assert platform.wanted["cheap", True] > 0
+        task.cancel()
+        await daemon.stop()
+
     async def test_a_zone_full_of_lasting_engines_makes_room(self) -> None:
         core, platform = StoreCore(), Platform()
         daemon = Daemon(core, 0, set())
