Placing: reading again weighs eight times, and one of the nearly equal places is taken at random

Load answered: prompts that share much, engines reclaimed to half, many daemons that hear the same old news.

Cause: on the grown sites a fifth of the prompt tokens was read again, and under overload each of them delays all that wait; the weight of 2 made a document leave its engine for a wait of 0.16 s. And all daemons sent what came between two reports to the engine that was best in the last one.

--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -68,7 +68,7 @@
             wire=wire,
             in_force=in_force,
             engines=engines,
-            placer=Placer(settings.zone, settings.region, dict(settings.zone_regions)),
+            placer=Placer(settings.zone, settings.region, dict(settings.zone_regions), rng),
             quota=QuotaBook(),
             repeats=RepeatBudget(
                 settings.bounds.retry_ratio,
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from godwitpath.gateway.calls import PromptPart
 from godwitpath.gateway.engines import Engine, EngineEntry
@@ -33,14 +34,19 @@
 FOREIGN_REGION_COST_S = 0.05
 """What a request to another region costs beside its time: bytes between regions are paid for."""
 
-READ_WEIGHT = 2.0
-"""Weight of the time to read a prompt against the time it waits: reading again also delays whoever
-comes after, about as long as it takes."""
+READ_WEIGHT = 8.0
+"""Weight of the time to read a prompt against the time it waits: under load, reading again delays
+about so many others that come after. Where one document is much asked for, a second engine reads it
+once the first keeps requests waiting for seven times the reading."""
 
 CROWDING_S = 0.1
 """What a full batch counts as beside the wait: its steps, and the pauses of its streams, are
 longer by about that much."""
 
+NEAR_S = 0.1
+"""Difference within which places count as equally good, and one is taken at random: reports are some
+tenths of a second old, and all daemons would send what they get meanwhile to the same engine."""
+
 HOME_BONUS = 0.5
 """Part of a prompt's shared tokens that its home engine is taken to hold when nothing is known."""
 
@@ -127,10 +133,11 @@
     :ivar read_tokens: prompt tokens given to engines to read since the start, by service
     """
 
-    def __init__(self, zone: str, region: str, region_of: dict[str, str]) -> None:
+    def __init__(self, zone: str, region: str, region_of: dict[str, str], rng: Random) -> None:
         self._zone = zone
         self._region = region
         self._region_of = region_of
+        self._rng = rng
         self._memories: dict[tuple[str, int], PrefixMemory] = {}
         self.read_tokens: dict[str, int] = {}
         self._told: deque[tuple[float, str, tuple[PromptPart, ...]]] = deque(maxlen=TOLD_PROMPTS)
@@ -145,6 +152,11 @@
             home = best.entry.engine_id
         places = [self._expect(prompt, engine, home, cache_tokens) for engine in engines]
         places.sort(key=lambda place: place.weight)
+        near = [place for place in places if place.weight <= places[0].weight + NEAR_S]
+        if len(near) > 1:
+            chosen = self._rng.choice(near)
+            places.remove(chosen)
+            places.insert(0, chosen)
         return places
 
     def place_call(self, engines: Sequence[Engine]) -> list[Engine]:
