--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -44,8 +44,8 @@
 longer by about that much."""
 
 NEAR_S = 0.1
-"""Difference within which places count as equally good, and one is taken at random: reports are some
-tenths of a second old, and all daemons would send what they get meanwhile to the same engine."""
+"""Difference within which places count as equally good, and one is taken at random: reports are
+some tenths of a second old, and all daemons would send what comes meanwhile to the same engine."""
 
 HOME_BONUS = 0.5
 """Part of a prompt's shared tokens that its home engine is taken to hold when nothing is known."""
--- a/godwitpath_standin/gateway/cloud.py
+++ b/godwitpath_standin/gateway/cloud.py
@@ -8,7 +8,6 @@
 
 from godwitpath.gateway.cloud import CloudRefused, CloudUncertain, DutyProof, FencedOff
 
-
 SILENCE_S = 2.0
 """Time for which a call waits that gets no answer."""
 
--- a/test/test_gateway_parts.py
+++ b/test/test_gateway_parts.py
@@ -159,7 +159,7 @@
         assert fleet.most(8.0) >= 60_000 * 8 * 0.9
 
     def test_the_sum_holds_over_many_daemons_with_large_requests(self) -> None:
-        """Each of 89 daemons lets one request pass on the same news; together that is two seconds'."""
+        """Each of 89 daemons lets a request pass on the same news: two seconds' worth in all."""
         spec = AccountSpec("a", (), rate_per_s=160_000, burst=320_000, counts_tokens=True)
         fleet = Fleet(89, spec)
         fleet.run(16.0, 530_000, 1.0, talk=True, units=4600.0)
