Runs of a request are told in the order in which they began; comments of the soak and the model

The test of a resumed stream took the runs in the order of the engines, and the first place is now taken at random among equals: the second run was named first.

--- a/godwitpath_standin/soak/promises.py
+++ b/godwitpath_standin/soak/promises.py
@@ -22,8 +22,13 @@
 """Longest time past its own limit after which a request has a final answer."""
 
 RETRY_RATIO = 0.2
+"""Repeated sends as a part of the requests: the users' figure."""
+
 RETRY_SLACK = 56
+"""Repeated sends in a window beside the ratio, of all daemons: the users' figure."""
+
 RETRY_WINDOW_S = 10.0
+"""Time in which repeated sends are counted together."""
 
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
@@ -109,7 +114,7 @@
 
 
 def limit_of(sent: Sent) -> float:
-    """Return the time that a request may take, in seconds."""
+    """Return the time that a request may take, in seconds: the timeout of its route."""
     return 6.0 if sent.stream else 3.0
 
 
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -53,7 +53,6 @@
 
     :ivar faults: the faults with the time at which each began, in their order
     :ivar statuses: answers by status, 0 for none
-    :ivar log_folder: where the daemons' logs lie, while the soak is not over
     """
 
     plan: SoakPlan
--- a/test/engine_model.py
+++ b/test/engine_model.py
@@ -18,6 +18,7 @@
 from godwitpath.gateway.placing import Placer, PrefixMemory, Prompt
 from godwitpath.ports.engine import Address
 
+# The engines of the users' sheet.
 STEP_S = 0.00547
 STEP_PER_REQUEST_S = 0.0000121
 STEP_PER_CONTEXT_TOKEN_S = 0.000000023
@@ -25,6 +26,7 @@
 CHUNK_TOKENS = 2048
 CACHE_TOKENS = 232_000
 TOKENS_IN_EVENT = 4
+# The daemons' reports, and the way to an engine.
 REPORT_S = 0.4
 NETWORK_S = 0.02
 
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -24,12 +24,14 @@
 
 
 def runs(parts: Surroundings, request_id: str = "r1") -> list[Run]:
-    return [
+    """Return the runs of a request at all engines, in the order in which they began."""
+    found = [
         run
         for engine in parts.engines.values()
         for run in engine.runs
         if run.request_id == request_id.encode()
     ]
+    return sorted(found, key=lambda run: run.began_at_s)
 
 
 class TestPlain:
