--- a/godwitpath_standin/soak/faults.py
+++ b/godwitpath_standin/soak/faults.py
@@ -17,6 +17,10 @@
 START_S = 3.0
 """Time that a daemon may take to start."""
 
+LINGER_S = 6.0
+"""Time for which an engine that leaves serves on beyond what it must: the platform's may be many
+seconds, and whoever still sends to it is seen."""
+
 STORE_LOOK_S = 0.1
 """Time between two looks whether the store answers again."""
 
@@ -362,7 +366,7 @@
         return
     world.history.drained[seat.engine.engine_id] = world.now_s
     world.enter(seat, state="draining")
-    await asyncio.sleep(DRAIN_S + 1.0)
+    await asyncio.sleep(DRAIN_S + LINGER_S)
     world.remove_entry(seat)
     world.disrupt(seat.engine.engine_id, 0.0, fatal=True)
     await seat.engine.stop()
