One piece for what stood several times: listening stand-ins, whole answers, default policies

The time since the store answered is the follower's to tell, for the dump and the metrics. - Placing summed an engine's running requests and looked up its distance twice for each candidate.

--- a/godwitpath/gateway/follow.py
+++ b/godwitpath/gateway/follow.py
@@ -78,6 +78,10 @@
                 await asyncio.sleep(pause_s * (0.75 + 0.5 * self._rng.random()))
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
 
+    def silent_s(self, now_s: float) -> float | None:
+        """Return the time since the last answer, None before the first."""
+        return None if self.synced_at_s is None else now_s - self.synced_at_s
+
     def skip_to(self, revision: int) -> None:
         """Go on after a revision, whose changes were heard elsewhere."""
         if self.revision:
--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -59,7 +59,6 @@
         self.entries: dict[str, MemberEntry] = {}
         self.items: dict[str, Item] = {}
         self.is_heard: Callable[[str], bool] = lambda name: False
-        self._lapsed: set[str] = set()
         self.follower = Follower(
             store, PREFIX, self._on_item, self._on_removed, rng, LAZY_WAIT_S, self._pause_s
         )
@@ -73,10 +72,11 @@
 
     def forget_silent(self) -> None:
         """Take daemons off the list whose lease has ended and that are not heard any more."""
-        for name in [name for name in self._lapsed if not self.is_heard(name)]:
-            self._lapsed.discard(name)
-            self.entries.pop(name, None)
-            decision("member_gone", member=name)
+        lapsed = [name for name in self.entries if MEMBERS_PREFIX + name not in self.items]
+        for name in lapsed:
+            if not self.is_heard(name):
+                del self.entries[name]
+                decision("member_gone", member=name)
 
     def changed_event(self) -> asyncio.Event:
         """Return an event that is set whenever one of the followed keys changes."""
@@ -146,7 +146,6 @@
         elif item.key.startswith(MEMBERS_PREFIX):
             name = item.key.removeprefix(MEMBERS_PREFIX)
             if name != self._name:
-                self._lapsed.discard(name)
                 try:
                     self.entries[name] = msgspec.json.decode(item.value, type=MemberEntry)
                 except msgspec.DecodeError as error:
@@ -156,9 +155,7 @@
     def _on_removed(self, key: str, revision: int) -> None:
         self.items.pop(key, None)
         name = key.removeprefix(MEMBERS_PREFIX)
-        if name in self.entries and self.is_heard(name):
-            self._lapsed.add(name)
-        else:
+        if not self.is_heard(name):
             self.entries.pop(name, None)
         self._tell()
 
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -18,7 +18,6 @@
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.state_dump import StateDump
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
 from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.platform.wire import PlatformWire
@@ -58,8 +57,7 @@
 
     async def listen(self, address: Address) -> asyncio.Server | None:
         """Answer on an address; a daemon serves without metrics where that is taken."""
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        policy = ServerPolicy(self._answer)
         try:
             return await listen(address.host, address.port, policy, self._connections)
         except OSError as error:
@@ -156,8 +154,9 @@
             ("configuration", self._catalogue.configuration),
             ("engines", self._catalogue.entries),
         ):
-            if follower.synced_at_s is not None:
-                yield now_s - follower.synced_at_s, {"keys": name}
+            silent_s = follower.silent_s(now_s)
+            if silent_s is not None:
+                yield silent_s, {"keys": name}
 
     def _fence(self) -> float:
         proof = self._holder.proof()
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -28,7 +28,6 @@
     unseal,
 )
 from godwitpath.gateway.peer_view import HEARD_S, PeerView, sum_loads
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import NotSent, Request, ResponseLost, write_request
 from godwitpath.http1.pool import ConnectionPool
 from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
@@ -88,8 +87,7 @@
         settings = self._ctx.settings
         port = settings.peer_ports[0]
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=(settings.host, port))
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        policy = ServerPolicy(self._answer)
         self._server = await listen(settings.host, port, policy, self._connections)
 
     async def run(self) -> None:
@@ -312,12 +310,10 @@
         try:
             connection.send("POST", write_request("POST", PULL_TARGET, headers) + body)
             await connection.head()
-            pieces = []
-            while piece := await connection.read():
-                pieces.append(piece)
+            answer = await connection.read_whole()
         finally:
             connection.close()
-        payload = unseal(self._members.secret, b"".join(pieces))
+        payload = unseal(self._members.secret, answer)
         if payload is None:
             raise ResponseLost("the answer is not a daemon's")
         return msgspec.msgpack.decode(payload, type=CatalogueView)
--- a/godwitpath/gateway/placing.py
+++ b/godwitpath/gateway/placing.py
@@ -210,16 +210,18 @@
         read_tokens = max(0, prompt.tokens - held)
         pace = max(0.5, engine.pace)
         slots = max(1, engine.entry.slots)
-        over = max(0, engine.all_running + 1 - slots)
+        running = engine.all_running
+        over = max(0, running + 1 - slots)
         # Beyond its slots an engine lets a request wait for one that ends.
         wait_s = engine.all_prompt_tokens / READ_TOKENS_PER_S + over * STEP_S * 20
         first_s = (wait_s + read_tokens / READ_TOKENS_PER_S + STEP_S) * pace
-        first_s += self.distance_s(engine) * 2
+        distance_s = self.distance_s(engine)
+        first_s += distance_s * 2
         burden_s = (READ_WEIGHT - 1) * read_tokens / READ_TOKENS_PER_S * pace
         # Reading a prompt also delays the tokens of the streams that run beside it.
-        crowding = engine.all_running / slots
+        crowding = running / slots
         weight = first_s + burden_s + CROWDING_S * crowding
-        if self.distance_s(engine) >= OTHER_REGION_S:
+        if distance_s >= OTHER_REGION_S:
             weight += FOREIGN_REGION_COST_S
         return Place(engine, read_tokens, first_s, weight)
 
--- a/godwitpath/gateway/readiness.py
+++ b/godwitpath/gateway/readiness.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
 from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
 from godwitpath.ports.engine import Address
@@ -25,8 +24,7 @@
 
     async def listen(self, address: Address) -> asyncio.Server:
         """Answer on an address."""
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
+        policy = ServerPolicy(self._answer)
         return await listen(address.host, address.port, policy, self._connections)
 
     async def _answer(self, request: Request, responder: Responder) -> None:
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -16,7 +16,6 @@
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to open a connection to an engine: ten round trips between regions."""
 
-
 IDLE_SHARE = 0.5
 """Part of the connections that an engine accepts which all daemons together may keep idle there;
 the rest is for requests that run."""
@@ -133,16 +132,11 @@
 
         :raises ResponseLost: the body was cut
         """
-        if self._connection is None:
-            raise ResponseLost("the send was closed")
-        return await self._connection.read()
+        return await self._opened().read()
 
     async def read_whole(self) -> bytes:
-        """Return the whole body."""
-        pieces = []
-        while piece := await self.read():
-            pieces.append(piece)
-        return b"".join(pieces)
+        """Return the whole body; raises as :meth:`read`."""
+        return await self._opened().read_whole()
 
     def first_token(self) -> None:
         """Note that the engine has read the prompt."""
@@ -167,6 +161,11 @@
         most_idle = idle_connections(self._call.service.max_connections, self._ctx.repeats.daemons)
         self._ctx.pool.give_back(address.host, address.port, connection, most_idle)
 
+    def _opened(self) -> ClientConnection:
+        if self._connection is None:
+            raise ResponseLost("the send was closed")
+        return self._connection
+
     def _book(self) -> None:
         prompt = self._call.prompt
         self._booked = True
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -9,11 +9,11 @@
 from godwitpath import __version__
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.engines import Engine
+from godwitpath.gateway.engines import EngineState
+from godwitpath.gateway.follow import Follower
 from godwitpath.gateway.holder import DutyHolder, known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_view import PeerView
-from godwitpath.routing.outliers import ejected
 
 
 class StateDump:
@@ -59,8 +59,8 @@
             "services": sorted(current.services) if current else [],
             "accounts": [each.name for each in current.accounts] if current else [],
             "store_silent_s": {
-                "configuration": self._silent_s(self._catalogue.configuration.synced_at_s),
-                "engines": self._silent_s(self._catalogue.entries.synced_at_s),
+                "configuration": self._silent_s(self._catalogue.configuration),
+                "engines": self._silent_s(self._catalogue.entries),
             },
             "fence": proof.token if proof is not None else 0,
             "zones": {
@@ -92,27 +92,27 @@
 
     def _engines(self) -> Iterator[dict[str, Any]]:
         now_s = asyncio.get_running_loop().time()
-        by_service: dict[str, list[Engine]] = {}
-        for engine in self._ctx.engines.all():
-            by_service.setdefault(engine.entry.service, []).append(engine)
-        for _, engines in sorted(by_service.items()):
-            out = ejected({each.entry.engine_id: each.health for each in engines}, now_s)
-            for engine in sorted(engines, key=lambda each: each.entry.engine_id):
-                entry = engine.entry
-                yield {
-                    "name": entry.engine_id,
-                    "service": entry.service,
-                    "zone": entry.zone,
-                    "state": entry.state.value,
-                    "reclaimable": entry.reclaimable,
-                    "left_out": entry.engine_id in out,
-                    "own_running": engine.running,
-                    "running": engine.all_running,
-                    "waiting_tokens": engine.all_prompt_tokens,
-                    "pace": round(engine.pace, 2),
-                }
+        book = self._ctx.engines
+        services = {engine.entry.service for engine in book.all()}
+        usable = {id(each) for service in services for each in book.usable(service, now_s)}
+        for engine in sorted(
+            book.all(), key=lambda each: (each.entry.service, each.entry.engine_id)
+        ):
+            entry = engine.entry
+            ready = entry.state is EngineState.READY
+            yield {
+                "name": entry.engine_id,
+                "service": entry.service,
+                "zone": entry.zone,
+                "state": entry.state.value,
+                "reclaimable": entry.reclaimable,
+                "left_out": ready and id(engine) not in usable,
+                "own_running": engine.running,
+                "running": engine.all_running,
+                "waiting_tokens": engine.all_prompt_tokens,
+                "pace": round(engine.pace, 2),
+            }
 
-    def _silent_s(self, synced_at_s: float | None) -> float | None:
-        if synced_at_s is None:
-            return None
-        return round(asyncio.get_running_loop().time() - synced_at_s, 3)
+    def _silent_s(self, follower: Follower) -> float | None:
+        silent_s = follower.silent_s(asyncio.get_running_loop().time())
+        return None if silent_s is None else round(silent_s, 3)
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -110,6 +110,13 @@
             self._transport.resume_reading()
         return data
 
+    async def read_whole(self) -> bytes:
+        """Return the rest of the body; raises as :meth:`read`."""
+        pieces = []
+        while piece := await self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
     def close(self) -> None:
         """End the connection, whatever is under way."""
         self.reusable = False
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -32,6 +32,8 @@
 
 Handler = Callable[[Request, "Responder"], Awaitable[None]]
 
+_DEFAULT_LIMITS = CallerLimits()
+
 
 @dataclass(slots=True)
 class ServerPolicy:
@@ -43,8 +45,8 @@
     """
 
     handler: Handler
-    limits: Callable[[], CallerLimits]
-    keep_open: Callable[[], bool]
+    limits: Callable[[], CallerLimits] = lambda: _DEFAULT_LIMITS
+    keep_open: Callable[[], bool] = lambda: True
 
 
 class Responder:
--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -96,14 +96,12 @@
             connection.send(method, write_request(method, target.encode(), fields) + payload)
             head = await connection.head()
             connection.idle_limit_s = keep_alive_limit_s(head.header(b"keep-alive"))
-            pieces = []
-            while piece := await connection.read():
-                pieces.append(piece)
+            answer = await connection.read_whole()
         except BaseException:
             connection.close()
             raise
         self._pool.give_back(address.host, address.port, connection)
-        return head.status, b"".join(pieces)
+        return head.status, answer
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/godwitpath_standin/gateway/cloud_app.py
+++ b/godwitpath_standin/gateway/cloud_app.py
@@ -2,40 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import msgspec
 
 from godwitpath.gateway.cloud import CloudRefused, CloudUncertain, DutyProof, FencedOff
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
-from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
-from godwitpath.ports.engine import Address
+from godwitpath.http1.server import Responder
 from godwitpath_standin.gateway.cloud import FakeCloud
+from godwitpath_standin.gateway.server import StandinServer
 
 
-class CloudServer:
+class CloudServer(StandinServer):
     """Serves a :class:`FakeCloud`."""
 
     def __init__(self, cloud: FakeCloud) -> None:
+        super().__init__(self._answer)
         self._cloud = cloud
-        self._connections: set[ServerConnection] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> Address:
-        """Listen; returns where."""
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
-        self._server = await listen("127.0.0.1", 0, policy, self._connections)
-        name = self._server.sockets[0].getsockname()
-        return Address(name[0], name[1])
-
-    async def stop(self) -> None:
-        """Stop listening and end every connection."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._connections):
-            connection.cut(reset=True)
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         try:
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Headers, Request, write_response
-from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import Responder
 from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.server import StandinServer
 
 
 class Fault(StrEnum):
@@ -81,24 +81,19 @@
     moves: list[tuple[str, str]] = field(default_factory=list)
     move_status: int = 200
     address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
-    connections: set[ServerConnection] = field(default_factory=set)
-    _server: asyncio.Server | None = None
+    _server: StandinServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._server = StandinServer(self._answer)
 
     async def start(self) -> Address:
         """Listen; returns where."""
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
-        self._server = await listen("127.0.0.1", 0, policy, self.connections)
-        name = self._server.sockets[0].getsockname()
-        self.address = Address(name[0], name[1])
+        self.address = await self._server.start()
         return self.address
 
     async def stop(self) -> None:
         """Stop at once, as in a crash."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.connections):
-            connection.cut(reset=True)
+        await self._server.stop()
 
     def entry(self, service: str, zone: str = "a", **fields: Any) -> bytes:
         """Return the value of its key in the store."""
--- /dev/null
+++ b/godwitpath_standin/gateway/server.py
@@ -0,0 +1,37 @@
+"""The listening side that the stand-ins of the platform have in common."""
+
+from __future__ import annotations
+
+import asyncio
+
+from godwitpath.http1.server import Handler, ServerConnection, ServerPolicy, listen
+from godwitpath.ports.engine import Address
+
+
+class StandinServer:
+    """Listens for a stand-in.
+
+    :param handler: answers a request
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> Address:
+        """Listen; returns where."""
+        self._server = await listen(host, port, ServerPolicy(self._handler), self._connections)
+        name = self._server.sockets[0].getsockname()
+        return Address(name[0], name[1])
+
+    def cut(self) -> None:
+        """End every connection."""
+        for connection in list(self._connections):
+            connection.cut(reset=True)
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection, as in a crash."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
--- a/godwitpath_standin/gateway/store_app.py
+++ b/godwitpath_standin/gateway/store_app.py
@@ -10,17 +10,16 @@
 import msgspec
 
 from godwitpath.gateway.store import Change, HistoryLost, Item, Precondition, Put, TxnConflict
-from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Request
-from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
-from godwitpath.ports.engine import Address
+from godwitpath.http1.server import Responder
 from godwitpath.ports.kv import LeaseLapsed
+from godwitpath_standin.gateway.server import StandinServer
 from godwitpath_standin.gateway.store_core import StoreCore
 
 PAGE_ITEMS = 50
 
 
-class StoreServer:
+class StoreServer(StandinServer):
     """Serves a :class:`StoreCore`.
 
     :ivar refuse_with: status that answers every call, 0 for none
@@ -29,31 +28,11 @@
     """
 
     def __init__(self, core: StoreCore) -> None:
+        super().__init__(self._answer)
         self.core = core
         self.refuse_with = 0
         self.mute = False
         self.lose_answers = 0
-        self._connections: set[ServerConnection] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> Address:
-        """Listen; returns where."""
-        limits = CallerLimits()
-        policy = ServerPolicy(self._answer, lambda: limits, lambda: True)
-        self._server = await listen(host, port, policy, self._connections)
-        name = self._server.sockets[0].getsockname()
-        return Address(name[0], name[1])
-
-    def cut(self) -> None:
-        """End every connection."""
-        for connection in list(self._connections):
-            connection.cut(reset=True)
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-        self.cut()
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         if self.mute:
