The soak in smaller pieces; one way to start a gateway, one to build a request, one to play the model

Its requests were built in two places, and its routes repeated those of the stand-ins' configuration. - A field and a parameter that nothing used are gone. - The placing tests set up clock, placing and fleet three times, and had two baselines alike but for one figure.

--- a/godwitpath_standin/soak/callers.py
+++ b/godwitpath_standin/soak/callers.py
@@ -19,12 +19,13 @@
 REQUESTS_ON_A_CONNECTION = (1, 1, 4, 1000)
 """How many requests a caller sends on a connection; the last keeps it while the daemon lives."""
 
-ROUTES = (
-    ("read", "GET", "/read/x"),
-    ("book", "POST", "/book/x"),
-    ("plan", "POST", "/stream/plan/x"),
-    ("digest", "POST", "/stream/digest/x"),
-)
+TARGETS = {
+    "read": ("GET", "/read/x"),
+    "book": ("POST", "/book/x"),
+    "plan": ("POST", "/stream/plan/x"),
+    "digest": ("POST", "/stream/digest/x"),
+}
+"""Method and path of a request by its route."""
 
 
 class Balancer:
@@ -60,21 +61,24 @@
         self._misses[daemon.name] = 0 if ready else self._misses[daemon.name] + 1
 
 
-async def probe(world: World, daemon: Daemon) -> int:
-    """Send a request that may be repeated to one daemon; returns the status, 0 for no answer."""
-    account = sorted(world.keys)[0]
-    sent = Sent(
-        request_id=f"probe-{daemon.name}",
-        route="read",
+def _request(world: World, daemon: Daemon, request_id: str, route: str, account: str) -> Sent:
+    """Return a request that is about to be sent."""
+    return Sent(
+        request_id=request_id,
+        route=route,
         account=account,
         key=world.keys[account],
         daemon=daemon.name,
-        once=False,
-        stream=False,
-        first=True,
-        body=b"",
+        once=route in ("book", "plan"),
+        stream=route in ("plan", "digest"),
+        body=b"" if route == "read" else f"body of {request_id}".encode(),
         sent_at_s=world.now_s,
     )
+
+
+async def probe(world: World, daemon: Daemon) -> int:
+    """Send a request that may be repeated to one daemon; returns the status, 0 for no answer."""
+    sent = _request(world, daemon, f"probe-{daemon.name}", "read", sorted(world.keys)[0])
     world.history.sent[sent.request_id] = sent
     try:
         sent.answer = await ask(
@@ -113,8 +117,8 @@
         self, daemon: Daemon, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            for number in range(self._rng.choice(REQUESTS_ON_A_CONNECTION)):
-                sent = self._next(daemon, number == 0)
+            for _ in range(self._rng.choice(REQUESTS_ON_A_CONNECTION)):
+                sent = self._next(daemon)
                 await self._exchange(sent, reader, writer)
                 closing = sent.answer.headers.get("connection") == "close"
                 await asyncio.sleep(self._rng.expovariate(1 / PAUSE_S))
@@ -125,29 +129,17 @@
         finally:
             writer.transport.abort()
 
-    def _next(self, daemon: Daemon, first: bool) -> Sent:
+    def _next(self, daemon: Daemon) -> Sent:
         self._sent += 1
-        name, _, _ = self._rng.choice(ROUTES)
+        route = self._rng.choice(list(TARGETS))
         account = self._rng.choice(sorted(self._world.keys))
-        request_id = f"{self._name}-{self._sent}"
-        return Sent(
-            request_id=request_id,
-            route=name,
-            account=account,
-            key=self._world.keys[account],
-            daemon=daemon.name,
-            once=name in ("book", "plan"),
-            stream=name in ("plan", "digest"),
-            first=first,
-            body=b"" if name == "read" else f"body of {request_id}".encode(),
-            sent_at_s=self._world.now_s,
-        )
+        return _request(self._world, daemon, f"{self._name}-{self._sent}", route, account)
 
     async def _exchange(
         self, sent: Sent, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         limit_s = limit_of(sent)
-        [(method, target)] = [(how, where) for name, how, where in ROUTES if name == sent.route]
+        method, target = TARGETS[sent.route]
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {sent.key}\r\n"
             f"X-Attempt-Id: {sent.request_id}\r\nX-Deadline-Ms: {int(limit_s * 1000)}\r\n"
--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -24,7 +24,6 @@
     :ivar once: whether it may run at most once
     :ivar stream: whether its response is a stream
     :ivar key: API key that it carried
-    :ivar first: whether it was the first on its connection
     :ivar ended_at_s: loop time at which the caller had its answer or gave up, 0 before
     :ivar closed: whether the daemon ended the connection before the answer was complete
     """
@@ -36,7 +35,6 @@
     daemon: str
     once: bool
     stream: bool
-    first: bool
     body: bytes
     sent_at_s: float
     ended_at_s: float = 0.0
@@ -117,14 +115,12 @@
                 found[run.request_id.decode()].append(run)
         return found
 
-    def disturbed(
-        self, subject: str, from_s: float, until_s: float, settle_s: float = SETTLE_S
-    ) -> bool:
+    def disturbed(self, subject: str, from_s: float, until_s: float) -> bool:
         """Return whether something disrupted a subject in a time, or shortly before."""
         return any(
             each.subject in (subject, EVERYTHING)
             and each.from_s <= until_s
-            and each.until_s + settle_s >= from_s
+            and each.until_s + SETTLE_S >= from_s
             for each in self.disruptions
         )
 
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -13,8 +13,9 @@
 from pathlib import Path
 
 from godwitpath_standin.soak.callers import Balancer, Caller, probe
-from godwitpath_standin.soak.faults import draw_fault, heal, play
+from godwitpath_standin.soak.faults import draw_fault
 from godwitpath_standin.soak.history import History, Violation
+from godwitpath_standin.soak.play import heal, play
 from godwitpath_standin.soak.promises import violations
 from godwitpath_standin.soak.world import World
 
--- a/godwitpath_standin/soak/world.py
+++ b/godwitpath_standin/soak/world.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import json
-import os
 import random
 import signal
-import sys
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -17,12 +15,12 @@
 from godwitpath.platform.engines import ENGINES_PREFIX
 from godwitpath_standin.gateway.cloud import FakeCloud
 from godwitpath_standin.gateway.cloud_app import CloudServer
-from godwitpath_standin.gateway.documents import configuration_document, route, settings_document
+from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.process import start_gateway
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
 from godwitpath_standin.ports import ReservedPorts
-from godwitpath_standin.process import ROOT
 from godwitpath_standin.soak.history import EVERYTHING, Disruption, History, Written
 from godwitpath_standin.soak.promises import RETRY_RATIO, RETRY_SLACK
 from godwitpath_standin.soak.proxy import LoopbackProxy
@@ -36,6 +34,12 @@
 HEARTBEAT_S = 1.2
 """Time between two signs of life of an engine; it counts as gone after three."""
 
+ROUTE_CHANGES = {
+    "read": {"maxAttempts": 3},
+    "digest": {"maxAttempts": 3, "gapAimMs": 200},
+}
+"""What a soak's routes have otherwise than those of the stand-ins' configuration."""
+
 ZONES = ("a", "b", "c")
 SERVICES = ("desk", "lm", "annexe")
 ACCOUNTS = ("hule", "fida")
@@ -99,21 +103,7 @@
         """Start its process."""
         self.ending = False
         self.started_at_s = asyncio.get_running_loop().time()
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "godwitpath.gateway",
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "PYTHONPATH": str(ROOT),
-                "GODWITPATH_SETTINGS": str(self._settings),
-                "GODWITPATH_METRICS_PORT": str(self.ports[3]),
-            },
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=self._log,
-            stderr=self._log,
-        )
+        self.process = await start_gateway(self._settings, self.ports[3], self._log, self._log)
 
     def signal(self, number: signal.Signals) -> None:
         """Send its process a signal, if it lives."""
@@ -195,26 +185,13 @@
 
     def configure(self) -> None:
         """Write the configuration; the store's answer confirms it."""
-        routes = [
-            route("read", "/read/", "idempotent", service=self.services["read"], maxAttempts=3),
-            route("book", "/book/", "non_idempotent", service=self.services["book"]),
-            route("plan", "/stream/plan/", "streaming", service="lm", timeoutMs=6000),
-            route(
-                "digest",
-                "/stream/digest/",
-                "streaming",
-                service="lm",
-                timeoutMs=6000,
-                maxAttempts=3,
-                streamResume=True,
-                gapAimMs=200,
-            ),
-        ]
         document = configuration_document(
             version=len(self.history.written) + 1,
-            routes=routes,
             tenants=[{"name": name, "apiKeys": [key]} for name, key in self.keys.items()],
         )
+        for each in document["routes"]:
+            each.update(ROUTE_CHANGES.get(each["name"], {}))
+            each["service"] = self.services.get(each["name"], each["service"])
         [desk, _] = document["services"]
         document["services"].append(desk | {"name": "annexe"})
         self.core.put(CONFIGURATION_KEY, json.dumps(document).encode())
--- a/test/gateway_parts.py
+++ b/test/gateway_parts.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -17,6 +16,7 @@
 from godwitpath_standin.gateway.caller import ask
 from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.process import start_gateway
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
 from godwitpath_standin.ports import ReservedPorts
@@ -94,18 +94,7 @@
     folder = Path(os.environ.get("PYTEST_TMP", "/tmp"))
     settings = folder / f"gateway-settings-{ports[0]}.json"
     settings.write_text(json.dumps(settings_document(address, ports, **changes)))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "godwitpath.gateway",
-        cwd=ROOT,
-        env={
-            **os.environ,
-            "GODWITPATH_SETTINGS": str(settings),
-            "GODWITPATH_METRICS_PORT": str(metrics_port),
-        },
-        stdout=asyncio.subprocess.PIPE,
-    )
+    process = await start_gateway(settings, metrics_port, asyncio.subprocess.PIPE)
     parts = Surroundings(core, store, engines, ports[0], ports[1], metrics_port, settings, process)
     try:
         for name, service in services.items():
--- a/test/test_gateway_placing.py
+++ b/test/test_gateway_placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 import pytest
@@ -124,22 +124,35 @@
 RNG = Random(5)
 
 
-def least_waiting(
-    placer: Placer, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
-) -> list[Place]:
-    """Place by the prompt tokens that wait at each engine alone."""
-    places = PLACE(placer, prompt, engines, cache_tokens)
-    RNG.shuffle(places)
-    return sorted(places, key=lambda place: place.engine.all_prompt_tokens)
+PlaceFunction = Callable[[Placer, Prompt, Sequence[Engine], int], list[Place]]
 
 
-def least_outstanding(
-    placer: Placer, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
-) -> list[Place]:
-    """Place by the requests that lie at each engine alone."""
-    places = PLACE(placer, prompt, engines, cache_tokens)
-    RNG.shuffle(places)
-    return sorted(places, key=lambda place: place.engine.all_running)
+def least(load: Callable[[Engine], int]) -> PlaceFunction:
+    """Return a placing by one figure of each engine alone, the baseline."""
+
+    def place(
+        placer: Placer, prompt: Prompt, engines: Sequence[Engine], cache_tokens: int
+    ) -> list[Place]:
+        places = PLACE(placer, prompt, engines, cache_tokens)
+        RNG.shuffle(places)
+        return sorted(places, key=lambda place: load(place.engine))
+
+    return place
+
+
+LEAST_WAITING = least(lambda engine: engine.all_prompt_tokens)
+LEAST_OUTSTANDING = least(lambda engine: engine.all_running)
+
+
+def played(
+    monkeypatch: pytest.MonkeyPatch, fleet: ModelFleet, place: PlaceFunction = PLACE
+) -> ModelFleet:
+    """Play a fleet for eight seconds."""
+    clock = ModelClock()
+    monkeypatch.setattr("godwitpath.gateway.placing.asyncio", clock)
+    monkeypatch.setattr(Placer, "place_generation", place)
+    fleet.play(8.0, clock)
+    return fleet
 
 
 class TestHeaviestLoad:
@@ -155,15 +168,10 @@
     def test_more_are_answered_in_time_and_less_is_read_again(
         self, monkeypatch: pytest.MonkeyPatch, engines: int, daemons: int, slots: int, load: float
     ) -> None:
-        played = []
-        for place in (PLACE, least_waiting, least_outstanding):
-            clock = ModelClock()
-            monkeypatch.setattr("godwitpath.gateway.placing.asyncio", clock)
-            monkeypatch.setattr(Placer, "place_generation", place)
-            fleet = ModelFleet(engines, daemons, slots=slots, load=load)
-            fleet.play(8.0, clock)
-            played.append(fleet)
-        ours, waiting, outstanding = played
+        ours, waiting, outstanding = (
+            played(monkeypatch, ModelFleet(engines, daemons, slots=slots, load=load), place)
+            for place in (PLACE, LEAST_WAITING, LEAST_OUTSTANDING)
+        )
         assert ours.share_in_aim() >= waiting.share_in_aim()
         assert ours.share_in_aim() >= 1.5 * outstanding.share_in_aim()
         assert ours.share_ended() >= 0.99
@@ -173,19 +181,13 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """45 engines behind 84 daemons, which all hear the same old news of them."""
-        clock = ModelClock()
-        monkeypatch.setattr("godwitpath.gateway.placing.asyncio", clock)
-        fleet = ModelFleet(45, 84, slots=32, load=1.6)
-        fleet.play(8.0, clock)
+        fleet = played(monkeypatch, ModelFleet(45, 84, slots=32, load=1.6))
         assert fleet.share_in_aim() >= 0.95
 
     def test_engines_that_join_have_their_share_at_once(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        clock = ModelClock()
-        monkeypatch.setattr("godwitpath.gateway.placing.asyncio", clock)
-        fleet = ModelFleet(14, 30, joining=7, joins_s=4.0)
-        fleet.play(8.0, clock)
+        fleet = played(monkeypatch, ModelFleet(14, 30, joining=7, joins_s=4.0))
         new = {f"e{number}" for number in range(14, 21)}
         assert fleet.share_placed(new, 3.0, 4.0) == 0.0
         assert fleet.share_placed(new, 4.0, 4.5) >= 7 / 21
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -37,7 +37,6 @@
         "daemon": "edge-0",
         "once": True,
         "stream": False,
-        "first": True,
         "body": b"body",
         "sent_at_s": 100.0,
         "ended_at_s": 100.1,
