Log how much of a failed pull arrived, how long it took, and what was known before

A pull that timed out left the line `pull_failed` with TimeoutError() alone. It could not tell a source that does not answer (no byte), a transfer that is cut in the middle, and a receiver that stalls (always the same number of bytes). The reason now states the bytes received and expected.

--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -290,12 +290,19 @@
             peer = self._pull_source()
             if peer is None:
                 continue
+            started_at_s = self._loop.time()
             try:
-                async with asyncio.timeout(PULL_TIMEOUT_S):
-                    view = await self._request_view(peer)
-            except (NotSent, ResponseLost, TimeoutError, msgspec.DecodeError) as error:
+                view = await self._request_view(peer)
+            except (NotSent, ResponseLost, msgspec.DecodeError) as error:
                 self.counts["pulls_failed"] += 1
-                decision("pull_failed", peer=peer, reason=str(error) or repr(error))
+                decision(
+                    "pull_failed",
+                    peer=peer,
+                    known_revision=self._ctx.in_force.revision,
+                    known_engines_revision=self._catalogue.engines_revision,
+                    took_s=round(self._loop.time() - started_at_s, 3),
+                    reason=str(error) or repr(error),
+                )
                 continue
             self._apply_view(peer, view)
 
@@ -329,11 +336,19 @@
             (b"host", entry.host.encode()),
             (b"content-length", b"%d" % len(body)),
         ]
+        deadline_s = self._loop.time() + PULL_TIMEOUT_S
         connection = await self._pool.acquire(entry.host, entry.port, PULL_TIMEOUT_S, fresh=True)
+        head = None
         try:
             connection.send("POST", encode_request_head("POST", PULL_TARGET, headers) + body)
-            await connection.head()
-            response = await connection.read_whole()
+            async with asyncio.timeout_at(deadline_s):
+                head = await connection.head()
+                response = await connection.read_whole()
+        except TimeoutError as error:
+            length_bytes = head.length_bytes if head is not None else None
+            raise ResponseLost(
+                f"timed out after {connection.received_body_bytes} of {length_bytes} bytes"
+            ) from error
         finally:
             connection.close()
         payload = unseal(self._members.secret, response)
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -35,12 +35,14 @@
     :ivar reusable: whether the connection can be used for another exchange
     :ivar idle_since_s: event loop time at which the last exchange ended
     :ivar idle_limit_s: maximum idle time after which the connection is not reused
+    :ivar received_body_bytes: body bytes of the current response that have arrived
     """
 
     def __init__(self) -> None:
         self.reusable = False
         self.idle_since_s = 0.0
         self.idle_limit_s = math.inf
+        self.received_body_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
         self._accept: ResponsePredicate | None = None
@@ -80,6 +82,7 @@
         self._error = None
         self._body_chunks.clear()
         self._buffered_bytes = 0
+        self.received_body_bytes = 0
         self._head_bytes = 0
         self._transport.write(data)
 
@@ -218,6 +221,7 @@
             return
         self._body_chunks.append(body)
         self._buffered_bytes += len(body)
+        self.received_body_bytes += len(body)
         if (
             self._buffered_bytes > READ_HIGH_WATER_BYTES
             and not self._reading_paused
