Failing tests: a large configuration over slow links, and engines that leave meanwhile

What callers saw: 404 for a route that was confirmed over 4 s before, and requests at engines that had announced over 4 s before that they leave. The tests relay the pulls between two or three daemons over a rate-limited link (12 KB/s, 2 KB/s, no response).

--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -27,11 +27,22 @@
 from godwitpath.platform.adapter import PlatformAdapter
 from godwitpath.platform.settings import decode_settings
 from godwitpath.ports.engine import Address
-from godwitpath_standin.gateway.documents import configuration_document, settings_document
+from godwitpath_standin.gateway.documents import (
+    configuration_document,
+    route,
+    settings_document,
+)
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 from godwitpath_standin.ports import ReservedPorts
 from test.gateway_parts import json_bytes
+from test.slow_link import SlowLink
+
+CONFIG_APPLY_S = 4.0
+"""Time within which a change of the configuration must be in force (grown deployments)."""
+
+DRAIN_S = 4.0
+"""Time within which an engine's announcement that it leaves must be known (grown deployments)."""
 
 ACCOUNT = AccountSpec("hule", (), rate_per_s=1000, burst=1000, counts_tokens=True)
 
@@ -255,3 +266,62 @@
         counts = holder.peers.view.usage_counts()
         incarnation_key = f"{cut_off.name}/{cut_off.peers._incarnation}"
         assert sum(sum(each.values()) for each in counts[incarnation_key].values()) == 1
+
+
+def large_configuration(version: int, routes: int = 1400) -> bytes:
+    """Return a configuration with many routes, encoded."""
+    rng = Random(version)
+    more = [
+        route(f"r-{rng.getrandbits(32):x}", f"/{rng.getrandbits(48):x}/", "idempotent")
+        for _ in range(routes)
+    ]
+    return json_bytes(configuration_document(version=version, routes=more))
+
+
+def reach_over(link: SlowLink, daemon: Daemon, source: Daemon) -> None:
+    """Make a daemon reach another one over a slow link."""
+    entry = daemon.members.entries[source.name]
+    daemon.members.entries[source.name] = msgspec.structs.replace(entry, port=link.port)
+
+
+async def test_a_large_configuration_over_a_slow_link_is_in_force_in_time() -> None:
+    async with fleet(2, "a") as (source, daemon):
+        await asyncio.sleep(2.0)
+        daemon.store.faults.down = True
+        async with SlowLink(source.members._entry.port, rate_bytes_per_s=12_000) as link:
+            reach_over(link, daemon, source)
+            source.store._core.put("op/config", large_configuration(99))
+            await asyncio.sleep(CONFIG_APPLY_S)
+            current = daemon.ctx.in_force.current
+            assert current is not None
+            assert current.version == 99
+
+
+async def test_a_leaving_engine_is_known_while_a_configuration_is_not_pulled() -> None:
+    async with fleet(2, "a") as (source, daemon):
+        core = source.store._core
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+        await asyncio.sleep(2.0)
+        daemon.store.faults.down = True
+        async with SlowLink(source.members._entry.port, rate_bytes_per_s=2_000) as link:
+            reach_over(link, daemon, source)
+            core.put("op/config", large_configuration(99))
+            await asyncio.sleep(1.0)
+            core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1", state="draining"))
+            await asyncio.sleep(DRAIN_S)
+            engine = daemon.catalogue._engines.get("e1")
+            assert engine is not None
+            assert engine.entry.state is EngineState.DRAINING
+
+
+async def test_a_daemon_does_not_repeat_a_failed_pull_from_the_same_source_only() -> None:
+    async with fleet(3, "a") as (silent, other, daemon):
+        await asyncio.sleep(2.0)
+        daemon.store.faults.down = True
+        async with SlowLink(silent.members._entry.port, rate_bytes_per_s=0) as link:
+            reach_over(link, daemon, silent)
+            other.store._core.put("op/config", large_configuration(99))
+            await asyncio.sleep(CONFIG_APPLY_S)
+            current = daemon.ctx.in_force.current
+            assert current is not None
+            assert current.version == 99
