Move pulls from peers.py to a module of their own

No logic changes: reports and pulls share only the view of the peers. The module's tests stay in test_gateway_peers.py, which runs both over loopback.

--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Sends reports to the other daemons, and pulls changes that the store does not provide.
+"""Sends reports to the other daemons and receives theirs.
 
 Reports are sent as datagrams: each report replaces the previous one, so a lost report delays the
 update by half a second. They are best effort; state that requires agreement is kept in the store.
@@ -6,8 +6,6 @@
 their availability zone, the zone's aggregator sends summaries of the zone to the other zones, and
 every daemon also reports to the duty holder (the daemon that does the deployment-wide tasks under a
 lease), which needs the usage of all daemons.
-
-In a pull, a daemon requests the view that a peer has of the configuration and the engines.
 """
 
 from __future__ import annotations
@@ -24,7 +22,6 @@
 from godwitpath.gateway.holder import known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import (
-    CatalogueView,
     PeerMessage,
     PeerReport,
     ZoneSummary,
@@ -32,10 +29,8 @@
     unseal,
 )
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView, sum_loads
-from godwitpath.http1.messages import NotSent, Request, ResponseLost, encode_request_head
-from godwitpath.http1.pool import ConnectionPool
-from godwitpath.http1.server import Responder, ServerConnection, ServerPolicy, listen
-from godwitpath.telemetry.decisions import decision
+from godwitpath.gateway.pulls import CataloguePuller
+from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
 
 REPORT_S = 0.4
 """Interval between two reports of a daemon."""
@@ -50,27 +45,16 @@
 """Number of daemons of another zone that receive a summary while the aggregator there is
 unknown."""
 
-PULL_OUTAGE_S = 0.5
-"""Duration of a store outage after which this daemon pulls from a peer instead."""
-
-PULL_POLL_S = 0.2
-"""Interval at which a daemon checks whether a peer has newer state."""
-
-PULL_TIMEOUT_S = 0.8
-"""Longest duration of a pull."""
-
 REPORTED_WINDOWS = 3
 """Number of usage windows in a report: the current window and those that may not have been reported
 yet."""
 
-PULL_TARGET = b"/catalogue"
-"""Request target of a pull."""
-
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchanges reports, zone summaries and views with the other daemons.
+    """Exchanges reports and zone summaries with the other daemons.
 
     :ivar view: state of the other daemons
+    :ivar puller: pulls changes that the store does not provide
     :ivar counts: number of events by name, such as refused datagrams
     """
 
@@ -78,6 +62,7 @@
         self, ctx: GatewayContext, catalogue: Catalogue, members: Members, incarnation: int
     ) -> None:
         self.view = PeerView(ctx, members, incarnation)
+        self.puller = CataloguePuller(ctx, catalogue, members, self.view)
         self.counts: Counter[str] = Counter()
         self._ctx = ctx
         self._catalogue = catalogue
@@ -88,7 +73,6 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
-        self._pool = ConnectionPool()
         self._loop = asyncio.get_running_loop()
 
     async def start(self) -> None:
@@ -96,14 +80,14 @@
         settings = self._ctx.settings
         port = settings.peer_ports[0]
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=(settings.host, port))
-        policy = ServerPolicy(self._handle_pull)
+        policy = ServerPolicy(self.puller.handle)
         self._server = await listen(settings.host, port, policy, self._connections)
 
     async def run(self) -> None:
         """Send reports and pull changes until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._report_loop())
-            group.create_task(self._pull_loop())
+            group.create_task(self.puller.run())
 
     def close(self) -> None:
         """Stop listening, and close the idle connections to peers."""
@@ -111,7 +95,7 @@
             self._transport.close()
         if self._server is not None:
             self._server.close()
-        self._pool.close()
+        self.puller.close()
 
     def now_s(self) -> float:
         """Return the loop time; callable from other threads."""
@@ -264,104 +248,3 @@
                 *(sent for _, state in zone_peers for sent in state.prompts),
             ],
         )
-
-    # Pulled views.
-
-    async def _handle_pull(self, request: Request, responder: Responder) -> None:
-        secret = self._members.secret
-        payload = unseal(secret, request.body) if secret else None
-        if payload is None or request.target != PULL_TARGET:
-            responder.respond(403, [], b"")
-            return
-        known_revision = msgspec.msgpack.decode(payload, type=int)
-        in_force = self._ctx.in_force
-        view = CatalogueView(
-            fresh=self._catalogue.fresh,
-            configuration_revision=in_force.revision,
-            value=in_force.value if in_force.revision > known_revision else b"",
-            entries=dict(self._catalogue.raw_entries),
-            engines_revision=self._catalogue.engines_revision,
-        )
-        responder.respond(200, [], seal(secret, msgspec.msgpack.encode(view)))
-
-    async def _pull_loop(self) -> None:
-        while True:
-            await asyncio.sleep(PULL_POLL_S)
-            peer = self._pull_source()
-            if peer is None:
-                continue
-            started_at_s = self._loop.time()
-            try:
-                view = await self._request_view(peer)
-            except (NotSent, ResponseLost, msgspec.DecodeError) as error:
-                self.counts["pulls_failed"] += 1
-                decision(
-                    "pull_failed",
-                    peer=peer,
-                    known_revision=self._ctx.in_force.revision,
-                    known_engines_revision=self._catalogue.engines_revision,
-                    took_s=round(self._loop.time() - started_at_s, 3),
-                    reason=str(error) or repr(error),
-                )
-                continue
-            self._apply_view(peer, view)
-
-    def _pull_source(self) -> str | None:
-        """Return the name of a peer to pull newer state from, None if there is no need to pull."""
-        direct_states = self.view.reporting_directly()
-        revisions = {name: state.configuration_revision for name, state in direct_states.items()}
-        now_s = self._loop.time()
-        for zone in self.view.zones.values():
-            if now_s - zone.received_at_s < REPORT_TIMEOUT_S:
-                revisions[zone.aggregator[0]] = zone.configuration_revision
-        if not revisions or not self._members.secret:
-            return None
-        newest_peer = max(revisions, key=lambda name: revisions[name])
-        if revisions[newest_peer] > self._ctx.in_force.revision:
-            return newest_peer
-        for name in [] if self._catalogue.fresh else self.view.watchers():
-            if direct_states[name].engines_revision > self._catalogue.engines_revision:
-                return name
-        outage_since_s = self._catalogue.entries_watcher.outage_since_s
-        if outage_since_s is not None and now_s - outage_since_s >= PULL_OUTAGE_S:
-            return self._ctx.rng.choice(sorted(revisions))
-        return None
-
-    async def _request_view(self, peer: str) -> CatalogueView:
-        entry = self._members.entries.get(peer)
-        if entry is None:
-            raise NotSent(f"address of {peer} is not known")
-        body = seal(self._members.secret, msgspec.msgpack.encode(self._ctx.in_force.revision))
-        headers = [
-            (b"host", entry.host.encode()),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        deadline_s = self._loop.time() + PULL_TIMEOUT_S
-        connection = await self._pool.acquire(entry.host, entry.port, PULL_TIMEOUT_S, fresh=True)
-        head = None
-        try:
-            connection.send("POST", encode_request_head("POST", PULL_TARGET, headers) + body)
-            async with asyncio.timeout_at(deadline_s):
-                head = await connection.head()
-                response = await connection.read_whole()
-        except TimeoutError as error:
-            length_bytes = head.length_bytes if head is not None else None
-            raise ResponseLost(
-                f"timed out after {connection.received_body_bytes} of {length_bytes} bytes"
-            ) from error
-        finally:
-            connection.close()
-        payload = unseal(self._members.secret, response)
-        if payload is None:
-            raise ResponseLost("the response is not signed by a daemon")
-        return msgspec.msgpack.decode(payload, type=CatalogueView)
-
-    def _apply_view(self, peer: str, view: CatalogueView) -> None:
-        self.counts["pulls"] += 1
-        if view.value:
-            self._catalogue.apply_configuration(
-                view.value, view.configuration_revision, f"peer {peer}"
-            )
-        has_newer_engines = view.engines_revision > self._catalogue.engines_revision
-        if view.fresh and has_newer_engines and not self._catalogue.fresh:
-            self._catalogue.apply_peer_entries(view.entries, view.engines_revision, f"peer {peer}")
--- /dev/null
+++ b/godwitpath/gateway/pulls.py
@@ -0,0 +1,157 @@
+"""Pulls the configuration and the engines from other daemons, and responds to their pulls.
+
+In a pull, a daemon requests the view that a peer has of the configuration and the engines, because
+it does not watch the store itself or cannot reach it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.members import Members
+from godwitpath.gateway.peer_messages import CatalogueView, seal, unseal
+from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView
+from godwitpath.http1.messages import NotSent, Request, ResponseLost, encode_request_head
+from godwitpath.http1.pool import ConnectionPool
+from godwitpath.http1.server import Responder
+from godwitpath.telemetry.decisions import decision
+
+PULL_OUTAGE_S = 0.5
+"""Duration of a store outage after which this daemon pulls from a peer instead."""
+
+PULL_POLL_S = 0.2
+"""Interval at which a daemon checks whether a peer has newer state."""
+
+PULL_TIMEOUT_S = 0.8
+"""Longest duration of a pull."""
+
+PULL_TARGET = b"/catalogue"
+"""Request target of a pull."""
+
+
+class CataloguePuller:
+    """Pulls newer state of the catalogue from peers.
+
+    :ivar counts: number of pulls by outcome
+    """
+
+    def __init__(
+        self, ctx: GatewayContext, catalogue: Catalogue, members: Members, view: PeerView
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._ctx = ctx
+        self._catalogue = catalogue
+        self._members = members
+        self._view = view
+        self._pool = ConnectionPool()
+        self._loop = asyncio.get_running_loop()
+
+    def close(self) -> None:
+        """Close the idle connections to peers."""
+        self._pool.close()
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Respond to the pull of a peer."""
+        secret = self._members.secret
+        payload = unseal(secret, request.body) if secret else None
+        if payload is None or request.target != PULL_TARGET:
+            responder.respond(403, [], b"")
+            return
+        known_revision = msgspec.msgpack.decode(payload, type=int)
+        in_force = self._ctx.in_force
+        view = CatalogueView(
+            fresh=self._catalogue.fresh,
+            configuration_revision=in_force.revision,
+            value=in_force.value if in_force.revision > known_revision else b"",
+            entries=dict(self._catalogue.raw_entries),
+            engines_revision=self._catalogue.engines_revision,
+        )
+        responder.respond(200, [], seal(secret, msgspec.msgpack.encode(view)))
+
+    async def run(self) -> None:
+        """Pull changes until cancelled."""
+        while True:
+            await asyncio.sleep(PULL_POLL_S)
+            peer = self._pull_source()
+            if peer is None:
+                continue
+            started_at_s = self._loop.time()
+            try:
+                view = await self._request_view(peer)
+            except (NotSent, ResponseLost, msgspec.DecodeError) as error:
+                self.counts["pulls_failed"] += 1
+                decision(
+                    "pull_failed",
+                    peer=peer,
+                    known_revision=self._ctx.in_force.revision,
+                    known_engines_revision=self._catalogue.engines_revision,
+                    took_s=round(self._loop.time() - started_at_s, 3),
+                    reason=str(error) or repr(error),
+                )
+                continue
+            self._apply_view(peer, view)
+
+    def _pull_source(self) -> str | None:
+        """Return the name of a peer to pull newer state from, None if there is no need to pull."""
+        direct_states = self._view.reporting_directly()
+        revisions = {name: state.configuration_revision for name, state in direct_states.items()}
+        now_s = self._loop.time()
+        for zone in self._view.zones.values():
+            if now_s - zone.received_at_s < REPORT_TIMEOUT_S:
+                revisions[zone.aggregator[0]] = zone.configuration_revision
+        if not revisions or not self._members.secret:
+            return None
+        newest_peer = max(revisions, key=lambda name: revisions[name])
+        if revisions[newest_peer] > self._ctx.in_force.revision:
+            return newest_peer
+        for name in [] if self._catalogue.fresh else self._view.watchers():
+            if direct_states[name].engines_revision > self._catalogue.engines_revision:
+                return name
+        outage_since_s = self._catalogue.entries_watcher.outage_since_s
+        if outage_since_s is not None and now_s - outage_since_s >= PULL_OUTAGE_S:
+            return self._ctx.rng.choice(sorted(revisions))
+        return None
+
+    async def _request_view(self, peer: str) -> CatalogueView:
+        entry = self._members.entries.get(peer)
+        if entry is None:
+            raise NotSent(f"address of {peer} is not known")
+        body = seal(self._members.secret, msgspec.msgpack.encode(self._ctx.in_force.revision))
+        headers = [
+            (b"host", entry.host.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        deadline_s = self._loop.time() + PULL_TIMEOUT_S
+        connection = await self._pool.acquire(entry.host, entry.port, PULL_TIMEOUT_S, fresh=True)
+        head = None
+        try:
+            connection.send("POST", encode_request_head("POST", PULL_TARGET, headers) + body)
+            async with asyncio.timeout_at(deadline_s):
+                head = await connection.head()
+                response = await connection.read_whole()
+        except TimeoutError as error:
+            length_bytes = head.length_bytes if head is not None else None
+            raise ResponseLost(
+                f"timed out after {connection.received_body_bytes} of {length_bytes} bytes"
+            ) from error
+        finally:
+            connection.close()
+        payload = unseal(self._members.secret, response)
+        if payload is None:
+            raise ResponseLost("the response is not signed by a daemon")
+        return msgspec.msgpack.decode(payload, type=CatalogueView)
+
+    def _apply_view(self, peer: str, view: CatalogueView) -> None:
+        self.counts["pulls"] += 1
+        if view.value:
+            self._catalogue.apply_configuration(
+                view.value, view.configuration_revision, f"peer {peer}"
+            )
+        has_newer_engines = view.engines_revision > self._catalogue.engines_revision
+        if view.fresh and has_newer_engines and not self._catalogue.fresh:
+            self._catalogue.apply_peer_entries(view.entries, view.engines_revision, f"peer {peer}")
