--- a/test/slow_link.py
+++ b/test/slow_link.py
@@ -12,7 +12,8 @@
     """Forwards each connection to a port of this machine, its responses at a limited rate.
 
     :param port: port that connections are forwarded to
-    :param rate_bytes_per_s: rate of the responses of one connection; 0 forwards no response
+    :ivar rate_bytes_per_s: rate of the responses of one connection; 0 forwards no response to the
+        connections that are opened in the meantime
     :ivar port: port that the relay listens on
     :ivar connections: number of connections so far
     :ivar sent_bytes: response bytes forwarded so far
@@ -23,7 +24,7 @@
         self.connections = 0
         self.sent_bytes = 0
         self._target_port = port
-        self._rate_bytes_per_s = rate_bytes_per_s
+        self.rate_bytes_per_s = rate_bytes_per_s
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -47,9 +48,9 @@
         target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self._target_port)
         forward = asyncio.create_task(self._forward_requests(reader, target_writer))
         try:
-            piece_bytes = max(1, int(self._rate_bytes_per_s * STEP_S))
+            piece_bytes = max(1, int(self.rate_bytes_per_s * STEP_S))
             while data := await target_reader.read(piece_bytes):
-                await asyncio.sleep(STEP_S if self._rate_bytes_per_s else 3600.0)
+                await asyncio.sleep(STEP_S if self.rate_bytes_per_s else 3600.0)
                 writer.write(data)
                 self.sent_bytes += len(data)
                 await writer.drain()
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -284,6 +284,24 @@
     daemon.members.entries[source.name] = msgspec.structs.replace(entry, port=link.port)
 
 
+def reported_revisions(daemon: Daemon) -> set[int]:
+    """Return the configuration revisions that the other daemons report to a daemon."""
+    states = daemon.peers.view.reporting_directly().values()
+    return {state.configuration_revision for state in states}
+
+
+async def until(condition: Callable[[], bool], timeout_s: float = CONFIG_APPLY_S) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: it did not hold in time
+    """
+    end_s = asyncio.get_running_loop().time() + timeout_s
+    while not condition():
+        if asyncio.get_running_loop().time() > end_s:
+            raise TimeoutError
+        await asyncio.sleep(0.01)
+
+
 async def test_a_large_configuration_over_a_slow_link_is_in_force_in_time() -> None:
     async with fleet(2, "a") as (source, daemon):
         await asyncio.sleep(2.0)
@@ -315,12 +333,20 @@
 
 
 async def test_a_daemon_does_not_repeat_a_failed_pull_from_the_same_source_only() -> None:
-    async with fleet(3, "a") as (silent, other, daemon):
+    async with fleet(3, "a") as (*sources, daemon):
         await asyncio.sleep(2.0)
         daemon.store.faults.down = True
-        async with SlowLink(silent.members._entry.port, rate_bytes_per_s=0) as link:
-            reach_over(link, daemon, silent)
-            other.store._core.put("op/config", large_configuration(99))
+        first, second = (SlowLink(each.members._entry.port, 0) for each in sources)
+        async with first, second:
+            reach_over(first, daemon, sources[0])
+            reach_over(second, daemon, sources[1])
+            revision = sources[0].store._core.put("op/config", large_configuration(99))
+            await until(lambda: reported_revisions(daemon) == {revision})
+            asked_before = (first.connections, second.connections)
+            await until(lambda: (first.connections, second.connections) != asked_before)
+            # Only the source that was not asked last responds.
+            answering = second if first.connections > asked_before[0] else first
+            answering.rate_bytes_per_s = 10_000_000
             await asyncio.sleep(CONFIG_APPLY_S)
             current = daemon.ctx.in_force.current
             assert current is not None
