--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -340,7 +340,7 @@
 async def test_a_daemon_does_not_repeat_a_failed_pull_from_the_same_source_only() -> None:
     async with fleet(3, "a") as (*sources, daemon):
         await asyncio.sleep(2.0)
-        daemon.store.faults.down = True
+        daemon.peers.view.should_watch = lambda: False  # type: ignore[method-assign]
         first, second = (SlowLink(each.members._entry.port, 0) for each in sources)
         async with first, second:
             reach_over(first, daemon, sources[0])
