Pull engines' entries without waiting for the configuration

What callers saw: requests at engines 4.05 to 4.9 s after these had announced that they leave, from daemons that also served an old configuration. Cause: a daemon pulled from one peer at a time, and the peer with the newest configuration went first. As long as that pull failed, no change of an engine was learned. Change: two independent loops. A pull of the engines names a configuration revision beyond any other, so that builds of before answer it with the engines alone.

--- a/godwitpath/gateway/pulls.py
+++ b/godwitpath/gateway/pulls.py
@@ -1,7 +1,8 @@
 """Pulls the configuration and the engines from other daemons, and responds to their pulls.
 
 In a pull, a daemon requests the view that a peer has of the configuration and the engines, because
-it does not watch the store itself or cannot reach it.
+it does not watch the store itself or cannot reach it. The two are pulled independently: a
+configuration can be a thousand times as large as the change of an engine.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import asyncio
 import zlib
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 
@@ -31,6 +33,10 @@
 PULL_TIMEOUT_S = 0.8
 """Longest time until the response to a pull begins, and longest time without progress after it."""
 
+WITHOUT_CONFIGURATION = 2**62
+"""Known revision in a pull of the engines: the response then contains no configuration, so that the
+entries, which are urgent and small, do not wait for it."""
+
 MIN_COMPRESSED_BYTES = 1_024
 """Size from which a view is compressed: a smaller one fits into a packet or two."""
 
@@ -98,14 +104,28 @@
 
     async def run(self) -> None:
         """Pull changes until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                self._pull_loop(self._configuration_source, lambda: self._ctx.in_force.revision)
+            )
+            group.create_task(self._pull_loop(self._engines_source, lambda: WITHOUT_CONFIGURATION))
+
+    async def _pull_loop(
+        self, find_source: Callable[[], str | None], known_revision: Callable[[], int]
+    ) -> None:
+        """Pull from a peer whenever one has newer state, until cancelled.
+
+        :param find_source: returns the name of that peer, None if there is no need to pull
+        :param known_revision: returns the configuration revision that is sent with the pull
+        """
         while True:
             await asyncio.sleep(PULL_POLL_S)
-            peer = self._pull_source()
+            peer = find_source()
             if peer is None:
                 continue
             started_at_s = self._loop.time()
             try:
-                view = await self._request_view(peer)
+                view = await self._request_view(peer, known_revision())
             except (NotSent, ResponseLost, msgspec.DecodeError) as error:
                 self.counts["pulls_failed"] += 1
                 decision(
@@ -119,32 +139,43 @@
                 continue
             self._apply_view(peer, view)
 
-    def _pull_source(self) -> str | None:
-        """Return the name of a peer to pull newer state from, None if there is no need to pull."""
-        direct_states = self._view.reporting_directly()
-        revisions = {name: state.configuration_revision for name, state in direct_states.items()}
-        now_s = self._loop.time()
-        for zone in self._view.zones.values():
-            if now_s - zone.received_at_s < REPORT_TIMEOUT_S:
-                revisions[zone.aggregator[0]] = zone.configuration_revision
+    def _configuration_source(self) -> str | None:
+        """Return the name of a peer to pull a newer configuration from."""
+        revisions = self._reported_revisions()
         if not revisions or not self._members.secret:
             return None
         newest_peer = max(revisions, key=lambda name: revisions[name])
-        if revisions[newest_peer] > self._ctx.in_force.revision:
-            return newest_peer
-        for name in [] if self._catalogue.fresh else self._view.watchers():
+        return newest_peer if revisions[newest_peer] > self._ctx.in_force.revision else None
+
+    def _engines_source(self) -> str | None:
+        """Return the name of a peer to pull newer engines' entries from."""
+        if self._catalogue.fresh or not self._members.secret:
+            return None
+        direct_states = self._view.reporting_directly()
+        for name in self._view.watchers():
             if direct_states[name].engines_revision > self._catalogue.engines_revision:
                 return name
         outage_since_s = self._catalogue.entries_watcher.outage_since_s
-        if outage_since_s is not None and now_s - outage_since_s >= PULL_OUTAGE_S:
-            return self._ctx.rng.choice(sorted(revisions))
-        return None
+        if outage_since_s is None or self._loop.time() - outage_since_s < PULL_OUTAGE_S:
+            return None
+        peers = sorted(self._reported_revisions())
+        return self._ctx.rng.choice(peers) if peers else None
+
+    def _reported_revisions(self) -> dict[str, int]:
+        """Return the configuration revision of each peer that reports, by name."""
+        direct_states = self._view.reporting_directly()
+        revisions = {name: state.configuration_revision for name, state in direct_states.items()}
+        now_s = self._loop.time()
+        for zone in self._view.zones.values():
+            if now_s - zone.received_at_s < REPORT_TIMEOUT_S:
+                revisions[zone.aggregator[0]] = zone.configuration_revision
+        return revisions
 
-    async def _request_view(self, peer: str) -> CatalogueView:
+    async def _request_view(self, peer: str, known_revision: int) -> CatalogueView:
         entry = self._members.entries.get(peer)
         if entry is None:
             raise NotSent(f"address of {peer} is not known")
-        body = seal(self._members.secret, msgspec.msgpack.encode(self._ctx.in_force.revision))
+        body = seal(self._members.secret, msgspec.msgpack.encode(known_revision))
         headers = [
             (b"host", entry.host.encode()),
             (b"content-length", b"%d" % len(body)),
