Make the test of a silent source certain

The daemon now has no store either, and a pull that began before both sources reported is over when the silent one is determined.

--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -24,7 +24,12 @@
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placement import Placer
-from godwitpath.gateway.pulls import MAX_VIEW_BYTES, decompress_view
+from godwitpath.gateway.pulls import (
+    MAX_VIEW_BYTES,
+    PULL_POLL_S,
+    PULL_TIMEOUT_S,
+    decompress_view,
+)
 from godwitpath.gateway.retry_budget import RetryBudget
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.http1.client import connect
@@ -340,13 +345,17 @@
 async def test_a_daemon_does_not_repeat_a_failed_pull_from_the_same_source_only() -> None:
     async with fleet(3, "a") as (*sources, daemon):
         await asyncio.sleep(2.0)
+        daemon.store.faults.down = True
         daemon.peers.view.should_watch = lambda: False  # type: ignore[method-assign]
+        await until(lambda: daemon.catalogue.entries_watcher.outage_since_s is None)
         first, second = (SlowLink(each.members._entry.port, 0) for each in sources)
         async with first, second:
             reach_over(first, daemon, sources[0])
             reach_over(second, daemon, sources[1])
             revision = sources[0].store._core.put("op/config", large_configuration(99))
             await until(lambda: reported_revisions(daemon) == {revision})
+            # A pull that was begun before both reported has ended.
+            await asyncio.sleep(PULL_TIMEOUT_S + 2 * PULL_POLL_S)
             asked_before = (first.connections, second.connections)
             await until(lambda: (first.connections, second.connections) != asked_before)
             # Only the source that was not asked last responds.
