Choose the source of a pull at random, and another one after a failure

What callers saw: an old configuration for as long as the daemon ran. Cause: of several daemons with the newest configuration, the one that was heard first was asked, by all daemons of a zone and again after each failure. Daemons whose pulls failed together over its link repeated them together, and a source that does not answer was asked again and again. Change: a random choice among those that have the newest configuration, in the daemon's own zone first; after a failure, or an answer with nothing newer, another one for 3 s. The same holds for engines.

--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -96,6 +96,11 @@
                 del self.entries[name]
                 decision("member_gone", member=name)
 
+    def zone_of(self, name: str) -> str | None:
+        """Return the availability zone of another daemon, None if the daemon is not known."""
+        entry = self.entries.get(name)
+        return entry.zone if entry is not None else None
+
     def changed_event(self) -> asyncio.Event:
         """Return an event that is set whenever a watched key changes."""
         event = asyncio.Event()
--- a/godwitpath/gateway/pulls.py
+++ b/godwitpath/gateway/pulls.py
@@ -10,7 +10,8 @@
 import asyncio
 import zlib
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from random import Random
 
 import msgspec
 
@@ -37,6 +38,10 @@
 """Known revision in a pull of the engines: the response then contains no configuration, so that the
 entries, which are urgent and small, do not wait for it."""
 
+FAILED_SOURCE_S = 3.0
+"""Time after a failed pull for which its source is asked only if no other has newer state: the
+longest time that a stopped daemon takes to serve again."""
+
 MIN_COMPRESSED_BYTES = 1_024
 """Size from which a view is compressed: a smaller one fits into a packet or two."""
 
@@ -57,6 +62,38 @@
 """Request target of a pull."""
 
 
+class SourceChooser:
+    """Chooses the peer to pull from.
+
+    The choice is random, so that the daemons of a zone do not all load the link of the same peer.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._failed_at_s: dict[str, float] = {}
+
+    def choose(self, *groups: Iterable[str]) -> str | None:
+        """Return the name of a peer, None if there is none.
+
+        :param groups: names of the peers with newer state; an earlier group is preferred
+        """
+        now_s = asyncio.get_running_loop().time()
+        failed_at_s = {
+            name: at_s for name, at_s in self._failed_at_s.items() if now_s - at_s < FAILED_SOURCE_S
+        }
+        self._failed_at_s = failed_at_s
+        candidates = [sorted(group) for group in groups]
+        for group in candidates:
+            if untried := [name for name in group if name not in failed_at_s]:
+                return self._rng.choice(untried)
+        names = [name for group in candidates for name in group]
+        return min(names, key=lambda name: failed_at_s[name], default=None)
+
+    def mark_failed(self, name: str) -> None:
+        """Record that a pull from a peer failed, or that the peer had nothing newer."""
+        self._failed_at_s[name] = asyncio.get_running_loop().time()
+
+
 class CataloguePuller:
     """Pulls newer state of the catalogue from peers.
 
@@ -111,22 +148,26 @@
             group.create_task(self._pull_loop(self._engines_source, lambda: WITHOUT_CONFIGURATION))
 
     async def _pull_loop(
-        self, find_source: Callable[[], str | None], known_revision: Callable[[], int]
+        self,
+        find_source: Callable[[SourceChooser], str | None],
+        known_revision: Callable[[], int],
     ) -> None:
         """Pull from a peer whenever one has newer state, until cancelled.
 
         :param find_source: returns the name of that peer, None if there is no need to pull
         :param known_revision: returns the configuration revision that is sent with the pull
         """
+        sources = SourceChooser(self._ctx.rng)
         while True:
             await asyncio.sleep(PULL_POLL_S)
-            peer = find_source()
+            peer = find_source(sources)
             if peer is None:
                 continue
             started_at_s = self._loop.time()
             try:
                 view = await self._request_view(peer, known_revision())
             except (NotSent, ResponseLost, msgspec.DecodeError) as error:
+                sources.mark_failed(peer)
                 self.counts["pulls_failed"] += 1
                 decision(
                     "pull_failed",
@@ -137,29 +178,35 @@
                     reason=str(error) or repr(error),
                 )
                 continue
-            self._apply_view(peer, view)
+            if not self._apply_view(peer, view):
+                sources.mark_failed(peer)
 
-    def _configuration_source(self) -> str | None:
+    def _configuration_source(self, sources: SourceChooser) -> str | None:
         """Return the name of a peer to pull a newer configuration from."""
         revisions = self._reported_revisions()
-        if not revisions or not self._members.secret:
+        newest_revision = max(revisions.values(), default=0)
+        if newest_revision <= self._ctx.in_force.revision or not self._members.secret:
             return None
-        newest_peer = max(revisions, key=lambda name: revisions[name])
-        return newest_peer if revisions[newest_peer] > self._ctx.in_force.revision else None
+        newest = {name for name, revision in revisions.items() if revision == newest_revision}
+        zone = self._ctx.settings.zone
+        in_zone = {name for name in newest if self._members.zone_of(name) == zone}
+        return sources.choose(in_zone, newest - in_zone)
 
-    def _engines_source(self) -> str | None:
+    def _engines_source(self, sources: SourceChooser) -> str | None:
         """Return the name of a peer to pull newer engines' entries from."""
         if self._catalogue.fresh or not self._members.secret:
             return None
+        known_revision = self._catalogue.engines_revision
         direct_states = self._view.reporting_directly()
-        for name in self._view.watchers():
-            if direct_states[name].engines_revision > self._catalogue.engines_revision:
-                return name
+        newer = {
+            name
+            for name in self._view.watchers()
+            if direct_states[name].engines_revision > known_revision
+        }
         outage_since_s = self._catalogue.entries_watcher.outage_since_s
-        if outage_since_s is None or self._loop.time() - outage_since_s < PULL_OUTAGE_S:
-            return None
-        peers = sorted(self._reported_revisions())
-        return self._ctx.rng.choice(peers) if peers else None
+        if newer or outage_since_s is None or self._loop.time() - outage_since_s < PULL_OUTAGE_S:
+            return sources.choose(newer)
+        return sources.choose(self._reported_revisions())
 
     def _reported_revisions(self) -> dict[str, int]:
         """Return the configuration revision of each peer that reports, by name."""
@@ -199,15 +246,18 @@
             payload = decompress_view(payload)
         return msgspec.msgpack.decode(payload, type=CatalogueView)
 
-    def _apply_view(self, peer: str, view: CatalogueView) -> None:
+    def _apply_view(self, peer: str, view: CatalogueView) -> bool:
+        """Apply the view of a peer; returns whether it was newer."""
         self.counts["pulls"] += 1
         if view.value:
             self._catalogue.apply_configuration(
                 view.value, view.configuration_revision, f"peer {peer}"
             )
         has_newer_engines = view.engines_revision > self._catalogue.engines_revision
-        if view.fresh and has_newer_engines and not self._catalogue.fresh:
+        apply_engines = view.fresh and has_newer_engines and not self._catalogue.fresh
+        if apply_engines:
             self._catalogue.apply_peer_entries(view.entries, view.engines_revision, f"peer {peer}")
+        return apply_engines or bool(view.value)
 
 
 def decompress_view(data: bytes) -> bytes:
