Bound the start and the stalls of a response of the platform, not its whole length

The cause of the pulls that never ended, found again in the client of the store: a listing had 1.5 s in all, and a watch 0.8 s after the end of its wait, whatever the size of the response. A value of the largest size that the store takes, 1 MB, is 1.4 MB on the wire, which an idle link of 10 Mbit/s carries in 1.1 s; a watch that it meets near its end, or a listing beside other traffic, is cut and begins anew. The test (0.5 MB at 250 KB/s) failed before: "no response within 1.3 s"; it passes now.

--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT_S = 0.8
 """Maximum time to open a connection: two round trips between regions and a lost first packet."""
 
+STALL_TIMEOUT_S = 0.8
+"""Longest time without progress while a response arrives, as for a connection."""
+
 MAX_CONNECTION_IDLE_S = 10.0
 """Maximum idle time of a connection that is reused."""
 
@@ -49,14 +52,17 @@
     ) -> tuple[int, bytes]:
         """Make a call and return the status and the body of its response.
 
+        :param timeout_s: longest time until the response begins; its body may take as long as its
+            size requires
         :param kind: kind of the call, under which it is counted in :attr:`calls`
         :param body: value that is encoded as JSON and sent as the request body, None for no body
         :raises NotSent: the call was not carried out
         :raises ResponseLost: the call may have been carried out, or may be carried out later
         """
         try:
-            async with asyncio.timeout(timeout_s):
-                status, response_body = await self.exchange(method, target, body, headers)
+            status, response_body = await self.exchange(
+                method, target, body, headers, timeout_s=timeout_s
+            )
         except NotSent:
             self.calls[(kind, "unreachable")] += 1
             raise
@@ -79,12 +85,15 @@
         target: str,
         body: Any,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        timeout_s: float | None = None,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and the body of its response for any status.
 
         :param body: value that is encoded as JSON and sent as the request body, None for no body
+        :param timeout_s: longest time until the response begins, None for no limit
         :raises NotSent: no byte of the request was sent
         :raises ResponseLost: no complete response arrived
+        :raises TimeoutError: no response began in time
         """
         address = self._address
         request_body = b"" if body is None else msgspec.json.encode(body)
@@ -93,14 +102,16 @@
             request_headers.append((b"Content-Type", b"application/json"))
         if method != "GET":
             request_headers.append((b"Content-Length", b"%d" % len(request_body)))
-        connection = await self._pool.acquire(address.host, address.port, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(timeout_s) as time_left:
+            connection = await self._pool.acquire(address.host, address.port, CONNECT_TIMEOUT_S)
         try:
             connection.send(
                 method, encode_request_head(method, target.encode(), request_headers) + request_body
             )
-            head = await connection.head()
+            async with asyncio.timeout_at(time_left.when()):
+                head = await connection.head()
             connection.idle_limit_s = keep_alive_limit_s(head.header(b"keep-alive"))
-            response_body = await connection.read_whole()
+            response_body = await connection.read_transfer(STALL_TIMEOUT_S)
         except BaseException:
             connection.close()
             raise
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 
@@ -26,11 +27,13 @@
 )
 from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.store import PlatformStore
+from godwitpath.ports.engine import Address
 from godwitpath.ports.kv import LeaseLapsed, StoreRefused, StoreUncertain
 from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
+from test.slow_link import SlowLink
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -209,6 +212,25 @@
 
 
 class TestStore:
+    async def test_a_large_value_over_a_slow_link_is_listed_and_watched(
+        self, running_store: RunningStore
+    ) -> None:
+        server, direct_store = running_store
+        value = bytes(400_000)
+        far_server = StoreServer(server.core)
+        address = await far_server.start()
+        async with SlowLink(address.port, rate_bytes_per_s=250_000) as link:
+            store = PlatformStore(Address("127.0.0.1", link.port))
+            watch = asyncio.create_task(store.changes("p/", 1, wait_s=0.5))
+            await asyncio.sleep(0.1)
+            await direct_store.transact([], [Put("p/large", value)])
+            changes, _ = await watch
+            assert [change.item.value for change in changes if change.item] == [value]
+            listing = await store.list_items("p/")
+            assert [item.value for item in listing.items] == [value]
+            store.close()
+        await far_server.stop()
+
     async def test_list_get_and_watch(self, running_store: RunningStore) -> None:
         server, store = running_store
         for number in range(120):
