Watch the store in a daemon that its pulls do not keep current

In a large fleet two daemons of a zone watch the store, and the others depended on pulls alone: a daemon that reaches the store and hears of a newer configuration or of leaving engines, but cannot pull from its peers, stayed as it was for good. That is what made slow pulls a broken promise. Change: when peers have had newer state for 1.5 s, the daemon watches the store until it is current. Line `store_watching` says when, and why.

--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -31,6 +31,7 @@
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView, sum_loads
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.telemetry.decisions import decision
 
 REPORT_S = 0.4
 """Interval between two reports of a daemon."""
@@ -138,7 +139,7 @@
                     await self._ctx.quota.urgent.wait()
             except TimeoutError:
                 pass
-            self._catalogue.watching = self.view.should_watch()
+            self._decide_watching()
             self._ctx.retry_budget.note_daemons(1 + len(self._members.entries))
             self.view.drop_expired()
             self._members.drop_expired()
@@ -148,6 +149,14 @@
                 self._sequence += 1
                 self._send_reports()
 
+    def _decide_watching(self) -> None:
+        """Watch the store if this daemon's turn has come, or if pulling does not keep it current."""
+        behind = self.puller.behind
+        watching = self.view.should_watch() or behind
+        if watching != self._catalogue.watching:
+            decision("store_watching", watching=watching, behind=behind)
+        self._catalogue.watching = watching
+
     def _send_reports(self) -> None:
         """Send the report, and the zone summary if this daemon is the zone's aggregator."""
         report = self._build_report()
--- a/godwitpath/gateway/pulls.py
+++ b/godwitpath/gateway/pulls.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -38,6 +39,10 @@
 """Known revision in a pull of the engines: the response then contains no configuration, so that the
 entries, which are urgent and small, do not wait for it."""
 
+BEHIND_S = 1.5
+"""Time for which a peer has newer state that could not be pulled, after which this daemon watches
+the store itself: less than half of the time within which a change has to be in force."""
+
 FAILED_SOURCE_S = 3.0
 """Time after a failed pull for which its source is asked only if no other has newer state: the
 longest time that a stopped daemon takes to serve again."""
@@ -109,8 +114,16 @@
         self._members = members
         self._view = view
         self._pool = ConnectionPool()
+        # Loop time since which peers have newer state, by the kind of state.
+        self._behind_since_s: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def behind(self) -> bool:
+        """Whether peers have had newer state for a while that could not be pulled from them."""
+        since_s = min(self._behind_since_s.values(), default=math.inf)
+        return self._loop.time() - since_s >= BEHIND_S
+
     def close(self) -> None:
         """Close the idle connections to peers."""
         self._pool.close()
@@ -185,7 +198,9 @@
         """Return the name of a peer to pull a newer configuration from."""
         revisions = self._reported_revisions()
         newest_revision = max(revisions.values(), default=0)
-        if newest_revision <= self._ctx.in_force.revision or not self._members.secret:
+        is_behind = newest_revision > self._ctx.in_force.revision
+        self._note_behind("configuration", is_behind)
+        if not is_behind or not self._members.secret:
             return None
         newest = {name for name, revision in revisions.items() if revision == newest_revision}
         zone = self._ctx.settings.zone
@@ -194,8 +209,6 @@
 
     def _engines_source(self, sources: SourceChooser) -> str | None:
         """Return the name of a peer to pull newer engines' entries from."""
-        if self._catalogue.fresh or not self._members.secret:
-            return None
         known_revision = self._catalogue.engines_revision
         direct_states = self._view.reporting_directly()
         newer = {
@@ -203,11 +216,21 @@
             for name in self._view.watchers()
             if direct_states[name].engines_revision > known_revision
         }
+        is_behind = bool(newer) and not self._catalogue.fresh
+        self._note_behind("engines", is_behind)
+        if self._catalogue.fresh or not self._members.secret:
+            return None
         outage_since_s = self._catalogue.entries_watcher.outage_since_s
         if newer or outage_since_s is None or self._loop.time() - outage_since_s < PULL_OUTAGE_S:
             return sources.choose(newer)
         return sources.choose(self._reported_revisions())
 
+    def _note_behind(self, kind: str, is_behind: bool) -> None:
+        if is_behind:
+            self._behind_since_s.setdefault(kind, self._loop.time())
+        else:
+            self._behind_since_s.pop(kind, None)
+
     def _reported_revisions(self) -> dict[str, int]:
         """Return the configuration revision of each peer that reports, by name."""
         direct_states = self._view.reporting_directly()
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -54,6 +54,9 @@
 DRAIN_S = 4.0
 """Time within which an engine's announcement that it leaves must be known (grown deployments)."""
 
+STORE_WAIT_S = 3.0
+"""Longest wait of a watch request of the store."""
+
 ACCOUNT = AccountSpec("hule", (), rate_per_s=1000, burst=1000, counts_tokens=True)
 
 
@@ -85,7 +88,7 @@
             self.ctx.engines.put(entry)
         self.members = Members(self.store, name, MemberEntry("127.0.0.1", port, zone, port), rng)
         self.catalogue = Catalogue(
-            self.store, adapter, self.ctx.in_force, EngineRegistry(), rng, 3.0
+            self.store, adapter, self.ctx.in_force, EngineRegistry(), rng, STORE_WAIT_S
         )
         self.peers = Peers(self.ctx, self.catalogue, self.members, port)
         self.tasks: list[asyncio.Task[None]] = []
@@ -367,6 +370,29 @@
             assert current.version == 99
 
 
+async def test_a_daemon_whose_pulls_fail_watches_the_store_itself() -> None:
+    async with fleet(18, "abc") as daemons:
+        core = daemons[0].store._core
+        core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+        # The watch requests of those that no longer watch have ended.
+        await asyncio.sleep(2.5 + STORE_WAIT_S)
+        daemon = next(each for each in reversed(daemons) if not each.catalogue.watching)
+        async with SlowLink(daemon.members._entry.port, rate_bytes_per_s=0) as link:
+            for other in daemons:
+                if other is not daemon:
+                    reach_over(link, daemon, other)
+            core.put("op/config", json_bytes(configuration_document(version=99)))
+            core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1", state="draining"))
+            await asyncio.sleep(min(CONFIG_APPLY_S, DRAIN_S))
+        current, engine = daemon.ctx.in_force.current, daemon.catalogue._engines.get("e1")
+        assert current is not None
+        assert current.version == 99
+        assert engine is not None
+        assert engine.entry.state is EngineState.DRAINING
+        await asyncio.sleep(1.0)
+        assert not daemon.catalogue.watching
+
+
 async def test_a_pull_of_an_older_build_gets_a_view_without_compression() -> None:
     async with fleet(2, "a") as (source, _):
         await asyncio.sleep(2.0)
