--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -150,7 +150,7 @@
                 self._send_reports()
 
     def _decide_watching(self) -> None:
-        """Watch the store if this daemon's turn has come, or if pulling does not keep it current."""
+        """Watch the store if this daemon has to, or if pulling does not keep it current."""
         behind = self.puller.behind
         watching = self.view.should_watch() or behind
         if watching != self._catalogue.watching:
