Refuse requests at a stopping daemon from the bound on, not from the next poll

What a caller saw: a stream that was taken 3.01 s after its daemon was told to stop, and cut at the end of the grace time. Cause: whether requests are refused was decided in the loop that waits for connections to end, every 50 ms, and counted from the start of that loop. Change: decided for each request, from the time of the signal, and 0.1 s before the platform's 3 s, as the signal takes a while to arrive.

--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import sys
@@ -42,9 +43,10 @@
 """Time for which a stopping daemon keeps idle connections of callers: the load balancer probes once
 a second and removes the daemon after two failed readiness probes."""
 
-REFUSE_AFTER_S = 3.0
+REFUSE_AFTER_S = 2.9
 """Time from the stop signal after which a daemon refuses new requests: streams that start later
-might not end within the grace period."""
+might not end within the grace period. The platform allows 3 s, counted from when it sends the
+signal."""
 
 DRAIN_SHARE = 0.93
 """Fraction of the grace period after which requests that still run are aborted."""
@@ -108,7 +110,7 @@
         )
         self._connections: set[ServerConnection] = set()
         self._stopping = asyncio.Event()
-        self._refusing = False
+        self._stop_requested_at_s = math.inf
         self._readiness = Readiness(lambda: self._catalogue.is_loaded and not self.stopping)
 
     @property
@@ -116,6 +118,11 @@
         """Whether the daemon has received a stop signal."""
         return self._stopping.is_set()
 
+    @property
+    def refusing(self) -> bool:
+        """Whether new requests are refused, because the daemon stops soon."""
+        return asyncio.get_running_loop().time() >= self._stop_requested_at_s + REFUSE_AFTER_S
+
     async def run(self) -> None:
         """Serve callers until a stop signal, then wait for the remaining requests to end."""
         loop = asyncio.get_running_loop()
@@ -125,7 +132,7 @@
         reloader = SettingsReloader(self._path, settings, decode_settings, self._apply_settings)
         loop.add_signal_handler(signal.SIGHUP, reloader.notify_changed)
         policy = ServerPolicy(
-            Intake(self._ctx, lambda: self._refusing, self._catalogue.loaded).handle,
+            Intake(self._ctx, lambda: self.refusing, self._catalogue.loaded).handle,
             lambda: self._ctx.in_force.limits,
             lambda: not self.stopping,
         )
@@ -188,6 +195,7 @@
         if not self.stopping:
             busy = sum(not connection.idle for connection in self._connections)
             decision("stopping", busy=busy, connections=len(self._connections))
+            self._stop_requested_at_s = asyncio.get_running_loop().time()
             self._stopping.set()
 
     async def _drain(self) -> None:
@@ -196,12 +204,10 @@
         Idle connections are closed once the load balancer has noticed that the daemon stops.
         """
         loop = asyncio.get_running_loop()
-        drain_started_at_s = loop.time()
-        drain_until_s = drain_started_at_s + self._settings.bounds.grace_s * DRAIN_SHARE
+        drain_until_s = self._stop_requested_at_s + self._settings.bounds.grace_s * DRAIN_SHARE
         while loop.time() < drain_until_s:
             await asyncio.sleep(0.05)
-            self._refusing = loop.time() >= drain_started_at_s + REFUSE_AFTER_S
-            if loop.time() < drain_started_at_s + DRAIN_KEEP_ALIVE_S:
+            if loop.time() < self._stop_requested_at_s + DRAIN_KEEP_ALIVE_S:
                 continue
             for connection in list(self._connections):
                 connection.close_if_idle()
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -335,6 +335,18 @@
             async with asyncio.timeout(8.0):
                 assert await environment.process.wait() == 0
 
+    async def test_a_stopping_daemon_takes_no_request_after_its_bound(self) -> None:
+        async with gateway_environment({"m1": "lm", "d1": "desk"}) as environment:
+            environment.engines["m1"].events = 40
+            environment.engines["m1"].event_s = 0.1
+            running = asyncio.create_task(ask(environment.port, "/stream/x", method="POST"))
+            await asyncio.sleep(0.3)
+            environment.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(3.0)
+            late = [await ask(environment.port, "/read/x") for _ in range(10)]
+            assert {response.status for response in late} == {503}
+            assert (await running).complete
+
     async def test_changed_settings_are_applied_and_damaged_ones_refused(self) -> None:
         async with gateway_environment(PLAIN) as environment:
             valid = environment.settings.read_text()
