Replace a soak's settings file as a whole

Cause: the stand-in truncated the file before it wrote it, and a daemon that started at that moment read an empty file and ended. The file is now written beside it and renamed. The test reads through a handle that was opened before: it saw the new content before the change, and the old one after it.

--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -99,7 +99,10 @@
                 "dutyPerS": 50,
             },
         )
-        self._settings.write_text(json.dumps(document))
+        # Replaced as a whole, because a daemon may start at any moment.
+        written = self._settings.with_suffix(".new")
+        written.write_text(json.dumps(document))
+        written.replace(self._settings)
 
     async def start(self) -> None:
         """Start the process."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -14,6 +14,7 @@
 from godwitpath_standin.gateway.caller import ClientResponse
 from godwitpath_standin.gateway.cloud import FakeCloud
 from godwitpath_standin.gateway.engine import EngineStandin, Run
+from godwitpath_standin.soak.environment import Daemon
 from godwitpath_standin.soak.history import Disruption, History, SentRequest, WrittenConfiguration
 from godwitpath_standin.soak.invariants import violations
 from godwitpath_standin.soak.proxy import LoopbackProxy, Way
@@ -257,6 +258,18 @@
                 await response_task
 
 
+async def test_a_starting_daemon_never_reads_half_written_settings(tmp_path: Path) -> None:
+    async with proxied() as (_, proxy, _ask):
+        daemon = Daemon("d1", "a", [1, 2, 3, 4], tmp_path)
+        daemon.store_link = daemon.cloud_link = proxy
+        path = tmp_path / "d1.json"
+        path.write_text("{}")
+        with path.open() as opened_before:
+            daemon.write_settings()
+            assert opened_before.read() == "{}"
+        assert path.read_text().endswith("}")
+
+
 @pytest.mark.xdist_group("soak")
 async def test_short_soak_has_no_violation(tmp_path: Path) -> None:
     outcome = await run_soak(SoakPlan(seed=1, duration_s=SOAK_S, daemons=3), tmp_path)
