Count pulls between daemons on the metrics page

The counts of pulls, failed pulls and refused datagrams were kept and shown nowhere. An incident in which daemons pulled in vain for minutes had no figure that said so.

--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -97,6 +97,7 @@
             ("answers", "{answer}", "Answers to callers: who gave them, and why?", self._responses),
             ("sends", "{send}", "Sends to engines by outcome: which service fails?", self._sends),
             ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
+            ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
             ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
         )
         for name, unit, description, read in counters:
@@ -128,6 +129,10 @@
             for (kind, outcome), count in list(calls.items()):
                 yield count, {"client": client, "kind": kind, "outcome": outcome}
 
+    def _peer_events(self) -> Samples:
+        for name, count in (self._peers.counts + self._peers.puller.counts).items():
+            yield count, {"event": name}
+
     def _tokens(self) -> Samples:
         for service, tokens in list(self._ctx.placer.prefill_tokens.items()):
             yield tokens, {"service": service}
