--- a/godwitpath_standin/gateway/store_app.py
+++ b/godwitpath_standin/gateway/store_app.py
@@ -39,16 +39,19 @@
         if self.no_response:
             await asyncio.sleep(3600)
         if self.refuse_with:
-            responder.respond(self.refuse_with, [], b"{}")
+            responder.respond(self.refuse_with, [self._era_field()], b"{}")
             return
         status, body = await self._call(request)
         if self.responses_to_lose and request.target == b"/kv-txn":
             self.responses_to_lose -= 1
             responder.abort()
             return
-        headers = [(b"content-type", b"application/json")]
+        headers = [(b"content-type", b"application/json"), self._era_field()]
         responder.respond(status, headers, msgspec.json.encode(body))
 
+    def _era_field(self) -> tuple[bytes, bytes]:
+        return b"store-era", b"%d" % self.core.era
+
     async def _call(self, request: Request) -> tuple[int, Any]:
         url = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
--- a/godwitpath_standin/gateway/store_core.py
+++ b/godwitpath_standin/gateway/store_core.py
@@ -42,18 +42,32 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True, frozen=True)
+class StoreSnapshot:
+    """Copy of the store's content, to which it can be restored.
+
+    :ivar leases: remaining time to live in seconds by lease identifier
+    """
+
+    items: dict[str, Item]
+    revision: int
+    leases: dict[int, float]
+
+
 class StoreCore:
     """State of the store, shared by its clients.
 
     :ivar calls: number of calls by kind
     :ivar items: current items by key
     :ivar revision: revision of the last write
+    :ivar era: number of restores from an older copy so far, plus one
     """
 
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
         self.items: dict[str, Item] = {}
         self.revision = 1
+        self.era = 1
         self._history: list[Change] = []
         self._history_dropped_until = 0
         self._leases: dict[int, _Lease] = {}
@@ -111,6 +125,34 @@
         self._history.clear()
         self._notify_waiters()
 
+    def snapshot(self) -> StoreSnapshot:
+        """Return a copy of the content."""
+        self.expire()
+        now_s = asyncio.get_running_loop().time()
+        leases = {lease_id: lease.ends_at_s - now_s for lease_id, lease in self._leases.items()}
+        return StoreSnapshot(dict(self.items), self.revision, leases)
+
+    def restore(self, snapshot: StoreSnapshot) -> None:
+        """Go back to an older copy, as after the loss of the store's data.
+
+        All that was written since is lost, leases too, and so is the history. Revisions after the
+        copy's are given out again. A lease of the copy runs on with the time that it had left.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.items = dict(snapshot.items)
+        self.revision = self._history_dropped_until = snapshot.revision
+        self._history.clear()
+        self._leases = {
+            lease_id: _Lease(
+                self._leases[lease_id].ttl_s if lease_id in self._leases else left_s,
+                now_s + left_s,
+                {key for key, item in self.items.items() if item.lease_id == lease_id},
+            )
+            for lease_id, left_s in snapshot.leases.items()
+        }
+        self.era += 1
+        self._notify_waiters()
+
     def grant(self, ttl_s: float) -> int:
         """Create a lease and return its identifier."""
         self._last_lease_id += 1
@@ -147,10 +189,11 @@
     def changes_since(self, prefix: str, after: int) -> list[Change]:
         """Return the changes of a prefix after a revision.
 
-        :raises HistoryLost: the history after the revision was dropped
+        :raises HistoryLost: the history after the revision was dropped, or the store does not have
+            the revision
         """
-        if after < self._history_dropped_until:
-            raise HistoryLost("the history after this revision was dropped")
+        if not self._history_dropped_until <= after <= self.revision:
+            raise HistoryLost("the history after this revision does not exist")
         return [
             change
             for change in self._history
