Failing tests: a configuration, a leaving engine and a fencing token after a restore of the store

After the store has come back from an older copy, the operator's next change and an engine's announcement that it leaves are passed over, and the next holder's fencing token is lower than one already used.

--- a/test/test_gateway_store_restore.py
+++ b/test/test_gateway_store_restore.py
@@ -1,19 +1,37 @@
-"""The stand-in of the platform's store when it comes back from an older copy, over HTTP."""
+"""The platform's store when it comes back from an older copy: the stand-in, and a daemon's view."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import AsyncIterator
+from random import Random
 
 import pytest
 
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.engines import EngineRegistry, EngineState
+from godwitpath.gateway.holder import DutyHolder
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import HistoryLost, Precondition, Put
 from godwitpath.http1.client import connect
 from godwitpath.http1.messages import encode_request_head
+from godwitpath.platform.adapter import PlatformAdapter
+from godwitpath.platform.settings import decode_settings
 from godwitpath.platform.store import PlatformStore
 from godwitpath.ports.kv import LeaseLapsed, StoreRefused
+from godwitpath_standin.gateway.documents import configuration_document, settings_document
+from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
-from godwitpath_standin.gateway.store_core import StoreCore
+from godwitpath_standin.gateway.store_core import StoreCore, StoreSnapshot
+from test.gateway_parts import json_bytes
+
+CONFIG_APPLY_S = 2.5
+"""Time within which a change of the configuration must be in force."""
+
+DRAIN_S = 2.5
+"""Time within which an engine's announcement that it leaves must be known."""
 
 RunningStore = tuple[StoreServer, PlatformStore, int]
 
@@ -98,3 +116,92 @@
         assert await era_of_response(port, targets[0]) == era
         server.refuse_with = 0
         assert {await era_of_response(port, target) for target in targets} == {era}
+
+
+class Watching:
+    """A catalogue that watches a store, with its configuration and engines."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        adapter = PlatformAdapter(decode_settings(json_bytes(settings_document())))
+        self.in_force = ConfigurationInForce()
+        self.engines = EngineRegistry()
+        self.catalogue = Catalogue(store, adapter, self.in_force, self.engines, Random(1), 0.5)
+        self._task = asyncio.create_task(self.catalogue.run())
+
+    async def stop(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+@pytest.fixture
+async def watching(running_store: RunningStore) -> AsyncIterator[Watching]:
+    server, store, _ = running_store
+    server.core.put("op/config", json_bytes(configuration_document(version=7)))
+    server.core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+    watching = Watching(store)
+    await asyncio.sleep(0.5)
+    yield watching
+    await watching.stop()
+
+
+async def lose_writes(server: StoreServer, snapshot: StoreSnapshot) -> None:
+    """Write more than is written after the restore, and restore the store."""
+    for _ in range(50):
+        server.core.put("p/other", b"")
+    await asyncio.sleep(0.5)
+    server.core.restore(snapshot)
+    await asyncio.sleep(1.0)
+
+
+async def test_a_configuration_written_after_a_restore_is_in_force(
+    running_store: RunningStore, watching: Watching
+) -> None:
+    server = running_store[0]
+    snapshot = server.core.snapshot()
+    for _ in range(50):
+        server.core.put("p/other", b"")
+    server.core.put("op/config", json_bytes(configuration_document(version=8)))
+    await lose_writes(server, snapshot)
+    assert watching.in_force.current is not None
+    assert watching.in_force.current.version == 8
+    server.core.put("op/config", json_bytes(configuration_document(version=9)))
+    await asyncio.sleep(CONFIG_APPLY_S)
+    assert watching.in_force.current.version == 9
+
+
+async def test_an_engine_that_leaves_after_a_restore_is_known(
+    running_store: RunningStore, watching: Watching
+) -> None:
+    server = running_store[0]
+    snapshot = server.core.snapshot()
+    for _ in range(50):
+        server.core.put("p/other", b"")
+    server.core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
+    await lose_writes(server, snapshot)
+    draining = EngineStandin("e1").entry("lm", address="h:1", state="draining")
+    server.core.put("servers/e1", draining)
+    await asyncio.sleep(DRAIN_S)
+    engine = watching.engines.get("e1")
+    assert engine is not None
+    assert engine.entry.state is EngineState.DRAINING
+
+
+async def test_fencing_tokens_rise_across_a_restore(running_store: RunningStore) -> None:
+    server, store, _ = running_store
+    snapshot = server.core.snapshot()
+    for _ in range(50):
+        server.core.put("p/other", b"")
+    tokens = []
+    for name in ("d1", "d2"):
+        members = Members(store, name, MemberEntry("h", 1, "a", 1), Random(1))
+        holder = DutyHolder(store, members, name, Bounds(), Random(1), lambda *_: 0.0)
+        tasks = [asyncio.create_task(job) for job in (members.run(), holder.run())]
+        await asyncio.sleep(2.0)
+        token = holder.fencing_token()
+        assert token is not None
+        tokens.append(token.number)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        server.core.restore(snapshot)
+    assert tokens == sorted(set(tokens))
