--- a/godwitpath/gateway/pulls.py
+++ b/godwitpath/gateway/pulls.py
@@ -44,15 +44,14 @@
 the store itself: less than half of the time within which a change has to be in force."""
 
 FAILED_SOURCE_S = 3.0
-"""Time after a failed pull for which its source is asked only if no other has newer state: the
-longest time that a stopped daemon takes to serve again."""
+"""Time after a failed pull for which its source is asked only if no other has newer state: a daemon
+that is being restarted needs about two seconds until it reports again."""
 
 MIN_COMPRESSED_BYTES = 1_024
 """Size from which a view is compressed: a smaller one fits into a packet or two."""
 
 COMPRESSION_LEVEL = 1
-"""Level of zlib: a configuration of 1,400 routes shrinks to a fifteenth in 2 ms, and at level 6 to
-a seventeenth in 4 ms."""
+"""Level of zlib; higher levels take longer and gain little on the text of a configuration."""
 
 MAX_VIEW_BYTES = 16_777_216
 """Largest size of a view after decompression, several times the largest value of the store."""
@@ -68,7 +67,7 @@
 
 
 class SourceChooser:
-    """Chooses the peer to pull from.
+    """Chooses the peer to pull from, and avoids those whose last pull failed.
 
     The choice is random, so that the daemons of a zone do not all load the link of the same peer.
     """
@@ -102,7 +101,7 @@
 class CataloguePuller:
     """Pulls newer state of the catalogue from peers.
 
-    :ivar counts: number of pulls by outcome
+    :ivar counts: number of pulls so far, and of those that failed, by name
     """
 
     def __init__(
@@ -120,7 +119,7 @@
 
     @property
     def behind(self) -> bool:
-        """Whether peers have had newer state for a while that could not be pulled from them."""
+        """Whether peers have had newer state for :data:`BEHIND_S` that was not pulled from them."""
         since_s = min(self._behind_since_s.values(), default=math.inf)
         return self._loop.time() - since_s >= BEHIND_S
 
