--- /dev/null
+++ b/test/gateway_fleet.py
@@ -0,0 +1,103 @@
+"""Test helper: daemons that exchange messages over loopback, with one store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+from godwitpath.gateway.accounts import QuotaTracker
+from godwitpath.gateway.catalogue import Catalogue
+from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
+from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.peers import Peers
+from godwitpath.gateway.placement import Placer
+from godwitpath.gateway.retry_budget import RetryBudget
+from godwitpath.gateway.usage import UsageCounter
+from godwitpath.platform.adapter import PlatformAdapter
+from godwitpath.platform.settings import decode_settings
+from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.documents import (
+    configuration_document,
+    settings_document,
+)
+from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
+from godwitpath_standin.ports import ReservedPorts
+from test.gateway_parts import json_bytes
+
+STORE_WAIT_S = 3.0
+"""Longest wait of a watch request of the store."""
+
+
+class Daemon:
+    """The components of a daemon that take part in the exchange of messages with other daemons."""
+
+    def __init__(self, core: StoreCore, name: str, zone: str, port: int) -> None:
+        self.name, self.zone = name, zone
+        document = settings_document(nodeName=name, zone=zone, portRange=[port, port])
+        settings = decode_settings(json_bytes(document))
+        adapter = PlatformAdapter(settings)
+        self.store = FakeStore(core)
+        rng = Random(port)
+        self.ctx = GatewayContext(
+            settings=settings,
+            header_codec=adapter,
+            in_force=ConfigurationInForce(),
+            engines=EngineRegistry(),
+            placer=Placer(zone, "r", {}, Random(1)),
+            quota=QuotaTracker(rng, 8.0),
+            retry_budget=RetryBudget(0.2, 10.0, 50.0),
+            usage=UsageCounter(5.0),
+            pool=None,  # type: ignore[arg-type]
+            rng=rng,
+        )
+        for number in range(3):
+            address = Address("h", number)
+            entry = EngineEntry(f"e{number}", "lm", address, zone, EngineState.READY, 64, 1)
+            self.ctx.engines.put(entry)
+        self.members = Members(self.store, name, MemberEntry("127.0.0.1", port, zone, port), rng)
+        self.catalogue = Catalogue(
+            self.store, adapter, self.ctx.in_force, EngineRegistry(), rng, STORE_WAIT_S
+        )
+        self.peers = Peers(self.ctx, self.catalogue, self.members, port)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        await self.peers.start()
+        jobs = (self.members.run(), self.peers.run(), self.catalogue.run())
+        self.tasks = [asyncio.create_task(job) for job in jobs]
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.peers.close()
+
+    def running_at(self, engine_id: str) -> int:
+        """Return the running requests of all daemons at an engine, as known to this daemon."""
+        engine = self.ctx.engines.get(engine_id)
+        assert engine is not None
+        return engine.all_running
+
+
+@asynccontextmanager
+async def fleet(count: int, zones: str) -> AsyncIterator[list[Daemon]]:
+    core = StoreCore()
+    core.put("op/config", json_bytes(configuration_document()))
+    reserved = ReservedPorts(count)
+    ports = reserved.ports
+    daemons = [
+        Daemon(core, f"d{index:02d}", zones[index % len(zones)], ports[index])
+        for index in range(count)
+    ]
+    for daemon in daemons:
+        await daemon.start()
+    try:
+        yield daemons
+    finally:
+        for daemon in daemons:
+            await daemon.stop()
+        reserved.release()
