--- a/test/test_gateway_store_restore.py
+++ b/test/test_gateway_store_restore.py
@@ -24,7 +24,7 @@
 from godwitpath_standin.gateway.documents import configuration_document, settings_document
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.gateway.store_app import StoreServer
-from godwitpath_standin.gateway.store_core import StoreCore, StoreSnapshot
+from godwitpath_standin.gateway.store_core import StoreCore
 from test.gateway_parts import json_bytes
 
 CONFIG_APPLY_S = 2.5
@@ -144,10 +144,12 @@
     await watching.stop()
 
 
-async def lose_writes(server: StoreServer, snapshot: StoreSnapshot) -> None:
-    """Write more than is written after the restore, and restore the store."""
+async def write_and_lose(server: StoreServer, key: str, value: bytes) -> None:
+    """Write a key after many other writes, and restore the store to its state before them."""
+    snapshot = server.core.snapshot()
     for _ in range(50):
         server.core.put("p/other", b"")
+    server.core.put(key, value)
     await asyncio.sleep(0.5)
     server.core.restore(snapshot)
     await asyncio.sleep(1.0)
@@ -157,11 +159,8 @@
     running_store: RunningStore, watching: Watching
 ) -> None:
     server = running_store[0]
-    snapshot = server.core.snapshot()
-    for _ in range(50):
-        server.core.put("p/other", b"")
-    server.core.put("op/config", json_bytes(configuration_document(version=8)))
-    await lose_writes(server, snapshot)
+    lost = json_bytes(configuration_document(version=8))
+    await write_and_lose(server, "op/config", lost)
     assert watching.in_force.current is not None
     assert watching.in_force.current.version == 8
     server.core.put("op/config", json_bytes(configuration_document(version=9)))
@@ -173,11 +172,8 @@
     running_store: RunningStore, watching: Watching
 ) -> None:
     server = running_store[0]
-    snapshot = server.core.snapshot()
-    for _ in range(50):
-        server.core.put("p/other", b"")
-    server.core.put("servers/e1", EngineStandin("e1").entry("lm", address="h:1"))
-    await lose_writes(server, snapshot)
+    lost = EngineStandin("e1").entry("lm", address="h:1")
+    await write_and_lose(server, "servers/e1", lost)
     draining = EngineStandin("e1").entry("lm", address="h:1", state="draining")
     server.core.put("servers/e1", draining)
     await asyncio.sleep(DRAIN_S)
