Copy the counts of peers before the metrics thread walks them

The page is rendered in a thread, while the event loop may add a new name to these counters: a dictionary that changes while it is walked raises an error, and the page gets no response. The other counters of the page were copied already. Found by reading, not seen; no test, since the moment cannot be forced.

--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -130,8 +130,9 @@
                 yield count, {"client": client, "kind": kind, "outcome": outcome}
 
     def _peer_events(self) -> Samples:
-        for name, count in (self._peers.counts + self._peers.puller.counts).items():
-            yield count, {"event": name}
+        for counts in (self._peers.counts, self._peers.puller.counts):
+            for name, count in list(counts.items()):
+                yield count, {"event": name}
 
     def _tokens(self) -> Samples:
         for service, tokens in list(self._ctx.placer.prefill_tokens.items()):
