Log the limit on its requests that an engine states

The header is decoded once, in the platform's adapter, and each statement is logged. Nothing is decided by it yet.

--- a/godwitpath/gateway/request_trace.py
+++ b/godwitpath/gateway/request_trace.py
@@ -13,7 +13,9 @@
 engines and daemons are included: a leaving engine or a store outage affects requests for that
 long."""
 
-ENGINE_LINES = frozenset(("engine_state", "engine_failed", "stream_moved", "stream_not_moved"))
+ENGINE_LINES = frozenset(
+    ("engine_state", "engine_failed", "engine_limit_stated", "stream_moved", "stream_not_moved")
+)
 """Kinds of log lines that concern an engine."""
 
 DAEMON_LINES = frozenset(
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -115,6 +115,7 @@
         self._log_sent(left_s)
         head = await self._connection.head()
         response_fields = ctx.header_codec.decode_engine_response(head, call.fields.request_id)
+        self._log_limit(response_fields)
         if head.status < 300 and not response_fields.from_engine:
             raise ResponseLost("success without the engine's mark")
         return head, response_fields
@@ -138,6 +139,19 @@
             configuration=self._ctx.in_force.revision,
         )
 
+    def _log_limit(self, response_fields: EngineResponseFields) -> None:
+        """Log the limit that a response states."""
+        if response_fields.limit_per_s is None and not response_fields.unreadable_limit:
+            return
+        decision(
+            "engine_limit_stated",
+            request=self._call.request_id,
+            engine=self.engine.entry.engine_id,
+            service=self._call.service.name,
+            limit_per_s=response_fields.limit_per_s,
+            unreadable=response_fields.unreadable_limit,
+        )
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
--- a/godwitpath/platform/headers.py
+++ b/godwitpath/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from godwitpath.gateway.wire_fields import (
     CallerFields,
     EngineResponseFields,
@@ -22,6 +24,7 @@
 _RETRY_AFTER = b"retry-after"
 _EXPECTED_ENGINE = b"x-expect-instance"
 _ACCOUNT = b"x-tenant"
+_ENGINE_LIMIT = b"server-limit"  # requests a second from all daemons together
 _KV_CACHE_SOURCE = b"kv-from"
 _REQUEST_PRIORITY = b"x-request-priority"
 
@@ -49,6 +52,8 @@
 MISDIRECTED_STATUS = 421
 """Status of an engine that received a request for another engine."""
 
+_DECIMAL_NUMBER = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+
 
 def decode_caller(headers: Headers) -> CallerFields:
     """Return the values of a caller's header fields; invalid values count as absent."""
@@ -107,15 +112,33 @@
     """
     echoed_request_id = head.header(_REQUEST_ID)
     not_executed = head.status == MISDIRECTED_STATUS or bool(head.header(_NOT_EXECUTED))
+    limit_per_s, unreadable_limit = _decode_limits(head.headers)
     return EngineResponseFields(
         matches_request=not echoed_request_id or not request_id or echoed_request_id == request_id,
         not_run=not_executed and head.status >= 400,
         wrong_engine=head.status == MISDIRECTED_STATUS,
         from_engine=bool(head.header(_RESPONSE_STAMP)) and not head.header(b"content-encoding"),
         retry_after_s=_parse_number(head.header(_RETRY_AFTER)),
+        limit_per_s=limit_per_s,
+        unreadable_limit=unreadable_limit,
     )
 
 
+def _decode_limits(headers: Headers) -> tuple[float | None, str]:
+    """Return the lowest limit that a response states, and the last one that cannot be read."""
+    limit_per_s: float | None = None
+    unreadable = ""
+    for name, value in headers:
+        if name != _ENGINE_LIMIT:
+            continue
+        if _DECIMAL_NUMBER.fullmatch(value):
+            stated_per_s = float(value)
+            limit_per_s = stated_per_s if limit_per_s is None else min(limit_per_s, stated_per_s)
+        else:
+            unreadable = value[:40].decode("latin-1") or "(empty)"
+    return limit_per_s, unreadable
+
+
 def own_response_headers(request_id: bytes, retry_after_s: float | None) -> Headers:
     """Return the header fields of a response that the gateway generates itself."""
     fields: Headers = []
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -195,6 +195,30 @@
             ResponseHead(200, b"", [(b"x-not-executed", b"1")]), b"r"
         ).not_run
 
+    @pytest.mark.parametrize(
+        ("values", "limit_per_s", "unreadable"),
+        [
+            ((), None, ""),
+            ((b"0",), 0.0, ""),
+            ((b"0.5",), 0.5, ""),
+            ((b"999999999999",), 999_999_999_999.0, ""),
+            ((b"20", b"3"), 3.0, ""),
+            ((b"20", b"few"), 20.0, "few"),
+            *(
+                ((value,), None, value.decode())
+                for value in (b"-1", b"nan", b"inf", b"1_0", b"1e3")
+            ),
+            ((b"",), None, "(empty)"),
+            ((b"9" * 300,), None, "9" * 40),
+        ],
+    )
+    def test_limits_of_an_engine_are_decimal_numbers(
+        self, values: tuple[bytes, ...], limit_per_s: float | None, unreadable: str
+    ) -> None:
+        head = ResponseHead(200, b"", [(b"server-limit", value) for value in values])
+        fields = decode_engine_response(head, b"")
+        assert (fields.limit_per_s, fields.unreadable_limit) == (limit_per_s, unreadable)
+
     def test_retry_after_has_fractions_of_a_second(self) -> None:
         assert (b"retry-after", b"0.250") in own_response_headers(b"r", 0.25)
 
