--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -58,6 +58,20 @@
     moved_away: bool = False
 
 
+@dataclass(slots=True)
+class Arrival:
+    """A request that reached an engine, run or refused.
+
+    :ivar limit: limit that the engine stated in its response
+    :ivar answered_at_s: loop time at which the engine sent the head of its response, 0 before
+    """
+
+    request_id: bytes
+    at_s: float
+    limit: str = ""
+    answered_at_s: float = 0.0
+
+
 @dataclass(slots=True)
 class EngineStandin:
     """Engine with scripted faults.
@@ -66,6 +80,8 @@
     :ivar events: number of events of a stream
     :ivar event_s: time until the first event and between two events
     :ivar script: faults of the next requests, in order of arrival
+    :ivar limit: value of the header `Server-Limit`, empty to state no limit
+    :ivar arrivals: requests in the order in which they arrived
     :ivar runs: runs in the order of their start
     :ivar refused: number of requests refused as not run, by HTTP status
     :ivar moves: request identifier and target of each moved run
@@ -76,6 +92,8 @@
     events: int = 5
     event_s: float = 0.01
     script: deque[Fault] = field(default_factory=deque)
+    limit: str = ""
+    arrivals: list[Arrival] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     refused: Counter[int] = field(default_factory=Counter)
     moves: list[tuple[str, str]] = field(default_factory=list)
@@ -121,14 +139,20 @@
             return
         request_id = request.header(b"x-attempt-id")
         headers: Headers = [(b"X-Attempt-Id", request_id)]
+        arrival = Arrival(request_id, asyncio.get_running_loop().time(), self.limit)
+        self.arrivals.append(arrival)
+        if arrival.limit:
+            headers.append((b"Server-Limit", arrival.limit.encode()))
         expected = request.header(b"x-expect-instance")
         if expected and expected != self.engine_id.encode():
             self.refused[421] += 1
+            arrival.answered_at_s = arrival.at_s
             responder.respond(421, [*headers, (b"X-Instance-Id", self.engine_id.encode())], b"")
             return
         fault = self.script.popleft() if self.script else Fault.NONE
         if fault is Fault.SHED:
             self.refused[503] += 1
+            arrival.answered_at_s = arrival.at_s
             responder.respond(503, [*headers, (b"X-Not-Executed", b"1")], b"")
             return
         run = Run(request_id, request, asyncio.get_running_loop().time())
@@ -137,9 +161,11 @@
             headers.append((b"X-Response-Stamp", f"stamp-{self.engine_id}".encode()))
         try:
             if b"stream" in request.target:
+                arrival.answered_at_s = arrival.at_s
                 await self._stream(run, responder, headers, fault)
             else:
                 await self._respond_plain(responder, headers, fault, request_id)
+                arrival.answered_at_s = asyncio.get_running_loop().time()
             run.ended = responder.finished
             run.ended_at_s = asyncio.get_running_loop().time()
         except asyncio.CancelledError:
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -93,7 +93,7 @@
         balancer = Balancer(environment.daemons)
         background_tasks = [asyncio.create_task(balancer.run())]
         stack.push_async_callback(_cancel, background_tasks)
-        await _wait_until(lambda: len(balancer.ready()) == plan.daemons, READY_S)
+        await wait_until(lambda: len(balancer.ready()) == plan.daemons, READY_S)
         callers = [
             Caller(environment, balancer, random.Random(f"{plan.seed} {number}"), f"c{number}")
             for number in range(CALLERS_PER_DAEMON * plan.daemons)
@@ -168,7 +168,11 @@
             yield Violation("explained", f"{sent.request_id}: {sent.response.status}, no line")
 
 
-async def _wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
+async def wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: it does not hold in time
+    """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + timeout_s
     while not condition():
