Keep the limits that engines state, over all daemons together

What callers saw: nothing at first; engines in need got several times the requests that they had asked for, and may have failed or slowed them.

Cause: the header was read nowhere, and nothing could have kept it. A bound that one party states for all daemons together needs one count; the only reaction to an engine in need was each daemon's own, after a refusal.

Change: a daemon sends to a limited engine only with a permit for that one send. One daemon, the engine's grantor, chosen by rendezvous hashing over the reporting daemons, grants permits from one token bucket that starts empty. A permit expires after a second, on a clock that runs on while the machine is paused. A daemon that does not see a majority knows no grantor; a new grantor waits until the previous one has heard of it. Limits carry versions, so that neither a slow response nor an old report brings one back. What gets no permit goes to another engine, or is refused at once with a Retry-After of its own.

The model of the exchange with 1 to 300 daemons, with restarts, pauses and cuts, exceeds no window.

--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -30,6 +30,7 @@
         run that was moved to another engine
     :ivar may_have_run: whether the request was sent to an engine that did not refuse it
     :ivar tried_engine_ids: ids of the engines that the request was sent to or that were unreachable
+    :ivar held_back_engine_ids: ids of the limited engines for which the request got no permit
     :ivar usage_counted: whether the request was counted in the usage of its account
     """
 
@@ -45,6 +46,7 @@
     attempts: int = 0
     may_have_run: bool = False
     tried_engine_ids: set[str] = field(default_factory=set)
+    held_back_engine_ids: set[str] = field(default_factory=set)
     usage_counted: bool = False
 
     @property
--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -8,12 +8,15 @@
 from typing import Protocol
 
 from godwitpath.gateway.accounts import QuotaTracker
+from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineRegistry
 from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.instruments import Instruments
+from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.placement import Placer
 from godwitpath.gateway.retry_budget import RetryBudget
+from godwitpath.gateway.retry_schedule import RetrySchedule
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.wire_fields import CallerFields, EngineResponseFields, SendFields
@@ -44,6 +47,9 @@
     :ivar in_force: the configuration in force
     :ivar placer: ranks engines for requests
     :ivar quota: token buckets of the accounts
+    :ivar limits: limits on their requests that engines have stated
+    :ivar permits: permits for sends to limited engines
+    :ivar retry_schedule: times at which callers of limited engines may return
     :ivar usage: counts requests for the usage reports
     :ivar pool: idle connections to engines
     :ivar quota_share: returns the share of each account's rate that this daemon and the daemons
@@ -62,6 +68,9 @@
     usage: UsageCounter
     pool: ConnectionPool
     rng: Random
+    limits: EngineLimits
+    permits: SendPermits = field(init=False)
+    retry_schedule: RetrySchedule = field(default_factory=RetrySchedule)
     quota_share: Callable[[], float] = lambda: 1.0
     evacuator: Evacuator | None = None
     instruments: Instruments = field(default_factory=Instruments)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -15,6 +15,7 @@
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry
 from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.fleet_duty import FleetDuty
@@ -69,13 +70,14 @@
         self._store = adapter.store
         in_force = ConfigurationInForce()
         engines = EngineRegistry()
+        quota = QuotaTracker(rng, settings.bounds.quota_window_s)
         self._ctx = GatewayContext(
             settings=settings,
             header_codec=adapter,
             in_force=in_force,
             engines=engines,
             placer=Placer(settings.zone, settings.region, dict(settings.zone_regions), rng),
-            quota=QuotaTracker(rng, settings.bounds.quota_window_s),
+            quota=quota,
             retry_budget=RetryBudget(
                 settings.bounds.retry_ratio,
                 settings.bounds.retry_window_s,
@@ -84,6 +86,7 @@
             usage=UsageCounter(settings.bounds.usage_window_s),
             pool=ConnectionPool(),
             rng=rng,
+            limits=EngineLimits(quota.urgent),
         )
         self._catalogue = Catalogue(
             self._store, adapter, in_force, engines, rng, settings.bounds.contact_s - WATCH_SLACK_S
@@ -94,6 +97,7 @@
         entry = MemberEntry(settings.host, settings.peer_ports[0], settings.zone, incarnation)
         self._members = Members(self._store, settings.name, entry, rng)
         self._peers = Peers(self._ctx, self._catalogue, self._members, incarnation)
+        self._ctx.permits = self._peers.permits
         self._ctx.quota_share = self._peers.view.quota_share
         self._holder = DutyHolder(
             self._store,
--- a/godwitpath/gateway/evacuate.py
+++ b/godwitpath/gateway/evacuate.py
@@ -15,6 +15,7 @@
 
 from godwitpath.errors import GodwitpathError
 from godwitpath.gateway.engines import Engine, EngineEntry
+from godwitpath.gateway.permits import Permit
 from godwitpath.gateway.wire_fields import KvCacheSource
 from godwitpath.telemetry.decisions import decision
 
@@ -63,10 +64,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Continuation:
-    """The engine at which a moved stream resumes, and where it gets the stream's KV cache."""
+    """The engine at which a moved stream resumes, and where it gets the stream's KV cache.
+
+    :ivar permit: permission for the send that resumes the stream
+    """
 
     engine: Engine
     kv_cache: KvCacheSource
+    permit: Permit
 
 
 class StreamRun:
@@ -140,6 +145,10 @@
             return None
         source = run.engine.entry
         request_id = run.call.request_id
+        permit = await self._ctx.permits.acquire(target, run.call.priority, request_id)
+        if permit is None:
+            self.move_counts["no_permit"] += 1
+            return None
         try:
             async with asyncio.timeout(MOVE_TIMEOUT_S):
                 moved_run = await self._mover.move_run(
@@ -164,7 +173,12 @@
             events=run.events,
             copied=moved_run.copied,
         )
-        return Continuation(engine, KvCacheSource(source.address, moved_run.handle))
+        if engine is not target:
+            permit = await self._ctx.permits.acquire(engine, run.call.priority, request_id)
+            if permit is None:
+                self.move_counts["no_permit"] += 1
+                return None
+        return Continuation(engine, KvCacheSource(source.address, moved_run.handle), permit)
 
     def _choose_target(self, run: StreamRun) -> Engine | None:
         ctx, call = self._ctx, run.call
@@ -176,5 +190,6 @@
         ]
         if call.prompt is None or not usable:
             return None
+        usable = [each for each in usable if ctx.permits.limit_per_s(each) is None] or usable
         cache_tokens = call.service.engine.cache_tokens if call.service.engine else 0
         return ctx.placer.rank_for_generation(call.prompt, usable, cache_tokens)[0].engine
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 from godwitpath.gateway.call import Call, GatewayResponse, send_gateway_response
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import Engine
-from godwitpath.gateway.send import Send
+from godwitpath.gateway.permits import Permit
+from godwitpath.gateway.send import PermitExpired, Send
 from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, end_to_end_headers
 from godwitpath.telemetry.decisions import decision
 
+T = TypeVar("T")
+
 MAX_UNREACHABLE_ENGINES = 3
 """Number of engines that a request fails to reach before it is refused."""
 
@@ -43,13 +48,19 @@
     last_response: PlainResponse | None = None
     unreachable_count = 0
     while True:
-        engine = _choose_engine(ctx, call)
-        if engine is None or unreachable_count >= MAX_UNREACHABLE_ENGINES:
+        choice = None
+        if unreachable_count < MAX_UNREACHABLE_ENGINES:
+            choice = await choose_permitted(ctx, call, ctx.placer.rank_for_call, lambda each: each)
+        if choice is None:
             break
+        engine, permit = choice
         call.tried_engine_ids.add(engine.entry.engine_id)
-        send = Send(ctx, call, engine)
+        send = Send(ctx, call, engine, permit)
         try:
             response = await _exchange(ctx, call, send)
+        except PermitExpired:
+            call.tried_engine_ids.discard(engine.entry.engine_id)
+            continue
         except NotSent as error:
             unreachable_count += 1
             record_failure(ctx, call, engine, "unreachable", error)
@@ -95,9 +106,25 @@
     return PlainResponse(head, response_fields, body)
 
 
-def _choose_engine(ctx: GatewayContext, call: Call) -> Engine | None:
-    ranked = ctx.placer.rank_for_call(candidate_engines(ctx, call))
-    return ranked[0] if ranked else None
+async def choose_permitted(
+    ctx: GatewayContext,
+    call: Call,
+    rank: Callable[[list[Engine]], Sequence[T]],
+    engine_of: Callable[[T], Engine],
+) -> tuple[T, Permit] | None:
+    """Return the best candidate to which the request may be sent, with the permit for the send.
+
+    :param rank: returns the candidates among engines, the best first
+    :param engine_of: returns the engine of a candidate
+    :returns: None if there is no engine, or if all are limited and have no permit left
+    """
+    while candidates := rank(candidate_engines(ctx, call)):
+        engine = engine_of(candidates[0])
+        permit = await ctx.permits.acquire(engine, call.priority, call.request_id)
+        if permit is not None:
+            return candidates[0], permit
+        call.held_back_engine_ids.add(engine.entry.engine_id)
+    return None
 
 
 def candidate_engines(ctx: GatewayContext, call: Call) -> list[Engine]:
@@ -112,6 +139,7 @@
         engine
         for engine in ctx.engines.usable(call.service.name, now_s)
         if engine.entry.engine_id not in call.tried_engine_ids
+        and engine.entry.engine_id not in call.held_back_engine_ids
     ]
     return [engine for engine in usable if engine.full_until_s <= now_s] or usable
 
@@ -180,9 +208,30 @@
         )
         send_gateway_response(ctx, call, gateway_response)
         return
+    send_gateway_response(ctx, call, unserved_response(ctx, call, RETRY_AFTER_S))
+
+
+def unserved_response(
+    ctx: GatewayContext, call: Call, full_retry_after_s: float
+) -> GatewayResponse:
+    """Return the response to a request that no engine has run or will run.
+
+    :param full_retry_after_s: Retry-After time if engines refused the request because they are full
+    """
+    if call.held_back_engine_ids:
+        retry_after_s = _limited_retry_after_s(ctx, call)
+        return GatewayResponse(503, "engines_limited", "no", retry_after_s)
     if not call.attempts:
-        send_gateway_response(
-            ctx, call, GatewayResponse(503, "no_engine", "no", NO_ENGINE_RETRY_AFTER_S)
-        )
-        return
-    send_gateway_response(ctx, call, GatewayResponse(503, "engines_full", "no", RETRY_AFTER_S))
+        return GatewayResponse(503, "no_engine", "no", NO_ENGINE_RETRY_AFTER_S)
+    return GatewayResponse(503, "engines_full", "no", full_retry_after_s)
+
+
+def _limited_retry_after_s(ctx: GatewayContext, call: Call) -> float:
+    """Return the Retry-After time of a request that found all engines at their limits."""
+    now_s = asyncio.get_running_loop().time()
+    limits_per_s = [
+        ctx.permits.limit_per_s(engine) for engine in ctx.engines.usable(call.service.name, now_s)
+    ]
+    total_per_s = sum(limit_per_s or 0.0 for limit_per_s in limits_per_s)
+    share_per_s = total_per_s / max(1, ctx.permits.daemons)
+    return ctx.retry_schedule.retry_after_s(call.service.name, share_per_s, now_s)
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons: frequent reports of their load and usage, and views on request.
+"""Messages between daemons: frequent reports of their load and usage, views on request, permits.
 
 The duty holder is the daemon that does the tasks of the whole deployment under a lease.
 """
@@ -32,6 +32,8 @@
     :ivar engines_revision: store revision up to which the sender has applied every change of an
         engine
     :ivar holder: name and fencing token of the duty holder that the sender knows of
+    :ivar limits: limits of engines: start time of the engine in Unix milliseconds, version, and
+        requests per second or None for a limit that has ended, by engine
     """
 
     name: str
@@ -47,6 +49,7 @@
     fresh: bool = True
     engines_revision: int = 0
     holder: tuple[str, int] = ("", 0)
+    limits: dict[str, tuple[int, int, float | None]] = {}
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
@@ -65,6 +68,7 @@
     :ivar prefill_tokens: prompt tokens sent for prefill by the zone's daemons since the aggregator
         began to count, by service
     :ivar prompts: as in :class:`PeerReport`
+    :ivar limits: as in :class:`PeerReport`
     """
 
     zone: str
@@ -77,9 +81,45 @@
     loads: dict[str, tuple[int, int]]
     prefill_tokens: dict[str, int]
     prompts: list[tuple[str, list[tuple[str, int]]]]
+    limits: dict[str, tuple[int, int, float | None]] = {}
 
 
-PeerMessage = PeerReport | ZoneSummary
+class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
+    """A request to an engine's grantor for the permit to send one request to the engine.
+
+    :ivar name: name of the sender
+    :ivar number: identifies the request to its sender
+    :ivar started_at_ms: start time of the engine in Unix milliseconds
+    :ivar priority: priority of the request to be sent, 0 for the most urgent
+    :ivar version: version of the engine's limit that the sender knows
+    :ivar rate_per_s: that limit in requests per second, None for none
+    """
+
+    name: str
+    number: int
+    engine_id: str
+    started_at_ms: int
+    priority: int
+    version: int
+    rate_per_s: float | None
+
+
+class PermitReply(msgspec.Struct, array_like=True, tag="permit_reply"):
+    """The reply to a :class:`PermitRequest`.
+
+    :ivar number: number of the request
+    :ivar outcome: `granted`, or why not
+    :ivar wait_s: time until a permit is likely to be left
+    :ivar limits: the engine's limit as in :class:`PeerReport`
+    """
+
+    number: int
+    outcome: str
+    wait_s: float
+    limits: dict[str, tuple[int, int, float | None]]
+
+
+PeerMessage = PeerReport | ZoneSummary | PermitRequest | PermitReply
 
 
 class CatalogueView(msgspec.Struct, array_like=True):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -13,22 +13,27 @@
 import asyncio
 from collections import Counter
 from collections.abc import Iterable
+from functools import singledispatchmethod
 from typing import cast
 
 import msgspec
 
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.holder import known_holder
+from godwitpath.gateway.grantors import Grantors
+from godwitpath.gateway.holder import boot_time_s, known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import (
     PeerMessage,
     PeerReport,
+    PermitReply,
+    PermitRequest,
     ZoneSummary,
     seal,
     unseal,
 )
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView, sum_loads
+from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
 from godwitpath.telemetry.decisions import decision
@@ -37,7 +42,8 @@
 """Interval between two reports of a daemon."""
 
 URGENT_REPORT_S = 0.1
-"""Shortest interval between two reports of a daemon, used while an account nears its quota."""
+"""Shortest interval between two reports of a daemon, used while an account nears its quota, and
+when an engine's limit is learned."""
 
 PROMPT_REPEAT_S = 2 * REPORT_S
 """Time for which a sent prompt is included in reports: in two of them, because one may be lost."""
@@ -56,6 +62,7 @@
 
     :ivar view: state of the other daemons
     :ivar puller: pulls changes that the store does not provide
+    :ivar permits: requests and grants permits for sends to limited engines
     :ivar counts: number of events by name, such as refused datagrams
     """
 
@@ -64,6 +71,12 @@
     ) -> None:
         self.view = PeerView(ctx, members, incarnation)
         self.puller = CataloguePuller(ctx, catalogue, members, self.view)
+        settings = ctx.settings
+        grantors = Grantors(settings.name, settings.zone, members, self.view, boot_time_s)
+        self.permits = SendPermits(
+            settings.name, ctx.engines, ctx.limits, grantors, boot_time_s, ctx.rng.random
+        )
+        self.permits.send = self._send_permit_request
         self.counts: Counter[str] = Counter()
         self._ctx = ctx
         self._catalogue = catalogue
@@ -121,14 +134,41 @@
         except msgspec.DecodeError:
             self.counts["datagrams_unreadable"] += 1
             return
-        if isinstance(message, PeerReport):
-            if message.name != self._ctx.settings.name:
-                self.view.apply_report(message)
-        elif self.view.apply_summary(message):
-            aggregator = self._members.entries.get(message.aggregator)
-            if aggregator is not None and (aggregator.host, aggregator.port) == addr:
-                # The summary came directly from the other zone, so forward it in the local zone.
-                self._send(data, self._daemons_in(self._ctx.settings.zone))
+        self._apply(message, addr, data)
+
+    @singledispatchmethod
+    def _apply(self, message: PeerMessage, addr: tuple[str, int], data: bytes) -> None:
+        """Apply a message of another daemon.
+
+        :param addr: address of the sender
+        :param data: the message as it was received
+        """
+        raise TypeError(f"unknown message: {message}")
+
+    @_apply.register
+    def _(self, message: PeerReport, addr: tuple[str, int], data: bytes) -> None:
+        if message.name != self._ctx.settings.name:
+            self.view.apply_report(message)
+            self._ctx.limits.apply_report(message.name, message.limits)
+
+    @_apply.register
+    def _(self, message: ZoneSummary, addr: tuple[str, int], data: bytes) -> None:
+        if not self.view.apply_summary(message):
+            return
+        self._ctx.limits.apply_report(message.aggregator, message.limits)
+        aggregator = self._members.entries.get(message.aggregator)
+        if aggregator is not None and (aggregator.host, aggregator.port) == addr:
+            # The summary came directly from the other zone, so forward it in the local zone.
+            self._send(data, self._daemons_in(self._ctx.settings.zone))
+
+    @_apply.register
+    def _(self, message: PermitRequest, addr: tuple[str, int], data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.sendto(self._seal(self.permits.handle_request(message)), addr)
+
+    @_apply.register
+    def _(self, message: PermitReply, addr: tuple[str, int], data: bytes) -> None:
+        self.permits.handle_reply(f"{addr[0]}:{addr[1]}", message)
 
     async def _report_loop(self) -> None:
         while True:
@@ -139,6 +179,8 @@
                     await self._ctx.quota.urgent.wait()
             except TimeoutError:
                 pass
+            self.permits.refresh()
+            self._ctx.limits.drop_removed(self._ctx.engines)
             self._decide_watching()
             self._ctx.retry_budget.note_daemons(1 + len(self._members.entries))
             self.view.drop_expired()
@@ -182,6 +224,9 @@
             if entry is not None:
                 self._transport.sendto(data, (entry.host, entry.port))
 
+    def _send_permit_request(self, request: PermitRequest, grantor: str) -> None:
+        self._send(self._seal(request), (grantor,))
+
     def _seal(self, message: PeerMessage) -> bytes:
         return seal(self._members.secret, msgspec.msgpack.encode(message))
 
@@ -223,6 +268,7 @@
             fresh=self._catalogue.fresh,
             engines_revision=self._catalogue.engines_revision,
             holder=known_holder(self._members),
+            limits=ctx.limits.reported(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
@@ -256,4 +302,5 @@
                 *own_report.prompts,
                 *(sent for _, state in zone_peers for sent in state.prompts),
             ],
+            limits=own_report.limits,
         )
--- a/godwitpath/gateway/request_trace.py
+++ b/godwitpath/gateway/request_trace.py
@@ -14,7 +14,7 @@
 long."""
 
 ENGINE_LINES = frozenset(
-    ("engine_state", "engine_failed", "engine_limit_stated", "stream_moved", "stream_not_moved")
+    ("engine_state", "engine_failed", "engine_limit", "stream_moved", "stream_not_moved")
 )
 """Kinds of log lines that concern an engine."""
 
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -10,6 +10,7 @@
 from godwitpath.gateway.call import Call
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import Engine
+from godwitpath.gateway.permits import Permit
 from godwitpath.gateway.wire_fields import EngineResponseFields, KvCacheSource, SendFields
 from godwitpath.http1.client import ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, encode_request_head
@@ -24,6 +25,10 @@
 connections are for running requests."""
 
 
+class PermitExpired(NotSent):
+    """The permit for the send had expired, or a limit was learned, before the request was sent."""
+
+
 def max_idle_connections(accepted: int, daemons: int) -> int:
     """Return the maximum number of idle connections that one daemon keeps to an engine.
 
@@ -45,9 +50,15 @@
     """
 
     def __init__(
-        self, ctx: GatewayContext, call: Call, engine: Engine, prefill_tokens: int = 0
+        self,
+        ctx: GatewayContext,
+        call: Call,
+        engine: Engine,
+        permit: Permit,
+        prefill_tokens: int = 0,
     ) -> None:
         self.engine = engine
+        self._permit = permit
         self.sent_at_s = 0.0
         self.may_have_run_before = call.may_have_run
         self.prefill_tokens = prefill_tokens
@@ -66,6 +77,7 @@
         :param last_event_id: event after which a stream resumes
         :param kv_cache: KV cache of a moved run that continues at this engine; such a send does not
             count as a new attempt
+        :raises PermitExpired: no byte was sent, and the engine is not at fault
         :raises NotSent: no byte was sent, so the engine has not run the request
         :raises ResponseLost: the engine may have run the request
         """
@@ -86,6 +98,8 @@
         left_s = call.time_left_s()
         if left_s <= 0.005:
             raise NotSent("no time left")
+        if not ctx.permits.covers(self._permit, self.engine.entry):
+            raise PermitExpired("the permit for the send has expired")
         send_fields = SendFields(
             engine_id=self.engine.entry.engine_id,
             time_left_s=left_s,
@@ -115,7 +129,9 @@
         self._log_sent(left_s)
         head = await self._connection.head()
         response_fields = ctx.header_codec.decode_engine_response(head, call.fields.request_id)
-        self._log_limit(response_fields)
+        ctx.limits.note_response(
+            self.engine.entry, response_fields, head.status, self.sent_at_s, call.request_id
+        )
         if head.status < 300 and not response_fields.from_engine:
             raise ResponseLost("success without the engine's mark")
         return head, response_fields
@@ -136,22 +152,10 @@
             waiting_tokens=engine.all_prompt_tokens,
             read_tokens=self.prefill_tokens,
             pace=round(engine.slowdown, 2),
+            limit_per_s=self._ctx.permits.limit_per_s(engine),
             configuration=self._ctx.in_force.revision,
         )
 
-    def _log_limit(self, response_fields: EngineResponseFields) -> None:
-        """Log the limit that a response states."""
-        if response_fields.limit_per_s is None and not response_fields.unreadable_limit:
-            return
-        decision(
-            "engine_limit_stated",
-            request=self._call.request_id,
-            engine=self.engine.entry.engine_id,
-            service=self._call.service.name,
-            limit_per_s=response_fields.limit_per_s,
-            unreadable=response_fields.unreadable_limit,
-        )
-
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -15,16 +15,17 @@
 from godwitpath.gateway.events import EventSplitter, EventTooLong
 from godwitpath.gateway.forward import (
     MAX_UNREACHABLE_ENGINES,
-    NO_ENGINE_RETRY_AFTER_S,
     PlainResponse,
-    candidate_engines,
+    choose_permitted,
     may_retry,
     pass_response,
     record_failure,
     record_refusal,
+    unserved_response,
 )
+from godwitpath.gateway.permits import Permit
 from godwitpath.gateway.placement import Candidate
-from godwitpath.gateway.send import Send
+from godwitpath.gateway.send import PermitExpired, Send
 from godwitpath.gateway.wire_fields import KvCacheSource
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, end_to_end_headers
 
@@ -60,12 +61,15 @@
     unreachable_engines = 0
     continuation: Continuation | None = None
     while unreachable_engines < MAX_UNREACHABLE_ENGINES:
-        candidate = _moved_candidate(continuation) if continuation else _choose_candidate(ctx, call)
-        if candidate is None:
+        if continuation is not None:
+            candidate, permit = _moved_candidate(continuation), continuation.permit
+        elif (choice := await _choose_candidate(ctx, call)) is not None:
+            candidate, permit = choice
+        else:
             break
         engine = candidate.engine
         call.tried_engine_ids.add(engine.entry.engine_id)
-        send = Send(ctx, call, engine, candidate.prefill_tokens)
+        send = Send(ctx, call, engine, permit, candidate.prefill_tokens)
         run = StreamRun(call, engine)
         kv_cache = continuation.kv_cache if continuation else None
         continuation = None
@@ -74,6 +78,11 @@
                 last_response = await _forward_from_engine(
                     ctx, call, send, progress, candidate, run, kv_cache
                 )
+        except PermitExpired:
+            if kv_cache is not None:
+                break
+            call.tried_engine_ids.discard(engine.entry.engine_id)
+            continue
         except NotSent as error:
             unreachable_engines += 1
             record_failure(ctx, call, engine, "unreachable", error)
@@ -109,15 +118,18 @@
     return Candidate(continuation.engine, 0, 0.0, 0.0)
 
 
-def _choose_candidate(ctx: GatewayContext, call: Call) -> Candidate | None:
-    if call.prompt is None:
+async def _choose_candidate(ctx: GatewayContext, call: Call) -> tuple[Candidate, Permit] | None:
+    prompt = call.prompt
+    if prompt is None:
         return None
     spec = call.service.engine
     cache_tokens = spec.cache_tokens if spec else 0
-    candidates = ctx.placer.rank_for_generation(
-        call.prompt, candidate_engines(ctx, call), cache_tokens
+    return await choose_permitted(
+        ctx,
+        call,
+        lambda engines: ctx.placer.rank_for_generation(prompt, engines, cache_tokens),
+        lambda candidate: candidate.engine,
     )
-    return candidates[0] if candidates else None
 
 
 async def _forward_from_engine(
@@ -254,11 +266,5 @@
             504 if timed_out else 502, "late" if timed_out else "stream_broken", "unknown"
         )
         send_gateway_response(ctx, call, response)
-    elif not call.attempts:
-        send_gateway_response(
-            ctx, call, GatewayResponse(503, "no_engine", "no", NO_ENGINE_RETRY_AFTER_S)
-        )
     else:
-        send_gateway_response(
-            ctx, call, GatewayResponse(503, "engines_full", "no", FULL_RETRY_AFTER_S)
-        )
+        send_gateway_response(ctx, call, unserved_response(ctx, call, FULL_RETRY_AFTER_S))
--- a/test/gateway_fleet.py
+++ b/test/gateway_fleet.py
@@ -10,6 +10,7 @@
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.members import MemberEntry, Members
@@ -42,17 +43,19 @@
         adapter = PlatformAdapter(settings)
         self.store = FakeStore(core)
         rng = Random(port)
+        quota = QuotaTracker(rng, 8.0)
         self.ctx = GatewayContext(
             settings=settings,
             header_codec=adapter,
             in_force=ConfigurationInForce(),
             engines=EngineRegistry(),
             placer=Placer(zone, "r", {}, Random(1)),
-            quota=QuotaTracker(rng, 8.0),
+            quota=quota,
             retry_budget=RetryBudget(0.2, 10.0, 50.0),
             usage=UsageCounter(5.0),
             pool=None,  # type: ignore[arg-type]
             rng=rng,
+            limits=EngineLimits(quota.urgent),
         )
         for number in range(3):
             address = Address("h", number)
@@ -63,6 +66,7 @@
             self.store, adapter, self.ctx.in_force, EngineRegistry(), rng, STORE_WAIT_S
         )
         self.peers = Peers(self.ctx, self.catalogue, self.members, port)
+        self.ctx.permits = self.peers.permits
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
--- /dev/null
+++ b/test/test_gateway_permits.py
@@ -0,0 +1,150 @@
+"""Tests of permits for sends to limited engines, in fleets of up to 340 simulated daemons."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from godwitpath_standin.gateway.limit_rule import LimitWindow, exceeded_windows
+from test.permit_model import ModelDaemon, ModelEngine, ModelFleet
+
+MIN_SHARE_USED = 0.7
+"""Share of a limit that a sufficient demand uses at least."""
+
+
+def exceeded(engine: ModelEngine, limit_per_s: float, since_s: float = 0.0) -> list[LimitWindow]:
+    """Return the windows since a time that exceed the limit, without excused requests."""
+    arrivals = [
+        each for each in engine.arrivals if each.daemon != "excused" and each.at_s >= since_s
+    ]
+    return list(exceeded_windows(arrivals, limit_per_s))
+
+
+def grantors_of(fleet: ModelFleet, engine: ModelEngine) -> set[str | None]:
+    return {daemon.permits._grantors.grantor(engine.entry) for daemon in fleet.daemons}
+
+
+def grantor_of(fleet: ModelFleet, engine: ModelEngine) -> ModelDaemon:
+    [name] = grantors_of(fleet, engine)
+    assert name is not None
+    return fleet.daemons[int(name[1:])]
+
+
+@pytest.mark.looptime
+class TestPermitsOfManyDaemons:
+    @pytest.mark.parametrize(
+        ("daemons", "limit_per_s", "for_s"),
+        [(1, 2.0, 15.0), (7, 0.5, 15.0), (30, 1.0, 15.0), (100, 20.0, 10.0), (300, 1.0, 8.0)],
+    )
+    async def test_daemons_together_keep_a_limit_and_use_it(
+        self, daemons: int, limit_per_s: float, for_s: float
+    ) -> None:
+        fleet = ModelFleet(daemons, engines=2, demand_per_s=60.0, seed=daemons)
+        await fleet.run(1.0)
+        limited_at_s = asyncio.get_running_loop().time()
+        limited, other = fleet.engines
+        limited.limit_per_s = limit_per_s
+        await fleet.run(for_s)
+        assert exceeded(limited, limit_per_s, limited_at_s) == []
+        # Until the first response arrives, no daemon knows the limit.
+        used = [each for each in limited.arrivals if each.at_s >= limited_at_s + 1.0]
+        assert len(used) >= MIN_SHARE_USED * limit_per_s * (for_s - 1.0)
+        assert len(other.arrivals) >= 60.0 * for_s * 0.9
+        await fleet.stop()
+
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_restarts_pauses_and_cuts_of_daemons_do_not_exceed_a_limit(
+        self, seed: int
+    ) -> None:
+        fleet = ModelFleet(30, engines=1, demand_per_s=40.0, seed=seed)
+        await fleet.run(2.0)
+        [engine] = fleet.engines
+        engine.limit_per_s = 3.0
+        limited_at_s = asyncio.get_running_loop().time()
+        await fleet.run(3.0)
+        for _ in range(12):
+            # The grantor is hit half of the time.
+            daemon = fleet.rng.choice([fleet.rng.choice(fleet.daemons), *self._grantors(fleet)])
+            event = fleet.rng.choice(("restart", "pause", "cut"))
+            if event == "restart":
+                fleet.restart(daemon)
+            elif event == "pause":
+                fleet.pause(daemon, fleet.rng.uniform(0.3, 4.0))
+            else:
+                daemon.cut = not daemon.cut
+            await fleet.run(fleet.rng.uniform(0.2, 3.0))
+        assert exceeded(engine, 3.0, limited_at_s) == []
+        await fleet.stop()
+
+    def _grantors(self, fleet: ModelFleet) -> list[ModelDaemon]:
+        names = grantors_of(fleet, fleet.engines[0]) - {None}
+        return [daemon for daemon in fleet.daemons if daemon.name in names]
+
+    async def test_both_halves_of_a_divided_fleet_do_not_grant(self) -> None:
+        fleet = ModelFleet(9, engines=1, demand_per_s=30.0, seed=1)
+        await fleet.run(2.0)
+        [engine] = fleet.engines
+        engine.limit_per_s = 2.0
+        limited_at_s = asyncio.get_running_loop().time()
+        await fleet.run(4.0)
+        for daemon in fleet.daemons[:4]:
+            daemon.cut = True
+        await fleet.run(8.0)
+        assert exceeded(engine, 2.0, limited_at_s) == []
+        assert all(
+            daemon.permits._grantors.grantor(engine.entry) is None for daemon in fleet.daemons[:4]
+        )
+        recent = [each for each in engine.arrivals if each.at_s >= limited_at_s + 8.0]
+        assert len(recent) >= MIN_SHARE_USED * 2.0 * 4.0
+        await fleet.stop()
+
+    async def test_another_daemon_grants_after_the_grantor_fell_silent(self) -> None:
+        fleet = ModelFleet(12, engines=1, demand_per_s=30.0, seed=2)
+        [engine] = fleet.engines
+        engine.limit_per_s = 2.0
+        await fleet.run(4.0)
+        fleet.pause(grantor_of(fleet, engine), 60.0)
+        silent_at_s = asyncio.get_running_loop().time()
+        await fleet.run(10.0)
+        recent = [each for each in engine.arrivals if each.at_s >= silent_at_s + 4.0]
+        assert len(recent) >= MIN_SHARE_USED * 2.0 * 6.0
+        assert exceeded(engine, 2.0) == []
+        await fleet.stop()
+
+    async def test_a_limit_that_ends_is_known_everywhere_within_a_moment(self) -> None:
+        fleet = ModelFleet(30, engines=1, demand_per_s=40.0, seed=3)
+        [engine] = fleet.engines
+        engine.limit_per_s = 0.0
+        await fleet.run(8.0)
+        assert exceeded(engine, 0.0) == []
+        engine.limit_per_s = None
+        await fleet.run(8.0)
+        assert all(daemon.limits.limit(engine.entry) is None for daemon in fleet.daemons)
+        await fleet.stop()
+
+    async def test_a_daemon_that_starts_learns_limits_from_the_others(self) -> None:
+        fleet = ModelFleet(8, engines=1, demand_per_s=20.0, seed=4)
+        [engine] = fleet.engines
+        engine.limit_per_s = 1.0
+        await fleet.run(4.0)
+        fleet.restart(fleet.daemons[0])
+        await asyncio.sleep(1.0)
+        assert fleet.daemons[0].limits.limit(engine.entry) is not None
+        await fleet.stop()
+
+    async def test_a_pause_voids_a_permit(self) -> None:
+        fleet = ModelFleet(8, engines=1, demand_per_s=20.0, seed=5)
+        [engine] = fleet.engines
+        engine.limit_per_s = 2.0
+        await fleet.run(3.0)
+        await asyncio.sleep(3.0)
+        daemon = fleet.daemons[3]
+        view = daemon.engines.get("e0")
+        assert view is not None
+        permit = await daemon.permits.acquire(view, 1, "r")
+        assert permit is not None
+        assert daemon.permits.covers(permit, engine.entry)
+        await asyncio.sleep(1.5)
+        assert not daemon.permits.covers(permit, engine.entry)
+        await fleet.stop()
