Await the first request of a connection that a stopping daemon accepted

What callers saw: during a planned stop, a connection that had just been accepted was closed before its request was read, and the caller got no answer.

Cause: from 2.4 s after the signal all idle connections were closed every 50 ms, and a connection whose first request is on its way counts as idle.

Change: only connections that have been idle for half a second are closed. The stop is not longer: it ends at the same bound.

--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -44,6 +44,9 @@
 """Time for which a stopping daemon keeps idle connections of callers: the load balancer probes once
 a second and removes the daemon after two failed readiness probes."""
 
+FIRST_REQUEST_S = 0.5
+"""Time for which a stopping daemon awaits the first request of a connection that it accepted."""
+
 REFUSE_AFTER_S = 2.9
 """Time from the stop signal after which a daemon refuses new requests: streams that start later
 might not end within the grace period. The platform allows 3 s, counted from when it sends the
@@ -214,7 +217,7 @@
             if loop.time() < self._stop_requested_at_s + DRAIN_KEEP_ALIVE_S:
                 continue
             for connection in list(self._connections):
-                connection.close_if_idle()
+                connection.close_if_idle(FIRST_REQUEST_S)
             if not self._connections:
                 return
         decision("drain_cut", requests=len(self._connections))
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -203,9 +203,13 @@
         else:
             self._transport.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is being received, pending or being handled."""
-        if self.idle and self._transport is not None:
+    def close_if_idle(self, for_s: float = 0.0) -> None:
+        """Close the connection unless a request is being received, pending or being handled.
+
+        :param for_s: time for which the connection must have been idle
+        """
+        idle_s = self._loop.time() - self._idle_since_s
+        if self.idle and idle_s >= for_s and self._transport is not None:
             self._transport.close()
 
     # Transport callbacks.
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -347,6 +347,24 @@
             assert {response.status for response in late} == {503}
             assert (await running).complete
 
+    async def test_a_stopping_daemon_answers_a_connection_that_it_has_just_accepted(self) -> None:
+        async with gateway_environment({"m1": "lm", "d1": "desk"}) as environment:
+            environment.engines["m1"].events = 40
+            environment.engines["m1"].event_s = 0.1
+            running = asyncio.create_task(ask(environment.port, "/stream/x", method="POST"))
+            await asyncio.sleep(0.3)
+            environment.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(2.6)
+            reader, writer = await asyncio.open_connection("127.0.0.1", environment.port)
+            await asyncio.sleep(0.2)
+            head = "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-of-hule\r\n"
+            writer.write(f"{head}X-Attempt-Id: r2\r\n\r\n".encode())
+            response = await read_response(reader)
+            writer.close()
+            assert response.status in (200, 503)
+            assert response.complete
+            assert (await running).complete
+
     async def test_changed_settings_are_applied_and_damaged_ones_refused(self) -> None:
         async with gateway_environment(PLAIN) as environment:
             valid = environment.settings.read_text()
