Bound what an engine or a caller sends without end

What callers saw: nothing yet; found by the new tests. An engine that never stops sending made the daemon take 353 MB to 2.1 GB, of 300 MB that the platform gives it, so it would be killed with all its requests.

Cause: bodies that are read whole had no bound, and of a response only its head had one: trailers grew without end.

Change: a body that is read whole has a maximum size, and larger bodies share a second one, so that ordinary responses are still read meanwhile; bytes that come without any byte of a body have the bound of heads.

--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -20,6 +20,7 @@
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.wire_fields import CallerFields, EngineResponseFields, SendFields
+from godwitpath.http1.client import BodyBudget
 from godwitpath.http1.messages import Headers, ResponseHead
 from godwitpath.http1.pool import ConnectionPool
 
@@ -49,6 +50,7 @@
     :ivar quota: token buckets of the accounts
     :ivar limits: limits on their requests that engines have stated
     :ivar permits: permits for sends to limited engines
+    :ivar body_budget: bounds the responses that are read as a whole
     :ivar retry_schedule: times at which callers of limited engines may return
     :ivar usage: counts requests for the usage reports
     :ivar pool: idle connections to engines
@@ -70,6 +72,7 @@
     rng: Random
     limits: EngineLimits
     permits: SendPermits = field(init=False)
+    body_budget: BodyBudget = field(default_factory=BodyBudget)
     retry_schedule: RetrySchedule = field(default_factory=RetrySchedule)
     quota_share: Callable[[], float] = lambda: 1.0
     evacuator: Evacuator | None = None
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -165,7 +165,7 @@
 
     async def read_whole(self) -> bytes:
         """Return the whole body; raises the same as :meth:`read`."""
-        return await self._open_connection().read_whole()
+        return await self._open_connection().read_whole(self._ctx.body_budget)
 
     def prefill_done(self) -> None:
         """Record that the engine has finished the prefill, so no prompt tokens wait any more."""
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -20,7 +20,18 @@
 """Number of buffered body bytes above which a connection pauses reading."""
 
 MAX_HEAD_BYTES = 131_072
-"""Maximum size of the head of a response, in bytes."""
+"""Maximum size of the head of a response, and of chunk extensions, trailers or skipped responses
+that arrive without any byte of its body."""
+
+MAX_BODY_BYTES = 16_777_216
+"""Maximum size of a body that is read as a whole."""
+
+UNSHARED_BODY_BYTES = 1_048_576
+"""Size of a body up to which it does not count towards `MAX_SHARED_BODY_BYTES`, so that ordinary
+responses are read while engines fail with endless ones."""
+
+MAX_SHARED_BODY_BYTES = 67_108_864
+"""Maximum size of all larger bodies that are being read as a whole at the same time."""
 
 MIN_TRANSFER_BYTES_PER_S = 8_000
 """Slowest rate at which the body of a response is still awaited: a tenth of the share that fifteen
@@ -33,6 +44,31 @@
 """Returns whether a response belongs to the request that was sent."""
 
 
+class BodyBudget:
+    """Bounds the memory of bodies that are read as a whole at the same time.
+
+    :ivar shared_bytes: bytes of larger bodies that are being read
+    """
+
+    __slots__ = ("shared_bytes",)
+
+    def __init__(self) -> None:
+        self.shared_bytes = 0
+
+    def check(self, body_bytes: int, added_bytes: int) -> int:
+        """Count the next bytes of a body.
+
+        :param body_bytes: size of the body with these bytes
+        :returns: number of bytes that were added to the shared ones
+        :raises ResponseLost: the body, or all larger bodies together, are too large
+        """
+        shared_bytes = min(added_bytes, max(0, body_bytes - UNSHARED_BODY_BYTES))
+        if body_bytes > MAX_BODY_BYTES or self.shared_bytes + shared_bytes > MAX_SHARED_BODY_BYTES:
+            raise ResponseLost(f"response body is too large after {body_bytes} bytes")
+        self.shared_bytes += shared_bytes
+        return shared_bytes
+
+
 class ClientConnection(asyncio.Protocol):
     """Connection to a server with at most one active exchange.
 
@@ -120,15 +156,23 @@
             self._transport.resume_reading()
         return data
 
-    async def read_whole(self) -> bytes:
+    async def read_whole(self, budget: BodyBudget) -> bytes:
         """Return the rest of the body.
 
-        :raises ResponseLost: the connection ended before the body was complete
+        :param budget: bounds the size of the body
+        :raises ResponseLost: the connection ended before the body was complete, or the body is
+            too large
         """
         chunks = []
-        while chunk := await self.read():
-            chunks.append(chunk)
-        return b"".join(chunks)
+        body_bytes = shared_bytes = 0
+        try:
+            while chunk := await self.read():
+                body_bytes += len(chunk)
+                shared_bytes += budget.check(body_bytes, len(chunk))
+                chunks.append(chunk)
+            return b"".join(chunks)
+        finally:
+            budget.shared_bytes -= shared_bytes
 
     async def read_transfer(self, stall_timeout_s: float) -> bytes:
         """Return the rest of the body, which may take as long as its size requires.
@@ -177,16 +221,19 @@
             # Bytes after a complete response belong to no request.
             self.close()
             return
+        body_bytes_before = self.received_body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(ResponseLost(f"invalid HTTP response: {error}"))
             self.close()
             return
-        if self._head is None and not self._complete:
+        if self.received_body_bytes > body_bytes_before:
+            self._head_bytes = 0
+        elif not self._complete:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
-                self._fail(ResponseLost("response head is too large"))
+                self._fail(ResponseLost("response head or trailer is too large"))
                 self.close()
         self._wake()
 
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -226,7 +226,7 @@
             return
         if self._request_started_at_s is None:
             self._request_started_at_s = self._loop.time()
-        completed_before = self._completed_requests
+        completed_before, body_bytes_before = self._completed_requests, self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -238,7 +238,12 @@
         if self._error_status:
             self._reject(self._error_status)
             return
-        if not self._reading_body and self._completed_requests == completed_before:
+        if self._completed_requests > completed_before:
+            return
+        if self._body_bytes > body_bytes_before:
+            self._head_bytes = 0
+        else:
+            # Chunk extensions and trailers count like a head.
             self._head_bytes += len(data)
             if self._head_bytes > self._policy.limits().max_header_bytes:
                 self._reject(431)
--- a/test/test_gateway_pulls.py
+++ b/test/test_gateway_pulls.py
@@ -21,7 +21,7 @@
     SourceChooser,
     decompress_view,
 )
-from godwitpath.http1.client import connect
+from godwitpath.http1.client import BodyBudget, connect
 from godwitpath.http1.messages import ResponseLost, encode_request_head
 from godwitpath_standin.gateway.documents import (
     configuration_document,
@@ -236,7 +236,7 @@
         headers = [(b"host", b"h"), (b"content-length", b"%d" % len(body))]
         connection.send("POST", encode_request_head("POST", b"/catalogue", headers) + body)
         await connection.head()
-        payload = unseal(secret, await connection.read_whole())
+        payload = unseal(secret, await connection.read_whole(BodyBudget()))
         connection.close()
         assert payload is not None
         view = msgspec.msgpack.decode(payload, type=CatalogueView)
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -102,6 +102,14 @@
             writer.write(b"POST / HTTP/1.1\r\nHost: h\r\n" + head)
             assert (await read_response(reader)).status == status
 
+    @pytest.mark.parametrize("start", [b"5;x=", b"5\r\nhello\r\n0\r\nX-Long: "])
+    async def test_server_rejects_endless_chunk_extensions_and_trailers(self, start: bytes) -> None:
+        async with running_server(echo) as (reader, writer):
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(start + b"x" * 300_000)
+            async with asyncio.timeout(2.0):
+                assert (await read_response(reader)).status == 431
+
     async def test_body_bytes_do_not_count_towards_head_limit(self) -> None:
         """Guards against a 431 for a large body because its bytes are counted as head bytes."""
         async with running_server(echo) as (reader, writer):
