--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -190,10 +190,24 @@
                 self._peers.view.usage_counts,
             ),
             FleetDuty(
-                adapter.cloud, self._holder, ctx.engines, ctx.in_force, self._peers.view.load
+                adapter.cloud,
+                self._holder,
+                ctx.engines,
+                ctx.in_force,
+                self._peers.view.load,
+                self._missing_engines,
             ),
         ]
 
+    def _missing_engines(self, service: str) -> int:
+        """Return the number of a service's engines that take too little load, for their limits.
+
+        The load of all daemons is estimated from this daemon's part of it.
+        """
+        ctx = self._ctx
+        own_per_s = ctx.retry_budget.first_sends_per_s(service, asyncio.get_running_loop().time())
+        return ctx.permits.missing_engines(service, own_per_s * ctx.permits.daemons)
+
     async def _release_duties(self) -> None:
         """Release the duties; the daemon stays registered while requests run."""
         await self._holder.release()
--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -47,6 +47,10 @@
     after_reclaim: int
     target: int
 
+    def increased_by(self, engines: int) -> EngineRequirement:
+        """Return this requirement with more engines, for present ones that take little load."""
+        return EngineRequirement(self.after_reclaim + engines, self.target + engines)
+
     def raised_to(self, engines: int) -> EngineRequirement:
         """Return this requirement, raised to at least the given number of engines.
 
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -83,6 +83,8 @@
 
     :param load: returns the total of prompt tokens sent for prefill since the start and the number
         of running streams of a service, both summed over all daemons
+    :param missing_engines: returns the number of a service's ready engines that take too little
+        load to count, because of a limit that they state
     :ivar orders: number of orders that this daemon has sent
     """
 
@@ -93,6 +95,7 @@
         engines: EngineRegistry,
         in_force: ConfigurationInForce,
         load: Callable[[str], tuple[int, int]],
+        missing_engines: Callable[[str], int] = lambda service: 0,
     ) -> None:
         self.orders = 0
         self._cloud = cloud
@@ -100,6 +103,7 @@
         self._engines = engines
         self._in_force = in_force
         self._total_load = load
+        self._missing_engines = missing_engines
         self._load_estimators: dict[str, LoadEstimator] = {}
         self._last_orders: dict[EngineKind, _Order] = {}
         self._last_ready_counts: dict[EngineKind, int] = {}
@@ -180,6 +184,7 @@
         if load_estimator.measured_for_s(now_s) < LOAD_MEASURED_AFTER_S:
             max_engines = scaling.max_per_zone * len(scaling.zone_prices)
             requirement = requirement.raised_to(math.ceil(INITIAL_ENGINE_SHARE * max_engines))
+        requirement = requirement.increased_by(self._missing_engines(service.name))
         needed = requirement.after_reclaim
         self._detect_reclaims(service.name, scaling, ready)
         desired = self._desired_fleet(service.name, requirement, scaling, ready, now_s)
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -99,11 +99,14 @@
             ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
             ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
             ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
+            ("permits", "{permit}", "Permits for sends to limited engines.", self._permits),
         )
         for name, unit, description, read in counters:
             metrics.observable_counter(f"godwitpath.gateway.{name}", unit, description, read)
         gauges: tuple[tuple[str, str, str, Callable[[], float | Samples]], ...] = (
             ("engines", "{engine}", "Engines by service, state and kind.", self._engines),
+            ("engines.limited", "{engine}", "Engines with a limit, by service.", self._limited),
+            ("engines.limit", "{request}/s", "Sum of engines' limits.", self._limit_per_s),
             ("running", "{request}", "Own requests at engines, by service.", self._running),
             ("configuration.revision", "{revision}", "Store revision in force.", self._revision),
             ("store.silent", "s", "Time since the store last answered.", self._store_response_age),
@@ -148,6 +151,27 @@
         for (service, state, kind), count in counts.items():
             yield count, {"service": service, "state": state, "kind": kind}
 
+    def _permits(self) -> Samples:
+        for (service, outcome), count in list(self._peers.permits.outcomes.items()):
+            yield count, {"service": service, "outcome": outcome}
+
+    def _limits_by_service(self) -> dict[str, list[float]]:
+        """Return the limits of the engines that have one, by service."""
+        limits: dict[str, list[float]] = {}
+        for engine in list(self._ctx.engines.all()):
+            limit_per_s = self._peers.permits.limit_per_s(engine)
+            if limit_per_s is not None:
+                limits.setdefault(engine.entry.service, []).append(limit_per_s)
+        return limits
+
+    def _limited(self) -> Samples:
+        for service, limits in self._limits_by_service().items():
+            yield len(limits), {"service": service}
+
+    def _limit_per_s(self) -> Samples:
+        for service, limits in self._limits_by_service().items():
+            yield sum(limits), {"service": service}
+
     def _running(self) -> Samples:
         counts: dict[str, int] = {}
         for engine in list(self._ctx.engines.all()):
--- a/godwitpath/gateway/permits.py
+++ b/godwitpath/gateway/permits.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from godwitpath.gateway.engine_limits import EngineLimits
-from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry
+from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.grantors import HANDOVER_S, Grantors
 from godwitpath.gateway.peer_messages import PermitReply, PermitRequest
 from godwitpath.gateway.permit_bucket import PermitBucket
@@ -40,6 +40,10 @@
 hundred requests for permits per second for each engine."""
 
 
+MIN_SHARE_OF_LOAD = 0.5
+"""Share of an engine's usual load below which a limited engine is replaced by another one."""
+
+
 @dataclass(slots=True, frozen=True)
 class Permit:
     """Permission for one send to an engine.
@@ -142,6 +146,23 @@
         limit = self._limits.limit(engine.entry)
         return limit.rate_per_s if limit is not None else None
 
+    def missing_engines(self, service: str, requests_per_s: float) -> int:
+        """Return the number of ready engines that take too little of the load to count as engines.
+
+        :param requests_per_s: requests of all daemons to the service
+        """
+        ready = [
+            engine
+            for engine in self._engines.all()
+            if engine.entry.service == service and engine.entry.state is EngineState.READY
+        ]
+        usual_per_s = requests_per_s / max(1, len(ready))
+        limits_per_s = map(self.limit_per_s, ready)
+        return sum(
+            limit_per_s is not None and limit_per_s < MIN_SHARE_OF_LOAD * usual_per_s
+            for limit_per_s in limits_per_s
+        )
+
     def handle_request(self, request: PermitRequest) -> PermitReply:
         """Return the reply to another daemon's request for a permit."""
         engine = self._engines.get(request.engine_id)
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -61,6 +61,14 @@
         window.first_sends.append(now_s)
         self._remove_expired(window, now_s)
 
+    def first_sends_per_s(self, service: str, now_s: float) -> float:
+        """Return the rate of this daemon's requests to a service within the window."""
+        window = self._windows.get(service)
+        if window is None:
+            return 0.0
+        self._remove_expired(window, now_s)
+        return len(window.first_sends) / self._window_s
+
     def spend(self, service: str, now_s: float) -> bool:
         """Use the budget of a service for one retry; returns whether the budget allows it."""
         window = self._windows.setdefault(service, _SendTimes())
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -117,6 +117,7 @@
                 "running": engine.all_running,
                 "waiting_tokens": engine.all_prompt_tokens,
                 "pace": round(engine.slowdown, 2),
+                "limit_per_s": self._ctx.permits.limit_per_s(engine),
             }
 
     def _since_response_s(self, watcher: StoreWatcher) -> float | None:
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -371,11 +371,20 @@
         return int(now_s * self.busy_engines * 38_700), 3
 
 
-def start_fleet_duty(platform: SimulatedPlatform, daemon: Daemon, load: Any) -> asyncio.Task[None]:
+def start_fleet_duty(
+    platform: SimulatedPlatform, daemon: Daemon, load: Any, missing_engines: int = 0
+) -> asyncio.Task[None]:
     in_force = ConfigurationInForce()
     services = {"lm": ServiceSpec("lm", engine=EngineSpec(64, 232_000), scaling=SCALING)}
     in_force.apply(Configuration(1, 1, (), services, ()), b"", "test")
-    duty = FleetDuty(platform.cloud, daemon.holder, platform.registry, in_force, load)
+    duty = FleetDuty(
+        platform.cloud,
+        daemon.holder,
+        platform.registry,
+        in_force,
+        load,
+        lambda service: missing_engines,
+    )
     return asyncio.create_task(duty.run())
 
 
@@ -399,6 +408,18 @@
         task.cancel()
         await daemon.stop()
 
+    async def test_engines_with_low_limits_are_replaced(self) -> None:
+        counts = []
+        for missing in (0, 2):
+            platform = SimulatedPlatform()
+            daemon = Daemon(StoreCore(), 0, set())
+            task = start_fleet_duty(platform, daemon, ConstantLoad(1.1), missing)
+            await asyncio.sleep(40)
+            counts.append(platform.count(True) + platform.count(False))
+            task.cancel()
+            await daemon.stop()
+        assert counts[1] >= counts[0] + 2
+
     async def test_on_demand_engines_bridge_a_reclaim(self) -> None:
         """Guards against missing engines after a reclaim, and on-demand engines that stay when
         reclaimable ones are available again.
--- a/test/test_gateway_engine_limits.py
+++ b/test/test_gateway_engine_limits.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from godwitpath_standin.gateway.caller import ClientResponse, ask
-from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.engine import EngineStandin, Fault
 from godwitpath_standin.gateway.limit_rule import LimitedArrival, exceeded_windows
 from godwitpath_standin.soak.callers import Balancer
 from godwitpath_standin.soak.environment import SoakEnvironment
@@ -59,6 +63,11 @@
     async def _ask(self, port: int, target: str, request_id: str, key: str) -> None:
         self.responses[request_id] = await ask(port, target, request_id=request_id, key=key)
 
+    def log(self) -> list[dict[str, Any]]:
+        """Return the log lines of all daemons so far."""
+        paths = self.environment.folder.glob("*.log")
+        return [json.loads(line) for path in paths for line in path.read_text().splitlines()]
+
 
 @asynccontextmanager
 async def limited_fleet(folder: Path, daemons: int = 4) -> AsyncIterator[LimitedFleet]:
@@ -88,3 +97,71 @@
             statuses = {response.status for response in fleet.responses.values()}
             assert statuses == {200}
             assert len(other.arrivals) > 200
+
+    @pytest.mark.parametrize("limit", ["0", "0.5", "6"])
+    async def test_streams_that_break_and_resume_stay_within_the_limit(
+        self, tmp_path: Path, limit: str
+    ) -> None:
+        async with limited_fleet(tmp_path, daemons=3) as fleet:
+            limited, other = fleet.engines("lm")
+            for engine in (limited, other):
+                engine.events, engine.event_s = 6, 0.01
+                engine.script.extend([Fault.NONE, Fault.RESET_MID_STREAM, Fault.SHED] * 200)
+            limited.limit = limit
+            await fleet.load("/stream/digest/x", per_s=25, for_s=9.0)
+            exceeded = exceeded_windows(fleet.limited_arrivals(limited), float(limit))
+            assert [str(window) for window in exceeded] == []
+
+    async def test_an_engine_gets_its_load_again_after_its_limit_ended(
+        self, tmp_path: Path
+    ) -> None:
+        async with limited_fleet(tmp_path, daemons=3) as fleet:
+            limited, _ = fleet.engines("desk")
+            limited.limit = "1"
+            await fleet.load("/read/x", per_s=30, for_s=3.0)
+            limited.limit = ""
+            await fleet.load("/read/x", per_s=30, for_s=3.0)
+            before = len(limited.arrivals)
+            await fleet.load("/read/x", per_s=30, for_s=3.0)
+            assert len(limited.arrivals) - before >= 20
+
+    async def test_requests_beyond_all_limits_are_refused_at_once_and_explained(
+        self, tmp_path: Path
+    ) -> None:
+        async with limited_fleet(tmp_path, daemons=3) as fleet:
+            engines = fleet.engines("desk")
+            for engine in engines:
+                engine.limit = "2"
+            await fleet.load("/read/x", per_s=20, for_s=8.0)
+            refused = {
+                request_id: response
+                for request_id, response in fleet.responses.items()
+                if response.status == 503
+            }
+            served = [each for each in fleet.responses.values() if each.status == 200]
+            assert len(refused) + len(served) == len(fleet.responses)
+            assert len(served) >= 0.7 * 4 * 7
+            ran = {run.request_id.decode() for engine in engines for run in engine.runs}
+            assert not ran & refused.keys()
+            assert {response.body for response in refused.values()} == {
+                b'{"error":"engines_limited","ran":"no"}'
+            }
+            # Callers that return as they were told come at most as fast as the engines take them.
+            returns_s = sorted(float(each.headers["retry-after"]) for each in refused.values())
+            assert returns_s[0] >= 0.25
+            assert returns_s[-1] >= 4.0
+            last = list(refused)[-1]
+            lines = [line for line in fleet.log() if line.get("request") == last]
+            assert {"own_answer", "request_ended"} <= {line["message_type"] for line in lines}
+            kinds = {line["message_type"] for line in fleet.log()}
+            assert {"engine_limit", "send_held_back"} <= kinds
+
+    async def test_the_limit_goes_on_to_the_caller_like_any_other_header(
+        self, tmp_path: Path
+    ) -> None:
+        async with limited_fleet(tmp_path, daemons=1) as fleet:
+            for engine in fleet.engines("desk"):
+                engine.limit = "7"
+            await fleet.load("/read/x", per_s=5, for_s=1.0)
+            limits = {response.headers.get("server-limit") for response in fleet.responses.values()}
+            assert limits == {"7"}
--- a/test/test_gateway_permits.py
+++ b/test/test_gateway_permits.py
@@ -148,3 +148,14 @@
         await asyncio.sleep(1.5)
         assert not daemon.permits.covers(permit, engine.entry)
         await fleet.stop()
+
+    async def test_an_engine_with_a_low_limit_does_not_count_as_an_engine(self) -> None:
+        fleet = ModelFleet(3, engines=3, demand_per_s=10.0, seed=6)
+        fleet.engines[0].limit_per_s = 1.0
+        fleet.engines[1].limit_per_s = 8.0
+        await fleet.run(3.0)
+        permits = fleet.daemons[0].permits
+        assert permits.missing_engines("lm", 30.0) == 1
+        assert permits.missing_engines("lm", 3.0) == 0
+        assert permits.missing_engines("other", 30.0) == 0
+        await fleet.stop()
