Limits of engines in the soak, as a fault and as an invariant

Engines state up to three limits in turn, also unreadable ones; the rule is checked over all daemons that no other fault excuses.

--- a/godwitpath_standin/soak/faults.py
+++ b/godwitpath_standin/soak/faults.py
@@ -20,6 +20,10 @@
 )
 
 
+LIMITS = ("0", "0.5", "1", "3", "10", "few", "-1")
+"""Values of an engine's limit, also unreadable ones."""
+
+
 @dataclass(slots=True, frozen=True)
 class KillDaemons:
     """Kills the processes of some daemons at the same moment."""
@@ -142,6 +146,20 @@
     count: int
 
 
+@dataclass(slots=True, frozen=True)
+class LimitEngine:
+    """Makes an engine state limits on its requests, one after the other, and then none.
+
+    :ivar position: index of the engine's position in the deployment
+    :ivar limits: values of the header `Server-Limit`
+    :ivar for_s: time for which the engine states each limit
+    """
+
+    position: int
+    limits: tuple[str, ...]
+    for_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class CutEngine:
     """Blocks the link of an engine in one direction or both, or delays it.
@@ -188,6 +206,7 @@
     | CrashEngine
     | DrainEngine
     | FailRequests
+    | LimitEngine
     | CutEngine
     | MoveRoute
     | ReplaceKey
@@ -221,6 +240,7 @@
         lambda: CrashEngine(position, for_s),
         lambda: DrainEngine(position),
         lambda: FailRequests(position, rng.choice(ENGINE_FAULTS), rng.randint(1, 6)),
+        lambda: LimitEngine(position, tuple(rng.sample(LIMITS, rng.randint(1, 3))), 2.0 + for_s),
         lambda: CutEngine(position, ways, rng.choice([0.0, 0.0, 0.3]), for_s),
         lambda: MoveRoute(rng.choice(["read", "book"]), rng.choice(["desk", "annexe"])),
         lambda: ReplaceKey(rng.choice(["hule", "fida"])),
--- a/godwitpath_standin/soak/injection.py
+++ b/godwitpath_standin/soak/injection.py
@@ -23,6 +23,7 @@
     DropHistory,
     FailRequests,
     KillDaemons,
+    LimitEngine,
     LoseStoreResponses,
     MoveRoute,
     PauseDaemon,
@@ -213,6 +214,15 @@
     position.engine.script.extend([fault.fault] * fault.count)
 
 
+@inject.register
+async def _(fault: LimitEngine, environment: SoakEnvironment) -> None:
+    engine = environment.positions[fault.position].engine
+    for limit in fault.limits:
+        engine.limit = limit
+        await asyncio.sleep(fault.for_s)
+    engine.limit = ""
+
+
 @inject.register
 async def _(fault: CutEngine, environment: SoakEnvironment) -> None:
     position = environment.positions[fault.position]
@@ -278,3 +288,4 @@
     for position in environment.positions:
         position.link.clear_faults()
         position.engine.script.clear()
+        position.engine.limit = ""
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+import re
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby, islice
 
+from godwitpath_standin.gateway.engine import Arrival
+from godwitpath_standin.gateway.limit_rule import WINDOW_S, LimitedArrival, exceeded_windows
 from godwitpath_standin.soak.history import History, SentRequest, Violation
 
 CONFIGURATION_APPLY_S = 2.5
@@ -30,6 +34,9 @@
 RETRY_WINDOW_S = 10.0
 """Length of the window in which retries are counted."""
 
+LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
+"""A limit that an engine states in the form that the users specify."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """HTTP statuses that guarantee that a request has not run and will not run."""
 
@@ -185,6 +192,27 @@
             return
 
 
+def engine_limits_kept(history: History) -> Iterator[Violation]:
+    """Check that daemons together keep each limit that an engine states, while it states it."""
+    for _, engine in history.engines:
+        for limit, arrivals in groupby(engine.arrivals, key=lambda arrival: arrival.limit):
+            if not LIMIT_PATTERN.fullmatch(limit):
+                continue
+            limited = list(_undisrupted_arrivals(history, arrivals))
+            for window in islice(exceeded_windows(limited, float(limit)), 1):
+                yield Violation("limits", f"{engine.engine_id} with limit {limit} got {window}")
+
+
+def _undisrupted_arrivals(
+    history: History, arrivals: Iterable[Arrival]
+) -> Iterator[LimitedArrival]:
+    for arrival in arrivals:
+        sent = history.sent.get(arrival.request_id.decode())
+        if sent is None or history.disrupted(sent.daemon, arrival.at_s - WINDOW_S, arrival.at_s):
+            continue
+        yield LimitedArrival(sent.daemon, arrival.at_s, arrival.answered_at_s)
+
+
 def one_count_per_usage_window(history: History) -> Iterator[Violation]:
     """Check that a usage window is reported with one count only."""
     for window, reports in history.cloud.usage.items():
@@ -218,6 +246,7 @@
     configuration_applied,
     drained_engines_unused,
     retries_within_budget,
+    engine_limits_kept,
     one_count_per_usage_window,
     one_holder_per_token,
     no_unexpected_exits,
--- a/test/test_gateway_retry_schedule.py
+++ b/test/test_gateway_retry_schedule.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 
 from godwitpath.gateway.retry_schedule import (
@@ -15,7 +17,7 @@
     schedule = RetrySchedule()
     returns_s = [schedule.retry_after_s("lm", 2.0, now_s=100.0) for _ in range(10)]
     assert returns_s[0] == pytest.approx(MIN_RETRY_AFTER_S)
-    gaps_s = [later - earlier for earlier, later in zip(returns_s, returns_s[1:], strict=False)]
+    gaps_s = [later - earlier for earlier, later in pairwise(returns_s)]
     assert gaps_s == pytest.approx([0.5] * 9)
 
 
