Spend no retry allowance before the other daemons are known

The allowance of the retry budget is one for all daemons, and a daemon that had just started took an eighth of it, whatever their number: 340 daemons that start together could spend more than forty times of it. Found by reading, as the same cause as that of the engines' limits: a bound for all, shared by a guess at the start.

--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -182,7 +182,8 @@
             self.permits.refresh()
             self._ctx.limits.drop_removed(self._ctx.engines)
             self._decide_watching()
-            self._ctx.retry_budget.note_daemons(1 + len(self._members.entries))
+            if self._members.watcher.last_response_at_s is not None:
+                self._ctx.retry_budget.note_daemons(1 + len(self._members.entries))
             self.view.drop_expired()
             self._members.drop_expired()
             self.view.correct_clock()
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -14,8 +14,8 @@
 """Fraction of the configured budget that is used: the configured budget does not count requests
 that the caller gave up."""
 
-INITIAL_DAEMONS = 8
-"""Number of daemons that are assumed to share the allowance until the others are known."""
+MIN_DAEMONS = 8
+"""Least number of daemons that are assumed to share the allowance: some may not be known yet."""
 
 
 @dataclass(slots=True)
@@ -33,12 +33,13 @@
     :param window_s: length of the window
     :param allowance: allowance of all daemons together per window, in addition to the ratio
     :ivar denied: number of retries that the budget did not allow
-    :ivar daemons: number of daemons that share the allowance, the largest number known so far
+    :ivar daemons: number of daemons that share the allowance, the largest number known so far;
+        0 until the others are known, when there is no allowance
     """
 
     def __init__(self, ratio: float, window_s: float, allowance: float) -> None:
         self.denied = 0
-        self.daemons = INITIAL_DAEMONS
+        self.daemons = 0
         self._ratio = ratio
         self._window_s = window_s
         self._allowance = allowance
@@ -53,7 +54,7 @@
 
         A smaller number than before is ignored: daemons no longer known may still send retries.
         """
-        self.daemons = max(self.daemons, known)
+        self.daemons = max(self.daemons, known, MIN_DAEMONS)
 
     def record_first_send(self, service: str, now_s: float) -> None:
         """Record the first send of a request to a service."""
@@ -73,7 +74,8 @@
         """Use the budget of a service for one retry; returns whether the budget allows it."""
         window = self._windows.setdefault(service, _SendTimes())
         self._remove_expired(window, now_s)
-        allowed = self._ratio * len(window.first_sends) + self._allowance / max(1, self.daemons)
+        allowance = self._allowance / self.daemons if self.daemons else 0.0
+        allowed = self._ratio * len(window.first_sends) + allowance
         if len(window.retries) + 1 > allowed * BUDGET_SAFETY_FACTOR:
             self.denied += 1
             return False
