Start the bucket of an account at the level that other daemons report

What callers saw: accounts could use far more than their quota, and so crowd out others.

A daemon's first request of an account, after its start or at any time, made a full bucket, whatever the other daemons had admitted; and the debt of a bucket that had no request for long was limited before it was refilled, so that most of it was forgotten.

Change: reports state the levels of buckets; a bucket that does not exist yet starts at the reported level, and peers' use is subtracted after the refill.

--- a/godwitpath/gateway/accounts.py
+++ b/godwitpath/gateway/accounts.py
@@ -1,9 +1,10 @@
 """Authenticates API keys and enforces the quotas of client accounts over all daemons.
 
 A quota counts units: requests or tokens, as configured for the account. Each daemon keeps a full
-token bucket for each account. It subtracts the units of its own requests at once and those of other
-daemons when they report them, so all daemons together exceed the quota only by the use that was not
-yet reported. A daemon that receives no reports limits itself to a share of the account's rate.
+token bucket for each account, which starts at the level that the other daemons report. It subtracts
+the units of its own requests at once and those of other daemons when they report them, so all
+daemons together exceed the quota only by the use that was not yet reported. A daemon that receives
+no reports limits itself to a share of the account's rate.
 """
 
 from __future__ import annotations
@@ -135,6 +136,10 @@
             self.urgent.set()
         return 0.0
 
+    def __contains__(self, account: str) -> bool:
+        """Return whether there is a bucket of an account."""
+        return account in self._buckets
+
     def levels(self) -> dict[str, int]:
         """Return the units left in the bucket of each account at the time of its last request."""
         return {name: int(bucket.level) for name, bucket in self._buckets.items()}
@@ -152,14 +157,28 @@
         bucket.level = min(spec.burst, bucket.level + units)
         self.used[spec.name] = self.used.get(spec.name, 0.0) - units
 
-    def note_peer_use(self, account: str, units: float) -> None:
+    def note_peer_use(self, account: str, units: float, rate_share: float, now_s: float) -> None:
         """Subtract units that another daemon has admitted from the bucket of an account."""
         bucket = self._buckets.get(account)
         if bucket is not None:
+            # Refilled first: the debt is limited, and would else be too small after a long time.
+            self._refill(bucket.spec, rate_share, now_s)
             level = max(bucket.level - units, -bucket.spec.rate_per_s * self._window_s)
             bucket.level = min(level, bucket.spec.burst)
             bucket.peer_admitted += max(0.0, units)
 
+    def note_peer_level(
+        self, spec: AccountSpec, level: float, rate_share: float, now_s: float
+    ) -> None:
+        """Start the bucket of an account at the level that another daemon reported.
+
+        A daemon that has just started, or has had no request of the account, would else admit the
+        whole burst again. A bucket that exists is not changed: it counts the use of all daemons.
+        """
+        if spec.rate_per_s > 0 and spec.name not in self._buckets:
+            bucket = self._refill(spec, rate_share, now_s)
+            bucket.level = min(bucket.level, level)
+
     def _refill(self, spec: AccountSpec, rate_share: float, now_s: float) -> _Bucket:
         bucket = self._buckets.get(spec.name)
         if bucket is None:
--- a/godwitpath/gateway/in_force.py
+++ b/godwitpath/gateway/in_force.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from godwitpath.gateway.accounts import KeyIndex
-from godwitpath.gateway.model import Configuration, ServiceSpec
+from godwitpath.gateway.model import AccountSpec, Configuration, ServiceSpec
 from godwitpath.gateway.routes import RouteTable
 from godwitpath.http1.limits import CallerLimits
 from godwitpath.telemetry.decisions import decision
@@ -23,6 +23,7 @@
         self.value = b""
         self.routes = RouteTable(())
         self.keys = KeyIndex(())
+        self._accounts: dict[str, AccountSpec] = {}
         self._default_limits = CallerLimits()
 
     @property
@@ -39,6 +40,10 @@
         """Return a service by name, None if the configuration does not define it."""
         return self.current.services.get(name) if self.current else None
 
+    def account(self, name: str) -> AccountSpec | None:
+        """Return an account by name, None if the configuration does not define it."""
+        return self._accounts.get(name)
+
     def apply(self, configuration: Configuration, value: bytes, source: str) -> bool:
         """Put a configuration in force if it is newer than the current one.
 
@@ -51,6 +56,7 @@
         previous_revision = self.revision
         self.routes = RouteTable(configuration.routes)
         self.keys = KeyIndex(configuration.accounts)
+        self._accounts = {account.name: account for account in configuration.accounts}
         self.current = configuration
         self.value = value
         decision(
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -34,6 +34,7 @@
     :ivar holder: name and fencing token of the duty holder that the sender knows of
     :ivar limits: limits of engines: start time of the engine in Unix milliseconds, version, and
         requests per second or None for a limit that has ended, by engine
+    :ivar quota_levels: quota units left in the sender's buckets, by account
     """
 
     name: str
@@ -50,6 +51,7 @@
     engines_revision: int = 0
     holder: tuple[str, int] = ("", 0)
     limits: dict[str, tuple[int, int, float | None]] = {}
+    quota_levels: dict[str, int] = {}
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -259,6 +259,7 @@
         self.zone_prefill_tokens.update(_increases(state.prefill_tokens, report.prefill_tokens))
         self._apply_loads(report.name, state.loads, report.loads)
         self._apply_prompts(report.prompts)
+        self._apply_quota_levels(report.quota_levels)
         state.quota_used = report.quota_used
         state.prefill_tokens = report.prefill_tokens
         state.loads = report.loads
@@ -326,9 +327,20 @@
 
     def _apply_quota_use(self, new_use: Mapping[str, int]) -> None:
         for account, units in new_use.items():
-            self._ctx.quota.note_peer_use(account, units)
+            self._ctx.quota.note_peer_use(account, units, share, now_s)
+
+    def _apply_quota_levels(self, levels: Mapping[str, int]) -> None:
+        quota = self._ctx.quota
+        for account in (each for each in levels if each not in quota):
+            spec = self._ctx.in_force.account(account)
+            if spec is not None:
+                share = self.quota_share()
+                quota.note_peer_level(spec, levels[account], share, self._loop.time())
 
     def _apply_loads(self, peer: str, before: Loads, now: Loads) -> None:
+        if not new_use:
+            return
+        share, now_s = self.quota_share(), self._loop.time()
         for engine_id in before.keys() - now.keys():
             engine = self._ctx.engines.get(engine_id)
             if engine is not None:
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -270,6 +270,7 @@
             engines_revision=self._catalogue.engines_revision,
             holder=known_holder(self._members),
             limits=ctx.limits.reported(),
+            quota_levels=ctx.quota.levels(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
--- a/test/test_gateway_parts.py
+++ b/test/test_gateway_parts.py
@@ -145,15 +145,17 @@
                     if not quota.take(self.spec, units, share, now_s):
                         self.admitted.append((now_s, units))
             if with_reports and step % 8 == 0:
-                self.exchange_reports()
+                self.exchange_reports(now_s)
 
-    def exchange_reports(self) -> None:
+    def exchange_reports(self, now_s: float) -> None:
         for index, quota in enumerate(self.quotas):
             used = quota.used.get(self.spec.name, 0.0)
             new_use, self.reported[index] = used - self.reported[index], used
             for other in self.quotas:
                 if other is not quota:
-                    other.note_peer_use(self.spec.name, new_use)
+                    other.note_peer_use(self.spec.name, new_use, 1.0, now_s)
+                    for level in quota.levels().values():
+                        other.note_peer_level(self.spec, level, 1.0, now_s)
 
     def max_units_in_window(self, window_s: float) -> float:
         return max(
@@ -203,6 +205,20 @@
         )
 
     def test_request_larger_than_the_burst_is_admitted_by_a_full_bucket(self) -> None:
+    def test_daemons_that_first_see_an_account_do_not_admit_its_burst_again(self) -> None:
+        spec = AccountSpec("a", (), rate_per_s=10_000, burst=20_000, counts_tokens=True)
+        simulation = QuotaSimulation(89, spec)
+        busy, *others = simulation.quotas
+        for step in range(200):
+            if not busy.take(spec, 1000.0, 1.0, step * 0.05):
+                simulation.admitted.append((step * 0.05, 1000.0))
+            if step % 8 == 0:
+                simulation.exchange_reports(step * 0.05)
+        for quota in others:
+            if not quota.take(spec, 5000.0, 1.0, 10.0):
+                simulation.admitted.append((10.0, 5000.0))
+        assert simulation.max_units_in_window(8.0) <= (10_000 * 8 + 20_000) * 1.1 + 110_000
+
         """Guards against a request larger than the burst that is never admitted, or whose excess
         units do not delay later requests.
         """
