Resume a stream whose engine sends bytes but no event

What callers saw: a stream that stalled in the middle of an event, while its engine sent a byte now and then, lasted until the route's timeout and ended without its last events.

Cause: the longest gap was counted from the last bytes instead of the last event.

--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -48,10 +48,12 @@
 
     :ivar last_event_id: id of the last event that the caller received, None before the first
     :ivar event_count: number of events that the caller received
+    :ivar last_event_at_s: loop time of the last event, or of the last resumption
     """
 
     last_event_id: int | None
     event_count: int = 0
+    last_event_at_s: float = 0.0
 
 
 async def forward_stream(ctx: GatewayContext, call: Call) -> None:
@@ -154,6 +156,7 @@
     try:
         resume_after = progress.last_event_id if progress.event_count else None
         head, response_fields = await send.open(resume_after, kv_cache)
+        progress.last_event_at_s = loop.time()
         if head.status >= 300:
             body = await send.read_whole()
             complete_head = head
@@ -161,7 +164,7 @@
                 ctx.usage.note_started(call.account.name)
             return PlainResponse(head, response_fields, body)
         splitter = EventSplitter()
-        while data := await _read(call, send, progress):
+        while data := await _read(ctx, call, send, progress):
             if not data_received:
                 data_received = True
                 _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
@@ -182,20 +185,27 @@
         send.close(complete_head)
 
 
-async def _read(call: Call, send: Send, progress: _Progress) -> bytes:
-    """Read from the stream, with a timeout if the stream may be resumed at another engine."""
+async def _read(ctx: GatewayContext, call: Call, send: Send, progress: _Progress) -> bytes:
+    """Read from the stream.
+
+    :raises StreamBroken: no event came for a while, and the stream may be resumed elsewhere
+    """
     route = call.route
-    if not route.repeatable or call.attempts >= route.max_attempts or not route.max_gap_s:
-        return await send.read()
-    if not progress.event_count:
+    if not route.repeatable or not route.max_gap_s or not progress.event_count:
         return await send.read()
-    try:
-        async with asyncio.timeout(route.max_gap_s * GAP_TIMEOUT_FACTOR):
-            return await send.read()
-    except TimeoutError as error:
-        if call.time_left_s() <= 0:
-            raise
-        raise StreamBroken("the stream fell silent") from error
+    max_gap_s = route.max_gap_s * GAP_TIMEOUT_FACTOR
+    # Counted from the last event: an engine that sends single bytes is stalled as well.
+    timeout_at_s = progress.last_event_at_s + max_gap_s
+    while True:
+        try:
+            async with asyncio.timeout_at(timeout_at_s):
+                return await send.read()
+        except TimeoutError as error:
+            if call.time_left_s() <= 0:
+                raise
+            if call.attempts < route.max_attempts:
+                raise StreamBroken("the stream fell silent") from error
+            timeout_at_s = asyncio.get_running_loop().time() + max_gap_s
 
 
 def _record_first_event(
@@ -237,6 +247,7 @@
                 raise StreamBroken(f"event {event.event_id} came after {last_id}")
             progress.last_event_id = event.event_id
         progress.event_count += 1
+        progress.last_event_at_s = asyncio.get_running_loop().time()
         forwarded.append(event.data)
     _write_events(call, head, forwarded)
 
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -30,6 +30,8 @@
     """Runs the request and resets the connection instead of a response."""
     RESET_MID_STREAM = "reset_mid_stream"
     """Resets the connection in the middle of the third event that it sends."""
+    TRICKLE = "trickle"
+    """Sends two events of a stream, and then single bytes of an event that never ends."""
     SECOND_ANSWER = "second_answer"
     """Sends another response after the correct one."""
     NO_STAMP = "no_stamp"
@@ -220,6 +222,9 @@
             if fault is Fault.HANG:
                 await asyncio.sleep(3600)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            while fault is Fault.TRICKLE and number == first_number + 2:
+                responder.send(b"x")
+                await asyncio.sleep(self.event_s)
             if fault is Fault.RESET_MID_STREAM and number == first_number + 2:
                 responder.send(event[:5])
                 await asyncio.sleep(0.01)
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -264,6 +264,27 @@
             assert all(0 < float(response.headers["retry-after"]) <= 1 for response in refused)
 
 
+class TestSlowStreams:
+    async def test_a_stream_that_sends_bytes_but_no_event_is_resumed_at_another_engine(
+        self,
+    ) -> None:
+        async with gateway_environment(STREAM, bounds={"retrySlack": 50}) as environment:
+            for engine in environment.engines.values():
+                engine.events, engine.event_s = 8, 0.05
+            environment.engines["m1"].script = deque([Fault.TRICKLE] * 6)
+            for number in range(6):
+                response = await ask(
+                    environment.port,
+                    "/stream/digest/x",
+                    method="POST",
+                    request_id=f"r{number}",
+                    timeout_s=3.0,
+                )
+                assert response.body == stream_body(1, 8)
+                assert response.complete
+            assert len(environment.engines["m1"].runs) > 0
+
+
 class TestLifecycle:
     async def test_a_daemon_without_a_configuration_is_not_ready_and_refuses_requests(self) -> None:
         async with gateway_environment(PLAIN, configure=False) as environment:
