Do not give up a slow stream that cannot be resumed

What callers saw: a stream that was slow but sound was broken off after its first long gap, although no other engine could take it: the only engine of its service, or a retry budget that was used up.

Cause: the gap alone ended the read, and whether the stream may go on elsewhere was asked afterwards. The stream is now kept until the budget allows a retry and an engine that is neither full nor limited is there, and else until its end.

--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -156,6 +156,19 @@
     return ctx.retry_budget.spend(call.service.name, asyncio.get_running_loop().time())
 
 
+def may_resume_elsewhere(ctx: GatewayContext, call: Call) -> bool:
+    """Return whether another engine would probably take a stream that is slow at its engine."""
+    now_s = asyncio.get_running_loop().time()
+    return (
+        call.attempts < call.route.max_attempts
+        and ctx.retry_budget.allows(call.service.name, now_s)
+        and any(
+            engine.full_until_s <= now_s and ctx.permits.limit_per_s(engine) is None
+            for engine in candidate_engines(ctx, call)
+        )
+    )
+
+
 def record_failure(
     ctx: GatewayContext, call: Call, engine: Engine, kind: str, error: Exception
 ) -> None:
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -70,16 +70,20 @@
         self._remove_expired(window, now_s)
         return len(window.first_sends) / self._window_s
 
-    def spend(self, service: str, now_s: float) -> bool:
-        """Use the budget of a service for one retry; returns whether the budget allows it."""
+    def allows(self, service: str, now_s: float) -> bool:
+        """Return whether the budget of a service allows a retry now."""
         window = self._windows.setdefault(service, _SendTimes())
         self._remove_expired(window, now_s)
         allowance = self._allowance / self.daemons if self.daemons else 0.0
         allowed = self._ratio * len(window.first_sends) + allowance
-        if len(window.retries) + 1 > allowed * BUDGET_SAFETY_FACTOR:
+        return len(window.retries) + 1 <= allowed * BUDGET_SAFETY_FACTOR
+
+    def spend(self, service: str, now_s: float) -> bool:
+        """Use the budget of a service for one retry; returns whether the budget allows it."""
+        if not self.allows(service, now_s):
             self.denied += 1
             return False
-        window.retries.append(now_s)
+        self._windows[service].retries.append(now_s)
         return True
 
     def _remove_expired(self, window: _SendTimes, now_s: float) -> None:
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -17,6 +17,7 @@
     MAX_UNREACHABLE_ENGINES,
     PlainResponse,
     choose_permitted,
+    may_resume_elsewhere,
     may_retry,
     pass_response,
     record_failure,
@@ -203,7 +204,7 @@
         except TimeoutError as error:
             if call.time_left_s() <= 0:
                 raise
-            if call.attempts < route.max_attempts:
+            if may_resume_elsewhere(ctx, call):
                 raise StreamBroken("the stream fell silent") from error
             timeout_at_s = asyncio.get_running_loop().time() + max_gap_s
 
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -284,6 +284,20 @@
                 assert response.complete
             assert len(environment.engines["m1"].runs) > 0
 
+    @pytest.mark.parametrize(
+        ("services", "slack"), [({"m1": "lm"}, 50), ({"m1": "lm", "m2": "lm"}, 0)]
+    )
+    async def test_a_slow_stream_is_not_cut_while_it_cannot_be_resumed(
+        self, services: dict[str, str], slack: int
+    ) -> None:
+        async with gateway_environment(services, bounds={"retrySlack": slack}) as environment:
+            for engine in environment.engines.values():
+                engine.events, engine.event_s = 4, 0.6
+            response = await ask(environment.port, "/stream/digest/x", method="POST")
+            assert response.complete
+            assert response.body == stream_body(1, 4)
+            assert len(runs(environment)) == 1
+
 
 class TestLifecycle:
     async def test_a_daemon_without_a_configuration_is_not_ready_and_refuses_requests(self) -> None:
