--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -88,6 +88,10 @@
         self._lease_id = 0
         self._listeners: list[asyncio.Event] = []
 
+    def count(self) -> int:
+        """Return the number of daemons, including this one, 0 before the others are known."""
+        return 1 + len(self.entries) if self.watcher.last_response_at_s is not None else 0
+
     def drop_expired(self) -> None:
         """Remove daemons that are no longer registered and no longer report."""
         lapsed_names = [name for name in self.entries if MEMBERS_PREFIX + name not in self.items]
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -81,6 +81,7 @@
         self._ctx = ctx
         self._catalogue = catalogue
         self._members = members
+        ctx.retry_budget.count_daemons = members.count
         members.has_reported = lambda name: name in self.view.reporting()
         self._incarnation = incarnation
         self._sequence = 0
@@ -182,8 +183,7 @@
             self.permits.refresh()
             self._ctx.limits.drop_removed(self._ctx.engines)
             self._decide_watching()
-            if self._members.watcher.last_response_at_s is not None:
-                self._ctx.retry_budget.note_daemons(1 + len(self._members.entries))
+            self._ctx.retry_budget.note_daemons(self._members.count())
             self.view.drop_expired()
             self._members.drop_expired()
             self.view.correct_clock()
--- a/godwitpath/gateway/retry_budget.py
+++ b/godwitpath/gateway/retry_budget.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 BUDGET_SAFETY_FACTOR = 0.8
@@ -35,11 +36,13 @@
     :ivar denied: number of retries that the budget did not allow
     :ivar daemons: number of daemons that share the allowance, the largest number known so far;
         0 until the others are known, when there is no allowance
+    :ivar count_daemons: returns the number of known daemons, 0 while it is unknown
     """
 
     def __init__(self, ratio: float, window_s: float, allowance: float) -> None:
         self.denied = 0
         self.daemons = 0
+        self.count_daemons: Callable[[], int] = lambda: 0
         self._ratio = ratio
         self._window_s = window_s
         self._allowance = allowance
@@ -50,11 +53,12 @@
         self._ratio, self._window_s, self._allowance = ratio, window_s, allowance
 
     def note_daemons(self, known: int) -> None:
-        """Record the number of known daemons.
+        """Record the number of known daemons, 0 while it is unknown.
 
         A smaller number than before is ignored: daemons no longer known may still send retries.
         """
-        self.daemons = max(self.daemons, known, MIN_DAEMONS)
+        if known:
+            self.daemons = max(self.daemons, known, MIN_DAEMONS)
 
     def record_first_send(self, service: str, now_s: float) -> None:
         """Record the first send of a request to a service."""
@@ -74,6 +78,7 @@
         """Return whether the budget of a service allows a retry now."""
         window = self._windows.setdefault(service, _SendTimes())
         self._remove_expired(window, now_s)
+        self.note_daemons(self.count_daemons())
         allowance = self._allowance / self.daemons if self.daemons else 0.0
         allowed = self._ratio * len(window.first_sends) + allowance
         return len(window.retries) + 1 <= allowed * BUDGET_SAFETY_FACTOR
