--- a/test/gateway_parts.py
+++ b/test/gateway_parts.py
@@ -15,7 +15,7 @@
 from godwitpath.platform.engines import ENGINES_PREFIX
 from godwitpath_standin.gateway.caller import ask
 from godwitpath_standin.gateway.documents import configuration_document, settings_document
-from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.engine import EngineStandin, Run
 from godwitpath_standin.gateway.process import start_gateway
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
@@ -76,6 +76,21 @@
                 raise TimeoutError(f"ready is not {expected} after {timeout_s} s")
             await asyncio.sleep(0.05)
 
+    async def until_listening(self, timeout_s: float = 10.0) -> None:
+        """Wait until the daemon accepts connections of callers.
+
+        :raises TimeoutError: it does not accept any in time
+        """
+        async with asyncio.timeout(timeout_s):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.close()
+                return
+
     async def log(self) -> list[dict[str, Any]]:
         """Stop the daemon and return its log lines."""
         if self.process.returncode is None:
@@ -130,3 +145,19 @@
 def json_bytes(document: dict[str, Any]) -> bytes:
     """Return a document as encoded JSON."""
     return json.dumps(document).encode()
+
+
+def stream_body(first: int, last: int) -> bytes:
+    """Return the events of a stream, from the first to the last number."""
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def runs(environment: GatewayEnvironment, request_id: str = "r1") -> list[Run]:
+    """Return the runs of a request at all engines of the environment, sorted by start time."""
+    matching_runs = [
+        run
+        for engine in environment.engines.values()
+        for run in engine.runs
+        if run.request_id == request_id.encode()
+    ]
+    return sorted(matching_runs, key=lambda run: run.started_at_s)
