--- a/godwitpath/gateway/engine_limits.py
+++ b/godwitpath/gateway/engine_limits.py
@@ -92,7 +92,7 @@
             return None
         return known.limit
 
-    def version(self, entry: EngineEntry) -> EngineLimit:
+    def last_known(self, entry: EngineEntry) -> EngineLimit:
         """Return what is known of an engine's limit, also if it has ended or was never stated."""
         known = self._known.get(_key(entry))
         return known.limit if known is not None else EngineLimit(None, 0)
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -10,6 +10,7 @@
 from godwitpath.gateway.call import Call, GatewayResponse, send_gateway_response
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import Engine
+from godwitpath.gateway.permit_bucket import PROBE_INTERVAL_S
 from godwitpath.gateway.permits import Permit
 from godwitpath.gateway.send import PermitExpired, Send
 from godwitpath.gateway.wire_fields import EngineResponseFields
@@ -245,6 +246,8 @@
     limits_per_s = [
         ctx.permits.limit_per_s(engine) for engine in ctx.engines.usable(call.service.name, now_s)
     ]
-    total_per_s = sum(limit_per_s or 0.0 for limit_per_s in limits_per_s)
+    if None in limits_per_s:
+        return RETRY_AFTER_S
+    total_per_s = sum(max(limit_per_s or 0.0, 1 / PROBE_INTERVAL_S) for limit_per_s in limits_per_s)
     share_per_s = total_per_s / max(1, ctx.permits.daemons)
     return ctx.retry_schedule.retry_after_s(call.service.name, share_per_s, now_s)
--- a/godwitpath/gateway/permits.py
+++ b/godwitpath/gateway/permits.py
@@ -172,7 +172,7 @@
         stated = (request.started_at_ms, request.version, request.rate_per_s)
         self._limits.apply_report(request.name, {request.engine_id: stated})
         wait_s, outcome = self._grant(entry, request.priority)
-        known = self._limits.version(entry)
+        known = self._limits.last_known(entry)
         limits = {entry.engine_id: (entry.started_at_ms, known.version, known.rate_per_s)}
         return PermitReply(request.number, outcome, wait_s, limits)
 
@@ -230,7 +230,7 @@
         return (wait_s, "refused") if wait_s else (0.0, "granted")
 
     async def _ask(self, grantor: str, entry: EngineEntry, priority: int) -> tuple[float, str]:
-        known = self._limits.version(entry)
+        known = self._limits.last_known(entry)
         # The first number is random, so that no reply to an earlier incarnation matches.
         self._number = self._number + 1 if self._number else int(self._random() * 2**62) + 1
         number = self._number
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self.shared_bytes = 0
 
-    def check(self, body_bytes: int, added_bytes: int) -> int:
+    def add(self, body_bytes: int, added_bytes: int) -> int:
         """Count the next bytes of a body.
 
         :param body_bytes: size of the body with these bytes
@@ -168,7 +168,7 @@
         try:
             while chunk := await self.read():
                 body_bytes += len(chunk)
-                shared_bytes += budget.check(body_bytes, len(chunk))
+                shared_bytes += budget.add(body_bytes, len(chunk))
                 chunks.append(chunk)
             return b"".join(chunks)
         finally:
