Test a late copy of a response on a connection in use again

An engine sends each plain response a second time 30 ms later, when the connection already carries the next request.

--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -15,6 +15,9 @@
 from godwitpath.ports.engine import Address
 from godwitpath_standin.gateway.server import StandinServer
 
+LATE_COPY_S = 0.03
+"""Time from a response to its late copy."""
+
 
 class Fault(StrEnum):
     """Fault of one request."""
@@ -34,6 +37,8 @@
     """Sends two events of a stream, and then single bytes of an event that never ends."""
     SECOND_ANSWER = "second_answer"
     """Sends another response after the correct one."""
+    LATE_COPY = "late_copy"
+    """Sends a copy of the response while the connection may already carry the next request."""
     NO_STAMP = "no_stamp"
     """Sends the response without the header `X-Response-Stamp`, which marks it as the engine's."""
     SHORT_BODY = "short_body"
@@ -204,6 +209,11 @@
             responder.abort()
         else:
             responder.respond(200, headers, body)
+            if fault is Fault.LATE_COPY:
+                length = (b"Content-Length", b"%d" % len(body))
+                copy = encode_response_head(200, b"OK", [*headers, length]) + body
+                loop = asyncio.get_running_loop()
+                loop.call_later(LATE_COPY_S, responder._connection.write, copy)
             if fault is Fault.SECOND_ANSWER:
                 extra_headers = [(b"X-Attempt-Id", b"other"), (b"Content-Length", b"5")]
                 responder._connection.write(
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -103,6 +103,18 @@
             assert (response.status, response.body) == (500, b"failed")
             assert response.headers["x-response-stamp"] == "stamp-d1"
 
+    async def test_a_late_copy_of_a_response_reaches_no_other_request(self) -> None:
+        async with gateway_environment({"d1": "desk"}) as environment:
+            environment.engines["d1"].event_s = 0.06
+            environment.engines["d1"].script = deque([Fault.LATE_COPY] * 20)
+            for number in range(20):
+                name = f"r{number}"
+                response = await ask(environment.port, "/read/x", request_id=name)
+                assert response.status in (200, 502)
+                if response.status == 200:
+                    assert response.body == f"answer to {name}".encode()
+                    assert response.headers["x-attempt-id"] == name
+
     async def test_a_second_response_on_a_connection_reaches_no_other_request(self) -> None:
         async with gateway_environment({"d1": "desk"}) as environment:
             environment.engines["d1"].script = deque([Fault.SECOND_ANSWER] * 5)
