--- /dev/null
+++ b/test/test_gateway_evacuate.py
@@ -0,0 +1,83 @@
+"""Tests of moving streams to engines with limits."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
+from godwitpath.gateway.evacuate import Evacuator, MovedRun, StreamRun
+from godwitpath.gateway.permits import Permit
+from godwitpath.ports.engine import Address
+
+
+class Permits:
+    """Permits of engines of which some are limited.
+
+    :ivar left: number of permits that are left
+    """
+
+    def __init__(self, limited: set[str], left: int) -> None:
+        self.limited = limited
+        self.left = left
+
+    def limit_per_s(self, engine: Any) -> float | None:
+        return 1.0 if engine.entry.engine_id in self.limited else None
+
+    async def acquire(self, engine: Any, priority: int, request_id: str) -> Permit | None:
+        if engine.entry.engine_id not in self.limited:
+            return Permit(0.0, limited=False)
+        self.left -= 1
+        return Permit(9.0, limited=True) if self.left >= 0 else None
+
+
+class Mover:
+    """Moves every run, and records the targets."""
+
+    def __init__(self) -> None:
+        self.targets: list[Address] = []
+
+    async def move_run(self, source: Address, request_id: str, target: Address) -> MovedRun:
+        self.targets.append(target)
+        return MovedRun("h", copied=True)
+
+
+def evacuation(limited: set[str], left: int) -> tuple[Evacuator, Mover, StreamRun]:
+    engines = EngineRegistry()
+    for number in range(3):
+        address = Address("h", number)
+        engines.put(EngineEntry(f"e{number}", "lm", address, "a", EngineState.READY, 8, 1))
+    placer = SimpleNamespace(
+        rank_for_generation=lambda prompt, usable, tokens: [
+            SimpleNamespace(engine=engine) for engine in usable
+        ]
+    )
+    ctx: Any = SimpleNamespace(engines=engines, placer=placer, permits=Permits(limited, left))
+    service = SimpleNamespace(name="lm", engine=SimpleNamespace(cache_tokens=1, moves=True))
+    call: Any = SimpleNamespace(service=service, prompt=object(), request_id="r", priority=1)
+    mover = Mover()
+    source = engines.get("e0")
+    assert source is not None
+    return Evacuator(ctx, mover), mover, StreamRun(call, source)
+
+
+@pytest.mark.looptime
+class TestMovesToLimitedEngines:
+    async def test_a_stream_moves_to_an_engine_without_a_limit_first(self) -> None:
+        evacuator, mover, run = evacuation({"e1"}, left=5)
+        continuation = await evacuator._move(run)
+        assert continuation is not None
+        assert continuation.engine.entry.engine_id == "e2"
+        assert mover.targets == [Address("h", 2)]
+
+    @pytest.mark.parametrize(("left", "moved"), [(1, True), (0, False)])
+    async def test_a_stream_moves_to_a_limited_engine_only_with_a_permit(
+        self, left: int, moved: bool
+    ) -> None:
+        evacuator, mover, run = evacuation({"e0", "e1", "e2"}, left)
+        continuation = await evacuator._move(run)
+        assert (continuation is not None) is moved
+        assert len(mover.targets) == int(moved)
+        assert evacuator.move_counts["no_permit"] == int(not moved)
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import msgspec
 import pytest
 
-from godwitpath.gateway.engines import EngineState
+from godwitpath.gateway.engine_limits import EngineLimit
+from godwitpath.gateway.engines import EngineEntry, EngineState
 from godwitpath.gateway.holder import HOLDER_KEY, HolderEntry
 from godwitpath.gateway.members import LEASE_S
 from godwitpath.gateway.model import AccountSpec
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S
+from godwitpath.gateway.wire_fields import EngineResponseFields
+from godwitpath.ports.engine import Address
 from godwitpath_standin.gateway.engine import EngineStandin
 from test.gateway_fleet import fleet
 
@@ -108,3 +112,28 @@
         counts = holder.peers.view.usage_counts()
         incarnation_key = f"{cut_off.name}/{cut_off.peers._incarnation}"
         assert sum(sum(each.values()) for each in counts[incarnation_key].values()) == 1
+
+
+@pytest.mark.parametrize(("count", "zones"), [(4, "abc"), (18, "abc")])
+async def test_one_daemon_tells_a_limit_and_all_share_its_permits(count: int, zones: str) -> None:
+    async with fleet(count, zones) as daemons:
+        await asyncio.sleep(3.0)
+        entry = EngineEntry("limited", "lm", Address("h", 9), "a", EngineState.READY, 64, 1)
+        for daemon in daemons:
+            daemon.ctx.engines.put(entry)
+        stated = EngineResponseFields(True, False, False, True, None, limit_per_s=4.0)
+        daemons[-1].ctx.limits.note_response(entry, stated, 200, 0.0)
+        await asyncio.sleep(2.0)
+        limits = {daemon.ctx.limits.limit(entry) for daemon in daemons}
+        assert limits == {EngineLimit(4.0, 1)}
+        granted = 0
+        for _ in range(40):
+            for daemon in daemons:
+                engine = daemon.ctx.engines.get("limited")
+                assert engine is not None
+                granted += await daemon.ctx.permits.acquire(engine, 1, "r") is not None
+            await asyncio.sleep(0.1)
+        outcomes = sum((daemon.ctx.permits.outcomes for daemon in daemons), Counter())
+        assert granted == outcomes[("lm", "granted")]
+        # Four seconds of the limit, and what the bucket keeps.
+        assert 0.7 * 4 * 4.0 <= granted <= 6 * 4.0 + 5
