Do not report the limits of removed engines

Limits of engines that are gone stayed in the reports for ever: a daemon that dropped one after 30 s learned it again from the next report of another daemon that had not dropped it yet. Callers saw nothing; reports and memory would have grown with each limited engine.

--- a/godwitpath/gateway/engine_limits.py
+++ b/godwitpath/gateway/engine_limits.py
@@ -144,12 +144,17 @@
                 self._learn(key, limit, sender)
 
     def reported(self) -> dict[str, tuple[int, int, float | None]]:
-        """Return the limits to report to the other daemons, and those that ended lately."""
+        """Return the limits to report to the other daemons, and those that ended lately.
+
+        Those of engines without an entry are not reported: daemons that drop them would learn them
+        again from one another.
+        """
         now_s = asyncio.get_running_loop().time()
         return {
             engine_id: (started_at_ms, known.limit.version, known.limit.rate_per_s)
             for (engine_id, started_at_ms), known in self._known.items()
-            if known.limit.rate_per_s is not None or now_s - known.learned_at_s < LIFTED_REPORT_S
+            if known.removed_at_s is None
+            and (known.limit.rate_per_s is not None or now_s - known.learned_at_s < LIFTED_REPORT_S)
         }
 
     def drop_removed(self, engines: EngineRegistry) -> None:
--- a/test/test_gateway_limit_belief.py
+++ b/test/test_gateway_limit_belief.py
@@ -120,6 +120,17 @@
         limits.drop_removed(engines)
         assert rate(limits) is None
 
+    async def test_limits_of_removed_engines_do_not_circulate_between_daemons(self) -> None:
+        daemons, engines = [new_limits(), new_limits()], EngineRegistry()
+        daemons[0].note_response(ENTRY, response(2.0), 200, 0.0)
+        told(daemons)
+        for _ in range(100):
+            await asyncio.sleep(0.5)
+            for daemon in daemons:
+                daemon.drop_removed(engines)
+                told(daemons)
+        assert [rate(daemon) for daemon in daemons] == [None, None]
+
     async def test_a_lower_limit_is_reported_soon(self) -> None:
         event = asyncio.Event()
         limits = EngineLimits(event)
