Drop the buckets of a grantor that was paused, whoever notices the pause

The result of the look that noticed a pause was lost if the grantor's own request was the first after it: its full bucket stayed, and it granted at once beside the daemon that had replaced it. The model of the exchange is also played with 195 daemons.

--- a/godwitpath/gateway/grantors.py
+++ b/godwitpath/gateway/grantors.py
@@ -38,6 +38,9 @@
     :param name: name of this daemon
     :param zone: availability zone of this daemon
     :param clock_s: returns the time on a clock that continues while the machine is suspended
+    :ivar settled_since_s: loop time since which this daemon has seen the same daemons without a
+        pause of its own
+    :ivar resumed_at_s: loop time at which this daemon noticed its last pause
     """
 
     def __init__(
@@ -51,8 +54,8 @@
         self._names: frozenset[str] = frozenset()
         self._computed_at_s = -math.inf
         self._looked_at_s = -math.inf
-        # Loop time since which this daemon has seen the same daemons without a pause of its own.
         self.settled_since_s = math.inf
+        self.resumed_at_s = -math.inf
 
     @property
     def daemons(self) -> int:
@@ -67,8 +70,8 @@
         in_zone = [name for name in self._names if self._zone_of(name) == entry.zone]
         return max(in_zone or self._names, key=lambda name: (score(entry.engine_id, name), name))
 
-    def refresh(self) -> bool:
-        """Look which daemons report; returns False if this daemon was paused since the last look.
+    def refresh(self) -> None:
+        """Look which daemons report, and whether this daemon was paused since the last look.
 
         To be called at least every :data:`MAX_PAUSE_S`.
         """
@@ -77,15 +80,14 @@
         paused = clock_s - self._looked_at_s > MAX_PAUSE_S
         self._looked_at_s = clock_s
         if paused:
-            self.settled_since_s = now_s
-        if now_s - self._computed_at_s < VIEW_AGE_S and not paused:
-            return True
+            self.settled_since_s = self.resumed_at_s = now_s
+        elif now_s - self._computed_at_s < VIEW_AGE_S:
+            return
         self._computed_at_s = now_s
         names = self._reporting()
         if names != self._names:
             self._names = names
             self.settled_since_s = now_s
-        return not paused
 
     def _reporting(self) -> frozenset[str]:
         """Return the names of this and the reporting daemons, none if they are not a majority."""
--- a/godwitpath/gateway/permits.py
+++ b/godwitpath/gateway/permits.py
@@ -39,7 +39,6 @@
 """Time by which that pause is longer for each daemon, so that a grantor handles at most some
 hundred requests for permits per second for each engine."""
 
-
 MIN_SHARE_OF_LOAD = 0.5
 """Share of an engine's usual load below which a limited engine is replaced by another one."""
 
@@ -87,6 +86,7 @@
         self._clock_s = clock_s
         self._random = random
         self._number = 0
+        self._resumed_at_s = -math.inf
         self._buckets: dict[tuple[str, int], tuple[PermitBucket, float]] = {}
         self._replies: dict[int, asyncio.Future[PermitReply]] = {}
         # Loop time until which no permit is requested, by engine id and priority.
@@ -191,8 +191,7 @@
 
         To be called at least once a second: see :meth:`Grantors.refresh`.
         """
-        if not self._grantors.refresh():
-            self._buckets.clear()
+        self._refresh_grantors()
         for key in list(self._buckets):
             engine = self._engines.get(key[0])
             if (
@@ -205,13 +204,19 @@
         for engine_id in [each for each in self._paused_until_s if not self._engines.get(each)]:
             del self._paused_until_s[engine_id]
 
+    def _refresh_grantors(self) -> None:
+        """Look which daemons report, and drop all buckets if this daemon was paused."""
+        self._grantors.refresh()
+        if self._grantors.resumed_at_s != self._resumed_at_s:
+            self._resumed_at_s = self._grantors.resumed_at_s
+            self._buckets.clear()
+
     def _grant(self, entry: EngineEntry, priority: int) -> tuple[float, str]:
         """Grant a permit if one is left.
 
         :returns: time until one is likely to be left in seconds, and the outcome
         """
-        if not self._grantors.refresh():
-            self._buckets.clear()
+        self._refresh_grantors()
         limit = self._limits.limit(entry)
         if limit is None or limit.rate_per_s is None:
             return 0.0, "granted"
--- a/test/test_gateway_permits.py
+++ b/test/test_gateway_permits.py
@@ -35,7 +35,14 @@
 class TestPermitsOfManyDaemons:
     @pytest.mark.parametrize(
         ("daemons", "limit_per_s", "for_s"),
-        [(1, 2.0, 15.0), (7, 0.5, 15.0), (30, 1.0, 15.0), (100, 20.0, 10.0), (300, 1.0, 8.0)],
+        [
+            (1, 2.0, 15.0),
+            (7, 0.5, 15.0),
+            (30, 1.0, 15.0),
+            (100, 20.0, 10.0),
+            (195, 0.5, 15.0),
+            (300, 1.0, 8.0),
+        ],
     )
     async def test_daemons_together_keep_a_limit_and_use_it(
         self, daemons: int, limit_per_s: float, for_s: float
@@ -159,3 +166,16 @@
         assert permits.missing_engines("lm", 3.0) == 0
         assert permits.missing_engines("other", 30.0) == 0
         await fleet.stop()
+
+    async def test_a_grantor_that_was_paused_takes_over_anew(self) -> None:
+        fleet = ModelFleet(1, engines=1, demand_per_s=5.0, seed=7)
+        [engine], [daemon] = fleet.engines, fleet.daemons
+        engine.limit_per_s = 5.0
+        await fleet.run(4.0)
+        fleet.pause(daemon, 3.0)
+        await asyncio.sleep(3.0)
+        view = daemon.engines.get("e0")
+        assert view is not None
+        assert await daemon.permits.acquire(view, 1, "r") is None
+        assert daemon.permits.outcomes[("lm", "taking_over")] == 1
+        await fleet.stop()
