--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -267,6 +267,16 @@
             assert all(0 < float(response.headers["retry-after"]) <= 1 for response in refused)
 
 
+async def stop_during_a_stream(environment: GatewayEnvironment) -> asyncio.Task[ClientResponse]:
+    """Start a stream of four seconds, send the daemon the stop signal, and return the stream."""
+    environment.engines["m1"].events = 40
+    environment.engines["m1"].event_s = 0.1
+    running = asyncio.create_task(ask(environment.port, "/stream/x", method="POST"))
+    await asyncio.sleep(0.3)
+    environment.process.send_signal(signal.SIGTERM)
+    return running
+
+
 class TestLifecycle:
     async def test_a_daemon_without_a_configuration_is_not_ready_and_refuses_requests(self) -> None:
         async with gateway_environment(PLAIN, configure=False) as environment:
@@ -340,11 +350,7 @@
 
     async def test_a_stopping_daemon_takes_no_request_after_its_bound(self) -> None:
         async with gateway_environment({"m1": "lm", "d1": "desk"}) as environment:
-            environment.engines["m1"].events = 40
-            environment.engines["m1"].event_s = 0.1
-            running = asyncio.create_task(ask(environment.port, "/stream/x", method="POST"))
-            await asyncio.sleep(0.3)
-            environment.process.send_signal(signal.SIGTERM)
+            running = await stop_during_a_stream(environment)
             await asyncio.sleep(3.0)
             late = [await ask(environment.port, "/read/x") for _ in range(10)]
             assert {response.status for response in late} == {503}
@@ -352,11 +358,7 @@
 
     async def test_a_stopping_daemon_answers_a_connection_that_it_has_just_accepted(self) -> None:
         async with gateway_environment({"m1": "lm", "d1": "desk"}) as environment:
-            environment.engines["m1"].events = 40
-            environment.engines["m1"].event_s = 0.1
-            running = asyncio.create_task(ask(environment.port, "/stream/x", method="POST"))
-            await asyncio.sleep(0.3)
-            environment.process.send_signal(signal.SIGTERM)
+            running = await stop_during_a_stream(environment)
             await asyncio.sleep(2.6)
             reader, writer = await asyncio.open_connection("127.0.0.1", environment.port)
             await asyncio.sleep(0.2)
--- a/test/test_gateway_permits.py
+++ b/test/test_gateway_permits.py
@@ -21,6 +21,12 @@
     return list(exceeded_windows(arrivals, limit_per_s))
 
 
+def state_limit(engine: ModelEngine, limit_per_s: float) -> float:
+    """Let an engine state a limit from now on, and return the loop time."""
+    engine.limit_per_s = limit_per_s
+    return asyncio.get_running_loop().time()
+
+
 def grantors_of(fleet: ModelFleet, engine: ModelEngine) -> set[str | None]:
     return {daemon.permits._grantors.grantor(engine.entry) for daemon in fleet.daemons}
 
@@ -49,9 +55,8 @@
     ) -> None:
         fleet = ModelFleet(daemons, engines=2, demand_per_s=60.0, seed=daemons)
         await fleet.run(1.0)
-        limited_at_s = asyncio.get_running_loop().time()
         limited, other = fleet.engines
-        limited.limit_per_s = limit_per_s
+        limited_at_s = state_limit(limited, limit_per_s)
         await fleet.run(for_s)
         assert exceeded(limited, limit_per_s, limited_at_s) == []
         # Until the first response arrives, no daemon knows the limit.
@@ -67,8 +72,7 @@
         fleet = ModelFleet(30, engines=1, demand_per_s=40.0, seed=seed)
         await fleet.run(2.0)
         [engine] = fleet.engines
-        engine.limit_per_s = 3.0
-        limited_at_s = asyncio.get_running_loop().time()
+        limited_at_s = state_limit(engine, 3.0)
         await fleet.run(3.0)
         for _ in range(12):
             # The grantor is hit half of the time.
@@ -92,8 +96,7 @@
         fleet = ModelFleet(9, engines=1, demand_per_s=30.0, seed=1)
         await fleet.run(2.0)
         [engine] = fleet.engines
-        engine.limit_per_s = 2.0
-        limited_at_s = asyncio.get_running_loop().time()
+        limited_at_s = state_limit(engine, 2.0)
         await fleet.run(4.0)
         for daemon in fleet.daemons[:4]:
             daemon.cut = True
