Plainer names and docstrings of limits and permits; daemons that hear no others in the model

One way to the number of known daemons instead of two. The model of the exchange also plays daemons, the grantor among them, that are deaf to the others for 6 s, with 7 and with 195 daemons: no window is exceeded.

--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -207,7 +207,7 @@
         """
         ctx = self._ctx
         own_per_s = ctx.retry_budget.first_sends_per_s(service, asyncio.get_running_loop().time())
-        return ctx.permits.missing_engines(service, own_per_s * ctx.permits.daemons)
+        return ctx.permits.missing_engines(service, own_per_s * len(ctx.known_daemons()))
 
     async def _release_duties(self) -> None:
         """Release the duties; the daemon stays registered while requests run."""
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -249,5 +249,5 @@
     if None in limits_per_s:
         return RETRY_AFTER_S
     total_per_s = sum(max(limit_per_s or 0.0, 1 / PROBE_INTERVAL_S) for limit_per_s in limits_per_s)
-    share_per_s = total_per_s / max(1, ctx.permits.daemons)
+    share_per_s = total_per_s / max(1, len(ctx.known_daemons()))
     return ctx.retry_schedule.retry_after_s(call.service.name, share_per_s, now_s)
--- a/godwitpath/gateway/grantors.py
+++ b/godwitpath/gateway/grantors.py
@@ -28,8 +28,7 @@
 """Longest time for which the set of reporting daemons is not computed anew."""
 
 MAX_PAUSE_S = 1.0
-"""Longest time between two looks at the other daemons after which this daemon counts as not having
-been paused."""
+"""Longest time between two calls of :meth:`Grantors.refresh` in a daemon that was not paused."""
 
 
 class Grantors:
@@ -53,7 +52,7 @@
         self._clock_s = clock_s
         self._names: frozenset[str] = frozenset()
         self._computed_at_s = -math.inf
-        self._looked_at_s = -math.inf
+        self._refreshed_at_s = -math.inf
         self.settled_since_s = math.inf
         self.resumed_at_s = -math.inf
 
@@ -71,14 +70,14 @@
         return max(in_zone or self._names, key=lambda name: (score(entry.engine_id, name), name))
 
     def refresh(self) -> None:
-        """Look which daemons report, and whether this daemon was paused since the last look.
+        """Update the reporting daemons, and notice whether this daemon was paused.
 
         To be called at least every :data:`MAX_PAUSE_S`.
         """
         now_s = asyncio.get_running_loop().time()
         clock_s = self._clock_s()
-        paused = clock_s - self._looked_at_s > MAX_PAUSE_S
-        self._looked_at_s = clock_s
+        paused = clock_s - self._refreshed_at_s > MAX_PAUSE_S
+        self._refreshed_at_s = clock_s
         if paused:
             self.settled_since_s = self.resumed_at_s = now_s
         elif now_s - self._computed_at_s < VIEW_AGE_S:
--- a/godwitpath/gateway/permits.py
+++ b/godwitpath/gateway/permits.py
@@ -60,7 +60,7 @@
 
 
 class SendPermits:
-    """Requests permits, and grants those of the engines whose grantor this daemon is.
+    """Requests permits, and grants those for engines that have this daemon as grantor.
 
     :param clock_s: returns the time on a clock that continues while the machine is suspended
     :param random: returns a random number from 0 to 1
@@ -136,11 +136,6 @@
             return self._limits.limit(entry) is None
         return self._clock_s() < permit.valid_until_s
 
-    @property
-    def daemons(self) -> int:
-        """Number of known daemons, including this one."""
-        return self._grantors.daemons
-
     def limit_per_s(self, engine: Engine) -> float | None:
         """Return the limit of an engine in requests per second, None if it has none."""
         limit = self._limits.limit(engine.entry)
@@ -177,7 +172,7 @@
         return PermitReply(request.number, outcome, wait_s, limits)
 
     def handle_reply(self, sender: str, reply: PermitReply) -> None:
-        """Apply the reply to a request for a permit; a reply that comes too late changes nothing.
+        """Apply the reply to a request for a permit; a late reply grants nothing.
 
         :param sender: name or address of the grantor, for the log
         """
@@ -187,7 +182,7 @@
             waiter.set_result(reply)
 
     def refresh(self) -> None:
-        """Drop the buckets of engines whose grantor this daemon is not, or no longer.
+        """Drop the buckets of engines that have another grantor now.
 
         To be called at least once a second: see :meth:`Grantors.refresh`.
         """
@@ -205,7 +200,7 @@
             del self._paused_until_s[engine_id]
 
     def _refresh_grantors(self) -> None:
-        """Look which daemons report, and drop all buckets if this daemon was paused."""
+        """Update the reporting daemons, and drop all buckets if this daemon was paused."""
         self._grantors.refresh()
         if self._grantors.resumed_at_s != self._resumed_at_s:
             self._resumed_at_s = self._grantors.resumed_at_s
--- a/godwitpath_standin/gateway/limit_rule.py
+++ b/godwitpath_standin/gateway/limit_rule.py
@@ -14,7 +14,7 @@
 SLACK = 5
 """Requests that a window allows beyond that share."""
 
-TOLD_S = 0.5
+INFORMED_S = 0.5
 """Time from the first response with the limit that a daemon passed on until its requests count."""
 
 
@@ -52,18 +52,19 @@
     return RATIO * limit_per_s * WINDOW_S + SLACK
 
 
-def told_arrivals(arrivals: Iterable[LimitedArrival]) -> list[LimitedArrival]:
+def informed_arrivals(arrivals: Iterable[LimitedArrival]) -> list[LimitedArrival]:
     """Return the requests of daemons that had passed on a response with the limit, by time."""
     arrivals = sorted(arrivals, key=lambda arrival: arrival.at_s)
-    told_at_s: dict[str, float] = {}
+    informed_at_s: dict[str, float] = {}
     for arrival in arrivals:
         if arrival.answered_at_s:
-            earlier_s = told_at_s.get(arrival.daemon, arrival.answered_at_s)
-            told_at_s[arrival.daemon] = min(earlier_s, arrival.answered_at_s)
+            earlier_s = informed_at_s.get(arrival.daemon, arrival.answered_at_s)
+            informed_at_s[arrival.daemon] = min(earlier_s, arrival.answered_at_s)
     return [
         arrival
         for arrival in arrivals
-        if arrival.daemon in told_at_s and arrival.at_s >= told_at_s[arrival.daemon] + TOLD_S
+        if arrival.daemon in informed_at_s
+        and arrival.at_s >= informed_at_s[arrival.daemon] + INFORMED_S
     ]
 
 
@@ -87,5 +88,5 @@
 
     It is stricter than the rule, which begins some seconds after the limit was first stated.
     """
-    times_s = [arrival.at_s for arrival in told_arrivals(arrivals)]
+    times_s = [arrival.at_s for arrival in informed_arrivals(arrivals)]
     return (each for each in windows(times_s, limit_per_s) if each.requests > each.allowed)
--- a/test/permit_model.py
+++ b/test/permit_model.py
@@ -51,6 +51,7 @@
     """A daemon with the real code of limits, grantors and permits.
 
     :ivar cut: whether its messages to and from other daemons are lost
+    :ivar deaf: whether messages of other daemons to it are lost; its requests still count
     :ivar paused_until_s: loop time until which it does nothing
     :ivar excused_until_s: loop time until which its requests do not count
     """
@@ -59,6 +60,7 @@
         self.name = f"d{number:03d}"
         self.zone = ZONES[number % len(ZONES)]
         self.cut = False
+        self.deaf = False
         self.paused_until_s = 0.0
         self.excused_until_s = 0.0
         self.incarnation = 0
@@ -137,7 +139,8 @@
             self.permits.refresh()
             reported = self.limits.reported()
             for other in self._fleet.daemons:
-                lost = self.cut or other.cut or other.paused or rng.random() < LOSS
+                lost = self.cut or other.cut or other.deaf or other.paused
+                lost = lost or rng.random() < LOSS
                 if other is not self and not lost:
                     other.hear(self.name, reported)
 
@@ -220,7 +223,7 @@
 
         A paused daemon handles the messages of its pause afterwards.
         """
-        if sender.cut or receiver.cut or self.rng.random() < LOSS:
+        if sender.cut or receiver.cut or receiver.deaf or self.rng.random() < LOSS:
             return
         loop = asyncio.get_running_loop()
         at_s = max(loop.time() + self.delay_s(sender.zone, receiver.zone), receiver.paused_until_s)
--- a/test/test_gateway_endless_responses.py
+++ b/test/test_gateway_endless_responses.py
@@ -55,7 +55,8 @@
                 writer.write(self._repeated)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
-            pass
+            # The daemon has closed the connection, as the tests expect.
+            return
         finally:
             self.open_connections -= 1
             writer.transport.abort()
--- a/test/test_gateway_limit_belief.py
+++ b/test/test_gateway_limit_belief.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import replace
 
 import pytest
@@ -34,9 +34,8 @@
     return limit.rate_per_s if limit is not None else None
 
 
-def told(limits: Iterable[EngineLimits]) -> None:
+def exchange_reports(daemons: Sequence[EngineLimits]) -> None:
     """Let daemons exchange their reports until nothing changes."""
-    daemons = list(limits)
     for _ in daemons:
         for receiver in daemons:
             for sender in daemons:
@@ -123,12 +122,12 @@
     async def test_limits_of_removed_engines_do_not_circulate_between_daemons(self) -> None:
         daemons, engines = [new_limits(), new_limits()], EngineRegistry()
         daemons[0].note_response(ENTRY, response(2.0), 200, 0.0)
-        told(daemons)
+        exchange_reports(daemons)
         for _ in range(100):
             await asyncio.sleep(0.5)
             for daemon in daemons:
                 daemon.drop_removed(engines)
-                told(daemons)
+                exchange_reports(daemons)
         assert [rate(daemon) for daemon in daemons] == [None, None]
 
     async def test_a_lower_limit_is_reported_soon(self) -> None:
@@ -159,11 +158,11 @@
             daemons[index].note_response(ENTRY, response(rate_per_s), 200, sent_at_s)
             if exchanged:
                 daemons[(index + 1) % 3].apply_report("peer", daemons[index].reported())
-        told(daemons)
+        exchange_reports(daemons)
         assert len({rate(each) for each in daemons}) == 1
         await asyncio.sleep(0.001)
         daemons[0].note_response(ENTRY, response(last), 200, loop.time())
-        told(daemons)
+        exchange_reports(daemons)
         assert {rate(each) for each in daemons} == {last}
 
     asyncio.run(play())
--- a/test/test_gateway_permits.py
+++ b/test/test_gateway_permits.py
@@ -92,6 +92,24 @@
         names = grantors_of(fleet, fleet.engines[0]) - {None}
         return [daemon for daemon in fleet.daemons if daemon.name in names]
 
+    @pytest.mark.parametrize("daemons", [7, 195])
+    async def test_daemons_that_hear_no_others_do_not_exceed_a_limit(self, daemons: int) -> None:
+        fleet = ModelFleet(daemons, engines=1, demand_per_s=40.0, seed=daemons)
+        await fleet.run(1.0)
+        [engine] = fleet.engines
+        limited_at_s = state_limit(engine, 3.0)
+        await fleet.run(2.0)
+        for daemon in [*fleet.daemons[::5], grantor_of(fleet, engine)]:
+            daemon.deaf = True
+        await fleet.run(6.0)
+        for daemon in fleet.daemons:
+            daemon.deaf = False
+        await fleet.run(4.0)
+        assert exceeded(engine, 3.0, limited_at_s) == []
+        recent = [each for each in engine.arrivals if each.at_s >= limited_at_s + 10.0]
+        assert recent
+        await fleet.stop()
+
     async def test_both_halves_of_a_divided_fleet_do_not_grant(self) -> None:
         fleet = ModelFleet(9, engines=1, demand_per_s=30.0, seed=1)
         await fleet.run(2.0)
