--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -280,6 +280,7 @@
 class TestLifecycle:
     async def test_a_daemon_without_a_configuration_is_not_ready_and_refuses_requests(self) -> None:
         async with gateway_environment(PLAIN, configure=False) as environment:
+            await environment.until_listening()
             await asyncio.sleep(1.0)
             assert not await environment.ready()
             response = await ask(environment.port, "/read/x")
