Heed engines that say in a response that they leave, or want a pause

Cause: Server-Leaving was read nowhere. Change: EngineNotices holds what engines state, by incarnation. A leave notice makes the engine draining at this daemon and is reported to the others with its age. A pause is looked at in the last step before a send; one stream that was moved may still continue there. If all engines want a pause, the caller is refused at once, and callers return one after the other as engines open. The stand-in engine states both. Ruled out: a binding full_until_s, which would also hold back engines that asked for nothing.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from godwitpath.errors import GodwitpathError
+from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.model import Configuration
@@ -116,6 +117,7 @@
         self._schema = schema
         self._in_force = in_force
         self._engines = engines
+        engines.notices.on_leaving = self._on_leave_notice
         self.loaded = asyncio.Event()
         self._configuration_loaded = asyncio.Event()
         self._pending_removals: dict[str, _PendingRemoval] = {}
@@ -251,10 +253,14 @@
     def apply_entry(self, entry: EngineEntry, source: str) -> None:
         """Add an engine or update its entry."""
         self._pending_removals.pop(entry.engine_id, None)
+        self._put_entry(entry, source)
+
+    def _put_entry(self, entry: EngineEntry, source: str) -> None:
         current = self._engines.get(entry.engine_id)
         state_before = current.entry.state if current is not None else None
         if not self._engines.put(entry):
             return
+        entry = self._known_entry(entry)
         if state_before is not entry.state:
             decision(
                 "engine_state",
@@ -271,6 +277,16 @@
         if entry.state is EngineState.DRAINING and state_before is not EngineState.DRAINING:
             self._notify_leaving(entry)
 
+    def _known_entry(self, entry: EngineEntry) -> EngineEntry:
+        """Return an entry with what the engine itself has stated since it was written."""
+        engine = self._engines.get(entry.engine_id)
+        return entry if engine is None else engine.entry
+
+    def _on_leave_notice(self, incarnation: Incarnation, source: str) -> None:
+        engine = self._engines.get(incarnation[0])
+        if engine is not None and engine.entry.incarnation == incarnation:
+            self._put_entry(engine.entry, source)
+
     def drop_entry(self, engine_id: str, source: str) -> None:
         """Remove an engine."""
         self._pending_removals.pop(engine_id, None)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -16,6 +16,7 @@
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engine_limits import EngineLimits
+from godwitpath.gateway.engine_notices import EngineNotices
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry
 from godwitpath.gateway.evacuate import Evacuator
 from godwitpath.gateway.fleet_duty import FleetDuty
@@ -71,8 +72,8 @@
         adapter = PlatformAdapter(settings)
         self._store = adapter.store
         in_force = ConfigurationInForce()
-        engines = EngineRegistry()
         quota = QuotaTracker(rng, settings.bounds.quota_window_s)
+        engines = EngineRegistry(EngineNotices(quota.urgent))
         self._ctx = GatewayContext(
             settings=settings,
             header_codec=adapter,
--- a/godwitpath/gateway/engines.py
+++ b/godwitpath/gateway/engines.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
+from godwitpath.gateway.engine_notices import EngineNotices, Incarnation
 from godwitpath.ports.engine import Address
 from godwitpath.routing.outliers import OutlierState, ejected
 
@@ -44,6 +45,11 @@
     warmup_left_s: float = 0.0
     leaves_in_s: float | None = None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies this start of the engine."""
+        return self.engine_id, self.started_at_ms
+
 
 @dataclass(slots=True)
 class PeerLoad:
@@ -98,9 +104,14 @@
 
 
 class EngineRegistry:
-    """Holds all engines that have an entry in the store, by id."""
+    """Holds all engines that have an entry in the store, by id.
+
+    :ivar notices: what engines stated in their responses; an engine that said that it leaves is
+        draining, whatever its entry says
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, notices: EngineNotices | None = None) -> None:
+        self.notices = EngineNotices() if notices is None else notices
         self._engines: dict[str, Engine] = {}
 
     def put(self, entry: EngineEntry) -> bool:
@@ -110,6 +121,8 @@
 
         :returns: whether the entry has changed
         """
+        if self.notices.is_leaving(entry.incarnation):
+            entry = replace(entry, state=EngineState.DRAINING)
         known = self._engines.get(entry.engine_id)
         if known is not None and known.entry == entry:
             return False
@@ -137,8 +150,14 @@
         return (
             self._engines.get(engine.entry.engine_id) is engine
             and engine.entry.state is EngineState.READY
+            and not self.notices.is_leaving(engine.entry.incarnation)
         )
 
+    def knows(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation of an engine has an entry."""
+        engine = self._engines.get(incarnation[0])
+        return engine is not None and engine.entry.incarnation == incarnation
+
     def all(self) -> Iterable[Engine]:
         """Return all engines."""
         return self._engines.values()
@@ -148,11 +167,19 @@
         ready = [
             engine
             for engine in self._engines.values()
-            if engine.entry.service == service and engine.entry.state is EngineState.READY
+            if engine.entry.service == service and self.is_ready(engine)
         ]
         ejected_ids = ejected({engine.entry.engine_id: engine.health for engine in ready}, now_s)
         return [engine for engine in ready if engine.entry.engine_id not in ejected_ids]
 
+    def paused(self, service: str, now_s: float) -> list[Engine]:
+        """Return the engines among the usable ones of a service that want no requests now."""
+        return [
+            engine
+            for engine in self.usable(service, now_s)
+            if self.notices.is_paused(engine.entry.incarnation, now_s)
+        ]
+
     def drop_peer(self, peer: str) -> None:
         """Remove the load that another daemon reported from all engines."""
         for engine in self._engines.values():
--- a/godwitpath/gateway/evacuate.py
+++ b/godwitpath/gateway/evacuate.py
@@ -16,7 +16,7 @@
 from godwitpath.errors import GodwitpathError
 from godwitpath.gateway.engines import Engine, EngineEntry
 from godwitpath.gateway.permits import Permit
-from godwitpath.gateway.wire_fields import KvCacheSource
+from godwitpath.gateway.wire_fields import EngineResponseFields, KvCacheSource
 from godwitpath.telemetry.decisions import decision
 
 if TYPE_CHECKING:
@@ -42,14 +42,27 @@
 
     :ivar handle: identifies the KV cache at the engine that executed the run
     :ivar copied: whether the target engine has a copy of the KV cache
+    :ivar response: what the head of the engine's response states
     """
 
     handle: str
     copied: bool
+    response: EngineResponseFields | None = None
 
 
 class MoveFailed(GodwitpathError):
-    """The run was not stopped, or its state is unknown."""
+    """The run was not stopped, or its state is unknown.
+
+    :ivar status: HTTP status of the engine's response, 0 without one
+    :ivar response: what the head of the engine's response states, None without one
+    """
+
+    def __init__(
+        self, message: str, status: int = 0, response: EngineResponseFields | None = None
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.response = response
 
 
 class RunMover(Protocol):
@@ -155,6 +168,10 @@
                     source.address, request_id, target.entry.address
                 )
         except (MoveFailed, TimeoutError) as error:
+            if isinstance(error, MoveFailed) and error.response is not None:
+                self._ctx.engines.notices.note_response(
+                    source.incarnation, error.response, error.status, request_id
+                )
             self.move_counts["failed"] += 1
             decision(
                 "stream_not_moved",
@@ -163,6 +180,11 @@
                 reason=str(error) or repr(error),
             )
             return None
+        if moved_run.response is not None:
+            status = 200 if moved_run.copied else 503
+            self._ctx.engines.notices.note_response(
+                source.incarnation, moved_run.response, status, request_id
+            )
         self.move_counts["moved" if moved_run.copied else "stopped"] += 1
         engine = target if moved_run.copied else run.engine
         decision(
@@ -187,6 +209,7 @@
             engine
             for engine in ctx.engines.usable(call.service.name, now_s)
             if engine is not run.engine
+            and not ctx.engines.notices.is_paused(engine.entry.incarnation, now_s)
         ]
         if call.prompt is None or not usable:
             return None
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -12,6 +12,7 @@
 from godwitpath.gateway.engines import Engine
 from godwitpath.gateway.permit_bucket import PROBE_INTERVAL_S
 from godwitpath.gateway.permits import Permit
+from godwitpath.gateway.retry_schedule import Opening
 from godwitpath.gateway.send import Send, SendRevoked
 from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, end_to_end_headers
@@ -35,6 +36,10 @@
 engine."""
 
 
+MIN_SERVICE_TIME_S = 0.05
+"""Shortest time that an engine is assumed to need for a request, where the route states none."""
+
+
 @dataclass(slots=True)
 class PlainResponse:
     """An engine's response that was read completely."""
@@ -131,7 +136,8 @@
 def candidate_engines(ctx: GatewayContext, call: Call) -> list[Engine]:
     """Return the engines that the request may still be sent to.
 
-    Full engines are returned only if all of them are full.
+    Full engines are returned only if all of them are full. An engine that asked for a pause is
+    never returned.
     """
     if call.time_left_s() <= 0:
         return []
@@ -141,6 +147,7 @@
         for engine in ctx.engines.usable(call.service.name, now_s)
         if engine.entry.engine_id not in call.tried_engine_ids
         and engine.entry.engine_id not in call.held_back_engine_ids
+        and not ctx.engines.notices.is_paused(engine.entry.incarnation, now_s)
     ]
     return [engine for engine in usable if engine.full_until_s <= now_s] or usable
 
@@ -232,6 +239,9 @@
 
     :param full_retry_after_s: Retry-After time if engines refused the request because they are full
     """
+    paused_retry_after_s = _paused_retry_after_s(ctx, call)
+    if paused_retry_after_s is not None:
+        return GatewayResponse(503, "engines_paused", "no", paused_retry_after_s)
     if call.held_back_engine_ids:
         retry_after_s = _limited_retry_after_s(ctx, call)
         return GatewayResponse(503, "engines_limited", "no", retry_after_s)
@@ -240,6 +250,24 @@
     return GatewayResponse(503, "engines_full", "no", full_retry_after_s)
 
 
+def _paused_retry_after_s(ctx: GatewayContext, call: Call) -> float | None:
+    """Return the Retry-After time of a request if all engines asked for a pause, else None."""
+    now_s = asyncio.get_running_loop().time()
+    paused = ctx.engines.paused(call.service.name, now_s)
+    if not paused or len(paused) < len(ctx.engines.usable(call.service.name, now_s)):
+        return None
+    daemons = max(1, len(ctx.known_daemons()))
+    service_time_s = max(MIN_SERVICE_TIME_S, call.route.target_latency_s)
+    openings = {
+        engine.entry.engine_id: Opening(
+            ctx.engines.notices.paused_until_s(engine.entry.incarnation),
+            max(1, engine.entry.slots) / service_time_s / daemons,
+        )
+        for engine in paused
+    }
+    return ctx.retry_schedule.retry_after_pause_s(openings, now_s)
+
+
 def _limited_retry_after_s(ctx: GatewayContext, call: Call) -> float:
     """Return the Retry-After time of a request that found all engines at their limits."""
     now_s = asyncio.get_running_loop().time()
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -101,6 +101,7 @@
             ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
             ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
             ("permits", "{permit}", "Permits for sends to limited engines.", self._permits),
+            ("notices", "{notice}", "Engines that leave or want a pause.", self._notices),
         )
         for name, unit, description, read in counters:
             metrics.observable_counter(f"godwitpath.gateway.{name}", unit, description, read)
@@ -157,6 +158,10 @@
         for (service, outcome), count in list(self._peers.permits.outcomes.items()):
             yield count, {"service": service, "outcome": outcome}
 
+    def _notices(self) -> Samples:
+        for kind, count in list(self._ctx.engines.notices.counts.items()):
+            yield count, {"kind": kind}
+
     def _limits_by_service(self) -> dict[str, list[float]]:
         """Return the limits of the engines that have one, by service."""
         limits: dict[str, list[float]] = {}
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -44,6 +44,8 @@
     :ivar configuration_version: the operator's version of the configuration, 0 if not stated
     :ivar configuration_era: era of its revision, which is sent without it; None if not stated
     :ivar engines_era: era of the engines' revision, likewise
+    :ivar leaving: engines that said in a response that they leave: start time in Unix milliseconds,
+        and seconds since a daemon first heard it, by engine
     """
 
     name: str
@@ -66,6 +68,7 @@
     configuration_version: int = 0
     configuration_era: int | None = None
     engines_era: int | None = None
+    leaving: dict[str, tuple[int, float]] = {}
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
@@ -90,6 +93,7 @@
     :ivar configuration_version: as in :class:`PeerReport`, of the greatest revision
     :ivar configuration_era: as in :class:`PeerReport`
     :ivar engines_era: as in :class:`PeerReport`
+    :ivar leaving: as in :class:`PeerReport`
     """
 
     zone: str
@@ -108,6 +112,7 @@
     configuration_version: int = 0
     configuration_era: int | None = None
     engines_era: int | None = None
+    leaving: dict[str, tuple[int, float]] = {}
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -166,6 +166,7 @@
             self.view.apply_report(message)
             self._confirm(message)
             self._ctx.limits.apply_report(message.name, message.limits)
+            self._ctx.engines.notices.apply_report(message.name, message.leaving)
 
     @_apply.register
     def _(self, message: ZoneSummary, addr: tuple[str, int], data: bytes) -> None:
@@ -176,6 +177,7 @@
             message.engines_revision, message.engines_age_s, self._loop.time()
         )
         self._ctx.limits.apply_report(message.aggregator, message.limits)
+        self._ctx.engines.notices.apply_report(message.aggregator, message.leaving)
         aggregator = self._members.entries.get(message.aggregator)
         if aggregator is not None and (aggregator.host, aggregator.port) == addr:
             # The summary came directly from the other zone, so forward it in the local zone.
@@ -212,6 +214,7 @@
                 pass
             self.permits.refresh()
             self._ctx.limits.drop_removed(self._ctx.engines)
+            self._ctx.engines.notices.drop_expired(self._ctx.engines.knows)
             self._decide_watching()
             self._ctx.retry_budget.note_daemons(self._members.count())
             self.view.drop_expired()
@@ -313,6 +316,7 @@
             quota_levels=ctx.quota.levels(),
             configuration_age_s=ages.configuration_s,
             engines_age_s=ages.engines_s,
+            leaving=ctx.engines.notices.reported(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
@@ -355,4 +359,5 @@
             limits=own_report.limits,
             engines_revision=own_report.engines_revision,
             engines_age_s=own_report.engines_age_s,
+            leaving=own_report.leaving,
         )
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -58,6 +58,10 @@
     return min(MAX_IDLE_PER_SERVER, each + (rank < left))
 
 
+class EnginePaused(SendRevoked):
+    """The engine asked for a pause before the request was sent."""
+
+
 class Send:
     """Sends a request to an engine and reads its response.
 
@@ -121,6 +125,8 @@
         # A moved run goes on where its KV cache is.
         if kv_cache is None and not ctx.engines.is_ready(self.engine):
             raise EngineLeft("the engine is leaving")
+        if not self._is_wanted(kv_cache is not None):
+            raise EnginePaused("the engine wants no requests now")
         send_fields = SendFields(
             engine_id=self.engine.entry.engine_id,
             time_left_s=left_s,
@@ -153,10 +159,24 @@
         ctx.limits.note_response(
             self.engine.entry, response_fields, head.status, self.sent_at_s, call.request_id
         )
+        ctx.engines.notices.note_response(
+            self.engine.entry.incarnation, response_fields, head.status, call.request_id
+        )
         if head.status < 300 and not response_fields.from_engine:
             raise ResponseLost("success without the engine's mark")
         return head, response_fields
 
+    def _is_wanted(self, moved: bool) -> bool:
+        """Return whether the engine takes requests now.
+
+        :param moved: whether the send continues a moved run
+        """
+        notices, incarnation = self._ctx.engines.notices, self.engine.entry.incarnation
+        now_s = asyncio.get_running_loop().time()
+        if moved:
+            return notices.take_moved_send(incarnation, now_s)
+        return not notices.is_paused(incarnation, now_s)
+
     def _log_sent(self, left_s: float) -> None:
         """Log the engine that the request is sent to, with the load known of that engine."""
         call, engine = self._call, self.engine
--- a/godwitpath/gateway/wire_fields.py
+++ b/godwitpath/gateway/wire_fields.py
@@ -81,6 +81,9 @@
     :ivar wrong_engine: whether a different engine listens at the address
     :ivar from_engine: whether the head was written by an engine, so that a success may be passed on
     :ivar retry_after_s: time after which the engine may be tried again, None if not stated
+    :ivar leaving: whether the engine states that it leaves
+    :ivar unreadable_notice: field and value of a notice of the engine that cannot be read, empty if
+        there is none
     :ivar limit_per_s: requests a second that the engine takes from all daemons together, None if
         the response states no limit
     :ivar unreadable_limit: stated limit that is not a decimal number, empty if there is none
@@ -93,3 +96,5 @@
     retry_after_s: float | None
     limit_per_s: float | None = None
     unreadable_limit: str = ""
+    leaving: bool = False
+    unreadable_notice: str = ""
--- a/godwitpath/platform/headers.py
+++ b/godwitpath/platform/headers.py
@@ -24,6 +24,7 @@
 _RETRY_AFTER = b"retry-after"
 _EXPECTED_ENGINE = b"x-expect-instance"
 _ACCOUNT = b"x-tenant"
+_LEAVING = b"server-leaving"  # "1" if the engine leaves
 _ENGINE_LIMIT = b"server-limit"  # requests a second from all daemons together
 _KV_CACHE_SOURCE = b"kv-from"
 _REQUEST_PRIORITY = b"x-request-priority"
@@ -113,17 +114,53 @@
     echoed_request_id = head.header(_REQUEST_ID)
     not_executed = head.status == MISDIRECTED_STATUS or bool(head.header(_NOT_EXECUTED))
     limit_per_s, unreadable_limit = _decode_limits(head.headers)
+    retry_after_s, unreadable_retry_after = _decode_retry_after(head.headers)
+    leaving, unreadable_leaving = _decode_leaving(head.headers)
     return EngineResponseFields(
         matches_request=not echoed_request_id or not request_id or echoed_request_id == request_id,
         not_run=not_executed and head.status >= 400,
         wrong_engine=head.status == MISDIRECTED_STATUS,
         from_engine=bool(head.header(_RESPONSE_STAMP)) and not head.header(b"content-encoding"),
-        retry_after_s=_parse_number(head.header(_RETRY_AFTER)),
+        retry_after_s=retry_after_s,
         limit_per_s=limit_per_s,
         unreadable_limit=unreadable_limit,
+        leaving=leaving,
+        unreadable_notice=unreadable_retry_after or unreadable_leaving,
     )
 
 
+def _decode_retry_after(headers: Headers) -> tuple[float | None, str]:
+    """Return the longest time that a response states in seconds, and a value that is unreadable."""
+    times_s: list[float] = []
+    unreadable = ""
+    for name, value in headers:
+        if name != _RETRY_AFTER:
+            continue
+        if _DECIMAL_NUMBER.fullmatch(value):
+            times_s.append(float(value))
+        else:
+            unreadable = _describe_unreadable(name, value)
+    return max(times_s, default=None), unreadable
+
+
+def _decode_leaving(headers: Headers) -> tuple[bool, str]:
+    """Return whether a response states that its engine leaves, and a value that is unreadable."""
+    leaving = False
+    unreadable = ""
+    for name, value in headers:
+        if name != _LEAVING:
+            continue
+        if value == b"1":
+            leaving = True
+        elif value != b"0":
+            unreadable = _describe_unreadable(name, value)
+    return leaving, unreadable
+
+
+def _describe_unreadable(name: bytes, value: bytes) -> str:
+    return f"{name.decode()}: {value[:40].decode('latin-1')}"
+
+
 def _decode_limits(headers: Headers) -> tuple[float | None, str]:
     """Return the lowest limit that a response states, and the last one that cannot be read."""
     limit_per_s: float | None = None
--- a/godwitpath/platform/run_mover.py
+++ b/godwitpath/platform/run_mover.py
@@ -6,6 +6,7 @@
 
 from godwitpath.gateway.evacuate import MovedRun, MoveFailed
 from godwitpath.http1.messages import NotSent, ResponseLost
+from godwitpath.platform.headers import decode_engine_response
 from godwitpath.platform.http_api import HttpApiClient
 from godwitpath.ports.engine import Address
 
@@ -41,6 +42,7 @@
         except msgspec.DecodeError as error:
             raise MoveFailed(f"response cannot be decoded: {error}") from error
         # 503: the target has no free KV cache or is unreachable, but the run was stopped anyway.
+        fields = decode_engine_response(response.head, b"")
         if response.status not in (200, 503) or handle is None:
-            raise MoveFailed(f"refused with {response.status}")
-        return MovedRun(str(handle), copied=response.status == 200)
+            raise MoveFailed(f"refused with {response.status}", response.status, fields)
+        return MovedRun(str(handle), response.status == 200, fields)
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -71,12 +71,14 @@
 
     :ivar limit: limit that the engine stated in its response
     :ivar answered_at_s: loop time at which the engine sent the head of its response, 0 before
+    :ivar retry_after: pause in seconds that the engine asked for in its response, empty for none
     """
 
     request_id: bytes
     at_s: float
     limit: str = ""
     answered_at_s: float = 0.0
+    retry_after: str = ""
 
 
 @dataclass(slots=True)
@@ -88,6 +90,9 @@
     :ivar event_s: time until the first event and between two events
     :ivar script: faults of the next requests, in order of arrival
     :ivar limit: value of the header `Server-Limit`, empty to state no limit
+    :ivar leaving: value of the header `Server-Leaving`, empty to state nothing
+    :ivar retry_after: value of the header `Retry-After` in refusals, empty to state none
+    :ivar refuses: whether every request is refused as not run
     :ivar arrivals: requests in the order in which they arrived
     :ivar runs: runs in the order of their start
     :ivar refused: number of requests refused as not run, by HTTP status
@@ -100,6 +105,9 @@
     event_s: float = 0.01
     script: deque[Fault] = field(default_factory=deque)
     limit: str = ""
+    leaving: str = ""
+    retry_after: str = ""
+    refuses: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     refused: Counter[int] = field(default_factory=Counter)
@@ -150,6 +158,7 @@
         self.arrivals.append(arrival)
         if arrival.limit:
             headers.append((b"Server-Limit", arrival.limit.encode()))
+        headers.extend(self._notices())
         expected = request.header(b"x-expect-instance")
         if expected and expected != self.engine_id.encode():
             self.refused[421] += 1
@@ -157,9 +166,12 @@
             responder.respond(421, [*headers, (b"X-Instance-Id", self.engine_id.encode())], b"")
             return
         fault = self.script.popleft() if self.script else Fault.NONE
-        if fault is Fault.SHED:
+        if fault is Fault.SHED or self.refuses:
             self.refused[503] += 1
             arrival.answered_at_s = arrival.at_s
+            arrival.retry_after = self.retry_after
+            if self.retry_after:
+                headers.append((b"Retry-After", self.retry_after.encode()))
             responder.respond(503, [*headers, (b"X-Not-Executed", b"1")], b"")
             return
         run = Run(request_id, request, asyncio.get_running_loop().time())
@@ -184,12 +196,16 @@
         order = msgspec.json.decode(request.body)
         matching_runs = [run for run in self.runs if run.request_id.decode() == order["id"]]
         if not matching_runs or matching_runs[-1].ended or self.move_status == 404:
-            responder.respond(404, [], b"{}")
+            responder.respond(404, self._notices(), b"{}")
             return
         self.moves.append((order["id"], order["to"]))
         matching_runs[-1].moved_away = True
         answer = {"handle": f"h-{order['id']}", "createRevision": 1}
-        responder.respond(self.move_status, [], msgspec.json.encode(answer))
+        responder.respond(self.move_status, self._notices(), msgspec.json.encode(answer))
+
+    def _notices(self) -> Headers:
+        """Return the header fields of the engine's notices."""
+        return [(b"Server-Leaving", self.leaving.encode())] if self.leaving else []
 
     async def _respond_plain(
         self, responder: Responder, headers: Headers, fault: Fault, request_id: bytes
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -195,6 +195,34 @@
             ResponseHead(200, b"", [(b"x-not-executed", b"1")]), b"r"
         ).not_run
 
+    @pytest.mark.parametrize(
+        ("name", "values", "leaving", "retry_after_s", "unreadable"),
+        [
+            (b"server-leaving", (), False, None, ""),
+            (b"server-leaving", (b"1",), True, None, ""),
+            (b"server-leaving", (b"0",), False, None, ""),
+            (b"server-leaving", (b"0", b"1"), True, None, ""),
+            (b"server-leaving", (b"yes",), False, None, "server-leaving: yes"),
+            (b"retry-after", (b"2",), False, 2.0, ""),
+            (b"retry-after", (b"0.25", b"1.5"), False, 1.5, ""),
+            (b"retry-after", (b"-1",), False, None, "retry-after: -1"),
+            (b"retry-after", (b"1e3",), False, None, "retry-after: 1e3"),
+            (b"retry-after", (b"",), False, None, "retry-after: "),
+        ],
+    )
+    def test_an_engine_states_that_it_leaves_or_wants_a_pause(
+        self,
+        name: bytes,
+        values: tuple[bytes, ...],
+        leaving: bool,
+        retry_after_s: float | None,
+        unreadable: str,
+    ) -> None:
+        head = ResponseHead(503, b"", [(name, value) for value in values])
+        fields = decode_engine_response(head, b"")
+        assert (fields.leaving, fields.retry_after_s) == (leaving, retry_after_s)
+        assert fields.unreadable_notice == unreadable
+
     @pytest.mark.parametrize(
         ("values", "limit_per_s", "unreadable"),
         [
