Revert the checks of the store that daemons share

Cause: broke three tests, each seen more than once: a watcher whose watch is silent went on counting as fresh, ages of watching daemons exceeded 1.2 s (1.24 to 1.30), and the reports after checks pushed a fleet of 18 over half of a full mesh's datagrams (768 to 803 of 765 allowed).

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -15,12 +15,16 @@
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.model import Configuration
 from godwitpath.gateway.store import Item, Store, era_of
-from godwitpath.gateway.store_watch import URGENT_WAIT_S, StoreWatcher
+from godwitpath.gateway.store_watch import StoreWatcher
 from godwitpath.telemetry.decisions import decision
 
+WATCH_WAIT_SHARE = 0.25
+"""Longest wait of a watch request as a share of the time within which changes must be known. A
+connection that has fallen silent is noticed after the wait, and half of the time is left then."""
+
 FRESH_SHARE = 0.5
-"""Age of a daemon's state, as a share of the time within which changes must be known, from which
-the daemon no longer counts as watching the store."""
+"""Share of that time without a response to its watch requests after which a daemon no longer counts
+as watching the store."""
 
 REAPPEAR_GRACE_S = 2.2
 """Time after a store outage within which engines register again whose entries lapsed during the
@@ -128,6 +132,7 @@
         # Loop times at which peers confirmed that what this daemon holds was the newest.
         self._configuration_confirmed_at_s = -math.inf
         self._engines_confirmed_at_s = -math.inf
+        wait_s = change_s * WATCH_WAIT_SHARE
         self.watching = True
         self.raw_entries: dict[str, bytes] = {}
         self.configuration_watcher = StoreWatcher(
@@ -136,7 +141,7 @@
             self._on_configuration,
             self._on_configuration_removed,
             rng,
-            URGENT_WAIT_S,
+            wait_s,
             should_watch=lambda: self.watching,
         )
         self.entries_watcher = StoreWatcher(
@@ -145,7 +150,7 @@
             self._on_entry,
             self._on_entry_removed,
             rng,
-            URGENT_WAIT_S,
+            wait_s,
             should_watch=lambda: self.watching,
         )
 
@@ -171,13 +176,14 @@
 
     @property
     def fresh(self) -> bool:
-        """Whether this daemon watches the store, and its state was the newest a moment ago."""
+        """Whether this daemon has loaded its state, watches the store, and the store responds."""
+        now_s = asyncio.get_running_loop().time()
         watchers = (self.entries_watcher, self.configuration_watcher)
         return (
             self.watching
             and self.loaded.is_set()
             and all(each.outage_since_s is None for each in watchers)
-            and self.ages().oldest_s <= self._fresh_s
+            and all(now_s - each.current_at_s <= self._fresh_s for each in watchers)
         )
 
     def ages(self) -> StateAges:
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -94,8 +94,6 @@
     :ivar configuration_era: as in :class:`PeerReport`
     :ivar engines_era: as in :class:`PeerReport`
     :ivar leaving: as in :class:`PeerReport`
-    :ivar configuration_age_s: as in :class:`PeerReport`, of the aggregator; None if another daemon
-        of the zone has a newer configuration
     """
 
     zone: str
@@ -115,7 +113,6 @@
     configuration_era: int | None = None
     engines_era: int | None = None
     leaving: dict[str, tuple[int, float]] = {}
-    configuration_age_s: float | None = None
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -38,7 +38,6 @@
 from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.gateway.store import era_of
-from godwitpath.gateway.store_checks import StoreChecks
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
 from godwitpath.telemetry.decisions import decision
 
@@ -73,7 +72,6 @@
 
     :ivar view: state of the other daemons
     :ivar puller: pulls changes that the store does not provide
-    :ivar checks: asks the store whether this daemon's state is the newest
     :ivar permits: requests and grants permits for sends to limited engines
     :ivar counts: number of events by name, such as refused datagrams
     """
@@ -95,13 +93,6 @@
         self._members = members
         ctx.retry_budget.count_daemons = members.count
         members.has_reported = lambda name: name in self.view.reporting()
-        self.checks = StoreChecks(
-            catalogue,
-            ctx.rng,
-            settings.bounds.change_s,
-            lambda: self.view.full_mesh or self.view.aggregator() == settings.name,
-            self._send_reports,
-        )
         # Differs between daemons, so that those of a zone do not all turn to the store at once.
         spread = 1.0 + STALE_SPREAD * ctx.rng.random()
         self._stale_s = ctx.settings.bounds.change_s * STALE_SHARE * spread
@@ -124,7 +115,6 @@
         """Send reports and pull changes until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._report_loop())
-            group.create_task(self.checks.run())
             group.create_task(self.puller.run())
 
     def close(self) -> None:
@@ -183,14 +173,9 @@
         message = with_eras(message, era_of(self._catalogue.seen_revision))
         if not self.view.apply_summary(message):
             return
-        now_s = self._loop.time()
-        self._catalogue.confirm_configuration(
-            message.configuration_revision,
-            message.configuration_version,
-            message.configuration_age_s,
-            now_s,
+        self._catalogue.confirm_engines(
+            message.engines_revision, message.engines_age_s, self._loop.time()
         )
-        self._catalogue.confirm_engines(message.engines_revision, message.engines_age_s, now_s)
         self._ctx.limits.apply_report(message.aggregator, message.limits)
         self._ctx.engines.notices.apply_report(message.aggregator, message.leaving)
         aggregator = self._members.entries.get(message.aggregator)
@@ -235,7 +220,10 @@
             self.view.drop_expired()
             self._members.drop_expired()
             self.view.correct_clock()
-            self._send_reports()
+            if self._members.secret and self._transport is not None:
+                self._ctx.quota.mark_reported()
+                self._sequence += 1
+                self._send_reports()
 
     def _decide_watching(self) -> None:
         """Watch the store if this daemon has to, or if its peers do not keep it current."""
@@ -255,10 +243,6 @@
 
     def _send_reports(self) -> None:
         """Send the report, and the zone summary if this daemon is the zone's aggregator."""
-        if not self._members.secret or self._transport is None:
-            return
-        self._ctx.quota.mark_reported()
-        self._sequence += 1
         report = self._build_report()
         sealed_report = self._seal(without_eras(report))
         if self.view.full_mesh:
@@ -376,9 +360,4 @@
             engines_revision=own_report.engines_revision,
             engines_age_s=own_report.engines_age_s,
             leaving=own_report.leaving,
-            configuration_age_s=(
-                own_report.configuration_age_s
-                if own_report.configuration_revision == configuration_revision
-                else None
-            ),
         )
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -14,14 +14,9 @@
 BACKGROUND_WAIT_S = 20.0
 """Longest wait of a watch request for changes that are not urgent."""
 
-URGENT_WAIT_S = 10.0
-"""Longest wait of a watch request for urgent changes, which is also the longest time until a
-connection that has fallen silent is replaced. Until then :meth:`StoreWatcher.confirm` finds what
-the connection does not bring."""
-
 CONFIRM_WAIT_S = 0.05
-"""Wait of the first watch request after a pause or a failure, and of a confirmation: its response
-confirms what the daemon knows, or brings what it missed."""
+"""Wait of the first watch request after a pause or a failure: its response confirms what the daemon
+knows, or brings what it missed."""
 
 IDLE_POLL_S = 0.1
 """Interval at which a paused watcher checks whether it should watch again."""
@@ -77,7 +72,6 @@
         self._keys: set[str] = set()
         # Whether the last watch request was answered, so that the next one may wait for changes.
         self._confirmed = False
-        self._interrupted = asyncio.Event()
         # Era of the last revision, which is kept while the prefix is listed again.
         self._era = 0
 
@@ -106,40 +100,6 @@
         """Return the time since the store's last response, None before the first."""
         return None if self.last_response_at_s is None else now_s - self.last_response_at_s
 
-    @property
-    def waits_for_changes(self) -> bool:
-        """Whether a watch request waits for changes after the store has answered the one before."""
-        return self._confirmed and self.outage_since_s is None
-
-    async def confirm(self) -> bool:
-        """Ask the store for changes, beside a watch request that waits for them.
-
-        If there are any, or if the store does not respond, that request is given up: its connection
-        may have fallen silent.
-
-        :returns: whether the store responded
-        """
-        asked_from = self.revision
-        if not asked_from:
-            return False
-        try:
-            changes, revision = await self._store.changes(self._prefix, asked_from, CONFIRM_WAIT_S)
-        except (HistoryLost, StoreError) as error:
-            decision("store_check_failed", prefix=self._prefix, reason=str(error))
-            self._confirmed = False
-            self._interrupted.set()
-            return False
-        if self.revision != asked_from:
-            # The watch request was answered in the meantime.
-            return True
-        self._note_response()
-        for change in changes:
-            self._apply(change)
-        self.revision = max(self.revision, revision)
-        if changes:
-            self._interrupted.set()
-        return True
-
     def skip_to_revision(self, revision: int) -> None:
         """Skip changes up to a revision, because a peer has already sent them."""
         if self.revision:
@@ -169,10 +129,7 @@
             await asyncio.sleep(IDLE_POLL_S)
             return
         wait_s = self._wait_s if self._confirmed else CONFIRM_WAIT_S
-        response = await self._wait_for_changes(wait_s)
-        if response is None:
-            return
-        changes, revision = response
+        changes, revision = await self._store.changes(self._prefix, self.revision, wait_s)
         self._confirmed = True
         self._note_response()
         for change in changes:
@@ -182,18 +139,6 @@
             # Lets further changes accumulate, so that one watch request returns them together.
             await asyncio.sleep(self._pause_s())
 
-    async def _wait_for_changes(self, wait_s: float) -> tuple[list[Change], int] | None:
-        """Return the store's response to a watch request, None if the request was given up."""
-        self._interrupted.clear()
-        request = asyncio.create_task(self._store.changes(self._prefix, self.revision, wait_s))
-        interruption = asyncio.create_task(self._interrupted.wait())
-        try:
-            await asyncio.wait((request, interruption), return_when=asyncio.FIRST_COMPLETED)
-            return request.result() if request.done() else None
-        finally:
-            request.cancel()
-            interruption.cancel()
-
     def _apply(self, change: Change) -> None:
         if change.item is None:
             self._keys.discard(change.key)
