Measure the speed of prefill that the number of engines is planned by

Cause: the load of a service was taken in engines that prefill 38,700 tokens/s, the figure of the first deployments. Change: a daemon measures the speed from the times to the first event of streams that had an engine's prefill to themselves, as the difference between long and short prompts, and reports it. The duty holder plans with the median. Only tokens that no other request shares count, so what is not known to be cached makes the result too low, which orders too many engines rather than too few. Nothing below 38,700 is used. Ruled out: the average slowdown of engines (it contains waits), a constant for each deployment.

--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
@@ -16,6 +17,7 @@
 from godwitpath.gateway.instruments import Instruments
 from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.placement import Placer
+from godwitpath.gateway.read_speed import ReadSpeedEstimator
 from godwitpath.gateway.retry_budget import RetryBudget
 from godwitpath.gateway.retry_schedule import RetrySchedule
 from godwitpath.gateway.settings import GatewaySettings
@@ -60,6 +62,7 @@
     :ivar known_daemons: returns the names of all known daemons, including this one
     :ivar ages: returns the age of this daemon's configuration and of its engines' entries
     :ivar evacuator: moves streams away from engines that are leaving
+    :ivar read_speeds: measured speed of prefill by service
     :ivar instruments: counters and histograms for the metrics
     """
 
@@ -81,4 +84,7 @@
     known_daemons: Callable[[], Collection[str]] = lambda: ()
     ages: Callable[[], StateAges] = lambda: StateAges(0.0, 0.0)
     evacuator: Evacuator | None = None
+    read_speeds: defaultdict[str, ReadSpeedEstimator] = field(
+        default_factory=lambda: defaultdict(ReadSpeedEstimator)
+    )
     instruments: Instruments = field(default_factory=Instruments)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -198,6 +198,7 @@
                 ctx.in_force,
                 self._peers.view.load,
                 self._missing_engines,
+                self._peers.view.read_speed,
             ),
         ]
 
--- a/godwitpath/gateway/demand.py
+++ b/godwitpath/gateway/demand.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass
 
-from godwitpath.gateway.placement import PREFILL_TOKENS_PER_S
+from godwitpath.gateway.read_speed import DEFAULT_TOKENS_PER_S
 
 TARGET_UTILIZATION = 0.35
 """Target share of an engine's capacity that is used while reclaimable engines are available: one
@@ -76,11 +76,18 @@
         self._first_load_at_s: float | None = None
         self._requirement = EngineRequirement(MIN_ENGINES, MIN_ENGINES)
 
-    def observe(self, prefilled_total: int, running_streams: int, now_s: float) -> None:
+    def observe(
+        self,
+        prefilled_total: int,
+        running_streams: int,
+        now_s: float,
+        tokens_per_s: float = DEFAULT_TOKENS_PER_S,
+    ) -> None:
         """Add a sample of the service's load, summed over all daemons.
 
         :param prefilled_total: total of prompt tokens sent to engines for prefill since the start
         :param running_streams: number of streams that run now
+        :param tokens_per_s: prompt tokens that one engine prefills per second
         """
         if self.last_prefilled_total is None or prefilled_total < self.last_prefilled_total:
             self.last_prefilled_total = prefilled_total
@@ -89,9 +96,7 @@
         elapsed_s = now_s - self._observed_at_s
         if elapsed_s < 0.2:
             return
-        prefill_load = (
-            (prefilled_total - self.last_prefilled_total) / elapsed_s / PREFILL_TOKENS_PER_S
-        )
+        prefill_load = (prefilled_total - self.last_prefilled_total) / elapsed_s / tokens_per_s
         # The larger load counts, not the sum: an engine prefills between the decode steps of its
         # streams, and both at once cost little more.
         load_sample = max(prefill_load, running_streams / max(1, self._slots))
--- a/godwitpath/gateway/fleet_duty.py
+++ b/godwitpath/gateway/fleet_duty.py
@@ -21,6 +21,7 @@
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.model import ScalingSpec, ServiceSpec
+from godwitpath.gateway.read_speed import DEFAULT_TOKENS_PER_S
 from godwitpath.telemetry.decisions import decision
 
 CONTROL_INTERVAL_S = 0.2
@@ -85,6 +86,7 @@
         of running streams of a service, both summed over all daemons
     :param missing_engines: returns the number of a service's ready engines that take too little
         load to count, because of a limit that they state
+    :param read_speed: returns how many prompt tokens per second an engine of a service prefills
     :ivar orders: number of orders that this daemon has sent
     """
 
@@ -96,6 +98,7 @@
         in_force: ConfigurationInForce,
         load: Callable[[str], tuple[int, int]],
         missing_engines: Callable[[str], int] = lambda service: 0,
+        read_speed: Callable[[str], float] = lambda service: DEFAULT_TOKENS_PER_S,
     ) -> None:
         self.orders = 0
         self._cloud = cloud
@@ -104,6 +107,7 @@
         self._in_force = in_force
         self._total_load = load
         self._missing_engines = missing_engines
+        self._read_speed = read_speed
         self._load_estimators: dict[str, LoadEstimator] = {}
         self._last_orders: dict[EngineKind, _Order] = {}
         self._last_ready_counts: dict[EngineKind, int] = {}
@@ -130,7 +134,12 @@
                     continue
                 load_estimator = self._load_estimator(service)
                 prefilled_total, running_streams = self._total_load(service.name)
-                load_estimator.observe(prefilled_total, running_streams, loop.time())
+                load_estimator.observe(
+                    prefilled_total,
+                    running_streams,
+                    loop.time(),
+                    self._read_speed(service.name),
+                )
                 if self._holder.fencing_token() is not None:
                     for order in self._due_orders(service, service.scaling, load_estimator):
                         # Run as tasks, so that an order without a response delays no other order.
@@ -353,6 +362,7 @@
             needed=needed,
             busy_engines=round(load_estimator.busy_engines, 2),
             read_tokens=load_estimator.last_prefilled_total,
+            read_tokens_per_s=round(self._read_speed(service)),
             fence=fencing_token.number,
             outcome=outcome,
         )
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -46,6 +46,8 @@
     :ivar engines_era: era of the engines' revision, likewise
     :ivar leaving: engines that said in a response that they leave: start time in Unix milliseconds,
         and seconds since a daemon first heard it, by engine
+    :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
+        service
     """
 
     name: str
@@ -69,6 +71,7 @@
     configuration_era: int | None = None
     engines_era: int | None = None
     leaving: dict[str, tuple[int, float]] = {}
+    read_speeds: dict[str, float] = {}
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -19,6 +19,7 @@
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
+from godwitpath.gateway.read_speed import common_speed
 from godwitpath.gateway.usage_duty import CountsByIncarnation
 from godwitpath.gateway.wire_fields import PromptPart
 from godwitpath.telemetry.decisions import decision
@@ -69,6 +70,7 @@
     prompts: Prompts = field(default_factory=list)
     fresh: bool = False
     engines_revision: int = 0
+    read_speeds: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -224,6 +226,19 @@
         counts[f"{self._ctx.settings.name}/{self._incarnation}"] = self._ctx.usage.counts_by_window
         return counts
 
+    def own_read_speeds(self) -> dict[str, float]:
+        """Return the speeds of prefill that this daemon has measured, by service."""
+        speeds = {
+            service: estimator.tokens_per_s()
+            for service, estimator in self._ctx.read_speeds.items()
+        }
+        return {service: round(speed) for service, speed in speeds.items() if speed is not None}
+
+    def read_speed(self, service: str) -> float:
+        """Return how many prompt tokens per second an engine of a service prefills."""
+        measured = [self.own_read_speeds(), *(state.read_speeds for state in self.states.values())]
+        return common_speed(speeds[service] for speeds in measured if service in speeds)
+
     def load(self, service: str) -> tuple[int, int]:
         """Return the load of a service over all daemons.
 
@@ -255,6 +270,7 @@
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
         state.usage.update(report.usage)
         state.fresh = report.fresh
+        state.read_speeds = report.read_speeds
         state.engines_revision = report.engines_revision
         if report.holder[1] > self.reported_holder[1]:
             self.reported_holder = report.holder
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -317,6 +317,7 @@
             configuration_age_s=ages.configuration_s,
             engines_age_s=ages.engines_s,
             leaving=ctx.engines.notices.reported(),
+            read_speeds=self.view.own_read_speeds(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
--- a/godwitpath/gateway/placement.py
+++ b/godwitpath/gateway/placement.py
@@ -119,6 +119,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """Number of tokens that no other request shares."""
+        return self.parts[-1].tokens if self.parts else 0
+
     @property
     def affinity_key(self) -> str:
         """Key for prefix affinity, the same for all requests of a session or document."""
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -68,6 +68,8 @@
     :ivar engine: engine that the request is sent to
     :ivar sent_at_s: loop time at which the request was sent, 0 before that
     :ivar may_have_run_before: whether an earlier send of the request may have run
+    :ivar prefill_alone: whether no other prompt was known to wait at the engine when the request
+        was sent, and a batch slot was free
     :ivar prefill_tokens: prompt tokens that the engine is expected to prefill
     """
 
@@ -84,6 +86,7 @@
         self.sent_at_s = 0.0
         self.may_have_run_before = call.may_have_run
         self.prefill_tokens = prefill_tokens
+        self.prefill_alone = False
         self._ctx = ctx
         self._call = call
         self._connection: ClientConnection | None = None
@@ -147,6 +150,12 @@
             ).matches_request,
         )
         self.sent_at_s = loop.time()
+        self.prefill_alone = (
+            kv_cache is None
+            and last_event_id is None
+            and self.engine.all_prompt_tokens == self._waiting_tokens
+            and self.engine.all_running <= self.engine.entry.slots
+        )
         call.attempts += kv_cache is None
         call.may_have_run = True
         if call.prompt is not None:
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -216,6 +216,10 @@
     ctx.instruments.first_event_s.record(took_s, service=call.service.name)
     if candidate.first_token_s:
         candidate.engine.record_duration(took_s, max(0.02, candidate.first_token_s))
+    if send.prefill_alone and call.prompt is not None:
+        ctx.read_speeds[call.service.name].add(
+            call.prompt.own_tokens, took_s - ctx.placer.distance_s(candidate.engine)
+        )
     if call.account is not None and not call.usage_counted:
         call.usage_counted = True
         ctx.usage.note_started(call.account.name)
