--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -256,6 +256,7 @@
         self._put_entry(entry, source)
 
     def _put_entry(self, entry: EngineEntry, source: str) -> None:
+        """Add an engine or update its entry; a pending removal stays pending."""
         current = self._engines.get(entry.engine_id)
         state_before = current.entry.state if current is not None else None
         if not self._engines.put(entry):
--- a/test/test_gateway_engine_notices.py
+++ b/test/test_gateway_engine_notices.py
@@ -235,7 +235,6 @@
                 await asyncio.sleep(pause_s)
         for engine in daemon.engines.values():
             assert all(count == 0 for count in engine.arrivals_in_pauses())
-            # Each 503 with `Retry-After` counts, also those within the slack of another one.
             assert len({request_id for _, request_id in engine.arrivals}) == len(engine.arrivals)
 
     loop = looptime.new_event_loop()
