Tell no caller to return before a pause ends, and test further ways to a paused engine

Cause, found on reading the change again: with all engines in a pause of more than 10 s every caller was told 10 s, the same moment for all and before anything opened (test: 20.0 in place of 40.0). The notice in the response to a move had no test, and a refused move was taken for a refused request. Change: the cap holds only if an engine opens within it. The response to a move tells only whether its engine leaves; the status it carried is gone. Tests: long pauses and a failed move failed before; a moved stream and the probe of an ejected engine are counted at the engine and passed before, too.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -285,7 +285,7 @@
 
     def _on_leave_notice(self, incarnation: Incarnation, source: str) -> None:
         engine = self._engines.get(incarnation[0])
-        if engine is not None and engine.entry.incarnation == incarnation:
+        if engine is not None and self._engines.knows(incarnation):
             self._put_entry(engine.entry, source)
 
     def drop_entry(self, engine_id: str, source: str) -> None:
--- a/godwitpath/gateway/engine_notices.py
+++ b/godwitpath/gateway/engine_notices.py
@@ -86,7 +86,10 @@
         status: int,
         request_id: str = "",
     ) -> None:
-        """Learn from a response of an engine."""
+        """Learn from a response of an engine.
+
+        :param status: status of the response to a request, 0 for that to another call
+        """
         if response.unreadable_notice:
             decision(
                 "engine_notice_unreadable",
--- a/godwitpath/gateway/evacuate.py
+++ b/godwitpath/gateway/evacuate.py
@@ -53,15 +53,11 @@
 class MoveFailed(GodwitpathError):
     """The run was not stopped, or its state is unknown.
 
-    :ivar status: HTTP status of the engine's response, 0 without one
     :ivar response: what the head of the engine's response states, None without one
     """
 
-    def __init__(
-        self, message: str, status: int = 0, response: EngineResponseFields | None = None
-    ) -> None:
+    def __init__(self, message: str, response: EngineResponseFields | None = None) -> None:
         super().__init__(message)
-        self.status = status
         self.response = response
 
 
@@ -168,10 +164,8 @@
                     source.address, request_id, target.entry.address
                 )
         except (MoveFailed, TimeoutError) as error:
-            if isinstance(error, MoveFailed) and error.response is not None:
-                self._ctx.engines.notices.note_response(
-                    source.incarnation, error.response, error.status, request_id
-                )
+            if isinstance(error, MoveFailed):
+                self._note_move_response(source, error.response, request_id)
             self.move_counts["failed"] += 1
             decision(
                 "stream_not_moved",
@@ -180,11 +174,7 @@
                 reason=str(error) or repr(error),
             )
             return None
-        if moved_run.response is not None:
-            status = 200 if moved_run.copied else 503
-            self._ctx.engines.notices.note_response(
-                source.incarnation, moved_run.response, status, request_id
-            )
+        self._note_move_response(source, moved_run.response, request_id)
         self.move_counts["moved" if moved_run.copied else "stopped"] += 1
         engine = target if moved_run.copied else run.engine
         decision(
@@ -202,6 +192,13 @@
                 return None
         return Continuation(engine, KvCacheSource(source.address, moved_run.handle), permit)
 
+    def _note_move_response(
+        self, source: EngineEntry, response: EngineResponseFields | None, request_id: str
+    ) -> None:
+        """Learn whether the engine leaves; a refused move is no refusal of a request."""
+        if response is not None:
+            self._ctx.engines.notices.note_response(source.incarnation, response, 0, request_id)
+
     def _choose_target(self, run: StreamRun) -> Engine | None:
         ctx, call = self._ctx, run.call
         now_s = asyncio.get_running_loop().time()
--- a/godwitpath/gateway/retry_schedule.py
+++ b/godwitpath/gateway/retry_schedule.py
@@ -55,7 +55,8 @@
     def retry_after_pause_s(self, openings: Mapping[str, Opening], now_s: float) -> float:
         """Return the Retry-After time of the next refused caller while all engines are paused.
 
-        Each caller is given the earliest place that is left at any of the engines.
+        Each caller is given the earliest place that is left at any of the engines, and none is told
+        to return before an engine takes requests again, however long the pauses are.
 
         :param openings: end of each engine's pause, by engine id; at least one
         """
@@ -72,6 +73,9 @@
             for engine_id, opening in openings.items()
         }
         engine_id = min(places_at_s, key=lambda each: places_at_s[each])
-        return_at_s = min(now_s + MAX_RETRY_AFTER_S, places_at_s[engine_id])
+        return_at_s = places_at_s[engine_id]
+        latest_s = now_s + MAX_RETRY_AFTER_S
+        if min(opening.at_s for opening in openings.values()) <= latest_s:
+            return_at_s = min(latest_s, return_at_s)
         self._last_return_to_engine_at_s = last_at_s | {engine_id: return_at_s}
         return return_at_s - now_s
--- a/godwitpath/platform/run_mover.py
+++ b/godwitpath/platform/run_mover.py
@@ -41,8 +41,8 @@
             )
         except msgspec.DecodeError as error:
             raise MoveFailed(f"response cannot be decoded: {error}") from error
-        # 503: the target has no free KV cache or is unreachable, but the run was stopped anyway.
         fields = decode_engine_response(response.head, b"")
+        # 503: the target has no free KV cache or is unreachable, but the run was stopped anyway.
         if response.status not in (200, 503) or handle is None:
-            raise MoveFailed(f"refused with {response.status}", response.status, fields)
+            raise MoveFailed(f"refused with {response.status}", fields)
         return MovedRun(str(handle), response.status == 200, fields)
--- a/test/notice_model.py
+++ b/test/notice_model.py
@@ -16,13 +16,14 @@
 from godwitpath.gateway.call import Call
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engine_limits import EngineLimits
-from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
+from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.forward import forward_plain
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.model import EngineSpec, RequestKind, Route, ServiceSpec
 from godwitpath.gateway.permits import UNLIMITED
 from godwitpath.gateway.placement import Placer, Prompt
 from godwitpath.gateway.retry_budget import RetryBudget
+from godwitpath.gateway.send import Send
 from godwitpath.gateway.stream import forward_stream
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.wire_fields import CallerFields, PromptPart
@@ -209,13 +210,24 @@
         address = Address("h", number)
         self.ctx.engines.put(EngineEntry(f"e{number}", "lm", address, "a", state, 4, started_at_ms))
 
+    def send(self, engine: Engine) -> Send:
+        """Return a send of a new streaming request to an engine."""
+        call = self._build_call(RequestKind.STREAMING)
+        return Send(self.ctx, call, engine, UNLIMITED)
+
     async def ask(self, kind: RequestKind = RequestKind.IDEMPOTENT) -> ModelResponder:
         """Forward a request of a kind; streams may resume."""
+        call = self._build_call(kind)
+        await (forward_plain if call.prompt is None else forward_stream)(self.ctx, call)
+        responder: Any = call.responder
+        assert isinstance(responder, ModelResponder)
+        return responder
+
+    def _build_call(self, kind: RequestKind) -> Call:
         self._count += 1
         request_id = b"r%d" % self._count
         streaming = kind is RequestKind.STREAMING
         route = Route("route", "h", "/", kind, 5.0, 0.2, 1, (("lm", 1),), 3, resumable=streaming)
-        responder = ModelResponder()
         loop = asyncio.get_running_loop()
         request: Any = SimpleNamespace(
             method="GET",
@@ -225,15 +237,13 @@
             received_at_s=loop.time(),
         )
         prompt = Prompt(100, 10, (PromptPart("p", 80), PromptPart("q", 20)))
-        call = Call(
+        return Call(
             request=request,
             fields=CallerFields(request_id=request_id),
             route=route,
             service=ServiceSpec("lm", engine=EngineSpec(4, 1000)),
             account=None,
             prompt=prompt if streaming else None,
-            responder=responder,  # type: ignore[arg-type]
+            responder=ModelResponder(),  # type: ignore[arg-type]
             respond_by_s=loop.time() + 5.0,
         )
-        await (forward_stream if streaming else forward_plain)(self.ctx, call)
-        return responder
--- a/test/test_gateway_engine_notices.py
+++ b/test/test_gateway_engine_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from itertools import pairwise
 
 import looptime
@@ -14,7 +15,9 @@
 from godwitpath.gateway.engines import EngineState
 from godwitpath.gateway.model import RequestKind
 from godwitpath.gateway.retry_schedule import MAX_RETRY_AFTER_S, Opening, RetrySchedule
-from godwitpath.gateway.wire_fields import EngineResponseFields
+from godwitpath.gateway.send import EnginePaused
+from godwitpath.gateway.wire_fields import EngineResponseFields, KvCacheSource
+from godwitpath.ports.engine import Address
 from test.notice_model import ModelDaemon, ModelResponse
 
 KINDS = [RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT, RequestKind.STREAMING]
@@ -178,8 +181,45 @@
         assert any(engine.pauses for engine in engines)
         assert all(count == 0 for engine in engines for count in engine.arrivals_in_pauses())
 
+    async def test_the_engine_gets_one_moved_stream_in_a_pause(self) -> None:
+        daemon = ModelDaemon(1)
+        engine = daemon.ctx.engines.get("e0")
+        assert engine is not None
+        daemon.engines[0].script = [ModelResponse(503, "5")]
+        await daemon.ask(RequestKind.STREAMING)
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            with suppress(EnginePaused):
+                await daemon.send(engine).open(1, KvCacheSource(Address("h", 9), "handle"))
+        assert list(daemon.engines[0].arrivals_in_pauses()) == [1]
+
+    async def test_an_ejected_engine_is_not_probed_in_a_pause(self) -> None:
+        daemon = ModelDaemon(2)
+        daemon.engines[0].script = [ModelResponse(503, "60")]
+        while not daemon.engines[0].pauses:
+            await daemon.ask()
+        engine = daemon.ctx.engines.get("e0")
+        assert engine is not None
+        for _ in range(20):
+            engine.health.failed(asyncio.get_running_loop().time())
+        for _ in range(50):
+            await asyncio.sleep(1.0)
+            await daemon.ask()
+        assert list(daemon.engines[0].arrivals_in_pauses()) == [0]
+        assert len(daemon.engines[1].arrivals) >= 50
+
 
 class TestRetryScheduleOfPauses:
+    def test_no_caller_returns_before_an_engine_opens_and_none_beside_another(self) -> None:
+        schedule = RetrySchedule()
+        openings = {f"e{number}": Opening(40.0 + number, 4.0) for number in range(3)}
+        returns_s = [10.0 + schedule.retry_after_pause_s(openings, 10.0) for _ in range(30)]
+        assert min(returns_s) == 40.0
+        for number in range(3):
+            from_s = 40.0 + number
+            opened = sum(1 + (from_s + 1 - (40.0 + each)) * 4.0 for each in range(number + 1))
+            assert sum(at_s < from_s + 1 for at_s in returns_s) <= opened
+
     @given(
         ends_s=st.lists(st.floats(10.0, 14.0), min_size=1, max_size=6),
         rate_per_s=st.floats(1.0, 50.0),
--- a/test/test_gateway_evacuate.py
+++ b/test/test_gateway_evacuate.py
@@ -8,8 +8,9 @@
 import pytest
 
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
-from godwitpath.gateway.evacuate import Evacuator, MovedRun, StreamRun
+from godwitpath.gateway.evacuate import Evacuator, MovedRun, MoveFailed, StreamRun
 from godwitpath.gateway.permits import Permit
+from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.ports.engine import Address
 
 
@@ -34,14 +35,22 @@
 
 
 class Mover:
-    """Moves every run, and records the targets."""
+    """Moves every run, and records the targets.
+
+    :ivar response: what the head of the engine's response states
+    :ivar fails: whether the run is not moved
+    """
 
     def __init__(self) -> None:
+        self.response: EngineResponseFields | None = None
+        self.fails = False
         self.targets: list[Address] = []
 
     async def move_run(self, source: Address, request_id: str, target: Address) -> MovedRun:
         self.targets.append(target)
-        return MovedRun("h", copied=True)
+        if self.fails:
+            raise MoveFailed("refused with 404", self.response)
+        return MovedRun("h", copied=True, response=self.response)
 
 
 def evacuation(limited: set[str], left: int) -> tuple[Evacuator, Mover, StreamRun]:
@@ -81,3 +90,15 @@
         assert (continuation is not None) is moved
         assert len(mover.targets) == int(moved)
         assert evacuator.move_counts["no_permit"] == int(not moved)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("fails", [False, True])
+async def test_the_response_to_a_move_says_that_the_engine_leaves(fails: bool) -> None:
+    evacuator, mover, run = evacuation(set(), left=0)
+    mover.fails = fails
+    mover.response = EngineResponseFields(True, False, False, False, None, leaving=True)
+    await evacuator._move(run)
+    notices = evacuator._ctx.engines.notices
+    assert notices.is_leaving(run.engine.entry.incarnation)
+    assert not notices.is_leaving(("e1", 1))
