Test that the last look before a send keeps a pause, and that probes keep it

Cause: with the look at the moment of the send taken out on a copy, only the test of moved streams failed: no connection of the model opened later than the slack of half a second. The test of probes passed with both looks taken out: two engines are never ejected, and the preference hid the pause. Change: connections that open after 0.8 s, in a test of their own and in the property test; the probe is played with three engines, all in a pause. Result, on copies: without the last look three tests fail, without both seven; all pass as it is.

--- a/test/test_gateway_engine_notices.py
+++ b/test/test_gateway_engine_notices.py
@@ -18,6 +18,7 @@
 from godwitpath.gateway.send import EnginePaused
 from godwitpath.gateway.wire_fields import EngineResponseFields, KvCacheSource
 from godwitpath.ports.engine import Address
+from godwitpath.routing.outliers import FAILURES_TO_EJECT
 from test.notice_model import ModelDaemon, ModelResponse
 
 KINDS = [RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT, RequestKind.STREAMING]
@@ -194,19 +195,28 @@
         assert list(daemon.engines[0].arrivals_in_pauses()) == [1]
 
     async def test_an_ejected_engine_is_not_probed_in_a_pause(self) -> None:
-        daemon = ModelDaemon(2)
-        daemon.engines[0].script = [ModelResponse(503, "60")]
-        while not daemon.engines[0].pauses:
-            await daemon.ask()
+        daemon = ModelDaemon(3)
+        for model in daemon.engines.values():
+            model.script = [ModelResponse(503, "30")]
+        await daemon.ask()
         engine = daemon.ctx.engines.get("e0")
         assert engine is not None
-        for _ in range(20):
-            engine.health.failed(asyncio.get_running_loop().time())
-        for _ in range(50):
+        now_s = asyncio.get_running_loop().time()
+        assert [engine.health.failed(now_s) for _ in range(FAILURES_TO_EJECT)][-1]
+        for _ in range(28):
             await asyncio.sleep(1.0)
-            await daemon.ask()
-        assert list(daemon.engines[0].arrivals_in_pauses()) == [0]
-        assert len(daemon.engines[1].arrivals) >= 50
+            assert (await daemon.ask()).status == 503
+        assert now_s < engine.health.ejected_until_s < asyncio.get_running_loop().time()
+        assert [list(model.arrivals_in_pauses()) for model in daemon.engines.values()] == [[0]] * 3
+
+    async def test_a_request_whose_connection_opens_meanwhile_is_not_sent(self) -> None:
+        for kind in KINDS:
+            daemon = ModelDaemon(1)
+            daemon.engines[0].script = [ModelResponse(503, "5"), ModelResponse(connect_s=0.8)]
+            _, waiting = await asyncio.gather(daemon.ask(kind), daemon.ask(kind))
+            assert waiting.status == 503
+            assert list(daemon.engines[0].arrivals_in_pauses()) == [0]
+            assert len(daemon.engines[0].arrivals) == 1
 
 
 class TestRetryScheduleOfPauses:
@@ -248,7 +258,7 @@
     status=st.sampled_from([200, 200, 500, 503, 503]),
     retry_after=st.sampled_from(["", "0", "0.3", "0.8", "2", "3.5"]),
     leaving=st.sampled_from(["", "", "", "", "0"]),
-    connect_s=st.sampled_from([0.0, 0.05, 0.3]),
+    connect_s=st.sampled_from([0.0, 0.05, 0.3, 0.8]),
     breaks=st.booleans(),
 )
 
