Log the prompt parts of each send and the progress of a broken stream

Cause: at an engine's end no line told which prompts it could have begun to answer, so the hypotheses of the incident could not be told apart. Change: request_sent names the shared parts and the engine's start, engine_failed the start and how long ago the stream was sent and had its first event. No decision changes. Result: tests of the path, notices, sends, slow streams and documentation pass.

--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -178,11 +178,17 @@
 
 
 def record_failure(
-    ctx: GatewayContext, call: Call, engine: Engine, kind: str, error: Exception
+    ctx: GatewayContext,
+    call: Call,
+    engine: Engine,
+    kind: str,
+    error: Exception,
+    send: Send | None = None,
 ) -> None:
     """Record a failed send to an engine in the engine's health, the metrics and the log.
 
     :param kind: kind of failure, as in the metrics and the log
+    :param send: the failed send of a stream, None for a plain request
     """
     ctx.instruments.sends[(call.service.name, kind)] += 1
     newly_ejected = engine.health.failed(asyncio.get_running_loop().time())
@@ -190,13 +196,24 @@
         "engine_failed",
         request=call.request_id,
         engine=engine.entry.engine_id,
+        started_at_ms=engine.entry.started_at_ms,
         failure=kind,
         error=str(error) or repr(error),
         attempts=call.attempts,
         ejected=newly_ejected,
+        **_progress_fields(send),
     )
 
 
+def _progress_fields(send: Send | None) -> dict[str, float | None]:
+    """Return how long ago a stream was sent, and how long ago its first event arrived."""
+    if send is None or not send.sent_at_s:
+        return {}
+    now_s = asyncio.get_running_loop().time()
+    began = round(now_s - send.first_event_at_s, 3) if send.first_event_at_s else None
+    return {"sent_ago_s": round(now_s - send.sent_at_s, 3), "began_ago_s": began}
+
+
 def record_refusal(
     ctx: GatewayContext, call: Call, engine: Engine, response_fields: EngineResponseFields
 ) -> None:
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -67,6 +67,7 @@
 
     :ivar engine: engine that the request is sent to
     :ivar sent_at_s: loop time at which the request was sent, 0 before that
+    :ivar first_event_at_s: loop time at which the first whole event of a stream arrived, 0 before
     :ivar may_have_run_before: whether an earlier send of the request may have run
     :ivar prefill_alone: whether no other prompt was known to wait at the engine when the request
         was sent, and a batch slot was free
@@ -84,6 +85,7 @@
         self.engine = engine
         self._permit = permit
         self.sent_at_s = 0.0
+        self.first_event_at_s = 0.0
         self.may_have_run_before = call.may_have_run
         self.prefill_tokens = prefill_tokens
         self.prefill_alone = False
@@ -197,6 +199,8 @@
             account=call.account_name,
             engine=engine.entry.engine_id,
             zone=engine.entry.zone,
+            started_at_ms=engine.entry.started_at_ms,
+            parts=[part.part_id for part in call.prompt.shared_parts] if call.prompt else [],
             attempt=call.attempts,
             left_s=round(left_s, 3),
             running=engine.all_running,
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -93,13 +93,13 @@
                 break
             continue
         except TimeoutError as error:
-            record_failure(ctx, call, engine, "late", error)
+            record_failure(ctx, call, engine, "late", error, send)
             break
         except ResponseLost as error:
             continuation = await run.continuation()
             if continuation is not None:
                 continue
-            record_failure(ctx, call, engine, "stream_broken", error)
+            record_failure(ctx, call, engine, "stream_broken", error, send)
             if call.time_left_s() <= 0 or not may_retry(ctx, call):
                 break
             continue
@@ -169,7 +169,8 @@
             if not data_received:
                 data_received = True
                 _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
-            _forward_events(call, head, splitter, data, progress)
+            if _forward_events(call, head, splitter, data, progress) and not send.first_event_at_s:
+                send.first_event_at_s = loop.time()
             run.events = progress.event_count
             await call.responder.drain()
         if splitter.incomplete:
@@ -231,9 +232,10 @@
     splitter: EventSplitter,
     data: bytes,
     progress: _Progress,
-) -> None:
+) -> bool:
     """Forward the events that are complete once a chunk of data was received.
 
+    :returns: whether the chunk completed an event
     :raises StreamBroken: an event is missing or too long
     """
     try:
@@ -255,6 +257,7 @@
         progress.last_event_at_s = asyncio.get_running_loop().time()
         forwarded.append(event.data)
     _write_events(call, head, forwarded)
+    return bool(events)
 
 
 def _write_events(call: Call, head: ResponseHead, forwarded: list[bytes]) -> None:
