Failing test: requests with a part that crashes engines stop reaching them

What callers saw: streams of every account broke whenever an engine ended, one after the other, for as long as requests with the part came.

--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -72,6 +73,7 @@
     :ivar limit: limit that the engine stated in its response
     :ivar answered_at_s: loop time at which the engine sent the head of its response, 0 before
     :ivar retry_after: pause in seconds that the engine asked for in its response, empty for none
+    :ivar shared_parts: ids of the prompt's parts without the last one
     """
 
     request_id: bytes
@@ -79,6 +81,7 @@
     limit: str = ""
     answered_at_s: float = 0.0
     retry_after: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -98,6 +101,10 @@
     :ivar refused: number of requests refused as not run, by HTTP status
     :ivar moves: request identifier and target of each moved run
     :ivar move_status: HTTP status of the response to a move
+    :ivar crashing_parts: prompt parts, other than a prompt's last one, on which the engine crashes
+        when it begins to write a response; may be shared between engines
+    :ivar on_crash: called when the engine crashes
+    :ivar crashed_at_s: loop time at which it crashed, 0 before
     """
 
     engine_id: str
@@ -113,6 +120,9 @@
     refused: Counter[int] = field(default_factory=Counter)
     moves: list[tuple[str, str]] = field(default_factory=list)
     move_status: int = 200
+    crashing_parts: set[str] = field(default_factory=set)
+    on_crash: Callable[[], None] = lambda: None
+    crashed_at_s: float = 0.0
     address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
     _server: StandinServer = field(init=False)
 
@@ -154,7 +164,8 @@
             return
         request_id = request.header(b"x-attempt-id")
         headers: Headers = [(b"X-Attempt-Id", request_id)]
-        arrival = Arrival(request_id, asyncio.get_running_loop().time(), self.limit)
+        now_s = asyncio.get_running_loop().time()
+        arrival = Arrival(request_id, now_s, self.limit, shared_parts=_shared_parts(request))
         self.arrivals.append(arrival)
         if arrival.limit:
             headers.append((b"Server-Limit", arrival.limit.encode()))
@@ -191,6 +202,13 @@
             run.cancelled = True
             raise
 
+    async def _crash(self) -> None:
+        self.crashed_at_s = asyncio.get_running_loop().time()
+        self.on_crash()
+        await self.stop()
+        # The reset connection cancels this run.
+        await asyncio.sleep(3600)
+
     def _move(self, request: Request, responder: Responder) -> None:
         """Move a run away: stop it, which closes its connection without a complete response."""
         order = msgspec.json.decode(request.body)
@@ -248,6 +266,9 @@
             if fault is Fault.HANG:
                 await asyncio.sleep(3600)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if self.crashing_parts.intersection(_shared_parts(run.request)):
+                responder.send(event[:5])
+                await self._crash()
             while fault is Fault.TRICKLE and number == first_number + 2:
                 responder.send(b"x")
                 await asyncio.sleep(self.event_s)
@@ -258,3 +279,9 @@
                 return
             responder.send(event)
         responder.finish()
+
+
+def _shared_parts(request: Request) -> tuple[str, ...]:
+    """Return the ids of the parts of a request's prompt without the last one."""
+    entries = request.header(b"x-prompt-prefix").decode().split(",")
+    return tuple(entry.partition(":")[0] for entry in entries[:-1])
--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -35,6 +35,9 @@
 """Time between two heartbeats of an engine; after three intervals without one the
 platform removes the engine."""
 
+CRASHED_DOWN_S = 2.5
+"""Time until an engine that a prompt crashed is replaced."""
+
 ROUTE_OVERRIDES = {
     "read": {"maxAttempts": 3},
     "digest": {"maxAttempts": 3, "gapAimMs": 200},
@@ -143,6 +146,7 @@
     :ivar core: state of the store
     :ivar keys: current API key of each account
     :ivar services: current service of each route
+    :ivar crashing_parts: prompt parts on which every engine crashes
     """
 
     rng: random.Random
@@ -154,6 +158,7 @@
     positions: list[EnginePosition] = field(default_factory=list)
     keys: dict[str, str] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
+    crashing_parts: set[str] = field(default_factory=set)
     history: History = field(init=False)
     store: StoreServer = field(init=False)
     _engine_count: int = 0
@@ -231,7 +236,13 @@
     async def start_engine(self, position: EnginePosition) -> None:
         """Start a new engine at a position and write its entry into the store."""
         self._engine_count += 1
-        position.engine = EngineStandin(f"i-{self._engine_count}", events=20, event_s=0.04)
+        position.engine = EngineStandin(
+            f"i-{self._engine_count}",
+            events=20,
+            event_s=0.04,
+            crashing_parts=self.crashing_parts,
+            on_crash=lambda: self._on_crash(position),
+        )
         target = await position.engine.start()
         position.link = LoopbackProxy(target)
         position.engine.address = await position.link.start()
@@ -254,6 +265,19 @@
         """Remove the store entry of an engine."""
         self.core.remove(ENGINES_PREFIX + position.engine.engine_id)
 
+    def _on_crash(self, position: EnginePosition) -> None:
+        position.busy = True
+        self.record_disruption(position.engine.engine_id, 0.0, fatal=True)
+        self._restart_tasks.append(asyncio.create_task(self._replace_crashed(position)))
+
+    async def _replace_crashed(self, position: EnginePosition) -> None:
+        """Start another engine at the position of one that crashed."""
+        await position.link.stop()
+        await asyncio.sleep(CRASHED_DOWN_S)
+        self.remove_engine_entry(position)
+        await self.start_engine(position)
+        position.busy = False
+
     async def _add_position(self, service: str, zone: str) -> None:
         engine = EngineStandin("")
         position = EnginePosition(service, zone, engine, LoopbackProxy(engine.address))
--- /dev/null
+++ b/test/test_gateway_crashing_prompts.py
@@ -0,0 +1,137 @@
+"""Tests of prompt parts that crash every engine that answers them, with daemons as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from godwitpath_standin.gateway.caller import ClientResponse, ask
+from godwitpath_standin.gateway.crash_rule import (
+    CONTACT_S,
+    TOLERATED_SENDS,
+    crash_times_s,
+    late_sends,
+)
+from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.soak.callers import Balancer
+from godwitpath_standin.soak.environment import SoakEnvironment
+from godwitpath_standin.soak.run import wait_until
+
+READY_S = 30.0
+
+DOCUMENTS = 12
+"""Number of documents that the prompts are about."""
+
+CRASHING_PART = "dead01"
+
+
+@dataclass(slots=True)
+class SentPrompt:
+    """A request of the test's callers.
+
+    :ivar sound: whether its prompt lacks the crashing part
+    :ivar response: the response, None without one
+    """
+
+    request_id: str
+    sound: bool
+    sent_at_s: float
+    response: ClientResponse | None = None
+
+    @property
+    def began(self) -> bool:
+        """Whether an event of the response arrived."""
+        return self.response is not None and b"data:" in self.response.body
+
+
+@dataclass(slots=True)
+class PromptFleet:
+    """Daemons and engines under a steady load of prompts, some of which crash engines."""
+
+    environment: SoakEnvironment
+    sent: list[SentPrompt] = field(default_factory=list)
+
+    def engines(self) -> list[EngineStandin]:
+        """Return all engines of the service that were ever started."""
+        return [engine for service, engine in self.environment.history.engines if service == "lm"]
+
+    async def load(
+        self, for_s: float, sound_per_s: float, crashing_per_s: float, route: str = "plan"
+    ) -> None:
+        """Send prompts to random daemons at steady rates, and await the responses."""
+        rng = random.Random(7)
+        async with asyncio.TaskGroup() as group:
+            for per_s, sound in ((sound_per_s, True), (crashing_per_s, False)):
+                if per_s:
+                    group.create_task(self._send_steadily(group, rng, for_s, per_s, sound, route))
+
+    async def _send_steadily(
+        self,
+        group: asyncio.TaskGroup,
+        rng: random.Random,
+        for_s: float,
+        per_s: float,
+        sound: bool,
+        route: str,
+    ) -> None:
+        for _ in range(int(for_s * per_s)):
+            number = len(self.sent)
+            parts = ["5c1e", f"d0c{rng.randrange(DOCUMENTS):02x}"]
+            if not sound:
+                parts.insert(rng.randrange(3), CRASHING_PART)
+            request = SentPrompt(f"r{number}", sound, asyncio.get_running_loop().time())
+            self.sent.append(request)
+            daemon = rng.choice(self.environment.daemons)
+            group.create_task(self._ask(request, parts, daemon.caller_port, route))
+            await asyncio.sleep(1 / per_s)
+
+    async def _ask(self, request: SentPrompt, parts: list[str], port: int, route: str) -> None:
+        prefix = ",".join([*(f"{part}:200" for part in parts), f"{len(self.sent):x}:60"])
+        headers = {"X-Model": "m", "X-Token-Count": "460,60", "X-Prompt-Prefix": prefix}
+        target = f"/stream/{route}/x"
+        try:
+            request.response = await ask(
+                port, target, method="POST", request_id=request.request_id, headers=headers
+            )
+        except (OSError, TimeoutError):
+            # The response stays None.
+            return
+
+    def share_begun(self, since_s: float = 0.0, until_s: float = float("inf")) -> float:
+        """Return the share of the sound requests of a time that began to be answered."""
+        sound = [each for each in self.sent if each.sound and since_s <= each.sent_at_s < until_s]
+        return sum(each.began for each in sound) / len(sound)
+
+
+@asynccontextmanager
+async def prompt_fleet(folder: Path, daemons: int = 4) -> AsyncIterator[PromptFleet]:
+    """Run daemons as processes before five engines of each service."""
+    async with AsyncExitStack() as stack:
+        environment = SoakEnvironment(random.Random(1), folder, stack)
+        await environment.start(daemons, 5)
+        environment.crashing_parts.add(CRASHING_PART)
+        balancer = Balancer(environment.daemons)
+        polling = asyncio.create_task(balancer.run())
+        stack.callback(polling.cancel)
+        await wait_until(lambda: len(balancer.ready()) == daemons, READY_S)
+        await asyncio.sleep(1.0)
+        yield PromptFleet(environment)
+
+
+class TestCrashingPart:
+    async def test_requests_with_a_part_that_crashes_engines_stop_reaching_them(
+        self, tmp_path: Path
+    ) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            await fleet.load(for_s=16.0, sound_per_s=20, crashing_per_s=1.5)
+            engines = fleet.engines()
+            crashes_s = crash_times_s(engines)
+            assert crashes_s
+            late = late_sends(engines, CRASHING_PART)
+            assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late, {len(crashes_s)} crashed"
+            last_counted = crashes_s[:5][-1]
+            assert fleet.share_begun(since_s=last_counted + 2 * CONTACT_S) >= 0.95
