Refuse prompts with a part under which several engines crashed

What callers saw: streams of every account broke whenever an engine ended, one engine after the other, for as long as requests with one part in their prompts came. Class: a failure that belongs to the request, recorded against the engine alone. Change: an engine that refuses connections after streams broke there has crashed; the shared parts of the prompts that it could have begun to answer are suspects, told to all daemons; responses that go on acquit. Four crashes without one in between quarantine the part, six in doubt. Every send looks last of all.

--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -31,6 +31,7 @@
     :ivar may_have_run: whether the request was sent to an engine that did not refuse it
     :ivar tried_engine_ids: ids of the engines that the request was sent to or that were unreachable
     :ivar held_back_engine_ids: ids of the limited engines for which the request got no permit
+    :ivar broken_sends: number of sends whose connection was lost before a response began
     :ivar usage_counted: whether the request was counted in the usage of its account
     """
 
@@ -47,6 +48,7 @@
     may_have_run: bool = False
     tried_engine_ids: set[str] = field(default_factory=set)
     held_back_engine_ids: set[str] = field(default_factory=set)
+    broken_sends: int = 0
     usage_counted: bool = False
 
     @property
@@ -61,6 +63,11 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may share, none of a plain request."""
+        return self.prompt.shared_part_ids if self.prompt is not None else ()
+
     @property
     def request_id(self) -> str:
         """Request id that the caller sent, as text for the log."""
--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -10,6 +10,7 @@
 
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.catalogue import StateAges
+from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineRegistry
 from godwitpath.gateway.evacuate import Evacuator
@@ -52,6 +53,7 @@
     :ivar placer: ranks engines for requests
     :ivar quota: token buckets of the accounts
     :ivar limits: limits on their requests that engines have stated
+    :ivar crashes: engines that crashed, and the prompts that are refused for it
     :ivar permits: permits for sends to limited engines
     :ivar body_budget: bounds the responses that are read as a whole
     :ivar retry_schedule: times at which callers of limited engines may return
@@ -77,6 +79,7 @@
     pool: ConnectionPool
     rng: Random
     limits: EngineLimits
+    crashes: CrashWatch
     permits: SendPermits = field(init=False)
     body_budget: BodyBudget = field(default_factory=BodyBudget)
     retry_schedule: RetrySchedule = field(default_factory=RetrySchedule)
--- /dev/null
+++ b/godwitpath/gateway/crash_watch.py
@@ -0,0 +1,189 @@
+"""Finds out which engines crashed, and under which prompts.
+
+When a stream breaks before its response has gone on for a moment, its engine may have crashed
+under the prompt. The engine's address tells: a crashed engine refuses connections. An engine that
+leaves, was stopped or only reset a connection has not crashed, and one that is silent cannot be
+told from one that is cut off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from godwitpath.gateway.engine_notices import Incarnation
+from godwitpath.gateway.engines import Engine, EngineRegistry
+from godwitpath.gateway.quarantine import PromptQuarantine, Verdict
+from godwitpath.gateway.quarantine_report import Parts, QuarantineReport
+from godwitpath.http1.client import connect
+from godwitpath.http1.messages import NotSent
+from godwitpath.ports.engine import Address
+from godwitpath.telemetry.decisions import decision
+
+SOUND_AFTER_S = 0.25
+"""Time after the first event of a response from which on its prompt has not crashed the engine."""
+
+CONFIRM_TIMEOUT_S = 0.4
+"""Timeout of a connection that shows whether an engine still listens."""
+
+CONFIRM_AGAIN_S = 0.4
+"""Time until the second look at an engine that still listened: a process that ends may close its
+connections before its port."""
+
+PENDING_S = 10.0
+"""Time for which the prompts of an engine that was not found crashed are kept, in case that another
+daemon finds it crashed."""
+
+
+@dataclass(slots=True)
+class _BrokenEngine:
+    """An engine whose streams broke.
+
+    :ivar at_s: loop time of the first break
+    :ivar prompts: shared parts of the prompts that it could have begun to answer
+    """
+
+    at_s: float
+    prompts: set[Parts] = field(default_factory=set)
+
+
+class CrashWatch:
+    """Collects the evidence of this daemon, and applies that of the others.
+
+    :param report_soon: set to have the next report to the other daemons sent at once
+    :ivar quarantine: the evidence and the verdicts
+    :ivar counts: number of events by kind: `crash`, `not_crashed`, `quarantined`, `lifted`,
+        `expired`, `refused`
+    """
+
+    def __init__(self, engines: EngineRegistry, report_soon: asyncio.Event | None = None) -> None:
+        self.quarantine = PromptQuarantine(asyncio.get_running_loop().time())
+        self.counts: Counter[str] = Counter()
+        self._engines = engines
+        self._report_soon = report_soon
+        self._broken: dict[Incarnation, _BrokenEngine] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def note_broken(self, engine: Engine, parts: Parts, first_event_at_s: float) -> None:
+        """Note that a stream broke.
+
+        :param parts: shared parts of its prompt
+        :param first_event_at_s: loop time of the first event of its response, 0 if there was none
+        """
+        now_s = asyncio.get_running_loop().time()
+        if first_event_at_s and now_s - first_event_at_s >= SOUND_AFTER_S:
+            return
+        if not parts or not self._engines.is_ready(engine):
+            return
+        incarnation = engine.entry.incarnation
+        broken = self._broken.get(incarnation)
+        if broken is None:
+            broken = self._broken[incarnation] = _BrokenEngine(now_s)
+            task = asyncio.create_task(self._confirm(incarnation, engine.entry.address))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        broken.prompts.add(parts)
+
+    def note_sound(self, parts: Parts) -> None:
+        """Note that an engine has answered a prompt for a while, or to the end."""
+        now_s = asyncio.get_running_loop().time()
+        self._log_lifted(self.quarantine.note_sound(parts, now_s, now_s), "response")
+
+    def verdict(self, parts: Parts) -> Verdict | None:
+        """Return the verdict under which a request must not be sent, None if there is none."""
+        return self.quarantine.verdict(parts, asyncio.get_running_loop().time())
+
+    def note_refused(self, request_id: str, verdict: Verdict) -> None:
+        """Log that a request is refused under a verdict."""
+        self.counts["refused"] += 1
+        decision(
+            "prompt_refused",
+            request=request_id,
+            parts=sorted(verdict.parts),
+            crashes=verdict.crashes,
+            since_age_s=round(asyncio.get_running_loop().time() - verdict.since_s, 3),
+        )
+
+    def apply_report(self, sender: str, report: QuarantineReport) -> None:
+        """Learn what another daemon reports."""
+        now_s = asyncio.get_running_loop().time()
+        before = self.quarantine.verdicts
+        for verdict in self.quarantine.apply_report(report, now_s):
+            self._log_quarantined(verdict, sender)
+        for crash in report.crashes:
+            self._add_pending((crash.engine_id, crash.started_at_ms), sender)
+        in_force = self.quarantine.verdicts
+        self._log_lifted([each for each in before if each not in in_force], sender)
+
+    def review(self) -> None:
+        """Judge the evidence, and drop what is old; to be called at short intervals."""
+        now_s = asyncio.get_running_loop().time()
+        for incarnation, broken in list(self._broken.items()):
+            if now_s - broken.at_s >= PENDING_S:
+                del self._broken[incarnation]
+        new_verdict = self.quarantine.review(now_s)
+        if new_verdict is not None:
+            self._log_quarantined(new_verdict, "own evidence")
+        for verdict in self.quarantine.drop_expired(now_s):
+            self.counts["expired"] += 1
+            decision("prompt_quarantine_expired", parts=sorted(verdict.parts))
+
+    async def _confirm(self, incarnation: Incarnation, address: Address) -> None:
+        """Find out whether an engine crashed."""
+        for wait_s in (0.0, CONFIRM_AGAIN_S):
+            await asyncio.sleep(wait_s)
+            try:
+                connection = await connect(address.host, address.port, CONFIRM_TIMEOUT_S)
+                connection.close()
+            except NotSent as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    self._note_crash(incarnation)
+                    return
+        self.counts["not_crashed"] += 1
+        decision("engine_not_crashed", engine=incarnation[0], started_at_ms=incarnation[1])
+
+    def _note_crash(self, incarnation: Incarnation) -> None:
+        """Take the prompts of an engine that crashed as evidence."""
+        broken = self._broken.pop(incarnation, None)
+        if broken is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.counts["crash"] += 1
+        decision(
+            "engine_crashed",
+            engine=incarnation[0],
+            started_at_ms=incarnation[1],
+            prompts=sorted(broken.prompts),
+        )
+        verdict = self.quarantine.note_crash(incarnation, broken.at_s, broken.prompts, now_s)
+        if verdict is not None:
+            self._log_quarantined(verdict, "own evidence")
+        if self._report_soon is not None:
+            self._report_soon.set()
+
+    def _add_pending(self, incarnation: Incarnation, sender: str) -> None:
+        """Take the prompts of an engine as evidence that another daemon found crashed."""
+        if incarnation in self._broken:
+            decision("engine_crash_heard", engine=incarnation[0], source=sender)
+            self._note_crash(incarnation)
+
+    def _log_quarantined(self, verdict: Verdict, source: str) -> None:
+        self.counts["quarantined"] += 1
+        now_s = asyncio.get_running_loop().time()
+        decision(
+            "prompt_quarantined",
+            parts=sorted(verdict.parts),
+            crashes=verdict.crashes,
+            since_age_s=round(now_s - verdict.since_s, 3),
+            engines=[incarnation[0] for incarnation, _ in self.quarantine.crashes(verdict)],
+            source=source,
+        )
+        if self._report_soon is not None:
+            self._report_soon.set()
+
+    def _log_lifted(self, verdicts: Iterable[Verdict], source: str) -> None:
+        for verdict in verdicts:
+            self.counts["lifted"] += 1
+            decision("prompt_quarantine_lifted", parts=sorted(verdict.parts), source=source)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -15,6 +15,7 @@
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engine_notices import EngineNotices
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry
@@ -90,6 +91,7 @@
             pool=ConnectionPool(),
             rng=rng,
             limits=EngineLimits(quota.urgent),
+            crashes=CrashWatch(engines, quota.urgent),
         )
         self._catalogue = Catalogue(
             self._store, adapter, in_force, engines, rng, settings.bounds.change_s
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -12,6 +12,7 @@
 from godwitpath.gateway.engines import Engine
 from godwitpath.gateway.permit_bucket import PROBE_INTERVAL_S
 from godwitpath.gateway.permits import Permit
+from godwitpath.gateway.quarantine import QUARANTINE_S
 from godwitpath.gateway.retry_schedule import Opening
 from godwitpath.gateway.send import Send, SendRevoked
 from godwitpath.gateway.wire_fields import EngineResponseFields
@@ -139,7 +140,7 @@
     Full engines are returned only if all of them are full. An engine that asked for a pause is
     never returned.
     """
-    if call.time_left_s() <= 0:
+    if call.time_left_s() <= 0 or ctx.crashes.verdict(call.shared_parts) is not None:
         return []
     now_s = asyncio.get_running_loop().time()
     usable = [
@@ -161,6 +162,8 @@
         return False
     if call.may_have_run and not call.route.repeatable:
         return False
+    if call.broken_sends and ctx.crashes.quarantine.is_suspect(call.shared_parts):
+        return False
     return ctx.retry_budget.spend(call.service.name, asyncio.get_running_loop().time())
 
 
@@ -256,6 +259,10 @@
 
     :param full_retry_after_s: Retry-After time if engines refused the request because they are full
     """
+    verdict = ctx.crashes.verdict(call.shared_parts)
+    if verdict is not None:
+        ctx.crashes.note_refused(call.request_id, verdict)
+        return GatewayResponse(503, "prompt_quarantined", "no", QUARANTINE_S)
     paused_retry_after_s = _paused_retry_after_s(ctx, call)
     if paused_retry_after_s is not None:
         return GatewayResponse(503, "engines_paused", "no", paused_retry_after_s)
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -102,6 +102,7 @@
             ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
             ("permits", "{permit}", "Permits for sends to limited engines.", self._permits),
             ("notices", "{notice}", "Engines that leave or want a pause.", self._notices),
+            ("crashes", "{event}", "Crashes, and what became of prompts.", self._crashes),
         )
         for name, unit, description, read in counters:
             metrics.observable_counter(f"godwitpath.gateway.{name}", unit, description, read)
@@ -162,6 +163,10 @@
         for kind, count in list(self._ctx.engines.notices.counts.items()):
             yield count, {"kind": kind}
 
+    def _crashes(self) -> Samples:
+        for kind, count in list(self._ctx.crashes.counts.items()):
+            yield count, {"kind": kind}
+
     def _limits_by_service(self) -> dict[str, list[float]]:
         """Return the limits of the engines that have one, by service."""
         limits: dict[str, list[float]] = {}
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from godwitpath.gateway.quarantine_report import QuarantineReport
 from godwitpath.gateway.store import era_of, with_era, without_era
 
 DIGEST_BYTES = 16
@@ -48,6 +49,7 @@
         and seconds since a daemon first heard it, by engine
     :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
         service
+    :ivar quarantine: crashes of engines that the sender found, and quarantined prompts
     """
 
     name: str
@@ -72,6 +74,7 @@
     engines_era: int | None = None
     leaving: dict[str, tuple[int, float]] = {}
     read_speeds: dict[str, float] = {}
+    quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
@@ -97,6 +100,7 @@
     :ivar configuration_era: as in :class:`PeerReport`
     :ivar engines_era: as in :class:`PeerReport`
     :ivar leaving: as in :class:`PeerReport`
+    :ivar quarantine: as in :class:`PeerReport`, with what the aggregator heard of others
     """
 
     zone: str
@@ -116,6 +120,7 @@
     configuration_era: int | None = None
     engines_era: int | None = None
     leaving: dict[str, tuple[int, float]] = {}
+    quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -167,6 +167,7 @@
             self._confirm(message)
             self._ctx.limits.apply_report(message.name, message.limits)
             self._ctx.engines.notices.apply_report(message.name, message.leaving)
+            self._ctx.crashes.apply_report(message.name, message.quarantine)
 
     @_apply.register
     def _(self, message: ZoneSummary, addr: tuple[str, int], data: bytes) -> None:
@@ -178,6 +179,7 @@
         )
         self._ctx.limits.apply_report(message.aggregator, message.limits)
         self._ctx.engines.notices.apply_report(message.aggregator, message.leaving)
+        self._ctx.crashes.apply_report(message.aggregator, message.quarantine)
         aggregator = self._members.entries.get(message.aggregator)
         if aggregator is not None and (aggregator.host, aggregator.port) == addr:
             # The summary came directly from the other zone, so forward it in the local zone.
@@ -215,6 +217,7 @@
             self.permits.refresh()
             self._ctx.limits.drop_removed(self._ctx.engines)
             self._ctx.engines.notices.drop_expired(self._ctx.engines.knows)
+            self._ctx.crashes.review()
             self._decide_watching()
             self._ctx.retry_budget.note_daemons(self._members.count())
             self.view.drop_expired()
@@ -318,6 +321,7 @@
             engines_age_s=ages.engines_s,
             leaving=ctx.engines.notices.reported(),
             read_speeds=self.view.own_read_speeds(),
+            quarantine=ctx.crashes.quarantine.report(self._loop.time()),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
@@ -361,4 +365,5 @@
             engines_revision=own_report.engines_revision,
             engines_age_s=own_report.engines_age_s,
             leaving=own_report.leaving,
+            quarantine=self._ctx.crashes.quarantine.report(self._loop.time(), relayed=True),
         )
--- a/godwitpath/gateway/placement.py
+++ b/godwitpath/gateway/placement.py
@@ -119,6 +119,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.shared_parts)
+
     @property
     def own_tokens(self) -> int:
         """Number of tokens that no other request shares."""
--- /dev/null
+++ b/godwitpath/gateway/quarantine.py
@@ -0,0 +1,464 @@
+"""Decides which prompts are refused because a part of them crashes the engines that answer it.
+
+The evidence is a list of crashed engines, each with the prompts that it could have begun to answer
+at that moment, and the responses that went well. A part is quarantined once enough engines have
+crashed under it and no response to it went well in between. The decision uses neither network nor
+clock; :mod:`godwitpath.gateway.crash_watch` provides the evidence of this daemon.
+
+What sound requests share with those that crash engines, such as the account, the route or the first
+part, is not judged, or is acquitted by the responses to the sound ones.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from godwitpath.gateway.engine_notices import Incarnation
+from godwitpath.gateway.quarantine_report import (
+    Parts,
+    QuarantineReport,
+    ReportedCrash,
+    ReportedVerdict,
+)
+
+CRASHES_TO_QUARANTINE = 4
+"""Crashes under a part after which it is quarantined: two may coincide with a part by chance."""
+
+CRASHES_IN_DOUBT = 6
+"""Crashes that it takes if there is a better explanation: if a response to the part went well
+before, or if most engines crashed without it."""
+
+EXPLAINED_SHARE = 1 / 3
+"""Share of the crashes since the first one under a part that the part has to explain. In a large
+fleet whose engines keep failing, some rare part is in three crashes by chance."""
+
+SAME_CAUSE_S = 0.25
+"""Time within which several crashes count as one: engines that fail together, such as those of a
+reclaimed zone, share a cause that is none of their prompts."""
+
+MIN_SUSPICION_S = 2.0
+"""Time from the first crash under a part to its quarantine: by then every daemon has heard of a
+response to the part that went well in between."""
+
+EVIDENCE_RETENTION_S = 600.0
+"""Time for which a crash counts."""
+
+QUARANTINE_S = 900.0
+"""Time after the last request for a quarantined part at which the part is forgotten."""
+
+REPORT_S = 1.6
+"""Time for which news is repeated in reports to the other daemons: four reports, of which some may
+be lost."""
+
+SAME_NEWS_S = 0.2
+"""Difference up to which two times of a response that went well are the same, since they are told
+as ages."""
+
+MAX_CRASHES = 256
+"""Number of crashes that are remembered."""
+
+MAX_PROMPTS_PER_CRASH = 32
+"""Number of prompts that are remembered of a crash."""
+
+MAX_VERDICTS = 64
+"""Number of verdicts in force: callers choose the ids of their parts."""
+
+MAX_ACQUITTALS = 8192
+"""Number of parts of which it is remembered that a response went well."""
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Parts whose requests are refused.
+
+    :ivar parts: a request is refused if it has all of them
+    :ivar crashes: number of crashes that spoke for it
+    :ivar since_s: time of the first of these crashes
+    :ivar asked_at_s: time of the last request that was refused, at first that of the verdict
+    """
+
+    parts: frozenset[str]
+    crashes: int
+    since_s: float
+    asked_at_s: float
+
+
+@dataclass(slots=True)
+class _Crash:
+    """A crash of one incarnation of an engine.
+
+    :ivar at_s: time of the crash
+    :ivar learned_at_s: time at which its last prompt was learned
+    :ivar own_prompts: those of the prompts that this daemon had sent
+    """
+
+    at_s: float
+    learned_at_s: float
+    prompts: set[Parts] = field(default_factory=set)
+    own_prompts: set[Parts] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Acquittal:
+    """When a response to a part went well.
+
+    :ivar sound_at_s: time of the last such response
+    :ivar told_s: time of the last one that the other daemons know of
+    """
+
+    sound_at_s: float
+    told_s: float = float("-inf")
+
+
+class PromptQuarantine:
+    """Evidence about the parts of prompts, and the verdicts that follow from it.
+
+    All times are in seconds of one clock, whose current time is passed to each method.
+
+    :param started_at_s: time since which evidence is collected; earlier crashes do not count, since
+        the responses that went well after them are not known
+    """
+
+    __slots__ = (
+        "_acquittals",
+        "_crashes",
+        "_crashes_by_part",
+        "_heard_at_s",
+        "_started_at_s",
+        "_suspects",
+        "_telling_since_s",
+        "_verdicts",
+    )
+
+    def __init__(self, started_at_s: float) -> None:
+        self._started_at_s = started_at_s
+        self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
+        self._crashes_by_part: defaultdict[str, set[Incarnation]] = defaultdict(set)
+        self._acquittals: OrderedDict[str, _Acquittal] = OrderedDict()
+        self._verdicts: dict[frozenset[str], Verdict] = {}
+        # Parts under which enough engines crashed, and which are judged a little later.
+        self._suspects: set[str] = set()
+        # Acquitted parts that are reported to the other daemons, with the time of the first report.
+        self._telling_since_s: dict[str, float] = {}
+        # Acquitted parts that others reported, with the time at which they were news here.
+        self._heard_at_s: dict[str, float] = {}
+
+    # Evidence.
+
+    def note_crash(
+        self,
+        incarnation: Incarnation,
+        at_s: float,
+        prompts: Iterable[Parts],
+        now_s: float,
+        *,
+        own: bool = True,
+    ) -> Verdict | None:
+        """Learn that an engine crashed; several daemons may tell of the same crash.
+
+        :param prompts: shared parts of the prompts that it could have begun to answer
+        :param own: whether this daemon had sent them
+        :returns: the new verdict that follows, None if there is none
+        """
+        if at_s < self._started_at_s or now_s - at_s >= EVIDENCE_RETENTION_S:
+            return None
+        crash = self._crashes.get(incarnation)
+        if crash is None:
+            crash = self._crashes[incarnation] = _Crash(at_s, now_s)
+            if len(self._crashes) > MAX_CRASHES:
+                self._drop_crash(next(iter(self._crashes)))
+        crash.at_s = min(crash.at_s, at_s)
+        new_prompts = {prompt for prompt in prompts if prompt} - crash.prompts
+        if own:
+            crash.own_prompts |= new_prompts
+        for prompt in sorted(new_prompts)[: MAX_PROMPTS_PER_CRASH - len(crash.prompts)]:
+            crash.prompts.add(prompt)
+            crash.learned_at_s = now_s
+            for part in prompt:
+                self._crashes_by_part[part].add(incarnation)
+                self._tell_if_news(part, now_s)
+        self._suspects.update(part for prompt in new_prompts for part in prompt)
+        return self.review(now_s)
+
+    def note_sound(self, parts: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
+        """Learn that a response to a prompt went well.
+
+        :param at_s: time until which the engine had answered without a crash
+        :returns: the verdicts that it refutes
+        """
+        for part in parts:
+            acquittal = self._acquittals.setdefault(part, _Acquittal(at_s))
+            acquittal.sound_at_s = max(acquittal.sound_at_s, at_s)
+            self._acquittals.move_to_end(part)
+            self._tell_if_news(part, now_s)
+        while len(self._acquittals) > MAX_ACQUITTALS:
+            self._acquittals.popitem(last=False)
+        return self._drop_refuted()
+
+    # Decisions.
+
+    def verdict(self, parts: Iterable[str], now_s: float) -> Verdict | None:
+        """Return the verdict under which a request is refused, None if it may be sent.
+
+        :param parts: shared parts of the request's prompt
+        """
+        if not self._verdicts:
+            return None
+        requested = set(parts)
+        for verdict in self._verdicts.values():
+            if verdict.parts <= requested:
+                verdict.asked_at_s = now_s
+                return verdict
+        return None
+
+    def is_suspect(self, parts: Iterable[str]) -> bool:
+        """Return whether a request whose engine may just have crashed is not repeated.
+
+        That crash, which is not confirmed yet, and one more would quarantine a part of its prompt.
+        """
+        return any(len(self._counted(part)) + 2 >= self._required(part) for part in parts)
+
+    @property
+    def verdicts(self) -> list[Verdict]:
+        """The verdicts in force."""
+        return list(self._verdicts.values())
+
+    def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
+        """Yield the engines whose known crashes speak for a verdict, with the time of each."""
+        for incarnation, crash in self._crashes.items():
+            if any(verdict.parts.issubset(prompt) for prompt in crash.prompts):
+                yield incarnation, crash.at_s
+
+    def review(self, now_s: float) -> Verdict | None:
+        """Judge the parts under which engines crashed; to be called at short intervals.
+
+        :returns: the new verdict, None if there is none
+        """
+        crashes = {part: self._counted(part) for part in self._suspects}
+        self._suspects = {
+            part for part, times_s in crashes.items() if len(times_s) >= self._required(part)
+        }
+        ripe = [part for part in self._suspects if now_s - crashes[part][0] >= MIN_SUSPICION_S]
+        for part in sorted(ripe, key=self._doubt):
+            self._suspects.discard(part)
+            times_s = crashes[part]
+            verdict = Verdict(self._inseparable(part), len(times_s), times_s[0], now_s)
+            if self._add_verdict(verdict) is not None:
+                return verdict
+        return None
+
+    def drop_expired(self, now_s: float) -> list[Verdict]:
+        """Drop old evidence, and verdicts for which nobody asks any more; returns the latter."""
+        for incarnation, crash in list(self._crashes.items()):
+            if now_s - crash.at_s >= EVIDENCE_RETENTION_S:
+                self._drop_crash(incarnation)
+        expired = [each for each in self.verdicts if now_s - each.asked_at_s >= QUARANTINE_S]
+        for verdict in expired:
+            del self._verdicts[verdict.parts]
+        return expired
+
+    # Exchange with other daemons.
+
+    def report(self, now_s: float, *, relayed: bool = False) -> QuarantineReport:
+        """Return what to report to the other daemons.
+
+        :param relayed: whether to report also what other daemons told lately
+        """
+        crashes = []
+        for (engine_id, started_at_ms), crash in self._crashes.items():
+            prompts = crash.prompts if relayed else crash.own_prompts
+            if prompts and now_s - crash.learned_at_s < REPORT_S:
+                age_s = round(now_s - crash.at_s, 3)
+                crashes.append(ReportedCrash(engine_id, started_at_ms, age_s, sorted(prompts)))
+        for part, since_s in list(self._telling_since_s.items()):
+            if now_s - since_s >= REPORT_S:
+                del self._telling_since_s[part]
+                acquittal = self._acquittals.get(part)
+                if acquittal is not None:
+                    acquittal.told_s = acquittal.sound_at_s
+        for part, heard_at_s in list(self._heard_at_s.items()):
+            if now_s - heard_at_s >= REPORT_S:
+                del self._heard_at_s[part]
+        told_parts = set(self._telling_since_s)
+        if relayed:
+            told_parts |= self._heard_at_s.keys()
+        sound = {
+            part: round(now_s - self._acquittals[part].sound_at_s, 3)
+            for part in told_parts
+            if part in self._acquittals
+        }
+        return QuarantineReport(crashes, self.reported_verdicts(now_s), sound)
+
+    def reported_verdicts(self, now_s: float) -> list[ReportedVerdict]:
+        """Return the verdicts in force as they are reported."""
+        return [
+            ReportedVerdict(
+                tuple(sorted(verdict.parts)),
+                verdict.crashes,
+                round(now_s - verdict.since_s, 3),
+                round(now_s - verdict.asked_at_s, 3),
+            )
+            for verdict in self._verdicts.values()
+        ]
+
+    def apply_report(self, report: QuarantineReport, now_s: float) -> list[Verdict]:
+        """Learn what another daemon reports.
+
+        :returns: the verdicts that are new
+        """
+        for part, age_s in report.sound.items():
+            self.note_sound((part,), now_s - age_s, now_s)
+            acquittal = self._acquittals[part]
+            if now_s - age_s > acquittal.told_s + SAME_NEWS_S:
+                self._heard_at_s[part] = now_s
+            acquittal.told_s = max(acquittal.told_s, now_s - age_s)
+            if not self._is_news(part):
+                self._telling_since_s.pop(part, None)
+        new = [self._apply_verdict(verdict, now_s) for verdict in report.verdicts]
+        for crash in report.crashes:
+            incarnation = (crash.engine_id, crash.started_at_ms)
+            at_s = now_s - crash.age_s
+            new.append(self.note_crash(incarnation, at_s, crash.prompts, now_s, own=False))
+        return [verdict for verdict in new if verdict is not None]
+
+    def _apply_verdict(self, reported: ReportedVerdict, now_s: float) -> Verdict | None:
+        if reported.asked_age_s >= QUARANTINE_S or not reported.parts:
+            return None
+        # A daemon that has just started may not know that responses to a part went well before.
+        if reported.crashes < CRASHES_IN_DOUBT and self._acquittals.keys() >= set(reported.parts):
+            return None
+        return self._add_verdict(
+            Verdict(
+                frozenset(reported.parts),
+                reported.crashes,
+                now_s - reported.since_age_s,
+                now_s - reported.asked_age_s,
+            )
+        )
+
+    def _is_news(self, part: str) -> bool:
+        """Return whether an acquittal changes what the other daemons count against a part."""
+        acquittal = self._acquittals.get(part)
+        if acquittal is None:
+            return False
+        times_s = [self._crashes[each].at_s for each in self._crashes_by_part.get(part, ())]
+        times_s += [each.since_s for each in self._verdicts.values() if part in each.parts]
+        return any(acquittal.told_s < at_s < acquittal.sound_at_s for at_s in times_s)
+
+    def _tell_if_news(self, part: str, now_s: float) -> None:
+        if part not in self._telling_since_s and self._is_news(part):
+            self._telling_since_s[part] = now_s
+
+    # Judgement.
+
+    def _required(self, part: str) -> int:
+        """Return the number of crashes after which a part is quarantined."""
+        if part in self._acquittals:
+            return CRASHES_IN_DOUBT
+        times_s = [self._crashes[each].at_s for each in self._counting_crashes(part)]
+        all_crashes = (
+            sum(crash.at_s >= min(times_s) for crash in self._crashes.values()) if times_s else 0
+        )
+        explains = len(times_s) >= EXPLAINED_SHARE * all_crashes
+        return CRASHES_TO_QUARANTINE if explains else CRASHES_IN_DOUBT
+
+    def _counting_crashes(self, part: str) -> Iterator[Incarnation]:
+        """Yield the crashes under a part since the last response to it that went well.
+
+        Crashes that a verdict on other parts explains do not count.
+        """
+        acquittal = self._acquittals.get(part)
+        for incarnation in self._crashes_by_part.get(part, ()):
+            crash = self._crashes[incarnation]
+            if acquittal is not None and crash.at_s <= acquittal.sound_at_s:
+                continue
+            explained = any(
+                part not in verdict.parts
+                and any(verdict.parts.issubset(prompt) for prompt in crash.prompts)
+                for verdict in self._verdicts.values()
+            )
+            if not explained:
+                yield incarnation
+
+    def _counted(self, part: str) -> list[float]:
+        """Return the times of the crashes that count against a part, one for each cause."""
+        counted: list[float] = []
+        for at_s in sorted(self._crashes[each].at_s for each in self._counting_crashes(part)):
+            if not counted or at_s - counted[-1] >= SAME_CAUSE_S:
+                counted.append(at_s)
+        return counted
+
+    def _doubt(self, part: str) -> tuple[bool, int, int, str]:
+        """Return by what the part to quarantine is chosen, the least doubtful first.
+
+        A part that many requests share is found in many prompts of each crash.
+        """
+        prompts = sum(
+            part in prompt
+            for incarnation in self._counting_crashes(part)
+            for prompt in self._crashes[incarnation].prompts
+        )
+        return part in self._acquittals, prompts, -len(self._counted(part)), part
+
+    def _inseparable(self, part: str) -> frozenset[str]:
+        """Return a part with those that no evidence tells apart from it.
+
+        These are in each prompt with the part under which an engine crashed.
+        """
+        return frozenset.intersection(
+            *(
+                frozenset(prompt)
+                for incarnation in self._counting_crashes(part)
+                for prompt in self._crashes[incarnation].prompts
+                if part in prompt
+            )
+        )
+
+    def _is_sound(self, part: str, since_s: float) -> bool:
+        """Return whether a response to a part went well after a time."""
+        acquittal = self._acquittals.get(part)
+        return acquittal is not None and acquittal.sound_at_s > since_s
+
+    def _add_verdict(self, verdict: Verdict) -> Verdict | None:
+        """Add a verdict without the parts that are known to be sound.
+
+        :returns: the verdict, None if nothing is left of it or a known one covers it
+        """
+        sound = {part for part in verdict.parts if self._is_sound(part, verdict.since_s)}
+        verdict.parts -= sound
+        if not verdict.parts:
+            return None
+        for known in self.verdicts:
+            if known.parts <= verdict.parts:
+                known.asked_at_s = max(known.asked_at_s, verdict.asked_at_s)
+                return None
+            if verdict.parts < known.parts:
+                del self._verdicts[known.parts]
+        if len(self._verdicts) >= MAX_VERDICTS:
+            oldest = min(self._verdicts.values(), key=lambda each: each.asked_at_s)
+            del self._verdicts[oldest.parts]
+        self._verdicts[verdict.parts] = verdict
+        return verdict
+
+    def _drop_refuted(self) -> list[Verdict]:
+        """Drop the sound parts of all verdicts; returns the verdicts of which nothing is left."""
+        refuted = []
+        for verdict in self.verdicts:
+            if not any(self._is_sound(part, verdict.since_s) for part in verdict.parts):
+                continue
+            parts = verdict.parts
+            del self._verdicts[parts]
+            self._add_verdict(verdict)
+            if not verdict.parts:
+                verdict.parts = parts
+                refuted.append(verdict)
+        return refuted
+
+    def _drop_crash(self, incarnation: Incarnation) -> None:
+        crash = self._crashes.pop(incarnation)
+        for part in {part for prompt in crash.prompts for part in prompt}:
+            self._crashes_by_part[part].discard(incarnation)
+            if not self._crashes_by_part[part]:
+                del self._crashes_by_part[part]
--- /dev/null
+++ b/godwitpath/gateway/quarantine_report.py
@@ -0,0 +1,48 @@
+"""What daemons tell one another about crashes of engines and about quarantined prompts."""
+
+from __future__ import annotations
+
+import msgspec
+
+Parts = tuple[str, ...]
+"""Ids of a prompt's parts without the last one, which belongs to one request."""
+
+
+class ReportedCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A crash of one incarnation of an engine.
+
+    :ivar started_at_ms: start time of the engine in Unix milliseconds
+    :ivar age_s: time since the crash
+    :ivar prompts: shared parts of each prompt that the engine could have begun to answer
+    """
+
+    engine_id: str
+    started_at_ms: int
+    age_s: float
+    prompts: list[Parts]
+
+
+class ReportedVerdict(msgspec.Struct, array_like=True, frozen=True):
+    """A verdict on parts of prompts.
+
+    :ivar parts: the quarantined part, with further parts if the evidence does not tell them apart
+    :ivar crashes: number of crashes that spoke for it
+    :ivar since_age_s: time since the first of these crashes
+    :ivar asked_age_s: time since the last request that was refused, or since the verdict
+    """
+
+    parts: Parts
+    crashes: int
+    since_age_s: float
+    asked_age_s: float
+
+
+class QuarantineReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a daemon reports about crashes and prompts.
+
+    :ivar sound: time in seconds since a response to the part last went well, by part
+    """
+
+    crashes: list[ReportedCrash] = []
+    verdicts: list[ReportedVerdict] = []
+    sound: dict[str, float] = {}
--- a/godwitpath/gateway/request_trace.py
+++ b/godwitpath/gateway/request_trace.py
@@ -14,7 +14,15 @@
 long."""
 
 ENGINE_LINES = frozenset(
-    ("engine_state", "engine_failed", "engine_limit", "stream_moved", "stream_not_moved")
+    (
+        "engine_state",
+        "engine_failed",
+        "engine_limit",
+        "engine_crashed",
+        "engine_not_crashed",
+        "stream_moved",
+        "stream_not_moved",
+    )
 )
 """Kinds of log lines that concern an engine."""
 
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -62,6 +62,10 @@
     """The engine asked for a pause before the request was sent."""
 
 
+class PromptRefused(SendRevoked):
+    """A part of the prompt was quarantined before the request was sent."""
+
+
 class Send:
     """Sends a request to an engine and reads its response.
 
@@ -132,6 +136,8 @@
             raise EngineLeft("the engine is leaving")
         if not self._is_wanted(kv_cache is not None):
             raise EnginePaused("the engine wants no requests now")
+        if ctx.crashes.verdict(call.shared_parts) is not None:
+            raise PromptRefused("a part of the prompt is quarantined")
         send_fields = SendFields(
             engine_id=self.engine.entry.engine_id,
             time_left_s=left_s,
@@ -200,7 +206,7 @@
             engine=engine.entry.engine_id,
             zone=engine.entry.zone,
             started_at_ms=engine.entry.started_at_ms,
-            parts=[part.part_id for part in call.prompt.shared_parts] if call.prompt else [],
+            parts=call.shared_parts,
             attempt=call.attempts,
             left_s=round(left_s, 3),
             running=engine.all_running,
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -79,6 +79,7 @@
             },
             "quota_share": round(ctx.quota_share(), 3),
             "quota_levels": ctx.quota.levels(),
+            "quarantined_prompts": list(self._verdicts()),
             "repeats_denied": ctx.retry_budget.denied,
             "streams_moved": dict(ctx.evacuator.move_counts) if ctx.evacuator is not None else {},
             "answers": [
@@ -126,6 +127,18 @@
                 "limit_per_s": self._ctx.permits.limit_per_s(engine),
             }
 
+    def _verdicts(self) -> Iterator[dict[str, Any]]:
+        now_s = asyncio.get_running_loop().time()
+        quarantine = self._ctx.crashes.quarantine
+        for verdict in quarantine.verdicts:
+            yield {
+                "parts": sorted(verdict.parts),
+                "crashes": verdict.crashes,
+                "since_age_s": round(now_s - verdict.since_s, 3),
+                "asked_age_s": round(now_s - verdict.asked_at_s, 3),
+                "engines": [incarnation[0] for incarnation, _ in quarantine.crashes(verdict)],
+            }
+
     def _since_response_s(self, watcher: StoreWatcher) -> float | None:
         since_response_s = watcher.since_response_s(asyncio.get_running_loop().time())
         return None if since_response_s is None else round(since_response_s, 3)
--- a/godwitpath/http1/messages.py
+++ b/godwitpath/http1/messages.py
@@ -82,6 +82,11 @@
     length_bytes: int | None = None
     chunked: bool = False
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the end of the body is stated, and not only that of the connection."""
+        return self.chunked or self.length_bytes is not None
+
     def header(self, name: bytes) -> bytes:
         """Return the first value of a field, empty bytes if the field is absent."""
         return header(self.headers, name)
--- a/test/gateway_fleet.py
+++ b/test/gateway_fleet.py
@@ -10,6 +10,7 @@
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.in_force import ConfigurationInForce
@@ -55,11 +56,12 @@
         self.store = FakeStore(core)
         rng = Random(port)
         quota = QuotaTracker(rng, 8.0)
+        engines = EngineRegistry()
         self.ctx = GatewayContext(
             settings=settings,
             header_codec=adapter,
             in_force=ConfigurationInForce(),
-            engines=EngineRegistry(),
+            engines=engines,
             placer=Placer(zone, "r", {}, Random(1)),
             quota=quota,
             retry_budget=RetryBudget(0.2, 10.0, 50.0),
@@ -67,6 +69,7 @@
             pool=None,  # type: ignore[arg-type]
             rng=rng,
             limits=EngineLimits(quota.urgent),
+            crashes=CrashWatch(engines, quota.urgent),
         )
         for number in range(3):
             address = Address("h", number)
--- a/test/notice_model.py
+++ b/test/notice_model.py
@@ -15,6 +15,7 @@
 from godwitpath.gateway.accounts import QuotaTracker
 from godwitpath.gateway.call import Call
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.forward import forward_plain
@@ -178,6 +179,7 @@
         self.engines = {number: ModelEngine() for number in range(engine_count)}
         settings = decode_settings(json_bytes(settings_document()))
         quota = QuotaTracker(Random(1), 8.0)
+        engines = EngineRegistry()
         permits: Any = SimpleNamespace(
             covers=lambda *_: True, limit_per_s=lambda _: None, acquire=self._acquire
         )
@@ -185,7 +187,7 @@
             settings=settings,
             header_codec=PlatformAdapter(settings),
             in_force=ConfigurationInForce(),
-            engines=EngineRegistry(),
+            engines=engines,
             placer=Placer("a", "r", {}, Random(1)),
             quota=quota,
             retry_budget=RetryBudget(0.2, 10.0, 500.0),
@@ -193,6 +195,7 @@
             pool=ModelPool(self.engines),  # type: ignore[arg-type]
             rng=Random(1),
             limits=EngineLimits(quota.urgent),
+            crashes=CrashWatch(engines, quota.urgent),
         )
         self.ctx.permits = permits
         self.ctx.retry_budget.note_daemons(1)
