Take a stream that ends with its connection before the first event as broken

What callers saw: an empty, complete 200 where the engine had ended before it wrote anything, if its response stated neither a length nor chunks. Cause: the end of the connection is the end of such a body, and a stream without events was taken for whole. Change: without a stated end, a stream without an event is broken, and resumed where it may be. Evidence: of eleven cases (whole, cut inside an event, last event not closed, empty, reset; plain, streamed, resumed) the empty ones failed before, the others passed; all pass now.

--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -182,6 +182,8 @@
             await call.responder.drain()
         if splitter.incomplete:
             raise StreamBroken("the stream ended in the middle of an event")
+        if not head.states_end and not send.first_event_at_s:
+            raise StreamBroken("the connection ended before the first event")
         if not call.responder.started:
             _start_response(call, head)
         call.responder.finish()
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -44,6 +44,20 @@
     """Sends the response without the header `X-Response-Stamp`, which marks it as the engine's."""
     SHORT_BODY = "short_body"
     """Sends a body shorter than its Content-Length."""
+    UNFRAMED = "unframed"
+    """Sends a body with neither a length nor chunks, and closes the connection at its end."""
+    UNFRAMED_CUT = "unframed_cut"
+    """Closes such a connection in the middle of the body, for a stream inside the third event."""
+    UNFRAMED_UNCLOSED = "unframed_unclosed"
+    """Closes it after all events of a stream, without the empty line that ends the last one."""
+    UNFRAMED_EMPTY = "unframed_empty"
+    """Closes it before any byte of the body."""
+    UNFRAMED_RESET = "unframed_reset"
+    """Resets it at the end of the body."""
+
+
+UNFRAMED_FAULTS = frozenset(each for each in Fault if each.startswith("unframed"))
+"""Faults that concern a body with neither a length nor chunks."""
 
 
 @dataclass(slots=True)
@@ -230,7 +244,9 @@
     ) -> None:
         await asyncio.sleep(self.event_s)
         body = b"answer to " + request_id
-        if fault is Fault.HANG:
+        if fault in UNFRAMED_FAULTS:
+            await self._respond_unframed(responder, headers, body, fault)
+        elif fault is Fault.HANG:
             await asyncio.sleep(3600)
         elif fault is Fault.RESET:
             responder.abort()
@@ -254,10 +270,37 @@
                     encode_response_head(200, b"OK", extra_headers) + b"wrong"
                 )
 
+    async def _respond_unframed(
+        self, responder: Responder, headers: Headers, body: bytes, fault: Fault
+    ) -> None:
+        """Send a body that ends with its connection, or that a fault cuts."""
+        connection = responder._connection
+        connection.write(encode_response_head(200, b"OK", [*headers, (b"connection", b"close")]))
+        await asyncio.sleep(self.event_s)
+        if fault is Fault.UNFRAMED_CUT:
+            body = body[: len(body) // 2]
+        elif fault is Fault.UNFRAMED_UNCLOSED:
+            body = body[:-1]
+        elif fault is Fault.UNFRAMED_EMPTY:
+            body = b""
+        connection.write(body)
+        await asyncio.sleep(self.event_s)
+        if fault is Fault.UNFRAMED_RESET:
+            connection.disconnect(reset=True)
+            return
+        responder.finished = True
+        connection.finish_response(close=True)
+
     async def _stream(self, run: Run, responder: Responder, headers: Headers, fault: Fault) -> None:
         last_event_id = run.request.header(b"last-event-id")
         first_number = int(last_event_id) + 1 if last_event_id else 1
-        responder.start(200, b"", [*headers, (b"content-type", b"text/event-stream")], None)
+        headers.append((b"content-type", b"text/event-stream"))
+        if fault in UNFRAMED_FAULTS:
+            numbers = range(first_number, self.events + 1)
+            body = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+            await self._respond_unframed(responder, headers, body, fault)
+            return
+        responder.start(200, b"", headers, None)
         for number in range(first_number, self.events + 1):
             await asyncio.sleep(self.event_s)
             if run.moved_away:
