Keep quarantined prompts in the store, and let operators list and lift them

What callers saw: nothing yet; after a restart of all daemons the part would have had to crash four engines again. Cause: verdicts lived in the daemons' memory only. Change: one key of the store holds the verdicts, written by one daemon when it lacks one, and the parts that an operator lifted. Daemons apply it when they start and whenever it changes; no call is made otherwise. Tests: stores and commands on simulated time; process tests of resumable streams, a daemon without the store, one and all daemons killed, the refusal, and engines that crash for other reasons (nothing quarantined).

--- a/godwitpath/commands/__init__.py
+++ b/godwitpath/commands/__init__.py
@@ -9,6 +9,7 @@
     config,
     explain,
     keys,
+    quarantine,
     serve,
     state,
     status,
@@ -32,6 +33,7 @@
 app.command("state")(state.state)
 app.command("explain")(explain.explain)
 app.add_typer(keys.app, name="keys", no_args_is_help=True)
+app.add_typer(quarantine.app, name="quarantine", no_args_is_help=True)
 app.command("version")(version.version)
 
 
--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -54,12 +54,14 @@
 
     :param report_soon: set to have the next report to the other daemons sent at once
     :ivar quarantine: the evidence and the verdicts
+    :ivar has_news: set when there is a new verdict
     :ivar counts: number of events by kind: `crash`, `not_crashed`, `quarantined`, `lifted`,
         `expired`, `refused`
     """
 
     def __init__(self, engines: EngineRegistry, report_soon: asyncio.Event | None = None) -> None:
         self.quarantine = PromptQuarantine(asyncio.get_running_loop().time())
+        self.has_news = asyncio.Event()
         self.counts: Counter[str] = Counter()
         self._engines = engines
         self._report_soon = report_soon
@@ -180,6 +182,7 @@
             engines=[incarnation[0] for incarnation, _ in self.quarantine.crashes(verdict)],
             source=source,
         )
+        self.has_news.set()
         if self._report_soon is not None:
             self._report_soon.set()
 
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -28,6 +28,7 @@
 from godwitpath.gateway.metrics_page import MetricsPage
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placement import Placer
+from godwitpath.gateway.quarantine_store import QuarantineStore
 from godwitpath.gateway.readiness import Readiness
 from godwitpath.gateway.reload import SettingsReloader
 from godwitpath.gateway.retry_budget import RetryBudget
@@ -114,6 +115,9 @@
             rng,
             self._peers.view.report_age_s,
         )
+        self._quarantine_store = QuarantineStore(
+            self._store, self._members, self._ctx.crashes, self._ctx.usage.clock.now_s, rng
+        )
         self._duties = self._make_duties(adapter)
         dump = StateDump(self._ctx, self._catalogue, self._members, self._peers.view, self._holder)
         self._metrics = MetricsPage(
@@ -157,6 +161,7 @@
             self._catalogue.run(),
             self._members.run(),
             self._peers.run(),
+            self._quarantine_store.run(),
             self._close_expired_connections(),
             reloader.run(),
         ]
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -225,6 +225,10 @@
         """The verdicts in force."""
         return list(self._verdicts.values())
 
+    def refutes(self, parts: Iterable[str], since_s: float) -> bool:
+        """Return whether responses to all parts of a verdict went well since its first crash."""
+        return all(self._is_sound(part, since_s) for part in parts)
+
     def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
         """Yield the engines whose known crashes speak for a verdict, with the time of each."""
         for incarnation, crash in self._crashes.items():
--- /dev/null
+++ b/godwitpath/gateway/quarantine_store.py
@@ -0,0 +1,203 @@
+"""Keeps the quarantined prompts in the store, so that a fleet that was restarted knows them.
+
+Daemons tell one another of verdicts in their reports. The store holds the verdicts for the case
+that no daemon is left that knows them, and the parts that an operator has lifted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+
+import msgspec
+
+from godwitpath.gateway.crash_watch import CrashWatch
+from godwitpath.gateway.members import KEY_PREFIX, Members
+from godwitpath.gateway.quarantine import QUARANTINE_S
+from godwitpath.gateway.quarantine_report import Parts, QuarantineReport, ReportedVerdict
+from godwitpath.gateway.store import Item, Precondition, Put, Store
+from godwitpath.ports.kv import StoreError
+from godwitpath.telemetry.decisions import decision
+
+QUARANTINE_KEY = KEY_PREFIX + "quarantine"
+"""Store key of the quarantined prompts."""
+
+CHECK_S = 5.0
+"""Mean interval between two comparisons with the store's copy, which is written only if it lacks
+something."""
+
+NEWS_DELAY_S = 0.5
+"""Longest random delay until a new verdict is written, so that usually one daemon does."""
+
+REFRESH_S = QUARANTINE_S / 3
+"""Difference to the time of the last request in the store's copy from which it is written again."""
+
+
+class StoredVerdict(msgspec.Struct, frozen=True):
+    """A verdict in the store.
+
+    :ivar parts: the quarantined parts
+    :ivar crashes: number of crashes that spoke for it
+    :ivar since_s: time of the first of them in seconds since 1970
+    :ivar asked_at_s: time of the last request known at the writing, in seconds since 1970
+    """
+
+    parts: Parts
+    crashes: int
+    since_s: float
+    asked_at_s: float
+
+
+class StoredQuarantine(msgspec.Struct, frozen=True):
+    """Value of :data:`QUARANTINE_KEY`.
+
+    :ivar lifted: time in seconds since 1970 at which an operator lifted the verdicts on a part
+    """
+
+    verdicts: list[StoredVerdict] = []
+    lifted: dict[str, float] = {}
+
+
+def decode_quarantine(item: Item | None) -> StoredQuarantine:
+    """Return the store's copy, an empty one if there is none or it cannot be read."""
+    if item is None:
+        return StoredQuarantine()
+    try:
+        return msgspec.json.decode(item.value, type=StoredQuarantine)
+    except msgspec.DecodeError as error:
+        decision("quarantine_unreadable", reason=str(error))
+        return StoredQuarantine()
+
+
+def lift(stored: StoredQuarantine, part: str, now_s: float) -> StoredQuarantine:
+    """Return the store's copy without the verdicts on a part.
+
+    :param now_s: time in seconds since 1970
+    """
+    lifted = [verdict for verdict in stored.verdicts if part in verdict.parts]
+    parts = {each for verdict in lifted for each in verdict.parts}
+    return StoredQuarantine(
+        [verdict for verdict in stored.verdicts if verdict not in lifted],
+        _without_old(stored.lifted, now_s) | dict.fromkeys(parts, now_s),
+    )
+
+
+def _without_old(lifted: dict[str, float], now_s: float) -> dict[str, float]:
+    return {part: at_s for part, at_s in lifted.items() if now_s - at_s < QUARANTINE_S}
+
+
+class QuarantineStore:
+    """Writes this daemon's verdicts to the store, and applies the store's.
+
+    :param now_s: returns the time in seconds since 1970
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        members: Members,
+        crashes: CrashWatch,
+        now_s: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._crashes = crashes
+        self._now_s = now_s
+        self._rng = rng
+        self._changed = members.changed_event()
+        self._applied_revision = 0
+
+    async def run(self) -> None:
+        """Keep the store's copy and this daemon's verdicts alike until cancelled."""
+        while True:
+            self._apply()
+            if self._lacks_something():
+                await asyncio.sleep(NEWS_DELAY_S * self._rng.random())
+                self._apply()
+                if self._lacks_something():
+                    await self._write()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        """Wait for a change of the store, a new verdict, or the next comparison."""
+        self._changed.clear()
+        self._crashes.has_news.clear()
+        waiting = [
+            asyncio.create_task(event.wait()) for event in (self._changed, self._crashes.has_news)
+        ]
+        timeout_s = CHECK_S * self._rng.uniform(0.5, 1.5)
+        try:
+            await asyncio.wait(waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in waiting:
+                task.cancel()
+
+    def _apply(self) -> None:
+        """Apply the store's copy once each time that it was written."""
+        item = self._members.items.get(QUARANTINE_KEY)
+        if item is None or item.revision == self._applied_revision:
+            return
+        self._applied_revision = item.revision
+        stored, now_s = decode_quarantine(item), self._now_s()
+        self._crashes.apply_report(
+            "store",
+            QuarantineReport(
+                verdicts=[
+                    ReportedVerdict(
+                        each.parts,
+                        each.crashes,
+                        max(0.0, now_s - each.since_s),
+                        max(0.0, now_s - each.asked_at_s),
+                    )
+                    for each in stored.verdicts
+                ],
+                sound={part: max(0.0, now_s - at_s) for part, at_s in stored.lifted.items()},
+            ),
+        )
+
+    def _lacks_something(self) -> bool:
+        """Return whether the store's copy lacks a verdict, or has an old or a refuted one."""
+        if self._members.watcher.last_response_at_s is None:
+            return False
+        stored = self._stored().verdicts
+        asked_at_s = {each.parts: each.asked_at_s for each in stored}
+        return any(self._is_refuted(each) for each in stored) or any(
+            each.asked_at_s - asked_at_s.get(each.parts, 0.0) >= REFRESH_S
+            for each in self._own_verdicts()
+        )
+
+    def _stored(self) -> StoredQuarantine:
+        return decode_quarantine(self._members.items.get(QUARANTINE_KEY))
+
+    def _is_refuted(self, stored: StoredVerdict) -> bool:
+        since_s = asyncio.get_running_loop().time() - (self._now_s() - stored.since_s)
+        return self._crashes.quarantine.refutes(stored.parts, since_s)
+
+    def _own_verdicts(self) -> Iterable[StoredVerdict]:
+        now_s = self._now_s()
+        loop_now_s = asyncio.get_running_loop().time()
+        for each in self._crashes.quarantine.reported_verdicts(loop_now_s):
+            yield StoredVerdict(
+                each.parts, each.crashes, now_s - each.since_age_s, now_s - each.asked_age_s
+            )
+
+    async def _write(self) -> None:
+        """Write the verdicts of the store's copy that still hold, and this daemon's."""
+        item = self._members.items.get(QUARANTINE_KEY)
+        stored, now_s = decode_quarantine(item), self._now_s()
+        verdicts = {
+            each.parts: each
+            for each in (*stored.verdicts, *self._own_verdicts())
+            if now_s - each.asked_at_s < QUARANTINE_S and not self._is_refuted(each)
+        }
+        value = StoredQuarantine(list(verdicts.values()), _without_old(stored.lifted, now_s))
+        revision = item.revision if item is not None else 0
+        put = Put(QUARANTINE_KEY, msgspec.json.encode(value))
+        try:
+            await self._store.transact([Precondition(QUARANTINE_KEY, revision)], [put])
+        except StoreError as error:
+            decision("quarantine_not_stored", reason=str(error))
+            return
+        decision("quarantine_stored", verdicts=len(verdicts))
--- /dev/null
+++ b/test/test_gateway_crash_watch.py
@@ -0,0 +1,107 @@
+"""Tests of how a daemon finds out that an engine crashed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, SOUND_AFTER_S, CrashWatch
+from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash
+from godwitpath.ports.engine import Address
+from test.raw_server import Exchange, raw_server
+
+DEAD = ("first", "dead")
+
+
+class Watch:
+    """The crash watch of a daemon, and an engine at an address."""
+
+    def __init__(self, address: Address, state: EngineState = EngineState.READY) -> None:
+        self.registry = EngineRegistry()
+        self.registry.put(EngineEntry("e1", "lm", address, "a", state, 4, 1))
+        self.watch = CrashWatch(self.registry)
+        engine = self.registry.get("e1")
+        assert engine is not None
+        self.engine: Engine = engine
+
+    async def break_stream(self, began_ago_s: float | None = None) -> None:
+        """Break a stream at the engine, and wait until it is clear whether that crashed."""
+        now_s = asyncio.get_running_loop().time()
+        first_event_at_s = now_s - began_ago_s if began_ago_s is not None else 0.0
+        self.watch.note_broken(self.engine, DEAD, first_event_at_s)
+        await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
+
+    @property
+    def crashes(self) -> list[ReportedCrash]:
+        """The crashes that are reported."""
+        return self.watch.quarantine.report(asyncio.get_running_loop().time()).crashes
+
+
+@asynccontextmanager
+async def listening() -> AsyncIterator[Address]:
+    async def handle(exchange: Exchange) -> None:
+        exchange.respond(b"ok")
+
+    async with raw_server(handle) as server:
+        yield server.address
+
+
+async def closed_address() -> Address:
+    async with listening() as address:
+        return address
+
+
+class TestCrash:
+    async def test_an_engine_that_refuses_connections_has_crashed(self) -> None:
+        watch = Watch(await closed_address())
+        await watch.break_stream()
+        [crash] = watch.crashes
+        assert (crash.engine_id, crash.started_at_ms, crash.prompts) == ("e1", 1, [DEAD])
+
+    async def test_streams_that_broke_together_are_one_crash(self) -> None:
+        watch = Watch(await closed_address())
+        for part in ("a", "b", "a"):
+            watch.watch.note_broken(watch.engine, (part,), 0.0)
+        await asyncio.sleep(0.1)
+        [crash] = watch.crashes
+        assert crash.prompts == [("a",), ("b",)]
+        assert watch.watch.counts["crash"] == 1
+
+    async def test_a_crash_that_another_daemon_found_confirms_an_unclear_one(self) -> None:
+        async with listening() as address:
+            watch = Watch(address)
+            await watch.break_stream()
+            assert watch.crashes == []
+            heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
+            watch.watch.apply_report("d2", heard)
+            [crash] = watch.crashes
+            assert crash.prompts == [DEAD]
+
+
+class TestNoCrash:
+    async def test_an_engine_that_still_listens_has_not_crashed(self) -> None:
+        async with listening() as address:
+            watch = Watch(address)
+            await watch.break_stream()
+            assert watch.crashes == []
+            assert watch.watch.counts["not_crashed"] == 1
+
+    async def test_an_engine_that_leaves_has_not_crashed(self) -> None:
+        watch = Watch(await closed_address(), EngineState.DRAINING)
+        await watch.break_stream()
+        assert watch.crashes == []
+
+    async def test_an_engine_that_was_removed_has_not_crashed(self) -> None:
+        watch = Watch(await closed_address())
+        watch.registry.remove("e1")
+        await watch.break_stream()
+        assert watch.crashes == []
+
+    async def test_a_response_that_had_gone_on_is_no_evidence(self) -> None:
+        watch = Watch(await closed_address())
+        await watch.break_stream(began_ago_s=SOUND_AFTER_S + 0.1)
+        assert watch.crashes == []
+        await watch.break_stream(began_ago_s=SOUND_AFTER_S - 0.1)
+        assert len(watch.crashes) == 1
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from godwitpath.gateway.quarantine import QUARANTINE_S
 from godwitpath_standin.gateway.caller import ClientResponse, ask
 from godwitpath_standin.gateway.crash_rule import (
     CONTACT_S,
@@ -19,6 +21,9 @@
 from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.soak.callers import Balancer
 from godwitpath_standin.soak.environment import SoakEnvironment
+from godwitpath_standin.soak.faults import CrashEngine, CutStore, KillDaemons
+from godwitpath_standin.soak.injection import inject
+from godwitpath_standin.soak.proxy import Way
 from godwitpath_standin.soak.run import wait_until
 
 READY_S = 30.0
@@ -122,6 +127,15 @@
         yield PromptFleet(environment)
 
 
+def late_arrivals(fleet: PromptFleet, since_s: float) -> int:
+    """Return the number of requests with the part that reached engines after a time."""
+    return sum(
+        CRASHING_PART in arrival.shared_parts and arrival.at_s > since_s
+        for engine in fleet.engines()
+        for arrival in engine.arrivals
+    )
+
+
 class TestCrashingPart:
     async def test_requests_with_a_part_that_crashes_engines_stop_reaching_them(
         self, tmp_path: Path
@@ -135,3 +149,83 @@
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late, {len(crashes_s)} crashed"
             last_counted = crashes_s[:5][-1]
             assert fleet.share_begun(since_s=last_counted + 2 * CONTACT_S) >= 0.95
+
+    async def test_resumable_streams_with_the_part_stop_reaching_them_too(
+        self, tmp_path: Path
+    ) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            await fleet.load(for_s=14.0, sound_per_s=20, crashing_per_s=1.5, route="digest")
+            engines = fleet.engines()
+            late = late_sends(engines, CRASHING_PART)
+            assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late"
+            crashes_s = crash_times_s(engines)
+            assert fleet.share_begun(since_s=crashes_s[-1] + 2.0) >= 0.95
+
+    async def test_daemons_that_start_and_one_without_the_store_refuse_the_part(
+        self, tmp_path: Path
+    ) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            environment = fleet.environment
+            first, cut, *_ = environment.daemons
+            cut_s = asyncio.create_task(inject(CutStore(cut.name, tuple(Way), 12.0), environment))
+            await fleet.load(for_s=9.0, sound_per_s=20, crashing_per_s=1.5)
+            now_s = asyncio.get_running_loop().time()
+            await inject(KillDaemons((first.name,)), environment)
+            await wait_until(lambda: first.process is not None, READY_S)
+            await asyncio.sleep(3.0)
+            await fleet.load(for_s=3.0, sound_per_s=20, crashing_per_s=10)
+            assert late_arrivals(fleet, now_s) == 0
+            assert fleet.share_begun(since_s=now_s + 3.0) >= 0.95
+            await cut_s
+
+    async def test_a_fleet_that_was_restarted_refuses_the_part(self, tmp_path: Path) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            environment = fleet.environment
+            await fleet.load(for_s=9.0, sound_per_s=20, crashing_per_s=1.5)
+            now_s = asyncio.get_running_loop().time()
+            names = tuple(daemon.name for daemon in environment.daemons)
+            await inject(KillDaemons(names), environment)
+            await asyncio.sleep(4.0)
+            await fleet.load(for_s=3.0, sound_per_s=20, crashing_per_s=10)
+            assert late_arrivals(fleet, now_s) == 0
+            assert fleet.share_begun(since_s=now_s + 4.0) >= 0.95
+
+    async def test_the_caller_is_told_at_once_that_it_has_not_run(self, tmp_path: Path) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            await fleet.load(for_s=9.0, sound_per_s=10, crashing_per_s=1.5)
+            loop = asyncio.get_running_loop()
+            started_at_s = loop.time()
+            await fleet.load(for_s=1.0, sound_per_s=0, crashing_per_s=10)
+            refused = [each.response for each in fleet.sent if each.sent_at_s >= started_at_s]
+            assert len(refused) == 10
+            for response in refused:
+                assert response is not None
+                assert response.status == 503
+                assert response.body == b'{"error":"prompt_quarantined","ran":"no"}'
+                assert float(response.headers["retry-after"]) == QUARANTINE_S
+            assert loop.time() - started_at_s < 1.5
+
+
+class TestOtherCrashes:
+    async def test_engines_that_crash_for_another_reason_quarantine_nothing(
+        self, tmp_path: Path
+    ) -> None:
+        async with prompt_fleet(tmp_path) as fleet:
+            environment = fleet.environment
+            load = asyncio.create_task(fleet.load(for_s=12.0, sound_per_s=25, crashing_per_s=0))
+            positions = [
+                number for number, each in enumerate(environment.positions) if each.service == "lm"
+            ]
+            async with asyncio.TaskGroup() as group:
+                for wave in range(6):
+                    for position in (positions[wave % 5], positions[(wave + 2) % 5]):
+                        group.create_task(inject(CrashEngine(position, 0.0), environment))
+                    await asyncio.sleep(1.5)
+            await load
+            kinds = {
+                json.loads(line)["message_type"]
+                for path in environment.folder.glob("*.log")
+                for line in path.read_text().splitlines()
+            }
+            assert "engine_crashed" in kinds
+            assert "prompt_quarantined" not in kinds
--- /dev/null
+++ b/test/test_gateway_quarantine_store.py
@@ -0,0 +1,164 @@
+"""Tests of the store's copy of the quarantined prompts, and of the commands on it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from godwitpath.commands import app, quarantine
+from godwitpath.gateway.crash_watch import CrashWatch
+from godwitpath.gateway.engines import EngineRegistry
+from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.quarantine import QUARANTINE_S
+from godwitpath.gateway.quarantine_store import (
+    QUARANTINE_KEY,
+    QuarantineStore,
+    StoredQuarantine,
+    StoredVerdict,
+    decode_quarantine,
+)
+from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
+
+DEAD = ("doc", "dead")
+
+pytestmark = pytest.mark.looptime
+
+
+class Daemon:
+    """The components of a daemon that keep the store's copy of the verdicts."""
+
+    def __init__(self, core: StoreCore, name: str) -> None:
+        store, rng = FakeStore(core), Random(name)
+        self.crashes = CrashWatch(EngineRegistry())
+        self.members = Members(store, name, MemberEntry("h", 1, "a", 1), rng)
+        clock = asyncio.get_running_loop().time
+        self.copy = QuarantineStore(store, self.members, self.crashes, lambda: 1e9 + clock(), rng)
+
+    def crash(self, count: int = 4) -> None:
+        """Note crashes under a part, 2 s apart, the last one now."""
+        now_s = asyncio.get_running_loop().time()
+        for number in range(count):
+            at_s = now_s - 2.0 * (count - 1 - number)
+            self.crashes.quarantine.note_crash((f"e{now_s + number}", 1), at_s, [DEAD], now_s)
+        self.crashes.has_news.set()
+
+    @property
+    def refuses(self) -> bool:
+        """Whether a request with the part is refused."""
+        return self.crashes.verdict(DEAD) is not None
+
+
+@asynccontextmanager
+async def running(core: StoreCore, *names: str) -> AsyncIterator[list[Daemon]]:
+    """Run daemons that started 100 s ago."""
+    daemons = [Daemon(core, name) for name in names]
+    jobs = [job for each in daemons for job in (each.members.run(), each.copy.run())]
+    tasks = [asyncio.create_task(job) for job in jobs]
+    await asyncio.sleep(100.0)
+    yield daemons
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def stored(core: StoreCore) -> StoredQuarantine:
+    item = core.items.get(QUARANTINE_KEY)
+    return decode_quarantine(item)
+
+
+class TestStore:
+    async def test_a_fleet_that_was_restarted_knows_the_verdicts(self) -> None:
+        core = StoreCore()
+        async with running(core, "d1", "d2") as [first, second]:
+            first.crash()
+            assert first.refuses
+            await asyncio.sleep(2.0)
+            assert second.refuses
+        async with running(core, "d3") as [started]:
+            assert started.refuses
+
+    async def test_verdicts_cost_no_calls_once_they_are_written(self) -> None:
+        core = StoreCore()
+        async with running(core, "d1", "d2", "d3") as daemons:
+            for daemon in daemons:
+                daemon.crash()
+            await asyncio.sleep(2.0)
+            revision = core.items[QUARANTINE_KEY].revision
+            await asyncio.sleep(60.0)
+            assert core.items[QUARANTINE_KEY].revision == revision
+
+    async def test_the_time_of_the_last_request_is_kept_up(self) -> None:
+        core = StoreCore()
+        async with running(core, "d1") as [daemon]:
+            daemon.crash()
+            await asyncio.sleep(QUARANTINE_S / 2)
+            assert daemon.refuses
+            await asyncio.sleep(QUARANTINE_S * 0.8)
+        async with running(core, "d2") as [started]:
+            assert started.refuses
+
+    async def test_a_refuted_verdict_is_removed(self) -> None:
+        core = StoreCore()
+        async with running(core, "d1") as [daemon]:
+            daemon.crash()
+            await asyncio.sleep(2.0)
+            assert stored(core).verdicts
+            daemon.crashes.note_sound(DEAD)
+            await asyncio.sleep(10.0)
+            assert not stored(core).verdicts
+            assert not daemon.refuses
+
+    async def test_a_copy_that_cannot_be_read_is_replaced(self) -> None:
+        core = StoreCore()
+        core.put(QUARANTINE_KEY, b"{")
+        async with running(core, "d1") as [daemon]:
+            daemon.crash()
+            await asyncio.sleep(10.0)
+            assert stored(core).verdicts
+
+
+class TestCommands:
+    def test_verdicts_are_listed_and_lifted(
+        self, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+    ) -> None:
+        core = StoreCore()
+        monkeypatch.setattr(quarantine, "open_platform_store", lambda _: FakeStore(core, 0.0))
+        verdict = StoredVerdict(("dead",), 4, time.time() - 60.0, time.time())
+
+        async def quarantine_part() -> None:
+            core.put(QUARANTINE_KEY, msgspec.json.encode(StoredQuarantine([verdict])))
+
+        asyncio.run(quarantine_part())
+        settings = ["--settings", str(tmp_path)]
+        outputs = [
+            (result.exit_code, result.output)
+            for command in (["list"], ["lift", "dead"], ["list"])
+            if (result := CliRunner().invoke(app, ["quarantine", *command, *settings]))
+        ]
+        assert outputs == [
+            (0, "dead: 4 crashes, the first 60 s ago\n"),
+            (0, "dead: lifted\n"),
+            (0, "no prompt is quarantined\n"),
+        ]
+        again = CliRunner().invoke(app, ["quarantine", "lift", "dead", *settings])
+        assert again.exit_code == 6
+
+    async def test_a_lifted_part_is_sent_again(self) -> None:
+        core = StoreCore()
+        async with running(core, "d1") as [daemon]:
+            daemon.crash()
+            await asyncio.sleep(2.0)
+            now_s = 1e9 + asyncio.get_running_loop().time()
+            await quarantine.lift_in_store(FakeStore(core), "dead", now_s)
+            await asyncio.sleep(1.0)
+            assert not daemon.refuses
+            await asyncio.sleep(20.0)
+            assert not stored(core).verdicts
