Test that every way to an engine looks at the quarantine last of all

Cause: with the look in front of the send taken out on a copy, all six process tests passed: none has a verdict that arrives while a connection opens.

--- a/test/notice_model.py
+++ b/test/notice_model.py
@@ -45,6 +45,7 @@
 
     :ivar connect_s: time that the connection for the request takes to open
     :ivar breaks: whether a stream breaks after its first event
+    :ivar lost: whether the connection is lost before the response
     """
 
     status: int = 200
@@ -52,6 +53,7 @@
     leaving: str = ""
     connect_s: float = 0.0
     breaks: bool = False
+    lost: bool = False
 
 
 @dataclass(slots=True)
@@ -95,6 +97,8 @@
     async def head(self) -> ResponseHead:
         await asyncio.sleep(0.02)
         response = self._response
+        if response.lost:
+            raise ResponseLost("lost")
         fields = [(b"x-response-stamp", b"s")] if response.status == 200 else []
         if response.status == 503:
             fields.append((b"x-not-executed", b"1"))
