Do not send a request to a third engine after two broke it off

What callers saw: nothing by itself; before a verdict, or without parts in the request, one request that ends engines went to as many as its route allows. Change: a request that two engines broke off before a response began is answered, 502 as it may have run.

--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -37,6 +37,10 @@
 engine."""
 
 
+MAX_BROKEN_SENDS = 2
+"""Number of engines that may break off one request before it is not sent to another: the request
+may be what breaks them."""
+
 MIN_SERVICE_TIME_S = 0.05
 """Shortest time that an engine is assumed to need for a request, where the route states none."""
 
@@ -73,6 +77,7 @@
             record_failure(ctx, call, engine, "unreachable", error)
             continue
         except (ResponseLost, TimeoutError) as error:
+            call.broken_sends += isinstance(error, ResponseLost)
             record_failure(ctx, call, engine, "response_lost", error)
             if call.time_left_s() <= 0 or not may_retry(ctx, call):
                 break
@@ -158,7 +163,7 @@
 
     A retry that is allowed is charged to the service's retry budget.
     """
-    if call.attempts >= call.route.max_attempts:
+    if call.attempts >= call.route.max_attempts or call.broken_sends >= MAX_BROKEN_SENDS:
         return False
     if call.may_have_run and not call.route.repeatable:
         return False
--- a/test/test_gateway_quarantine_path.py
+++ b/test/test_gateway_quarantine_path.py
@@ -66,7 +66,7 @@
 
 
 class TestBeforeTheVerdict:
-    @pytest.mark.parametrize(("crashes", "sends"), [(2, 1)])
+    @pytest.mark.parametrize(("crashes", "sends"), [(1, 2), (2, 1)])
     async def test_a_suspect_that_broke_before_its_first_event_is_not_repeated(
         self, crashes: int, sends: int
     ) -> None:
@@ -80,3 +80,13 @@
             engine.script = [ModelResponse(lost=True)]
         await daemon.ask(RequestKind.STREAMING)
         assert arrivals(daemon) == sends
+
+    @pytest.mark.parametrize("kind", [RequestKind.STREAMING, RequestKind.IDEMPOTENT])
+    async def test_a_request_that_broke_two_engines_is_not_sent_to_a_third(
+        self, kind: RequestKind
+    ) -> None:
+        daemon = ModelDaemon(5)
+        for engine in daemon.engines.values():
+            engine.script = [ModelResponse(lost=True)]
+        response = await daemon.ask(kind)
+        assert (response.status, arrivals(daemon)) == (502, 2)
