--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -36,7 +36,6 @@
 """Multiple of the route's target latency after which an idempotent request is sent to another
 engine."""
 
-
 MAX_BROKEN_SENDS = 2
 """Number of engines that may break off one request before it is not sent to another: the request
 may be what breaks them."""
