Play prompts that crash engines in the soak, with the rule as an invariant

Change: a part of its own for each seed crashes engines from some moment on; the faults of a seed stay the same, as the part is drawn apart from them. The check counts sends of daemons in touch, as the users' rule does.

--- a/godwitpath_standin/gateway/crash_rule.py
+++ b/godwitpath_standin/gateway/crash_rule.py
@@ -16,9 +16,9 @@
 """Requests with the part that may reach engines after that time."""
 
 
-def crash_times_s(engines: Iterable[EngineStandin]) -> list[float]:
-    """Return the loop times at which engines crashed, in order."""
-    return sorted(engine.crashed_at_s for engine in engines if engine.crashed_at_s)
+def crash_times_s(engines: Iterable[EngineStandin], part_id: str) -> list[float]:
+    """Return the loop times at which engines crashed on a part, in order."""
+    return sorted(engine.crashed_at_s for engine in engines if engine.crashed_on == part_id)
 
 
 def late_sends(
@@ -31,7 +31,7 @@
     :param counts: returns whether the daemon that sent a request was in touch
     """
     engines = list(engines)
-    crashes_s = crash_times_s(engines)
+    crashes_s = crash_times_s(engines, part_id)
     if len(crashes_s) < TOLERATED_CRASHES:
         return []
     since_s = crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -119,6 +119,7 @@
         when it begins to write a response; may be shared between engines
     :ivar on_crash: called when the engine crashes
     :ivar crashed_at_s: loop time at which it crashed, 0 before
+    :ivar crashed_on: the part on which it crashed, empty before
     """
 
     engine_id: str
@@ -137,6 +138,7 @@
     crashing_parts: set[str] = field(default_factory=set)
     on_crash: Callable[[], None] = lambda: None
     crashed_at_s: float = 0.0
+    crashed_on: str = ""
     address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
     _server: StandinServer = field(init=False)
 
@@ -216,7 +218,8 @@
             run.cancelled = True
             raise
 
-    async def _crash(self) -> None:
+    async def _crash(self, part_id: str) -> None:
+        self.crashed_on = part_id
         self.crashed_at_s = asyncio.get_running_loop().time()
         self.on_crash()
         await self.stop()
@@ -309,9 +312,9 @@
             if fault is Fault.HANG:
                 await asyncio.sleep(3600)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            if self.crashing_parts.intersection(_shared_parts(run.request)):
+            if crashing := self.crashing_parts.intersection(_shared_parts(run.request)):
                 responder.send(event[:5])
-                await self._crash()
+                await self._crash(min(crashing))
             while fault is Fault.TRICKLE and number == first_number + 2:
                 responder.send(b"x")
                 await asyncio.sleep(self.event_s)
--- a/godwitpath_standin/soak/callers.py
+++ b/godwitpath_standin/soak/callers.py
@@ -20,6 +20,9 @@
 """Numbers of requests that a caller may send on a connection; the largest number keeps the
 connection until the daemon closes it."""
 
+CRASHING_SHARE = 0.03
+"""Share of the prompts that have a part on which engines crash."""
+
 TARGETS = {
     "read": ("GET", "/read/x"),
     "book": ("POST", "/book/x"),
@@ -158,7 +161,11 @@
         )
         if sent.stream:
             head += "X-Model: m\r\nX-Token-Count: 300,60\r\n"
-            head += f"X-Prompt-Prefix: ab12:200,{sent.request_id.encode().hex()}:100\r\n"
+            parts = ["ab12:200", f"{sent.request_id.encode().hex()}:100"]
+            for part in sorted(self._environment.crashing_parts):
+                if self._rng.random() < CRASHING_SHARE:
+                    parts.insert(self._rng.randrange(2), f"{part}:50")
+            head += f"X-Prompt-Prefix: {','.join(parts)}\r\n"
         if sent.body:
             head += f"Content-Length: {len(sent.body)}\r\n"
         self._environment.history.sent[sent.request_id] = sent
--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -98,6 +98,7 @@
     :ivar engines: service and engine of every engine that was started, also of replaced ones
     :ivar written: configurations in the order in which the store confirmed them
     :ivar drained_at_s: loop time at which the store entry of an engine became draining, by engine
+    :ivar crashing_parts: prompt parts on which engines crashed
     :ivar unexpected_exits: messages about daemon exits that no injected fault explains
     """
 
@@ -107,6 +108,7 @@
     written: list[WrittenConfiguration] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
     drained_at_s: dict[str, float] = field(default_factory=dict)
+    crashing_parts: set[str] = field(default_factory=set)
     unexpected_exits: list[str] = field(default_factory=list)
 
     def ended(self) -> Iterator[SentRequest]:
--- a/godwitpath_standin/soak/injection.py
+++ b/godwitpath_standin/soak/injection.py
@@ -289,3 +289,4 @@
         position.link.clear_faults()
         position.engine.script.clear()
         position.engine.limit = ""
+    environment.crashing_parts.clear()
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby, islice
 
+from godwitpath_standin.gateway.crash_rule import CONTACT_S, TOLERATED_SENDS, late_sends
 from godwitpath_standin.gateway.engine import Arrival
 from godwitpath_standin.gateway.limit_rule import WINDOW_S, LimitedArrival, exceeded_windows
 from godwitpath_standin.soak.history import History, SentRequest, Violation
@@ -213,6 +214,22 @@
         yield LimitedArrival(sent.daemon, arrival.at_s, arrival.answered_at_s)
 
 
+def crashing_prompts_refused(history: History) -> Iterator[Violation]:
+    """Check that requests with a part that crashes engines soon reach none any more."""
+
+    def in_touch(arrival: Arrival) -> bool:
+        sent = history.sent.get(arrival.request_id.decode())
+        return sent is not None and not history.disrupted(
+            sent.daemon, arrival.at_s - CONTACT_S, arrival.at_s
+        )
+
+    engines = [engine for _, engine in history.engines]
+    for part in sorted(history.crashing_parts):
+        late = late_sends(engines, part, in_touch)
+        if len(late) > TOLERATED_SENDS:
+            yield Violation("crashing prompts", f"{len(late)} sends of {part} too late")
+
+
 def one_count_per_usage_window(history: History) -> Iterator[Violation]:
     """Check that a usage window is reported with one count only."""
     for window, reports in history.cloud.usage.items():
@@ -247,6 +264,7 @@
     drained_engines_unused,
     retries_within_budget,
     engine_limits_kept,
+    crashing_prompts_refused,
     one_count_per_usage_window,
     one_holder_per_token,
     no_unexpected_exits,
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -99,6 +99,7 @@
             for number in range(CALLERS_PER_DAEMON * plan.daemons)
         ]
         background_tasks += [asyncio.create_task(caller.run()) for caller in callers]
+        background_tasks.append(asyncio.create_task(_send_crashing_prompts(environment, plan)))
         await _inject_faults(environment, plan, outcome)
         if not outcome.violations:
             await _check_recovery(environment, balancer, outcome)
@@ -128,6 +129,15 @@
     heal(environment)
 
 
+async def _send_crashing_prompts(environment: SoakEnvironment, plan: SoakPlan) -> None:
+    """Have prompts with one part crash engines from some moment on, until the faults end."""
+    rng = random.Random(f"{plan.seed} crashing prompts")
+    await asyncio.sleep(rng.uniform(0.0, plan.duration_s / 3))
+    part = f"dead{plan.seed:x}"
+    environment.history.crashing_parts.add(part)
+    environment.crashing_parts.add(part)
+
+
 async def _check_recovery(
     environment: SoakEnvironment, balancer: Balancer, outcome: SoakOutcome
 ) -> None:
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -143,7 +143,7 @@
         async with prompt_fleet(tmp_path) as fleet:
             await fleet.load(for_s=16.0, sound_per_s=20, crashing_per_s=1.5)
             engines = fleet.engines()
-            crashes_s = crash_times_s(engines)
+            crashes_s = crash_times_s(engines, CRASHING_PART)
             assert crashes_s
             late = late_sends(engines, CRASHING_PART)
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late, {len(crashes_s)} crashed"
@@ -158,7 +158,7 @@
             engines = fleet.engines()
             late = late_sends(engines, CRASHING_PART)
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late"
-            crashes_s = crash_times_s(engines)
+            crashes_s = crash_times_s(engines, CRASHING_PART)
             assert fleet.share_begun(since_s=crashes_s[-1] + 2.0) >= 0.95
 
     async def test_daemons_that_start_and_one_without_the_store_refuse_the_part(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -13,7 +13,7 @@
 from godwitpath.http1.messages import Request
 from godwitpath_standin.gateway.caller import ClientResponse
 from godwitpath_standin.gateway.cloud import FakeCloud
-from godwitpath_standin.gateway.engine import EngineStandin, Run
+from godwitpath_standin.gateway.engine import Arrival, EngineStandin, Run
 from godwitpath_standin.soak.environment import Daemon
 from godwitpath_standin.soak.history import Disruption, History, SentRequest, WrittenConfiguration
 from godwitpath_standin.soak.invariants import violations
@@ -173,6 +173,22 @@
         recorded.engines[0][1].runs = [run for n in range(70) for run in (run_of(requests[0]),)]
         assert "budget" in violated(recorded)
 
+    def test_late_requests_with_a_crashing_part_are_a_violation(self) -> None:
+        requests = [
+            sent(request_id=f"r{n}", response=ClientResponse(502, {}, b"", True)) for n in range(9)
+        ]
+        recorded = history(requests[0])
+        recorded.sent = {each.request_id: each for each in requests}
+        recorded.crashing_parts = {"dead"}
+        for number, request in enumerate(requests):
+            engine = EngineStandin(f"i-{number}", crashed_at_s=100.0, crashed_on="dead")
+            at_s = 100.0 if number < 5 else 104.1
+            engine.arrivals = [Arrival(request.request_id.encode(), at_s, shared_parts=("dead",))]
+            recorded.engines.append(("lm", engine))
+        assert violated(recorded) == {"crashing prompts"}
+        recorded.disruptions.append(Disruption("edge-0", 101.0, 101.1))
+        assert violated(recorded) == set()
+
     def test_two_counts_of_a_window_and_two_holders_of_a_token_are_violations(self) -> None:
         request = sent()
         recorded = history(request, run_of(request))
