Look again at an engine that broke a stream before without having crashed

Cause, found by reading: an engine that still listened stayed pending for 10 s, so a crash within that time was not looked into, and prompts of the earlier break could have been blamed for it. The test of a crash that another daemon confirms had the engine listening, which proves that it had not crashed; it has one that does not respond now.

--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -33,7 +33,7 @@
 connections before its port."""
 
 PENDING_S = 10.0
-"""Time for which the prompts of an engine that was not found crashed are kept, in case that another
+"""Time for which the prompts of an engine that did not respond are kept, in case that another
 daemon finds it crashed."""
 
 
@@ -134,17 +134,23 @@
 
     async def _confirm(self, incarnation: Incarnation, address: Address) -> None:
         """Find out whether an engine crashed."""
+        listens = False
         for wait_s in (0.0, CONFIRM_AGAIN_S):
             await asyncio.sleep(wait_s)
             try:
                 connection = await connect(address.host, address.port, CONFIRM_TIMEOUT_S)
                 connection.close()
+                listens = True
             except NotSent as error:
+                listens = False
                 if isinstance(error.__cause__, ConnectionRefusedError):
                     self._note_crash(incarnation)
                     return
-        self.counts["not_crashed"] += 1
-        decision("engine_not_crashed", engine=incarnation[0], started_at_ms=incarnation[1])
+        if listens:
+            # A later break at the same engine is looked into anew.
+            self._broken.pop(incarnation, None)
+            self.counts["not_crashed"] += 1
+            decision("engine_not_crashed", engine=incarnation[0], started_at_ms=incarnation[1])
 
     def _note_crash(self, incarnation: Incarnation) -> None:
         """Take the prompts of an engine that crashed as evidence."""
--- a/test/test_gateway_crash_watch.py
+++ b/test/test_gateway_crash_watch.py
@@ -6,9 +6,13 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
+
+from godwitpath.gateway import crash_watch
 from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, SOUND_AFTER_S, CrashWatch
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash
+from godwitpath.http1.messages import NotSent
 from godwitpath.ports.engine import Address
 from test.raw_server import Exchange, raw_server
 
@@ -69,15 +73,29 @@
         assert crash.prompts == [("a",), ("b",)]
         assert watch.watch.counts["crash"] == 1
 
-    async def test_a_crash_that_another_daemon_found_confirms_an_unclear_one(self) -> None:
+    async def test_a_crash_that_another_daemon_found_confirms_an_unclear_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def time_out(*_: object) -> None:
+            raise NotSent("timed out") from TimeoutError()
+
+        monkeypatch.setattr(crash_watch, "connect", time_out)
+        watch = Watch(Address("127.0.0.1", 9))
+        await watch.break_stream()
+        assert watch.crashes == []
+        heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
+        watch.watch.apply_report("d2", heard)
+        [crash] = watch.crashes
+        assert crash.prompts == [DEAD]
+
+    async def test_an_engine_that_only_broke_a_stream_before_is_looked_at_again(self) -> None:
         async with listening() as address:
             watch = Watch(address)
-            await watch.break_stream()
-            assert watch.crashes == []
-            heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
-            watch.watch.apply_report("d2", heard)
-            [crash] = watch.crashes
-            assert crash.prompts == [DEAD]
+            watch.watch.note_broken(watch.engine, ("before",), 0.0)
+            await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
+        await watch.break_stream()
+        [crash] = watch.crashes
+        assert crash.prompts == [DEAD]
 
 
 class TestNoCrash:
