Bound what a report says about crashes, so that it fits into a datagram

Cause, found by reading: an aggregator's summary could carry 256 crashes with 32 prompts each; a datagram over 64 kB is not sent at all, with all else that the report says. A crash with more than 32 waiting prompts could lose the one that matters. Change: 256 prompts and 512 acquitted parts a report, the newest crashes first; 128 prompts a crash.

--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.quarantine_report import (
@@ -59,9 +60,15 @@
 MAX_CRASHES = 256
 """Number of crashes that are remembered."""
 
-MAX_PROMPTS_PER_CRASH = 32
+MAX_PROMPTS_PER_CRASH = 128
 """Number of prompts that are remembered of a crash."""
 
+MAX_REPORTED_PROMPTS = 256
+"""Number of prompts in a report, which has to fit into a datagram."""
+
+MAX_REPORTED_SOUND_PARTS = 512
+"""Number of acquitted parts in a report, likewise."""
+
 MAX_VERDICTS = 64
 """Number of verdicts in force: callers choose the ids of their parts."""
 
@@ -270,12 +277,14 @@
 
         :param relayed: whether to report also what other daemons told lately
         """
-        crashes = []
-        for (engine_id, started_at_ms), crash in self._crashes.items():
-            prompts = crash.prompts if relayed else crash.own_prompts
+        crashes: list[ReportedCrash] = []
+        prompts_left = MAX_REPORTED_PROMPTS
+        for (engine_id, started_at_ms), crash in reversed(self._crashes.items()):
+            prompts = sorted(crash.prompts if relayed else crash.own_prompts)[:prompts_left]
             if prompts and now_s - crash.learned_at_s < REPORT_S:
                 age_s = round(now_s - crash.at_s, 3)
-                crashes.append(ReportedCrash(engine_id, started_at_ms, age_s, sorted(prompts)))
+                crashes.append(ReportedCrash(engine_id, started_at_ms, age_s, prompts))
+                prompts_left -= len(prompts)
         for part, since_s in list(self._telling_since_s.items()):
             if now_s - since_s >= REPORT_S:
                 del self._telling_since_s[part]
@@ -290,7 +299,7 @@
             told_parts |= self._heard_at_s.keys()
         sound = {
             part: round(now_s - self._acquittals[part].sound_at_s, 3)
-            for part in told_parts
+            for part in islice(told_parts, MAX_REPORTED_SOUND_PARTS)
             if part in self._acquittals
         }
         return QuarantineReport(crashes, self.reported_verdicts(now_s), sound)
