Leave a stream with a quarantined part at its engine

Cause, found by reading: a move stops the run first, and the look before the send then refused to continue it. Result: the new test fails before and passes.

--- a/test/test_gateway_evacuate.py
+++ b/test/test_gateway_evacuate.py
@@ -7,9 +7,11 @@
 
 import pytest
 
+from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.evacuate import Evacuator, MovedRun, MoveFailed, StreamRun
 from godwitpath.gateway.permits import Permit
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
 from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.ports.engine import Address
 
@@ -63,9 +65,16 @@
             SimpleNamespace(engine=engine) for engine in usable
         ]
     )
-    ctx: Any = SimpleNamespace(engines=engines, placer=placer, permits=Permits(limited, left))
+    ctx: Any = SimpleNamespace(
+        engines=engines,
+        placer=placer,
+        permits=Permits(limited, left),
+        crashes=CrashWatch(engines),
+    )
     service = SimpleNamespace(name="lm", engine=SimpleNamespace(cache_tokens=1, moves=True))
-    call: Any = SimpleNamespace(service=service, prompt=object(), request_id="r", priority=1)
+    call: Any = SimpleNamespace(
+        service=service, prompt=object(), request_id="r", priority=1, shared_parts=("p",)
+    )
     mover = Mover()
     source = engines.get("e0")
     assert source is not None
@@ -102,3 +111,12 @@
     notices = evacuator._ctx.engines.notices
     assert notices.is_leaving(run.engine.entry.incarnation)
     assert not notices.is_leaving(("e1", 1))
+
+
+@pytest.mark.looptime
+async def test_a_stream_with_a_quarantined_part_stays_where_it_runs() -> None:
+    evacuator, mover, run = evacuation(set(), left=0)
+    verdict = ReportedVerdict(("p",), 4, 5.0, 0.0)
+    evacuator._ctx.crashes.apply_report("d2", QuarantineReport(verdicts=[verdict]))
+    assert await evacuator._move(run) is None
+    assert mover.targets == []
