Do not end a transfer for a stall of the own process

A daemon that its machine holds up gives up a pull or a listing whose bytes have arrived. Cause: after a stall, the data and the timeout of the wait are handled in the same turn of the event loop, and the timeout wins. Change: a wait that timed out while bytes arrived goes on; the bound of the whole transfer stays.

--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -187,17 +187,21 @@
         if length_bytes is not None:
             deadline_s = loop.time() + stall_timeout_s + length_bytes / MIN_TRANSFER_BYTES_PER_S
         chunks: list[bytes] = []
-        try:
-            while True:
+        while True:
+            received_bytes = self.received_body_bytes
+            try:
                 async with asyncio.timeout_at(min(deadline_s, loop.time() + stall_timeout_s)):
                     chunk = await self.read()
-                if not chunk:
-                    return b"".join(chunks)
-                chunks.append(chunk)
-        except TimeoutError as error:
-            raise ResponseLost(
-                f"timed out after {self.received_body_bytes} of {length_bytes} bytes"
-            ) from error
+            except TimeoutError as error:
+                # After a stall of this process, data and the timeout are handled together.
+                if self.received_body_bytes > received_bytes and loop.time() < deadline_s:
+                    continue
+                raise ResponseLost(
+                    f"timed out after {self.received_body_bytes} of {length_bytes} bytes"
+                ) from error
+            if not chunk:
+                return b"".join(chunks)
+            chunks.append(chunk)
 
     def close(self) -> None:
         """Close the connection and abort any active exchange."""
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -9,8 +9,10 @@
 import asyncio
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+import threading
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 import pytest
 from hypothesis import given
@@ -256,6 +258,56 @@
     return b"".join(chunks)
 
 
+class MemoryTransport(asyncio.Transport):
+    """A transport without a socket: what is written is dropped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._closing = False
+
+    def write(self, data: object) -> None:
+        """Drop the data."""
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def abort(self) -> None:
+        self._closing = True
+
+
+async def transfer(parts: list[bytes], gap_s: float, stall_timeout_s: float) -> bytes:
+    """Read a transfer of 10,000 bytes of which parts arrive, one after each gap."""
+    loop = asyncio.get_running_loop()
+    connection = ClientConnection()
+    connection.connection_made(MemoryTransport())
+    connection.send("GET", b"")
+    connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n")
+    for number, part in enumerate(parts, start=1):
+        loop.call_later(number * gap_s, connection.data_received, part)
+    return await connection.read_transfer(stall_timeout_s)
+
+
+@contextmanager
+def threaded_server(part: bytes, count: int, gap_s: float) -> Iterator[tuple[str, int]]:
+    """Run a server in a thread that sends a body in parts, one after each gap."""
+
+    def serve() -> None:
+        client, _ = server.accept()
+        with client:
+            client.recv(65_536)
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(part) * count}\r\n\r\n"
+            client.sendall(head.encode())
+            for _ in range(count):
+                client.sendall(part)
+                time.sleep(gap_s)
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        thread = threading.Thread(target=serve)
+        thread.start()
+        yield server.getsockname()[:2]
+        thread.join()
+
+
 class TestClient:
     async def test_complete_response_leaves_connection_reusable(self) -> None:
         async with scripted_server(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") as connection:
@@ -314,16 +366,24 @@
                 await asyncio.sleep(0.05)
                 assert connection.closed or not connection.reusable
 
+    @pytest.mark.looptime
     async def test_a_transfer_ends_only_without_progress(self) -> None:
-        head = b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
+        loop = asyncio.get_running_loop()
         part = bytes(500)
-        async with scripted_server(head, *[part] * 20) as connection:
-            await connection.head()
-            assert await connection.read_transfer(stall_timeout_s=0.1) == part * 20
-        async with scripted_server(head, *[part] * 19) as connection:
+        assert await transfer([part] * 20, gap_s=0.06, stall_timeout_s=0.07) == part * 20
+        started_at_s = loop.time()
+        with pytest.raises(ResponseLost, match="after 9500 of 10000 bytes"):
+            await transfer([part] * 19, gap_s=0.01, stall_timeout_s=0.1)
+        assert loop.time() - started_at_s == pytest.approx(19 * 0.01 + 0.1)
+
+    async def test_a_stall_of_the_own_process_does_not_end_a_transfer(self) -> None:
+        with threaded_server(bytes(500), count=20, gap_s=0.02) as address:
+            connection = await connect(*address, 1.0)
+            connection.send("GET", encode_request_head("GET", b"/", [(b"Host", b"h")]))
             await connection.head()
-            with pytest.raises(ResponseLost, match="after 9500 of 10000 bytes"):
-                await connection.read_transfer(stall_timeout_s=0.1)
+            asyncio.get_running_loop().call_later(0.1, time.sleep, 0.2)
+            assert len(await connection.read_transfer(stall_timeout_s=0.1)) == 10_000
+            connection.close()
 
     async def test_a_transfer_below_the_slowest_rate_ends(self) -> None:
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n"
