Crash a stand-in engine once under prompts that come together

Cause: in the stand-in. Streams that reached their first event together crashed the engine once each, so several replacements started at one position, and the history listed one engine twice. Five prompts at once: on_crash called 5 times. Change: an engine crashes once; the history lists the engine that was started; a position with another fault is replaced after it.

--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -219,10 +219,11 @@
             raise
 
     async def _crash(self, part_id: str) -> None:
-        self.crashed_on = part_id
-        self.crashed_at_s = asyncio.get_running_loop().time()
-        self.on_crash()
-        await self.stop()
+        if not self.crashed_on:
+            self.crashed_on = part_id
+            self.crashed_at_s = asyncio.get_running_loop().time()
+            self.on_crash()
+            await self.stop()
         # The reset connection cancels this run.
         await asyncio.sleep(3600)
 
--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -38,6 +38,9 @@
 CRASHED_DOWN_S = 2.5
 """Time until an engine that a prompt crashed is replaced."""
 
+BUSY_POLL_S = 0.1
+"""Interval at which the end of another fault at the position is awaited."""
+
 ROUTE_OVERRIDES = {
     "read": {"maxAttempts": 3},
     "digest": {"maxAttempts": 3, "gapAimMs": 200},
@@ -236,19 +239,19 @@
     async def start_engine(self, position: EnginePosition) -> None:
         """Start a new engine at a position and write its entry into the store."""
         self._engine_count += 1
-        position.engine = EngineStandin(
+        engine = position.engine = EngineStandin(
             f"i-{self._engine_count}",
             events=20,
             event_s=0.04,
             crashing_parts=self.crashing_parts,
-            on_crash=lambda: self._on_crash(position),
+            on_crash=lambda: self._on_crash(position, engine),
         )
-        target = await position.engine.start()
+        target = await engine.start()
         position.link = LoopbackProxy(target)
-        position.engine.address = await position.link.start()
+        engine.address = await position.link.start()
         self.stack.push_async_callback(position.link.stop)
-        self.stack.push_async_callback(position.engine.stop)
-        self.history.engines.append((position.service, position.engine))
+        self.stack.push_async_callback(engine.stop)
+        self.history.engines.append((position.service, engine))
         self.write_engine_entry(position)
 
     def write_engine_entry(self, position: EnginePosition, **fields: Any) -> None:
@@ -265,18 +268,27 @@
         """Remove the store entry of an engine."""
         self.core.remove(ENGINES_PREFIX + position.engine.engine_id)
 
-    def _on_crash(self, position: EnginePosition) -> None:
-        position.busy = True
-        self.record_disruption(position.engine.engine_id, 0.0, fatal=True)
-        self._restart_tasks.append(asyncio.create_task(self._replace_crashed(position)))
+    def _on_crash(self, position: EnginePosition, engine: EngineStandin) -> None:
+        self.record_disruption(engine.engine_id, 0.0, fatal=True)
+        replacing = self._replace_crashed(position, engine)
+        self._restart_tasks.append(asyncio.create_task(replacing))
+
+    async def _replace_crashed(self, position: EnginePosition, engine: EngineStandin) -> None:
+        """Start another engine at the position of one that crashed.
 
-    async def _replace_crashed(self, position: EnginePosition) -> None:
-        """Start another engine at the position of one that crashed."""
+        A fault that was injected at the position ends first, and may have replaced the engine.
+        """
         await position.link.stop()
         await asyncio.sleep(CRASHED_DOWN_S)
-        self.remove_engine_entry(position)
-        await self.start_engine(position)
-        position.busy = False
+        while True:
+            if not position.busy:
+                break
+            await asyncio.sleep(BUSY_POLL_S)
+        if position.engine is engine:
+            position.busy = True
+            self.remove_engine_entry(position)
+            await self.start_engine(position)
+            position.busy = False
 
     async def _add_position(self, service: str, zone: str) -> None:
         engine = EngineStandin("")
--- a/test/test_standin_faults.py
+++ b/test/test_standin_faults.py
@@ -24,6 +24,8 @@
 from godwitpath.ports.kv import ABSENT, StoreRefused, StoreUncertain
 from godwitpath.ports.platform import PlatformUnavailable
 from godwitpath.ports.service import ServiceCall, ServiceNotSent, ServiceUncertain
+from godwitpath_standin.gateway.caller import ask
+from godwitpath_standin.gateway.engine import EngineStandin
 from godwitpath_standin.process import Process
 from godwitpath_standin.text import expected_text
 
@@ -183,3 +185,18 @@
         with pytest.raises(PlatformUnavailable):
             await pending_notice
         await cloud.close()
+
+
+async def test_an_engine_crashes_once_under_prompts_that_come_together() -> None:
+    crashes: list[str] = []
+    engine = EngineStandin("i-1", crashing_parts={"dead"}, on_crash=lambda: crashes.append("i-1"))
+    address = await engine.start()
+    headers = {"X-Prompt-Prefix": "dead:1,own:1"}
+    responses = await asyncio.gather(
+        *(
+            ask(address.port, "/stream/x", request_id=f"r{number}", headers=headers)
+            for number in range(5)
+        )
+    )
+    assert not any(response.complete for response in responses)
+    assert (crashes, engine.crashed_on) == (["i-1"], "dead")
