Keep the evidence about crashes in a module of its own

A report sorted the prompts of every remembered crash before it looked at their age, and a review counted all crashes for parts far below the threshold. Change: crash_evidence.py holds crashes and acquittals within their bounds, quarantine.py judges. No decision changes.

--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -11,18 +11,13 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import islice
 
+from godwitpath.gateway.crash_evidence import REPORT_S, Crash, CrashEvidence
 from godwitpath.gateway.engine_notices import Incarnation
-from godwitpath.gateway.quarantine_report import (
-    Parts,
-    QuarantineReport,
-    ReportedCrash,
-    ReportedVerdict,
-)
+from godwitpath.gateway.quarantine_report import Parts, QuarantineReport, ReportedVerdict
 
 CRASHES_TO_QUARANTINE = 4
 """Crashes under a part after which it is quarantined: two may coincide with a part by chance."""
@@ -33,7 +28,7 @@
 
 EXPLAINED_SHARE = 1 / 3
 """Share of the crashes since the first one under a part that the part has to explain. In a large
-fleet whose engines keep failing, some rare part is in three crashes by chance."""
+fleet whose engines keep failing, some rare part is in several crashes by chance."""
 
 SAME_CAUSE_S = 0.25
 """Time within which several crashes count as one: engines that fail together, such as those of a
@@ -43,38 +38,19 @@
 """Time from the first crash under a part to its quarantine: by then every daemon has heard of a
 response to the part that went well in between."""
 
-EVIDENCE_RETENTION_S = 600.0
-"""Time for which a crash counts."""
-
 QUARANTINE_S = 900.0
 """Time after the last request for a quarantined part at which the part is forgotten."""
 
-REPORT_S = 1.6
-"""Time for which news is repeated in reports to the other daemons: four reports, of which some may
-be lost."""
-
 SAME_NEWS_S = 0.2
 """Difference up to which two times of a response that went well are the same, since they are told
 as ages."""
 
-MAX_CRASHES = 256
-"""Number of crashes that are remembered."""
-
-MAX_PROMPTS_PER_CRASH = 128
-"""Number of prompts that are remembered of a crash."""
-
-MAX_REPORTED_PROMPTS = 256
-"""Number of prompts in a report, which has to fit into a datagram."""
-
 MAX_REPORTED_SOUND_PARTS = 512
-"""Number of acquitted parts in a report, likewise."""
+"""Number of acquitted parts in a report, which has to fit into a datagram."""
 
 MAX_VERDICTS = 64
 """Number of verdicts in force: callers choose the ids of their parts."""
 
-MAX_ACQUITTALS = 8192
-"""Number of parts of which it is remembered that a response went well."""
-
 
 @dataclass(slots=True)
 class Verdict:
@@ -92,58 +68,18 @@
     asked_at_s: float
 
 
-@dataclass(slots=True)
-class _Crash:
-    """A crash of one incarnation of an engine.
-
-    :ivar at_s: time of the crash
-    :ivar learned_at_s: time at which its last prompt was learned
-    :ivar own_prompts: those of the prompts that this daemon had sent
-    """
-
-    at_s: float
-    learned_at_s: float
-    prompts: set[Parts] = field(default_factory=set)
-    own_prompts: set[Parts] = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class _Acquittal:
-    """When a response to a part went well.
-
-    :ivar sound_at_s: time of the last such response
-    :ivar told_s: time of the last one that the other daemons know of
-    """
-
-    sound_at_s: float
-    told_s: float = float("-inf")
-
-
 class PromptQuarantine:
     """Evidence about the parts of prompts, and the verdicts that follow from it.
 
     All times are in seconds of one clock, whose current time is passed to each method.
 
-    :param started_at_s: time since which evidence is collected; earlier crashes do not count, since
-        the responses that went well after them are not known
+    :param started_at_s: time since which evidence is collected
     """
 
-    __slots__ = (
-        "_acquittals",
-        "_crashes",
-        "_crashes_by_part",
-        "_heard_at_s",
-        "_started_at_s",
-        "_suspects",
-        "_telling_since_s",
-        "_verdicts",
-    )
+    __slots__ = ("_evidence", "_heard_at_s", "_suspects", "_telling_since_s", "_verdicts")
 
     def __init__(self, started_at_s: float) -> None:
-        self._started_at_s = started_at_s
-        self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
-        self._crashes_by_part: defaultdict[str, set[Incarnation]] = defaultdict(set)
-        self._acquittals: OrderedDict[str, _Acquittal] = OrderedDict()
+        self._evidence = CrashEvidence(started_at_s)
         self._verdicts: dict[frozenset[str], Verdict] = {}
         # Parts under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
@@ -169,24 +105,10 @@
         :param own: whether this daemon had sent them
         :returns: the new verdict that follows, None if there is none
         """
-        if at_s < self._started_at_s or now_s - at_s >= EVIDENCE_RETENTION_S:
-            return None
-        crash = self._crashes.get(incarnation)
-        if crash is None:
-            crash = self._crashes[incarnation] = _Crash(at_s, now_s)
-            if len(self._crashes) > MAX_CRASHES:
-                self._drop_crash(next(iter(self._crashes)))
-        crash.at_s = min(crash.at_s, at_s)
-        new_prompts = {prompt for prompt in prompts if prompt} - crash.prompts
-        if own:
-            crash.own_prompts |= new_prompts
-        for prompt in sorted(new_prompts)[: MAX_PROMPTS_PER_CRASH - len(crash.prompts)]:
-            crash.prompts.add(prompt)
-            crash.learned_at_s = now_s
-            for part in prompt:
-                self._crashes_by_part[part].add(incarnation)
-                self._tell_if_news(part, now_s)
-        self._suspects.update(part for prompt in new_prompts for part in prompt)
+        new_parts = self._evidence.add_crash(incarnation, at_s, prompts, now_s, own=own)
+        for part in new_parts:
+            self._tell_if_news(part, now_s)
+        self._suspects |= new_parts
         return self.review(now_s)
 
     def note_sound(self, parts: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
@@ -196,12 +118,8 @@
         :returns: the verdicts that it refutes
         """
         for part in parts:
-            acquittal = self._acquittals.setdefault(part, _Acquittal(at_s))
-            acquittal.sound_at_s = max(acquittal.sound_at_s, at_s)
-            self._acquittals.move_to_end(part)
+            self._evidence.add_sound(part, at_s)
             self._tell_if_news(part, now_s)
-        while len(self._acquittals) > MAX_ACQUITTALS:
-            self._acquittals.popitem(last=False)
         return self._drop_refuted()
 
     # Decisions.
@@ -234,11 +152,11 @@
 
     def refutes(self, parts: Iterable[str], since_s: float) -> bool:
         """Return whether responses to all parts of a verdict went well since its first crash."""
-        return all(self._is_sound(part, since_s) for part in parts)
+        return all(self._evidence.is_sound(part, since_s) for part in parts)
 
     def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
         """Yield the engines whose known crashes speak for a verdict, with the time of each."""
-        for incarnation, crash in self._crashes.items():
+        for incarnation, crash in self._evidence.crashes.items():
             if any(verdict.parts.issubset(prompt) for prompt in crash.prompts):
                 yield incarnation, crash.at_s
 
@@ -249,7 +167,9 @@
         """
         crashes = {part: self._counted(part) for part in self._suspects}
         self._suspects = {
-            part for part, times_s in crashes.items() if len(times_s) >= self._required(part)
+            part
+            for part, times_s in crashes.items()
+            if len(times_s) >= CRASHES_TO_QUARANTINE and len(times_s) >= self._required(part)
         }
         ripe = [part for part in self._suspects if now_s - crashes[part][0] >= MIN_SUSPICION_S]
         for part in sorted(ripe, key=self._doubt):
@@ -262,9 +182,7 @@
 
     def drop_expired(self, now_s: float) -> list[Verdict]:
         """Drop old evidence, and verdicts for which nobody asks any more; returns the latter."""
-        for incarnation, crash in list(self._crashes.items()):
-            if now_s - crash.at_s >= EVIDENCE_RETENTION_S:
-                self._drop_crash(incarnation)
+        self._evidence.drop_expired(now_s)
         expired = [each for each in self.verdicts if now_s - each.asked_at_s >= QUARANTINE_S]
         for verdict in expired:
             del self._verdicts[verdict.parts]
@@ -277,18 +195,11 @@
 
         :param relayed: whether to report also what other daemons told lately
         """
-        crashes: list[ReportedCrash] = []
-        prompts_left = MAX_REPORTED_PROMPTS
-        for (engine_id, started_at_ms), crash in reversed(self._crashes.items()):
-            prompts = sorted(crash.prompts if relayed else crash.own_prompts)[:prompts_left]
-            if prompts and now_s - crash.learned_at_s < REPORT_S:
-                age_s = round(now_s - crash.at_s, 3)
-                crashes.append(ReportedCrash(engine_id, started_at_ms, age_s, prompts))
-                prompts_left -= len(prompts)
+        acquittals = self._evidence.acquittals
         for part, since_s in list(self._telling_since_s.items()):
             if now_s - since_s >= REPORT_S:
                 del self._telling_since_s[part]
-                acquittal = self._acquittals.get(part)
+                acquittal = acquittals.get(part)
                 if acquittal is not None:
                     acquittal.told_s = acquittal.sound_at_s
         for part, heard_at_s in list(self._heard_at_s.items()):
@@ -298,10 +209,11 @@
         if relayed:
             told_parts |= self._heard_at_s.keys()
         sound = {
-            part: round(now_s - self._acquittals[part].sound_at_s, 3)
+            part: round(now_s - acquittals[part].sound_at_s, 3)
             for part in islice(told_parts, MAX_REPORTED_SOUND_PARTS)
-            if part in self._acquittals
+            if part in acquittals
         }
+        crashes = self._evidence.reported_crashes(now_s, relayed=relayed)
         return QuarantineReport(crashes, self.reported_verdicts(now_s), sound)
 
     def reported_verdicts(self, now_s: float) -> list[ReportedVerdict]:
@@ -323,7 +235,7 @@
         """
         for part, age_s in report.sound.items():
             self.note_sound((part,), now_s - age_s, now_s)
-            acquittal = self._acquittals[part]
+            acquittal = self._evidence.acquittals[part]
             if now_s - age_s > acquittal.told_s + SAME_NEWS_S:
                 self._heard_at_s[part] = now_s
             acquittal.told_s = max(acquittal.told_s, now_s - age_s)
@@ -340,7 +252,8 @@
         if reported.asked_age_s >= QUARANTINE_S or not reported.parts:
             return None
         # A daemon that has just started may not know that responses to a part went well before.
-        if reported.crashes < CRASHES_IN_DOUBT and self._acquittals.keys() >= set(reported.parts):
+        known_sound = self._evidence.acquittals.keys() >= set(reported.parts)
+        if known_sound and reported.crashes < CRASHES_IN_DOUBT:
             return None
         return self._add_verdict(
             Verdict(
@@ -353,10 +266,10 @@
 
     def _is_news(self, part: str) -> bool:
         """Return whether an acquittal changes what the other daemons count against a part."""
-        acquittal = self._acquittals.get(part)
+        acquittal = self._evidence.acquittals.get(part)
         if acquittal is None:
             return False
-        times_s = [self._crashes[each].at_s for each in self._crashes_by_part.get(part, ())]
+        times_s = self._evidence.times_s(part)
         times_s += [each.since_s for each in self._verdicts.values() if part in each.parts]
         return any(acquittal.told_s < at_s < acquittal.sound_at_s for at_s in times_s)
 
@@ -368,37 +281,31 @@
 
     def _required(self, part: str) -> int:
         """Return the number of crashes after which a part is quarantined."""
-        if part in self._acquittals:
+        if part in self._evidence.acquittals:
             return CRASHES_IN_DOUBT
-        times_s = [self._crashes[each].at_s for each in self._counting_crashes(part)]
-        all_crashes = (
-            sum(crash.at_s >= min(times_s) for crash in self._crashes.values()) if times_s else 0
-        )
+        times_s = [crash.at_s for crash in self._counting_crashes(part)]
+        all_crashes = self._evidence.count_since(min(times_s)) if times_s else 0
         explains = len(times_s) >= EXPLAINED_SHARE * all_crashes
         return CRASHES_TO_QUARANTINE if explains else CRASHES_IN_DOUBT
 
-    def _counting_crashes(self, part: str) -> Iterator[Incarnation]:
-        """Yield the crashes under a part since the last response to it that went well.
+    def _counting_crashes(self, part: str) -> Iterator[Crash]:
+        """Yield the crashes that count against a part.
 
-        Crashes that a verdict on other parts explains do not count.
+        Those that a verdict on other parts explains do not.
         """
-        acquittal = self._acquittals.get(part)
-        for incarnation in self._crashes_by_part.get(part, ()):
-            crash = self._crashes[incarnation]
-            if acquittal is not None and crash.at_s <= acquittal.sound_at_s:
-                continue
+        for crash in self._evidence.unacquitted(part):
             explained = any(
                 part not in verdict.parts
                 and any(verdict.parts.issubset(prompt) for prompt in crash.prompts)
                 for verdict in self._verdicts.values()
             )
             if not explained:
-                yield incarnation
+                yield crash
 
     def _counted(self, part: str) -> list[float]:
         """Return the times of the crashes that count against a part, one for each cause."""
         counted: list[float] = []
-        for at_s in sorted(self._crashes[each].at_s for each in self._counting_crashes(part)):
+        for at_s in sorted(crash.at_s for crash in self._counting_crashes(part)):
             if not counted or at_s - counted[-1] >= SAME_CAUSE_S:
                 counted.append(at_s)
         return counted
@@ -409,11 +316,9 @@
         A part that many requests share is found in many prompts of each crash.
         """
         prompts = sum(
-            part in prompt
-            for incarnation in self._counting_crashes(part)
-            for prompt in self._crashes[incarnation].prompts
+            part in prompt for crash in self._counting_crashes(part) for prompt in crash.prompts
         )
-        return part in self._acquittals, prompts, -len(self._counted(part)), part
+        return part in self._evidence.acquittals, prompts, -len(self._counted(part)), part
 
     def _inseparable(self, part: str) -> frozenset[str]:
         """Return a part with those that no evidence tells apart from it.
@@ -423,23 +328,18 @@
         return frozenset.intersection(
             *(
                 frozenset(prompt)
-                for incarnation in self._counting_crashes(part)
-                for prompt in self._crashes[incarnation].prompts
+                for crash in self._counting_crashes(part)
+                for prompt in crash.prompts
                 if part in prompt
             )
         )
 
-    def _is_sound(self, part: str, since_s: float) -> bool:
-        """Return whether a response to a part went well after a time."""
-        acquittal = self._acquittals.get(part)
-        return acquittal is not None and acquittal.sound_at_s > since_s
-
     def _add_verdict(self, verdict: Verdict) -> Verdict | None:
         """Add a verdict without the parts that are known to be sound.
 
         :returns: the verdict, None if nothing is left of it or a known one covers it
         """
-        sound = {part for part in verdict.parts if self._is_sound(part, verdict.since_s)}
+        sound = {part for part in verdict.parts if self._evidence.is_sound(part, verdict.since_s)}
         verdict.parts -= sound
         if not verdict.parts:
             return None
@@ -459,7 +359,7 @@
         """Drop the sound parts of all verdicts; returns the verdicts of which nothing is left."""
         refuted = []
         for verdict in self.verdicts:
-            if not any(self._is_sound(part, verdict.since_s) for part in verdict.parts):
+            if not any(self._evidence.is_sound(part, verdict.since_s) for part in verdict.parts):
                 continue
             parts = verdict.parts
             del self._verdicts[parts]
@@ -468,10 +368,3 @@
                 verdict.parts = parts
                 refuted.append(verdict)
         return refuted
-
-    def _drop_crash(self, incarnation: Incarnation) -> None:
-        crash = self._crashes.pop(incarnation)
-        for part in {part for prompt in crash.prompts for part in prompt}:
-            self._crashes_by_part[part].discard(incarnation)
-            if not self._crashes_by_part[part]:
-                del self._crashes_by_part[part]
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -7,11 +7,13 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from godwitpath.gateway.quarantine import (
-    CRASHES_IN_DOUBT,
+from godwitpath.gateway.crash_evidence import (
     EVIDENCE_RETENTION_S,
     MAX_CRASHES,
     MAX_PROMPTS_PER_CRASH,
+)
+from godwitpath.gateway.quarantine import (
+    CRASHES_IN_DOUBT,
     MAX_VERDICTS,
     QUARANTINE_S,
     PromptQuarantine,
@@ -178,7 +180,9 @@
         verdicts = [ReportedVerdict((f"v{n}",), 4, 1.0, 1.0) for n in range(3 * MAX_VERDICTS)]
         quarantine.apply_report(QuarantineReport(verdicts=verdicts), 2000.0)
         assert len(quarantine.verdicts) == MAX_VERDICTS
-        assert len(quarantine._crashes_by_part) <= MAX_CRASHES * MAX_PROMPTS_PER_CRASH
+        assert (
+            len(quarantine._evidence._incarnations_by_part) <= MAX_CRASHES * MAX_PROMPTS_PER_CRASH
+        )
 
     def test_a_report_fits_into_a_datagram(self) -> None:
         quarantine = PromptQuarantine(0.0)
