Do not resume a stream elsewhere for a pause of the daemon itself

Each such pause costs a run and a share of the retry budget. Cause: the same as for transfers: after a stall the event loop handles the timeout before it looks at its sockets. Change: after a timeout, transfers and streams let the loop look at the socket for 1 ms before they give up.

--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -219,6 +219,10 @@
             engines_age_s=round(ages.engines_s, 3),
         )
 
+    async def look_for_data(self) -> bool:
+        """Return whether bytes of the body have arrived, after a timeout."""
+        return await self._open_connection().look_for_data()
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -216,6 +216,8 @@
         except TimeoutError as error:
             if call.time_left_s() <= 0:
                 raise
+            if await send.look_for_data():
+                return await send.read()
             if may_resume_elsewhere(ctx, call):
                 raise StreamBroken("the stream fell silent") from error
             timeout_at_s = asyncio.get_running_loop().time() + max_gap_s
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -37,6 +37,9 @@
 """Slowest rate at which the body of a response is still awaited: a tenth of the share that fifteen
 transfers have of a link of 10 Mbit/s."""
 
+SOCKET_LOOK_S = 0.001
+"""Time in which the event loop looks at its sockets at least once."""
+
 MAX_SKIPPED_RESPONSES = 4
 """Number of responses to other requests that are skipped before a connection is closed."""
 
@@ -137,6 +140,15 @@
             await self._wait()
         return self._head
 
+    async def look_for_data(self) -> bool:
+        """Return whether body bytes have arrived that were not read.
+
+        To be called after a timeout: when this process was stalled, the event loop handles the
+        timeout before it looks at the socket.
+        """
+        await asyncio.sleep(SOCKET_LOOK_S)
+        return bool(self._body_chunks)
+
     async def read(self) -> bytes:
         """Wait for body bytes and return those received, or nothing at the end of the body.
 
@@ -188,13 +200,11 @@
             deadline_s = loop.time() + stall_timeout_s + length_bytes / MIN_TRANSFER_BYTES_PER_S
         chunks: list[bytes] = []
         while True:
-            received_bytes = self.received_body_bytes
             try:
                 async with asyncio.timeout_at(min(deadline_s, loop.time() + stall_timeout_s)):
                     chunk = await self.read()
             except TimeoutError as error:
-                # After a stall of this process, data and the timeout are handled together.
-                if self.received_body_bytes > received_bytes and loop.time() < deadline_s:
+                if await self.look_for_data() and loop.time() < deadline_s:
                     continue
                 raise ResponseLost(
                     f"timed out after {self.received_body_bytes} of {length_bytes} bytes"
--- a/test/test_gateway_slow_streams.py
+++ b/test/test_gateway_slow_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import signal
 from collections import deque
 
 import pytest
@@ -35,6 +37,21 @@
                     break
             assert len(environment.engines["m1"].runs) > 0
 
+    async def test_a_stream_is_not_resumed_for_a_pause_of_the_daemon_itself(self) -> None:
+        async with gateway_environment(STREAM, bounds={"retrySlack": 50}) as environment:
+            for engine in environment.engines.values():
+                engine.events, engine.event_s = 40, 0.05
+            asked = asyncio.create_task(
+                ask(environment.port, "/stream/digest/x", method="POST", timeout_s=8.0)
+            )
+            await asyncio.sleep(0.6)
+            environment.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.8)
+            environment.process.send_signal(signal.SIGCONT)
+            response = await asked
+            assert response.body == stream_body(1, 40)
+            assert len(runs(environment)) == 1
+
     @pytest.mark.parametrize(
         ("services", "slack"), [({"m1": "lm"}, 50), ({"m1": "lm", "m2": "lm"}, 0)]
     )
