Look again at an engine that did not respond, and log only verdicts that were lifted

A verdict that a narrower one replaced was logged as lifted. Result: both new tests fail on the code before ('0 == 1', '1 == 0') and pass.

--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -43,10 +43,12 @@
 
     :ivar at_s: loop time of the first break
     :ivar prompts: shared parts of the prompts that it could have begun to answer
+    :ivar confirming: whether a task is finding out whether it crashed
     """
 
     at_s: float
     prompts: set[Parts] = field(default_factory=set)
+    confirming: bool = True
 
 
 class CrashWatch:
@@ -81,7 +83,7 @@
             return
         incarnation = engine.entry.incarnation
         broken = self._broken.get(incarnation)
-        if broken is None:
+        if broken is None or not broken.confirming:
             broken = self._broken[incarnation] = _BrokenEngine(now_s)
             task = asyncio.create_task(self._confirm(incarnation, engine.entry.address))
             self._tasks.add(task)
@@ -115,9 +117,12 @@
         for verdict in self.quarantine.apply_report(report, now_s):
             self._log_quarantined(verdict, sender)
         for crash in report.crashes:
-            self._add_pending((crash.engine_id, crash.started_at_ms), sender)
+            self._confirm_heard((crash.engine_id, crash.started_at_ms), sender)
         in_force = self.quarantine.verdicts
-        self._log_lifted([each for each in before if each not in in_force], sender)
+        lifted = [
+            each for each in before if not any(other.parts <= each.parts for other in in_force)
+        ]
+        self._log_lifted(lifted, sender)
 
     def review(self) -> None:
         """Judge the evidence, and drop what is old; to be called at short intervals."""
@@ -147,10 +152,11 @@
                     self._note_crash(incarnation)
                     return
         if listens:
-            # A later break at the same engine is looked into anew.
             self._broken.pop(incarnation, None)
             self.counts["not_crashed"] += 1
             decision("engine_not_crashed", engine=incarnation[0], started_at_ms=incarnation[1])
+        elif incarnation in self._broken:
+            self._broken[incarnation].confirming = False
 
     def _note_crash(self, incarnation: Incarnation) -> None:
         """Take the prompts of an engine that crashed as evidence."""
@@ -171,7 +177,7 @@
         if self._report_soon is not None:
             self._report_soon.set()
 
-    def _add_pending(self, incarnation: Incarnation, sender: str) -> None:
+    def _confirm_heard(self, incarnation: Incarnation, sender: str) -> None:
         """Take the prompts of an engine as evidence that another daemon found crashed."""
         if incarnation in self._broken:
             decision("engine_crash_heard", engine=incarnation[0], source=sender)
--- a/test/test_gateway_crash_watch.py
+++ b/test/test_gateway_crash_watch.py
@@ -11,7 +11,7 @@
 from godwitpath.gateway import crash_watch
 from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, SOUND_AFTER_S, CrashWatch
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
-from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash, ReportedVerdict
 from godwitpath.http1.messages import NotSent
 from godwitpath.ports.engine import Address
 from test.raw_server import Exchange, raw_server
@@ -79,15 +79,39 @@
         async def time_out(*_: object) -> None:
             raise NotSent("timed out") from TimeoutError()
 
-        monkeypatch.setattr(crash_watch, "connect", time_out)
         watch = Watch(Address("127.0.0.1", 9))
-        await watch.break_stream()
+        with monkeypatch.context() as patch:
+            patch.setattr(crash_watch, "connect", time_out)
+            await watch.break_stream()
         assert watch.crashes == []
         heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
         watch.watch.apply_report("d2", heard)
         [crash] = watch.crashes
         assert crash.prompts == [DEAD]
 
+    async def test_an_engine_that_did_not_respond_is_looked_at_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def time_out(*_: object) -> None:
+            raise NotSent("timed out") from TimeoutError()
+
+        watch = Watch(await closed_address())
+        with monkeypatch.context() as patch:
+            patch.setattr(crash_watch, "connect", time_out)
+            await watch.break_stream()
+        assert watch.crashes == []
+        await watch.break_stream()
+        assert len(watch.crashes) == 1
+
+    async def test_a_verdict_that_becomes_narrower_is_not_logged_as_lifted(self) -> None:
+        watch = Watch(await closed_address()).watch
+        both, one = (ReportedVerdict(parts, 4, 9.0, 0.0) for parts in (DEAD, DEAD[1:]))
+        watch.apply_report("d2", QuarantineReport(verdicts=[both]))
+        watch.apply_report("d2", QuarantineReport(verdicts=[one]))
+        assert watch.counts["lifted"] == 0
+        watch.apply_report("d2", QuarantineReport(sound={"dead": 1.0}))
+        assert watch.counts["lifted"] == 1
+
     async def test_an_engine_that_only_broke_a_stream_before_is_looked_at_again(self) -> None:
         async with listening() as address:
             watch = Watch(address)
