--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -13,8 +13,8 @@
 """Time for which a crash counts."""
 
 REPORT_S = 1.6
-"""Time for which news is repeated in reports to the other daemons: four reports, of which some may
-be lost."""
+"""Time for which a change is repeated in reports to the other daemons: four reports, of which
+some may be lost."""
 
 MAX_CRASHES = 256
 """Number of crashes that are remembered."""
@@ -25,7 +25,7 @@
 MAX_REPORTED_PROMPTS = 256
 """Number of prompts in a report, which has to fit into a datagram."""
 
-MAX_ACQUITTALS = 8192
+MAX_SUCCESSES = 8192
 """Number of parts of which it is remembered that a response went well: callers choose the ids."""
 
 
@@ -46,31 +46,31 @@
 
 
 @dataclass(slots=True)
-class Acquittal:
+class SuccessRecord:
     """When a response to a part went well.
 
-    :ivar sound_at_s: time of the last such response
-    :ivar told_s: time of the last one that the other daemons know of
+    :ivar succeeded_at_s: time of the last such response
+    :ivar reported_at_s: time of the last one that the other daemons know of
     """
 
-    sound_at_s: float
-    told_s: float = float("-inf")
+    succeeded_at_s: float
+    reported_at_s: float = float("-inf")
 
 
 class CrashEvidence:
-    """Crashes by engine and by part, and acquittals by part, within bounds.
+    """Crashes by engine and by part, and successes by part, within bounds.
 
     :param started_at_s: time since which evidence is collected; earlier crashes do not count, since
         the responses that went well after them are not known
     :ivar crashes: the crashes by incarnation of the engine, in the order in which they were learned
-    :ivar acquittals: the acquittals by part, the last one that was renewed at the end
+    :ivar successes: the successes by part, the last one that was renewed at the end
     """
 
-    __slots__ = ("_incarnations_by_part", "_started_at_s", "acquittals", "crashes")
+    __slots__ = ("_incarnations_by_part", "_started_at_s", "crashes", "successes")
 
     def __init__(self, started_at_s: float) -> None:
         self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
-        self.acquittals: OrderedDict[str, Acquittal] = OrderedDict()
+        self.successes: OrderedDict[str, SuccessRecord] = OrderedDict()
         self._incarnations_by_part: defaultdict[str, set[Incarnation]] = defaultdict(set)
         self._started_at_s = started_at_s
 
@@ -107,30 +107,30 @@
             self._incarnations_by_part[part].add(incarnation)
         return new_parts
 
-    def add_sound(self, part: str, at_s: float) -> Acquittal:
-        """Add a response to a part that went well, and return the acquittal."""
-        acquittal = self.acquittals.setdefault(part, Acquittal(at_s))
-        acquittal.sound_at_s = max(acquittal.sound_at_s, at_s)
-        self.acquittals.move_to_end(part)
-        while len(self.acquittals) > MAX_ACQUITTALS:
-            self.acquittals.popitem(last=False)
-        return acquittal
+    def add_success(self, part: str, at_s: float) -> SuccessRecord:
+        """Add a response to a part that went well, and return the success."""
+        success = self.successes.setdefault(part, SuccessRecord(at_s))
+        success.succeeded_at_s = max(success.succeeded_at_s, at_s)
+        self.successes.move_to_end(part)
+        while len(self.successes) > MAX_SUCCESSES:
+            self.successes.popitem(last=False)
+        return success
 
-    def is_sound(self, part: str, since_s: float) -> bool:
+    def succeeded_since(self, part: str, since_s: float) -> bool:
         """Return whether a response to a part went well after a time."""
-        acquittal = self.acquittals.get(part)
-        return acquittal is not None and acquittal.sound_at_s > since_s
+        success = self.successes.get(part)
+        return success is not None and success.succeeded_at_s > since_s
 
     def times_s(self, part: str) -> list[float]:
         """Return the times of all crashes under a part."""
         return [self.crashes[each].at_s for each in self._incarnations_by_part.get(part, ())]
 
-    def unacquitted(self, part: str) -> Iterator[Crash]:
+    def crashes_since_success(self, part: str) -> Iterator[Crash]:
         """Yield the crashes under a part since the last response to it that went well."""
-        acquittal = self.acquittals.get(part)
+        success = self.successes.get(part)
         for incarnation in self._incarnations_by_part.get(part, ()):
             crash = self.crashes[incarnation]
-            if acquittal is None or crash.at_s > acquittal.sound_at_s:
+            if success is None or crash.at_s > success.succeeded_at_s:
                 yield crash
 
     def count_since(self, at_s: float) -> int:
@@ -140,7 +140,7 @@
     def reported_crashes(self, now_s: float, *, relayed: bool) -> list[ReportedCrash]:
         """Return the crashes to report to the other daemons, the newest first.
 
-        :param relayed: whether to report also the prompts that other daemons told of
+        :param relayed: whether to report also the prompts that other daemons reported
         """
         reported: list[ReportedCrash] = []
         prompts_left = MAX_REPORTED_PROMPTS
--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -1,9 +1,8 @@
 """Finds out which engines crashed, and under which prompts.
 
 When a stream breaks before its response has gone on for a moment, its engine may have crashed
-under the prompt. The engine's address tells: a crashed engine refuses connections. An engine that
-leaves, was stopped or only reset a connection has not crashed, and one that is silent cannot be
-told from one that is cut off.
+under the prompt. A crashed engine refuses connections. An engine that leaves, was stopped or only
+reset a connection has not crashed, and one that is silent may only be unreachable.
 """
 
 from __future__ import annotations
@@ -22,7 +21,7 @@
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
 
-SOUND_AFTER_S = 0.25
+STABLE_AFTER_S = 0.25
 """Time after the first event of a response from which on its prompt has not crashed the engine."""
 
 CONFIRM_TIMEOUT_S = 0.4
@@ -56,14 +55,14 @@
 
     :param report_soon: set to have the next report to the other daemons sent at once
     :ivar quarantine: the evidence and the verdicts
-    :ivar has_news: set when there is a new verdict
+    :ivar verdict_added: set when there is a new verdict
     :ivar counts: number of events by kind: `crash`, `not_crashed`, `quarantined`, `lifted`,
         `expired`, `refused`
     """
 
     def __init__(self, engines: EngineRegistry, report_soon: asyncio.Event | None = None) -> None:
         self.quarantine = PromptQuarantine(asyncio.get_running_loop().time())
-        self.has_news = asyncio.Event()
+        self.verdict_added = asyncio.Event()
         self.counts: Counter[str] = Counter()
         self._engines = engines
         self._report_soon = report_soon
@@ -77,7 +76,7 @@
         :param first_event_at_s: loop time of the first event of its response, 0 if there was none
         """
         now_s = asyncio.get_running_loop().time()
-        if first_event_at_s and now_s - first_event_at_s >= SOUND_AFTER_S:
+        if first_event_at_s and now_s - first_event_at_s >= STABLE_AFTER_S:
             return
         if not parts or not self._engines.is_ready(engine):
             return
@@ -90,10 +89,10 @@
             task.add_done_callback(self._tasks.discard)
         broken.prompts.add(parts)
 
-    def note_sound(self, parts: Parts) -> None:
+    def note_success(self, parts: Parts) -> None:
         """Note that an engine has answered a prompt for a while, or to the end."""
         now_s = asyncio.get_running_loop().time()
-        self._log_lifted(self.quarantine.note_sound(parts, now_s, now_s), "response")
+        self._log_lifted(self.quarantine.note_success(parts, now_s, now_s), "response")
 
     def verdict(self, parts: Parts) -> Verdict | None:
         """Return the verdict under which a request must not be sent, None if there is none."""
@@ -117,7 +116,7 @@
         for verdict in self.quarantine.apply_report(report, now_s):
             self._log_quarantined(verdict, sender)
         for crash in report.crashes:
-            self._confirm_heard((crash.engine_id, crash.started_at_ms), sender)
+            self._confirm_reported((crash.engine_id, crash.started_at_ms), sender)
         in_force = self.quarantine.verdicts
         lifted = [
             each for each in before if not any(other.parts <= each.parts for other in in_force)
@@ -177,7 +176,7 @@
         if self._report_soon is not None:
             self._report_soon.set()
 
-    def _confirm_heard(self, incarnation: Incarnation, sender: str) -> None:
+    def _confirm_reported(self, incarnation: Incarnation, sender: str) -> None:
         """Take the prompts of an engine as evidence that another daemon found crashed."""
         if incarnation in self._broken:
             decision("engine_crash_heard", engine=incarnation[0], source=sender)
@@ -194,7 +193,7 @@
             engines=[incarnation[0] for incarnation, _ in self.quarantine.crashes(verdict)],
             source=source,
         )
-        self.has_news.set()
+        self.verdict_added.set()
         if self._report_soon is not None:
             self._report_soon.set()
 
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -5,8 +5,8 @@
 crashed under it and no response to it went well in between. The decision uses neither network nor
 clock; :mod:`godwitpath.gateway.crash_watch` provides the evidence of this daemon.
 
-What sound requests share with those that crash engines, such as the account, the route or the first
-part, is not judged, or is acquitted by the responses to the sound ones.
+What other requests share with those that crash engines, such as the account, the route or the first
+part, is not judged, or is cleared by the responses to the others.
 """
 
 from __future__ import annotations
@@ -35,18 +35,18 @@
 reclaimed zone, share a cause that is none of their prompts."""
 
 MIN_SUSPICION_S = 2.0
-"""Time from the first crash under a part to its quarantine: by then every daemon has heard of a
+"""Time from the first crash under a part to its quarantine: by then every daemon knows of a
 response to the part that went well in between."""
 
 QUARANTINE_S = 900.0
 """Time after the last request for a quarantined part at which the part is forgotten."""
 
-SAME_NEWS_S = 0.2
-"""Difference up to which two times of a response that went well are the same, since they are told
-as ages."""
+SAME_SUCCESS_S = 0.2
+"""Difference up to which two times of a response that went well are the same, since they are
+reported as ages."""
 
-MAX_REPORTED_SOUND_PARTS = 512
-"""Number of acquitted parts in a report, which has to fit into a datagram."""
+MAX_REPORTED_SUCCESSES = 512
+"""Number of parts with a success in a report, which has to fit into a datagram."""
 
 MAX_VERDICTS = 64
 """Number of verdicts in force: callers choose the ids of their parts."""
@@ -76,17 +76,17 @@
     :param started_at_s: time since which evidence is collected
     """
 
-    __slots__ = ("_evidence", "_heard_at_s", "_suspects", "_telling_since_s", "_verdicts")
+    __slots__ = ("_evidence", "_received_at_s", "_reporting_since_s", "_suspects", "_verdicts")
 
     def __init__(self, started_at_s: float) -> None:
         self._evidence = CrashEvidence(started_at_s)
         self._verdicts: dict[frozenset[str], Verdict] = {}
         # Parts under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
-        # Acquitted parts that are reported to the other daemons, with the time of the first report.
-        self._telling_since_s: dict[str, float] = {}
-        # Acquitted parts that others reported, with the time at which they were news here.
-        self._heard_at_s: dict[str, float] = {}
+        # Parts with a success to report to the other daemons, with the time of the first report.
+        self._reporting_since_s: dict[str, float] = {}
+        # Parts with a success that was new in a report of another daemon, with its time of receipt.
+        self._received_at_s: dict[str, float] = {}
 
     # Evidence.
 
@@ -99,7 +99,7 @@
         *,
         own: bool = True,
     ) -> Verdict | None:
-        """Learn that an engine crashed; several daemons may tell of the same crash.
+        """Learn that an engine crashed; several daemons may report the same crash.
 
         :param prompts: shared parts of the prompts that it could have begun to answer
         :param own: whether this daemon had sent them
@@ -107,19 +107,19 @@
         """
         new_parts = self._evidence.add_crash(incarnation, at_s, prompts, now_s, own=own)
         for part in new_parts:
-            self._tell_if_news(part, now_s)
+            self._report_if_needed(part, now_s)
         self._suspects |= new_parts
         return self.review(now_s)
 
-    def note_sound(self, parts: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
+    def note_success(self, parts: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
         """Learn that a response to a prompt went well.
 
         :param at_s: time until which the engine had answered without a crash
         :returns: the verdicts that it refutes
         """
         for part in parts:
-            self._evidence.add_sound(part, at_s)
-            self._tell_if_news(part, now_s)
+            self._evidence.add_success(part, at_s)
+            self._report_if_needed(part, now_s)
         return self._drop_refuted()
 
     # Decisions.
@@ -152,7 +152,7 @@
 
     def refutes(self, parts: Iterable[str], since_s: float) -> bool:
         """Return whether responses to all parts of a verdict went well since its first crash."""
-        return all(self._evidence.is_sound(part, since_s) for part in parts)
+        return all(self._evidence.succeeded_since(part, since_s) for part in parts)
 
     def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
         """Yield the engines whose known crashes speak for a verdict, with the time of each."""
@@ -171,8 +171,8 @@
             for part, times_s in crashes.items()
             if len(times_s) >= CRASHES_TO_QUARANTINE and len(times_s) >= self._required(part)
         }
-        ripe = [part for part in self._suspects if now_s - crashes[part][0] >= MIN_SUSPICION_S]
-        for part in sorted(ripe, key=self._doubt):
+        due = [part for part in self._suspects if now_s - crashes[part][0] >= MIN_SUSPICION_S]
+        for part in sorted(due, key=self._ranking_key):
             self._suspects.discard(part)
             times_s = crashes[part]
             verdict = Verdict(self._inseparable(part), len(times_s), times_s[0], now_s)
@@ -193,28 +193,28 @@
     def report(self, now_s: float, *, relayed: bool = False) -> QuarantineReport:
         """Return what to report to the other daemons.
 
-        :param relayed: whether to report also what other daemons told lately
+        :param relayed: whether to report also what other daemons reported lately
         """
-        acquittals = self._evidence.acquittals
-        for part, since_s in list(self._telling_since_s.items()):
+        successes = self._evidence.successes
+        for part, since_s in list(self._reporting_since_s.items()):
             if now_s - since_s >= REPORT_S:
-                del self._telling_since_s[part]
-                acquittal = acquittals.get(part)
-                if acquittal is not None:
-                    acquittal.told_s = acquittal.sound_at_s
-        for part, heard_at_s in list(self._heard_at_s.items()):
-            if now_s - heard_at_s >= REPORT_S:
-                del self._heard_at_s[part]
-        told_parts = set(self._telling_since_s)
+                del self._reporting_since_s[part]
+                success = successes.get(part)
+                if success is not None:
+                    success.reported_at_s = success.succeeded_at_s
+        for part, received_at_s in list(self._received_at_s.items()):
+            if now_s - received_at_s >= REPORT_S:
+                del self._received_at_s[part]
+        reported_parts = set(self._reporting_since_s)
         if relayed:
-            told_parts |= self._heard_at_s.keys()
-        sound = {
-            part: round(now_s - acquittals[part].sound_at_s, 3)
-            for part in islice(told_parts, MAX_REPORTED_SOUND_PARTS)
-            if part in acquittals
+            reported_parts |= self._received_at_s.keys()
+        succeeded = {
+            part: round(now_s - successes[part].succeeded_at_s, 3)
+            for part in islice(reported_parts, MAX_REPORTED_SUCCESSES)
+            if part in successes
         }
         crashes = self._evidence.reported_crashes(now_s, relayed=relayed)
-        return QuarantineReport(crashes, self.reported_verdicts(now_s), sound)
+        return QuarantineReport(crashes, self.reported_verdicts(now_s), succeeded)
 
     def reported_verdicts(self, now_s: float) -> list[ReportedVerdict]:
         """Return the verdicts in force as they are reported."""
@@ -233,14 +233,14 @@
 
         :returns: the verdicts that are new
         """
-        for part, age_s in report.sound.items():
-            self.note_sound((part,), now_s - age_s, now_s)
-            acquittal = self._evidence.acquittals[part]
-            if now_s - age_s > acquittal.told_s + SAME_NEWS_S:
-                self._heard_at_s[part] = now_s
-            acquittal.told_s = max(acquittal.told_s, now_s - age_s)
-            if not self._is_news(part):
-                self._telling_since_s.pop(part, None)
+        for part, age_s in report.successes.items():
+            self.note_success((part,), now_s - age_s, now_s)
+            success = self._evidence.successes[part]
+            if now_s - age_s > success.reported_at_s + SAME_SUCCESS_S:
+                self._received_at_s[part] = now_s
+            success.reported_at_s = max(success.reported_at_s, now_s - age_s)
+            if not self._is_unreported(part):
+                self._reporting_since_s.pop(part, None)
         new = [self._apply_verdict(verdict, now_s) for verdict in report.verdicts]
         for crash in report.crashes:
             incarnation = (crash.engine_id, crash.started_at_ms)
@@ -252,8 +252,8 @@
         if reported.asked_age_s >= QUARANTINE_S or not reported.parts:
             return None
         # A daemon that has just started may not know that responses to a part went well before.
-        known_sound = self._evidence.acquittals.keys() >= set(reported.parts)
-        if known_sound and reported.crashes < CRASHES_IN_DOUBT:
+        known_to_succeed = self._evidence.successes.keys() >= set(reported.parts)
+        if known_to_succeed and reported.crashes < CRASHES_IN_DOUBT:
             return None
         return self._add_verdict(
             Verdict(
@@ -264,24 +264,24 @@
             )
         )
 
-    def _is_news(self, part: str) -> bool:
-        """Return whether an acquittal changes what the other daemons count against a part."""
-        acquittal = self._evidence.acquittals.get(part)
-        if acquittal is None:
+    def _is_unreported(self, part: str) -> bool:
+        """Return whether a success changes what the other daemons count against a part."""
+        success = self._evidence.successes.get(part)
+        if success is None:
             return False
         times_s = self._evidence.times_s(part)
         times_s += [each.since_s for each in self._verdicts.values() if part in each.parts]
-        return any(acquittal.told_s < at_s < acquittal.sound_at_s for at_s in times_s)
+        return any(success.reported_at_s < at_s < success.succeeded_at_s for at_s in times_s)
 
-    def _tell_if_news(self, part: str, now_s: float) -> None:
-        if part not in self._telling_since_s and self._is_news(part):
-            self._telling_since_s[part] = now_s
+    def _report_if_needed(self, part: str, now_s: float) -> None:
+        if part not in self._reporting_since_s and self._is_unreported(part):
+            self._reporting_since_s[part] = now_s
 
     # Judgement.
 
     def _required(self, part: str) -> int:
         """Return the number of crashes after which a part is quarantined."""
-        if part in self._evidence.acquittals:
+        if part in self._evidence.successes:
             return CRASHES_IN_DOUBT
         times_s = [crash.at_s for crash in self._counting_crashes(part)]
         all_crashes = self._evidence.count_since(min(times_s)) if times_s else 0
@@ -293,7 +293,7 @@
 
         Those that a verdict on other parts explains do not.
         """
-        for crash in self._evidence.unacquitted(part):
+        for crash in self._evidence.crashes_since_success(part):
             explained = any(
                 part not in verdict.parts
                 and any(verdict.parts.issubset(prompt) for prompt in crash.prompts)
@@ -310,7 +310,7 @@
                 counted.append(at_s)
         return counted
 
-    def _doubt(self, part: str) -> tuple[bool, int, int, str]:
+    def _ranking_key(self, part: str) -> tuple[bool, int, int, str]:
         """Return by what the part to quarantine is chosen, the least doubtful first.
 
         A part that many requests share is found in many prompts of each crash.
@@ -318,10 +318,10 @@
         prompts = sum(
             part in prompt for crash in self._counting_crashes(part) for prompt in crash.prompts
         )
-        return part in self._evidence.acquittals, prompts, -len(self._counted(part)), part
+        return part in self._evidence.successes, prompts, -len(self._counted(part)), part
 
     def _inseparable(self, part: str) -> frozenset[str]:
-        """Return a part with those that no evidence tells apart from it.
+        """Return a part with those that the evidence does not distinguish from it.
 
         These are in each prompt with the part under which an engine crashed.
         """
@@ -335,12 +335,14 @@
         )
 
     def _add_verdict(self, verdict: Verdict) -> Verdict | None:
-        """Add a verdict without the parts that are known to be sound.
+        """Add a verdict without the parts to which a response went well since.
 
         :returns: the verdict, None if nothing is left of it or a known one covers it
         """
-        sound = {part for part in verdict.parts if self._evidence.is_sound(part, verdict.since_s)}
-        verdict.parts -= sound
+        succeeded = {
+            part for part in verdict.parts if self._evidence.succeeded_since(part, verdict.since_s)
+        }
+        verdict.parts -= succeeded
         if not verdict.parts:
             return None
         for known in self.verdicts:
@@ -356,10 +358,12 @@
         return verdict
 
     def _drop_refuted(self) -> list[Verdict]:
-        """Drop the sound parts of all verdicts; returns the verdicts of which nothing is left."""
+        """Drop refuted parts of all verdicts; returns the verdicts of which nothing is left."""
         refuted = []
         for verdict in self.verdicts:
-            if not any(self._evidence.is_sound(part, verdict.since_s) for part in verdict.parts):
+            if not any(
+                self._evidence.succeeded_since(part, verdict.since_s) for part in verdict.parts
+            ):
                 continue
             parts = verdict.parts
             del self._verdicts[parts]
--- a/godwitpath/gateway/quarantine_report.py
+++ b/godwitpath/gateway/quarantine_report.py
@@ -1,4 +1,4 @@
-"""What daemons tell one another about crashes of engines and about quarantined prompts."""
+"""Parts of the daemons' reports: crashes of engines, and quarantined prompts."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 class ReportedVerdict(msgspec.Struct, array_like=True, frozen=True):
     """A verdict on parts of prompts.
 
-    :ivar parts: the quarantined part, with further parts if the evidence does not tell them apart
+    :ivar parts: the quarantined part, with further parts if the evidence does not distinguish them
     :ivar crashes: number of crashes that spoke for it
     :ivar since_age_s: time since the first of these crashes
     :ivar asked_age_s: time since the last request that was refused, or since the verdict
@@ -40,9 +40,9 @@
 class QuarantineReport(msgspec.Struct, array_like=True, frozen=True):
     """What a daemon reports about crashes and prompts.
 
-    :ivar sound: time in seconds since a response to the part last went well, by part
+    :ivar successes: time in seconds since a response to the part last went well, by part
     """
 
     crashes: list[ReportedCrash] = []
     verdicts: list[ReportedVerdict] = []
-    sound: dict[str, float] = {}
+    successes: dict[str, float] = {}
--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -1,7 +1,7 @@
 """Keeps the quarantined prompts in the store, so that a fleet that was restarted knows them.
 
-Daemons tell one another of verdicts in their reports. The store holds the verdicts for the case
-that no daemon is left that knows them, and the parts that an operator has lifted.
+Daemons exchange verdicts in their reports. The store holds the verdicts for the case that no daemon
+is left that knows them, and the parts that an operator has lifted.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 """Mean interval between two comparisons with the store's copy, which is written only if it lacks
 something."""
 
-NEWS_DELAY_S = 0.5
+WRITE_DELAY_S = 0.5
 """Longest random delay until a new verdict is written, so that usually one daemon does."""
 
 REFRESH_S = QUARANTINE_S / 3
@@ -114,7 +114,7 @@
         while True:
             self._apply()
             if self._lacks_something():
-                await asyncio.sleep(NEWS_DELAY_S * self._rng.random())
+                await asyncio.sleep(WRITE_DELAY_S * self._rng.random())
                 self._apply()
                 if self._lacks_something():
                     await self._write()
@@ -123,9 +123,10 @@
     async def _wait(self) -> None:
         """Wait for a change of the store, a new verdict, or the next comparison."""
         self._changed.clear()
-        self._crashes.has_news.clear()
+        self._crashes.verdict_added.clear()
         waiting = [
-            asyncio.create_task(event.wait()) for event in (self._changed, self._crashes.has_news)
+            asyncio.create_task(event.wait())
+            for event in (self._changed, self._crashes.verdict_added)
         ]
         timeout_s = CHECK_S * self._rng.uniform(0.5, 1.5)
         try:
@@ -153,7 +154,7 @@
                     )
                     for each in stored.verdicts
                 ],
-                sound={part: max(0.0, now_s - at_s) for part, at_s in stored.lifted.items()},
+                successes={part: max(0.0, now_s - at_s) for part, at_s in stored.lifted.items()},
             ),
         )
 
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -11,7 +11,7 @@
 
 from godwitpath.gateway.call import Call, GatewayResponse, send_gateway_response
 from godwitpath.gateway.context import GatewayContext
-from godwitpath.gateway.crash_watch import SOUND_AFTER_S
+from godwitpath.gateway.crash_watch import STABLE_AFTER_S
 from godwitpath.gateway.evacuate import Continuation, StreamRun
 from godwitpath.gateway.events import EventSplitter, EventTooLong
 from godwitpath.gateway.forward import (
@@ -155,7 +155,7 @@
     """
     loop = asyncio.get_running_loop()
     complete_head: ResponseHead | None = None
-    data_received = noted_sound = False
+    data_received = noted_success = False
     if ctx.evacuator is not None:
         ctx.evacuator.add_run(run)
     try:
@@ -175,9 +175,9 @@
                 _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
             if _forward_events(call, head, splitter, data, progress) and not send.first_event_at_s:
                 send.first_event_at_s = loop.time()
-            if not noted_sound and 0 < send.first_event_at_s <= loop.time() - SOUND_AFTER_S:
-                noted_sound = True
-                ctx.crashes.note_sound(call.shared_parts)
+            if not noted_success and 0 < send.first_event_at_s <= loop.time() - STABLE_AFTER_S:
+                noted_success = True
+                ctx.crashes.note_success(call.shared_parts)
             run.events = progress.event_count
             await call.responder.drain()
         if splitter.incomplete:
@@ -189,8 +189,8 @@
         call.responder.finish()
         ctx.instruments.responses[(call.route.name, "engine", str(head.status))] += 1
         complete_head = head
-        if not noted_sound and head.states_end:
-            ctx.crashes.note_sound(call.shared_parts)
+        if not noted_success and head.states_end:
+            ctx.crashes.note_success(call.shared_parts)
         return None
     finally:
         if ctx.evacuator is not None:
--- a/test/quarantine_model.py
+++ b/test/quarantine_model.py
@@ -13,7 +13,7 @@
 from random import Random
 from zlib import crc32
 
-from godwitpath.gateway.crash_watch import SOUND_AFTER_S
+from godwitpath.gateway.crash_watch import STABLE_AFTER_S
 from godwitpath.gateway.peer_view import MESH_MAX
 from godwitpath.gateway.peers import REPORT_S
 from godwitpath.gateway.quarantine import PromptQuarantine
@@ -82,13 +82,13 @@
 
     :ivar crashes_s: times of the crashes under the crashing part
     :ivar crashing_sends_s: times at which requests with that part reached engines
-    :ivar sound_sent: sound requests that were sent or refused, by whether they began
-    :ivar wrong_verdicts: parts of each verdict that would refuse sound requests
+    :ivar ordinary_sent: ordinary requests that were sent or refused, by whether they began
+    :ivar wrong_verdicts: parts of each verdict that would refuse ordinary requests
     """
 
     crashes_s: list[float] = field(default_factory=list)
     crashing_sends_s: list[float] = field(default_factory=list)
-    sound_sent: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
+    ordinary_sent: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
     wrong_verdicts: set[Parts] = field(default_factory=set)
 
     def late_sends(self) -> int:
@@ -98,9 +98,9 @@
         since_s = self.crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
         return sum(at_s > since_s for at_s in self.crashing_sends_s)
 
-    def share_begun(self) -> float:
-        """Return the share of the sound requests that began."""
-        return self.sound_sent[True] / max(1, sum(self.sound_sent.values()))
+    def started_share(self) -> float:
+        """Return the share of the ordinary requests that began."""
+        return self.ordinary_sent[True] / max(1, sum(self.ordinary_sent.values()))
 
 
 class QuarantineModel:
@@ -109,7 +109,9 @@
     :param crashing_part: part that crashes engines, empty for none
     """
 
-    def __init__(self, daemons: int, engines: int, seed: int, crashing_part: str = "dead") -> None:
+    def __init__(
+        self, daemons: int, engines: int, seed: int, crashing_part: str = "crashing"
+    ) -> None:
         self.rng = Random(seed)
         self.now_s = 0.0
         self.daemons = [ModelDaemon(number) for number in range(daemons)]
@@ -144,13 +146,13 @@
 
         self.after(self.rng.expovariate(1 / interval_s), repeat)
 
-    def send_sound(self) -> None:
-        """Send a sound request with a common first part and a document, common or rare."""
+    def send_ordinary(self) -> None:
+        """Send a ordinary request with a common first part and a document, common or rare."""
         document = int(self.rng.paretovariate(0.6))
         self._send(self.rng.choice(self.daemons), (f"first{self.rng.randrange(3)}", f"{document}"))
 
     def send_crashing(self) -> None:
-        """Send a request with the crashing part, which shares its other parts with sound ones."""
+        """Send a request with the crashing part, whose other parts are in others too."""
         document = int(self.rng.paretovariate(0.6))
         parts = [f"first{self.rng.randrange(3)}", f"{document}"]
         parts.insert(self.rng.randrange(3), self._crashing_part)
@@ -221,17 +223,17 @@
             self.outcome.crashes_s.append(self.now_s)
             self.crash(engine)
             return
-        self.after(SOUND_AFTER_S, self._settle, engine, request)
+        self.after(STABLE_AFTER_S, self._settle, engine, request)
 
     def _settle(self, engine: ModelEngine, request: ModelRequest) -> None:
         if request in engine.requests:
             engine.requests.remove(request)
             self._count(request.parts, began=True)
-            request.daemon.quarantine.note_sound(request.parts, self.now_s, self.now_s)
+            request.daemon.quarantine.note_success(request.parts, self.now_s, self.now_s)
 
     def _count(self, parts: Parts, began: bool) -> None:
         if self._crashing_part not in parts:
-            self.outcome.sound_sent[began] += 1
+            self.outcome.ordinary_sent[began] += 1
 
     def _note_crash(
         self, daemon: ModelDaemon, incarnation: tuple[str, int], at_s: float, prompts: list[Parts]
@@ -266,7 +268,7 @@
         report: QuarantineReport,
         forwarded: bool = False,
     ) -> None:
-        if not (report.crashes or report.verdicts or report.sound):
+        if not (report.crashes or report.verdicts or report.successes):
             return
         for receiver in receivers:
             if receiver is not sender and self.rng.random() >= LOSS:
--- a/test/test_gateway_crash_watch.py
+++ b/test/test_gateway_crash_watch.py
@@ -9,14 +9,14 @@
 import pytest
 
 from godwitpath.gateway import crash_watch
-from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, SOUND_AFTER_S, CrashWatch
+from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, STABLE_AFTER_S, CrashWatch
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash, ReportedVerdict
 from godwitpath.http1.messages import NotSent
 from godwitpath.ports.engine import Address
 from test.raw_server import Exchange, raw_server
 
-DEAD = ("first", "dead")
+CRASHING_PARTS = ("first", "crashing")
 
 
 class Watch:
@@ -34,7 +34,7 @@
         """Break a stream at the engine, and wait until it is clear whether that crashed."""
         now_s = asyncio.get_running_loop().time()
         first_event_at_s = now_s - began_ago_s if began_ago_s is not None else 0.0
-        self.watch.note_broken(self.engine, DEAD, first_event_at_s)
+        self.watch.note_broken(self.engine, CRASHING_PARTS, first_event_at_s)
         await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
 
     @property
@@ -62,7 +62,7 @@
         watch = Watch(await closed_address())
         await watch.break_stream()
         [crash] = watch.crashes
-        assert (crash.engine_id, crash.started_at_ms, crash.prompts) == ("e1", 1, [DEAD])
+        assert (crash.engine_id, crash.started_at_ms, crash.prompts) == ("e1", 1, [CRASHING_PARTS])
 
     async def test_streams_that_broke_together_are_one_crash(self) -> None:
         watch = Watch(await closed_address())
@@ -87,7 +87,7 @@
         heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
         watch.watch.apply_report("d2", heard)
         [crash] = watch.crashes
-        assert crash.prompts == [DEAD]
+        assert crash.prompts == [CRASHING_PARTS]
 
     async def test_an_engine_that_did_not_respond_is_looked_at_again(
         self, monkeypatch: pytest.MonkeyPatch
@@ -105,11 +105,13 @@
 
     async def test_a_verdict_that_becomes_narrower_is_not_logged_as_lifted(self) -> None:
         watch = Watch(await closed_address()).watch
-        both, one = (ReportedVerdict(parts, 4, 9.0, 0.0) for parts in (DEAD, DEAD[1:]))
+        both, one = (
+            ReportedVerdict(parts, 4, 9.0, 0.0) for parts in (CRASHING_PARTS, CRASHING_PARTS[1:])
+        )
         watch.apply_report("d2", QuarantineReport(verdicts=[both]))
         watch.apply_report("d2", QuarantineReport(verdicts=[one]))
         assert watch.counts["lifted"] == 0
-        watch.apply_report("d2", QuarantineReport(sound={"dead": 1.0}))
+        watch.apply_report("d2", QuarantineReport(successes={"crashing": 1.0}))
         assert watch.counts["lifted"] == 1
 
     async def test_an_engine_that_only_broke_a_stream_before_is_looked_at_again(self) -> None:
@@ -119,7 +121,7 @@
             await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
         await watch.break_stream()
         [crash] = watch.crashes
-        assert crash.prompts == [DEAD]
+        assert crash.prompts == [CRASHING_PARTS]
 
 
 class TestNoCrash:
@@ -143,7 +145,7 @@
 
     async def test_a_response_that_had_gone_on_is_no_evidence(self) -> None:
         watch = Watch(await closed_address())
-        await watch.break_stream(began_ago_s=SOUND_AFTER_S + 0.1)
+        await watch.break_stream(began_ago_s=STABLE_AFTER_S + 0.1)
         assert watch.crashes == []
-        await watch.break_stream(began_ago_s=SOUND_AFTER_S - 0.1)
+        await watch.break_stream(began_ago_s=STABLE_AFTER_S - 0.1)
         assert len(watch.crashes) == 1
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -38,12 +38,12 @@
 class SentPrompt:
     """A request of the test's callers.
 
-    :ivar sound: whether its prompt lacks the crashing part
+    :ivar ordinary: whether its prompt lacks the crashing part
     :ivar response: the response, None without one
     """
 
     request_id: str
-    sound: bool
+    ordinary: bool
     sent_at_s: float
     response: ClientResponse | None = None
 
@@ -65,14 +65,16 @@
         return [engine for service, engine in self.environment.history.engines if service == "lm"]
 
     async def load(
-        self, for_s: float, sound_per_s: float, crashing_per_s: float, route: str = "plan"
+        self, for_s: float, ordinary_per_s: float, crashing_per_s: float, route: str = "plan"
     ) -> None:
         """Send prompts to random daemons at steady rates, and await the responses."""
         rng = random.Random(7)
         async with asyncio.TaskGroup() as group:
-            for per_s, sound in ((sound_per_s, True), (crashing_per_s, False)):
+            for per_s, ordinary in ((ordinary_per_s, True), (crashing_per_s, False)):
                 if per_s:
-                    group.create_task(self._send_steadily(group, rng, for_s, per_s, sound, route))
+                    group.create_task(
+                        self._send_steadily(group, rng, for_s, per_s, ordinary, route)
+                    )
 
     async def _send_steadily(
         self,
@@ -80,15 +82,15 @@
         rng: random.Random,
         for_s: float,
         per_s: float,
-        sound: bool,
+        ordinary: bool,
         route: str,
     ) -> None:
         for _ in range(int(for_s * per_s)):
             number = len(self.sent)
             parts = ["5c1e", f"d0c{rng.randrange(DOCUMENTS):02x}"]
-            if not sound:
+            if not ordinary:
                 parts.insert(rng.randrange(3), CRASHING_PART)
-            request = SentPrompt(f"r{number}", sound, asyncio.get_running_loop().time())
+            request = SentPrompt(f"r{number}", ordinary, asyncio.get_running_loop().time())
             self.sent.append(request)
             daemon = rng.choice(self.environment.daemons)
             group.create_task(self._ask(request, parts, daemon.caller_port, route))
@@ -106,10 +108,12 @@
             # The response stays None.
             return
 
-    def share_begun(self, since_s: float = 0.0, until_s: float = float("inf")) -> float:
-        """Return the share of the sound requests of a time that began to be answered."""
-        sound = [each for each in self.sent if each.sound and since_s <= each.sent_at_s < until_s]
-        return sum(each.began for each in sound) / len(sound)
+    def started_share(self, since_s: float = 0.0, until_s: float = float("inf")) -> float:
+        """Return the share of the ordinary requests of a time that began to be answered."""
+        ordinary = [
+            each for each in self.sent if each.ordinary and since_s <= each.sent_at_s < until_s
+        ]
+        return sum(each.began for each in ordinary) / len(ordinary)
 
 
 @asynccontextmanager
@@ -141,25 +145,25 @@
         self, tmp_path: Path
     ) -> None:
         async with prompt_fleet(tmp_path) as fleet:
-            await fleet.load(for_s=16.0, sound_per_s=20, crashing_per_s=1.5)
+            await fleet.load(for_s=16.0, ordinary_per_s=20, crashing_per_s=1.5)
             engines = fleet.engines()
             crashes_s = crash_times_s(engines, CRASHING_PART)
             assert crashes_s
             late = late_sends(engines, CRASHING_PART)
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late, {len(crashes_s)} crashed"
             last_counted = crashes_s[:5][-1]
-            assert fleet.share_begun(since_s=last_counted + 2 * CONTACT_S) >= 0.95
+            assert fleet.started_share(since_s=last_counted + 2 * CONTACT_S) >= 0.95
 
     async def test_resumable_streams_with_the_part_stop_reaching_them_too(
         self, tmp_path: Path
     ) -> None:
         async with prompt_fleet(tmp_path) as fleet:
-            await fleet.load(for_s=14.0, sound_per_s=20, crashing_per_s=1.5, route="digest")
+            await fleet.load(for_s=14.0, ordinary_per_s=20, crashing_per_s=1.5, route="digest")
             engines = fleet.engines()
             late = late_sends(engines, CRASHING_PART)
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late"
             crashes_s = crash_times_s(engines, CRASHING_PART)
-            assert fleet.share_begun(since_s=crashes_s[-1] + 2.0) >= 0.95
+            assert fleet.started_share(since_s=crashes_s[-1] + 2.0) >= 0.95
 
     async def test_daemons_that_start_and_one_without_the_store_refuse_the_part(
         self, tmp_path: Path
@@ -168,34 +172,34 @@
             environment = fleet.environment
             first, cut, *_ = environment.daemons
             cut_s = asyncio.create_task(inject(CutStore(cut.name, tuple(Way), 12.0), environment))
-            await fleet.load(for_s=9.0, sound_per_s=20, crashing_per_s=1.5)
+            await fleet.load(for_s=9.0, ordinary_per_s=20, crashing_per_s=1.5)
             now_s = asyncio.get_running_loop().time()
             await inject(KillDaemons((first.name,)), environment)
             await wait_until(lambda: first.process is not None, READY_S)
             await asyncio.sleep(3.0)
-            await fleet.load(for_s=3.0, sound_per_s=20, crashing_per_s=10)
+            await fleet.load(for_s=3.0, ordinary_per_s=20, crashing_per_s=10)
             assert late_arrivals(fleet, now_s) == 0
-            assert fleet.share_begun(since_s=now_s + 3.0) >= 0.95
+            assert fleet.started_share(since_s=now_s + 3.0) >= 0.95
             await cut_s
 
     async def test_a_fleet_that_was_restarted_refuses_the_part(self, tmp_path: Path) -> None:
         async with prompt_fleet(tmp_path) as fleet:
             environment = fleet.environment
-            await fleet.load(for_s=9.0, sound_per_s=20, crashing_per_s=1.5)
+            await fleet.load(for_s=9.0, ordinary_per_s=20, crashing_per_s=1.5)
             now_s = asyncio.get_running_loop().time()
             names = tuple(daemon.name for daemon in environment.daemons)
             await inject(KillDaemons(names), environment)
             await asyncio.sleep(4.0)
-            await fleet.load(for_s=3.0, sound_per_s=20, crashing_per_s=10)
+            await fleet.load(for_s=3.0, ordinary_per_s=20, crashing_per_s=10)
             assert late_arrivals(fleet, now_s) == 0
-            assert fleet.share_begun(since_s=now_s + 4.0) >= 0.95
+            assert fleet.started_share(since_s=now_s + 4.0) >= 0.95
 
     async def test_the_caller_is_told_at_once_that_it_has_not_run(self, tmp_path: Path) -> None:
         async with prompt_fleet(tmp_path) as fleet:
-            await fleet.load(for_s=9.0, sound_per_s=10, crashing_per_s=1.5)
+            await fleet.load(for_s=9.0, ordinary_per_s=10, crashing_per_s=1.5)
             loop = asyncio.get_running_loop()
             started_at_s = loop.time()
-            await fleet.load(for_s=1.0, sound_per_s=0, crashing_per_s=10)
+            await fleet.load(for_s=1.0, ordinary_per_s=0, crashing_per_s=10)
             refused = [each.response for each in fleet.sent if each.sent_at_s >= started_at_s]
             assert len(refused) == 10
             for response in refused:
@@ -212,7 +216,7 @@
     ) -> None:
         async with prompt_fleet(tmp_path) as fleet:
             environment = fleet.environment
-            load = asyncio.create_task(fleet.load(for_s=12.0, sound_per_s=25, crashing_per_s=0))
+            load = asyncio.create_task(fleet.load(for_s=12.0, ordinary_per_s=25, crashing_per_s=0))
             positions = [
                 number for number, each in enumerate(environment.positions) if each.service == "lm"
             ]
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -24,7 +24,7 @@
 FLEETS = [(7, 5), (30, 12), (100, 30), (195, 45)]
 """Numbers of daemons and engines."""
 
-DEAD = ("first", "dead")
+CRASHING_PARTS = ("first", "crashing")
 
 
 def crashed(quarantine: PromptQuarantine, *crashes: tuple[float, list[tuple[str, ...]]]) -> None:
@@ -37,139 +37,139 @@
     def test_a_part_is_refused_after_four_crashes(self) -> None:
         quarantine = PromptQuarantine(0.0)
         crash_times_s = [1.0, 3.0, 5.0, 7.0]
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in crash_times_s[:3]))
-        assert quarantine.verdict(DEAD, 6.0) is None
-        crashed(quarantine, (7.0, [DEAD]))
-        verdict = quarantine.verdict(DEAD, 8.0)
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in crash_times_s[:3]))
+        assert quarantine.verdict(CRASHING_PARTS, 6.0) is None
+        crashed(quarantine, (7.0, [CRASHING_PARTS]))
+        verdict = quarantine.verdict(CRASHING_PARTS, 8.0)
         assert verdict is not None
         assert (verdict.crashes, verdict.since_s, verdict.asked_at_s) == (4, 1.0, 8.0)
         assert [at_s for _, at_s in quarantine.crashes(verdict)] == crash_times_s
 
     def test_crashes_in_quick_succession_are_judged_a_little_later(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((1.0 + 0.3 * n, [DEAD]) for n in range(5)))
+        crashed(quarantine, *((1.0 + 0.3 * n, [CRASHING_PARTS]) for n in range(5)))
         assert quarantine.review(2.9) is None
         assert quarantine.review(3.0) is not None
-        assert quarantine.verdict(DEAD, 3.0) is not None
+        assert quarantine.verdict(CRASHING_PARTS, 3.0) is not None
 
     def test_crashes_from_before_the_start_do_not_count(self) -> None:
         quarantine = PromptQuarantine(2.0)
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in (1.0, 3.0, 5.0, 7.0)))
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 3.0, 5.0, 7.0)))
         assert quarantine.verdicts == []
 
     def test_what_sound_requests_share_with_it_is_not_refused(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for at_s in (1.0, 2.0, 3.0, 5.0):
-            crashed(quarantine, (at_s, [DEAD, ("first", f"doc{at_s}")]))
-            quarantine.note_sound(("first", "other"), at_s + 0.5, at_s + 0.5)
-        assert quarantine.verdict(("first", "dead"), 6.0) is not None
-        assert quarantine.verdict(("dead",), 6.0) is not None
+            crashed(quarantine, (at_s, [CRASHING_PARTS, ("first", f"doc{at_s}")]))
+            quarantine.note_success(("first", "other"), at_s + 0.5, at_s + 0.5)
+        assert quarantine.verdict(("first", "crashing"), 6.0) is not None
+        assert quarantine.verdict(("crashing",), 6.0) is not None
         assert quarantine.verdict(("first", "doc5.0"), 6.0) is None
 
     def test_a_crash_counts_once_whoever_tells_of_it(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for at_s in (1.0, 3.0, 5.0, 7.0):
-            quarantine.note_crash(("e1", 1), at_s, [DEAD], at_s, own=at_s == 1.0)
+            quarantine.note_crash(("e1", 1), at_s, [CRASHING_PARTS], at_s, own=at_s == 1.0)
         assert quarantine.verdicts == []
         # The same engine, started again, is another one.
         for started in (2, 3, 4):
             at_s = 5.0 + started
-            quarantine.note_crash(("e1", started), at_s, [DEAD], at_s)
-        assert quarantine.verdict(DEAD, 9.0) is not None
+            quarantine.note_crash(("e1", started), at_s, [CRASHING_PARTS], at_s)
+        assert quarantine.verdict(CRASHING_PARTS, 9.0) is not None
 
     def test_engines_that_crash_together_count_once(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for wave_at_s in (1.0, 4.0, 7.0):
-            crashed(quarantine, *((wave_at_s + n * 0.01, [DEAD]) for n in range(20)))
+            crashed(quarantine, *((wave_at_s + n * 0.01, [CRASHING_PARTS]) for n in range(20)))
         assert quarantine.verdicts == []
 
     def test_a_response_that_went_well_acquits_a_part(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, (1.0, [DEAD]), (3.0, [DEAD]))
-        quarantine.note_sound(DEAD, 4.0, 4.0)
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in (5.0, 7.0, 9.0)))
+        crashed(quarantine, (1.0, [CRASHING_PARTS]), (3.0, [CRASHING_PARTS]))
+        quarantine.note_success(CRASHING_PARTS, 4.0, 4.0)
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (5.0, 7.0, 9.0)))
         assert quarantine.verdicts == []
 
     def test_a_part_that_was_sound_before_takes_more_crashes(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        quarantine.note_sound(DEAD, 0.5, 0.5)
-        crashed(quarantine, *((2.0 * n, [DEAD]) for n in range(1, CRASHES_IN_DOUBT)))
+        quarantine.note_success(CRASHING_PARTS, 0.5, 0.5)
+        crashed(quarantine, *((2.0 * n, [CRASHING_PARTS]) for n in range(1, CRASHES_IN_DOUBT)))
         assert quarantine.verdicts == []
-        crashed(quarantine, (2.0 * CRASHES_IN_DOUBT, [DEAD]))
-        assert quarantine.verdict(DEAD, 20.0) is not None
+        crashed(quarantine, (2.0 * CRASHES_IN_DOUBT, [CRASHING_PARTS]))
+        assert quarantine.verdict(CRASHING_PARTS, 20.0) is not None
 
     def test_a_part_takes_more_crashes_when_most_engines_crash_without_it(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for wave in range(1, CRASHES_IN_DOUBT + 1):
-            assert quarantine.verdict(DEAD, 2.0 * wave) is None
+            assert quarantine.verdict(CRASHING_PARTS, 2.0 * wave) is None
             others = [(2.0 * wave + n * 0.01, [(f"doc{wave}{n}",)]) for n in range(1, 7)]
-            crashed(quarantine, *others, (2.0 * wave, [DEAD]))
-        assert quarantine.verdict(DEAD, 20.0) is not None
+            crashed(quarantine, *others, (2.0 * wave, [CRASHING_PARTS]))
+        assert quarantine.verdict(CRASHING_PARTS, 20.0) is not None
 
     def test_a_response_after_the_first_crash_lifts_the_verdict(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in (1.0, 2.0, 3.0, 5.0)))
-        assert quarantine.note_sound(("first",), 5.5, 5.5) == []
-        [lifted] = quarantine.note_sound(("dead",), 5.6, 5.6)
-        assert lifted.parts == {"dead"}
-        assert quarantine.verdict(DEAD, 6.0) is None
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        assert quarantine.note_success(("first",), 5.5, 5.5) == []
+        [lifted] = quarantine.note_success(("crashing",), 5.6, 5.6)
+        assert lifted.parts == {"crashing"}
+        assert quarantine.verdict(CRASHING_PARTS, 6.0) is None
 
     def test_parts_that_were_always_together_are_refused_together(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((at_s, [("dead", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        crashed(quarantine, *((at_s, [("crashing", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.verdict(("doc",), 5.0) is None
-        assert quarantine.verdict(("dead", "doc"), 5.0) is not None
-        quarantine.note_sound(("doc",), 5.5, 5.5)
-        assert quarantine.verdict(("dead", "other"), 6.0) is not None
+        assert quarantine.verdict(("crashing", "doc"), 5.0) is not None
+        quarantine.note_success(("doc",), 5.5, 5.5)
+        assert quarantine.verdict(("crashing", "other"), 6.0) is not None
 
     def test_one_more_crash_tells_them_apart(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((at_s, [("dead", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
-        assert quarantine.verdict(("dead", "other"), 6.0) is None
-        crashed(quarantine, (7.0, [("dead", "other")]))
-        assert quarantine.verdict(("dead", "third"), 7.0) is not None
+        crashed(quarantine, *((at_s, [("crashing", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        assert quarantine.verdict(("crashing", "other"), 6.0) is None
+        crashed(quarantine, (7.0, [("crashing", "other")]))
+        assert quarantine.verdict(("crashing", "third"), 7.0) is not None
         assert len(quarantine.verdicts) == 1
 
     def test_a_common_part_is_not_refused_when_all_engines_crash_in_turn(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for at_s in (1.0, 3.0, 5.0, 7.0):
             waiting = [("first", f"doc{at_s}{n}") for n in range(6)]
-            crashed(quarantine, (at_s, [*waiting, ("first", f"doc{at_s}", "dead")]))
+            crashed(quarantine, (at_s, [*waiting, ("first", f"doc{at_s}", "crashing")]))
         assert quarantine.verdict(("first", "doc"), 8.0) is None
-        assert quarantine.verdict(("first", "dead"), 8.0) is not None
+        assert quarantine.verdict(("first", "crashing"), 8.0) is not None
 
     def test_a_request_beside_a_quarantined_one_is_not_suspect(self) -> None:
         quarantine = PromptQuarantine(0.0)
         for at_s in (1.0, 2.0, 3.0, 5.0):
-            crashed(quarantine, (at_s, [("dead",), (f"doc{at_s}",)]))
+            crashed(quarantine, (at_s, [("crashing",), (f"doc{at_s}",)]))
             assert not quarantine.is_suspect((f"doc{at_s}",))
-        assert quarantine.verdict(("dead",), 6.0) is not None
-        crashed(quarantine, (7.0, [("dead",), ("doc",)]), (9.0, [("dead",), ("doc",)]))
+        assert quarantine.verdict(("crashing",), 6.0) is not None
+        crashed(quarantine, (7.0, [("crashing",), ("doc",)]), (9.0, [("crashing",), ("doc",)]))
         assert not quarantine.is_suspect(("doc",))
 
     def test_a_request_is_suspect_before_its_part_is_quarantined(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, (1.0, [DEAD]))
-        assert not quarantine.is_suspect(DEAD)
-        crashed(quarantine, (3.0, [DEAD]))
-        assert quarantine.is_suspect(DEAD)
-        quarantine.note_sound(DEAD, 4.0, 4.0)
-        assert not quarantine.is_suspect(DEAD)
+        crashed(quarantine, (1.0, [CRASHING_PARTS]))
+        assert not quarantine.is_suspect(CRASHING_PARTS)
+        crashed(quarantine, (3.0, [CRASHING_PARTS]))
+        assert quarantine.is_suspect(CRASHING_PARTS)
+        quarantine.note_success(CRASHING_PARTS, 4.0, 4.0)
+        assert not quarantine.is_suspect(CRASHING_PARTS)
 
     def test_a_verdict_ends_when_nobody_asks_any_more(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in (1.0, 2.0, 3.0, 5.0)))
-        assert quarantine.verdict(DEAD, 500.0) is not None
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        assert quarantine.verdict(CRASHING_PARTS, 500.0) is not None
         assert quarantine.drop_expired(500.0 + QUARANTINE_S - 1.0) == []
         assert len(quarantine.drop_expired(500.0 + QUARANTINE_S)) == 1
-        crashed(quarantine, *((2000.0 + at_s, [DEAD]) for at_s in (0.0, 2.0, 4.0)))
+        crashed(quarantine, *((2000.0 + at_s, [CRASHING_PARTS]) for at_s in (0.0, 2.0, 4.0)))
         assert quarantine.verdicts == []
 
     def test_old_crashes_do_not_count(self) -> None:
         quarantine = PromptQuarantine(0.0)
-        crashed(quarantine, *((at_s, [DEAD]) for at_s in (1.0, 2.0, 3.0)))
+        crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0)))
         quarantine.drop_expired(3.0 + EVIDENCE_RETENTION_S)
-        crashed(quarantine, (4.0 + EVIDENCE_RETENTION_S, [DEAD]))
+        crashed(quarantine, (4.0 + EVIDENCE_RETENTION_S, [CRASHING_PARTS]))
         assert quarantine.verdicts == []
 
     def test_made_up_parts_do_not_fill_the_memory(self) -> None:
@@ -190,7 +190,7 @@
         for number in range(50):
             prompts = [(f"first{long}", f"{number}-{n}{long}") for n in range(100)]
             quarantine.note_crash((f"e{number}", 1), 1.0 + 0.01 * number, prompts, 2.0)
-            quarantine.note_sound([part for prompt in prompts for part in prompt], 2.1, 2.1)
+            quarantine.note_success([part for prompt in prompts for part in prompt], 2.1, 2.1)
         verdicts = [ReportedVerdict((f"v{n}{long}",), 4, 1.0, 1.0) for n in range(MAX_VERDICTS)]
         quarantine.apply_report(QuarantineReport(verdicts=verdicts), 2.2)
         report = quarantine.report(2.3, relayed=True)
@@ -203,24 +203,24 @@
         daemons = [PromptQuarantine(0.0) for _ in range(4)]
         for number, daemon in enumerate(daemons):
             at_s = 1.0 + 1.5 * number
-            daemon.note_crash((f"e{number}", 1), at_s, [DEAD], at_s)
+            daemon.note_crash((f"e{number}", 1), at_s, [CRASHING_PARTS], at_s)
             for other in daemons:
                 other.apply_report(daemon.report(at_s + 0.1), at_s + 0.12)
-        assert all(daemon.verdict(DEAD, 6.0) for daemon in daemons)
+        assert all(daemon.verdict(CRASHING_PARTS, 6.0) for daemon in daemons)
 
     def test_a_daemon_that_starts_learns_the_verdicts(self) -> None:
         known, started = PromptQuarantine(0.0), PromptQuarantine(60.0)
-        crashed(known, *((at_s, [DEAD]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        crashed(known, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         [verdict] = started.apply_report(known.report(60.0), 60.0)
-        assert verdict.parts == {"dead", "first"}
-        assert started.verdict(DEAD, 61.0) is not None
+        assert verdict.parts == {"crashing", "first"}
+        assert started.verdict(CRASHING_PARTS, 61.0) is not None
 
     def test_a_refuted_verdict_does_not_return_from_a_late_report(self) -> None:
         first, second = PromptQuarantine(0.0), PromptQuarantine(0.0)
-        crashed(first, *((at_s, [DEAD]) for at_s in (1.0, 2.0, 3.0, 5.0)))
+        crashed(first, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         second.apply_report(first.report(5.1), 5.1)
         late = second.report(5.2)
-        first.note_sound(DEAD, 5.5, 5.5)
+        first.note_success(CRASHING_PARTS, 5.5, 5.5)
         second.apply_report(first.report(5.6), 5.6)
         assert second.verdicts == []
         first.apply_report(late, 5.7)
@@ -230,7 +230,7 @@
         self,
     ) -> None:
         started, known = PromptQuarantine(0.0), PromptQuarantine(0.0)
-        known.note_sound(("first",), 0.5, 0.5)
+        known.note_success(("first",), 0.5, 0.5)
         crashed(started, *((at_s, [("first",)]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert started.verdicts
         known.apply_report(started.report(5.1), 5.1)
@@ -238,26 +238,26 @@
 
     def test_an_acquittal_is_told_only_while_it_is_news(self) -> None:
         first, second = PromptQuarantine(0.0), PromptQuarantine(0.0)
-        first.note_sound(("first",), 0.5, 0.5)
-        assert first.report(0.6).sound == {}
-        crashed(first, (1.0, [DEAD]))
-        assert first.report(1.1).sound == {}
-        first.note_sound(("first",), 1.5, 1.5)
-        assert first.report(1.6).sound == {"first": 0.1}
+        first.note_success(("first",), 0.5, 0.5)
+        assert first.report(0.6).successes == {}
+        crashed(first, (1.0, [CRASHING_PARTS]))
+        assert first.report(1.1).successes == {}
+        first.note_success(("first",), 1.5, 1.5)
+        assert first.report(1.6).successes == {"first": 0.1}
         second.apply_report(first.report(1.6), 1.6)
-        assert second.report(1.7).sound == {}
-        first.note_sound(("first",), 3.0, 3.0)
-        assert first.report(3.3).sound == {}
+        assert second.report(1.7).successes == {}
+        first.note_success(("first",), 3.0, 3.0)
+        assert first.report(3.3).successes == {}
 
 
 def crashing_day(daemons: int, engines: int, seed: int, for_s: float = 30.0) -> ModelOutcome:
     """Play a day on which one part crashes engines."""
     model = QuarantineModel(daemons, engines, seed)
-    model.every(1 / (3.0 * daemons), model.send_sound)
+    model.every(1 / (3.0 * daemons), model.send_ordinary)
     model.run(5.0)
     model.every(0.5, model.send_crashing)
     outcome = model.run(for_s)
-    assert {verdict for verdict in model.verdicts() if "dead" in verdict}
+    assert {verdict for verdict in model.verdicts() if "crashing" in verdict}
     return outcome
 
 
@@ -271,14 +271,14 @@
         assert outcome.late_sends() <= 3
         assert len(outcome.crashes_s) <= 10
         assert outcome.wrong_verdicts == set()
-        assert outcome.share_begun() >= 0.8
+        assert outcome.started_share() >= 0.8
 
     @pytest.mark.parametrize(("daemons", "engines"), FLEETS)
     def test_nothing_is_refused_when_engines_crash_for_other_reasons(
         self, daemons: int, engines: int
     ) -> None:
         model = QuarantineModel(daemons, engines, seed=3)
-        model.every(1 / (3.0 * daemons), model.send_sound)
+        model.every(1 / (3.0 * daemons), model.send_ordinary)
         model.every(2.0, lambda: model.crash_share(0.15))
         model.every(7.0, lambda: model.crash_share(0.4))
         model.every(4.0, model.restart_daemon)
@@ -287,7 +287,7 @@
 
     def test_daemons_that_restart_meanwhile_stop_sending_too(self) -> None:
         model = QuarantineModel(8, 5, seed=4)
-        model.every(0.04, model.send_sound)
+        model.every(0.04, model.send_ordinary)
         model.every(0.5, model.send_crashing)
         model.every(3.0, model.restart_daemon)
         outcome = model.run(60.0)
@@ -317,20 +317,20 @@
         now_s = 1.5 * number
         daemon = daemons[index]
         if step == "crash":
-            if daemon.verdict(("dead", document), now_s) is None:
-                daemon.note_crash((f"e{number}", 1), now_s, [("dead", document)], now_s)
+            if daemon.verdict(("crashing", document), now_s) is None:
+                daemon.note_crash((f"e{number}", 1), now_s, [("crashing", document)], now_s)
                 crashes.append(now_s)
         elif step == "sound":
-            daemon.note_sound((document,), now_s, now_s)
+            daemon.note_success((document,), now_s, now_s)
             assert daemon.verdict((document,), now_s) is None
         elif step == "report":
             daemons[other].apply_report(daemon.report(now_s), now_s)
         else:
             daemons[index] = PromptQuarantine(now_s)
         for each in daemons:
-            assert all("dead" in verdict.parts for verdict in each.verdicts)
+            assert all("crashing" in verdict.parts for verdict in each.verdicts)
     # A daemon that hears of all crashes refuses the part, with whatever document.
     witness = PromptQuarantine(0.0)
     for number, at_s in enumerate(crashes):
-        witness.note_crash((f"w{number}", 1), at_s, [("dead", f"d{number}")], at_s)
-    assert bool(witness.verdict(("dead", "new"), 1000.0)) == (len(crashes) >= 4)
+        witness.note_crash((f"w{number}", 1), at_s, [("crashing", f"d{number}")], at_s)
+    assert bool(witness.verdict(("crashing", "new"), 1000.0)) == (len(crashes) >= 4)
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -27,7 +27,7 @@
 )
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 
-DEAD = ("doc", "dead")
+CRASHING_PARTS = ("doc", "crashing")
 
 pytestmark = pytest.mark.looptime
 
@@ -47,13 +47,15 @@
         now_s = asyncio.get_running_loop().time()
         for number in range(count):
             at_s = now_s - 2.0 * (count - 1 - number)
-            self.crashes.quarantine.note_crash((f"e{now_s + number}", 1), at_s, [DEAD], now_s)
-        self.crashes.has_news.set()
+            self.crashes.quarantine.note_crash(
+                (f"e{now_s + number}", 1), at_s, [CRASHING_PARTS], now_s
+            )
+        self.crashes.verdict_added.set()
 
     @property
     def refuses(self) -> bool:
         """Whether a request with the part is refused."""
-        return self.crashes.verdict(DEAD) is not None
+        return self.crashes.verdict(CRASHING_PARTS) is not None
 
 
 @asynccontextmanager
@@ -111,7 +113,7 @@
             daemon.crash()
             await asyncio.sleep(2.0)
             assert stored(core).verdicts
-            daemon.crashes.note_sound(DEAD)
+            daemon.crashes.note_success(CRASHING_PARTS)
             await asyncio.sleep(10.0)
             assert not stored(core).verdicts
             assert not daemon.refuses
@@ -131,7 +133,7 @@
     ) -> None:
         core = StoreCore()
         monkeypatch.setattr(quarantine, "open_platform_store", lambda _: FakeStore(core, 0.0))
-        verdict = StoredVerdict(("dead",), 4, time.time() - 60.0, time.time())
+        verdict = StoredVerdict(("crashing",), 4, time.time() - 60.0, time.time())
 
         async def quarantine_part() -> None:
             core.put(QUARANTINE_KEY, msgspec.json.encode(StoredQuarantine([verdict])))
@@ -140,15 +142,15 @@
         settings = ["--settings", str(tmp_path)]
         outputs = [
             (result.exit_code, result.output)
-            for command in (["list"], ["lift", "dead"], ["list"])
+            for command in (["list"], ["lift", "crashing"], ["list"])
             if (result := CliRunner().invoke(app, ["quarantine", *command, *settings]))
         ]
         assert outputs == [
-            (0, "dead: 4 crashes, the first 60 s ago\n"),
-            (0, "dead: lifted\n"),
+            (0, "crashing: 4 crashes, the first 60 s ago\n"),
+            (0, "crashing: lifted\n"),
             (0, "no prompt is quarantined\n"),
         ]
-        again = CliRunner().invoke(app, ["quarantine", "lift", "dead", *settings])
+        again = CliRunner().invoke(app, ["quarantine", "lift", "crashing", *settings])
         assert again.exit_code == 6
 
     async def test_a_lifted_part_is_sent_again(self) -> None:
@@ -157,7 +159,7 @@
             daemon.crash()
             await asyncio.sleep(2.0)
             now_s = 1e9 + asyncio.get_running_loop().time()
-            await quarantine.lift_in_store(FakeStore(core), "dead", now_s)
+            await quarantine.lift_in_store(FakeStore(core), "crashing", now_s)
             await asyncio.sleep(1.0)
             assert not daemon.refuses
             await asyncio.sleep(20.0)
