--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -33,6 +33,7 @@
     :ivar held_back_engine_ids: ids of the limited engines for which the request got no permit
     :ivar broken_sends: number of sends whose connection was lost before a response began
     :ivar usage_counted: whether the request was counted in the usage of its account
+    :ivar fingerprint: digest that the copies of the request have in common
     """
 
     request: Request
@@ -50,6 +51,7 @@
     held_back_engine_ids: set[str] = field(default_factory=set)
     broken_sends: int = 0
     usage_counted: bool = False
+    fingerprint: str = ""
 
     @property
     def account_name(self) -> str:
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -89,7 +89,7 @@
             continue
         except (ResponseLost, TimeoutError) as error:
             call.broken_sends += isinstance(error, ResponseLost)
-            record_failure(ctx, call, engine, "response_lost", error)
+            record_failure(ctx, call, engine, "response_lost", error, send)
             if call.time_left_s() <= 0 or not may_retry(ctx, call):
                 break
             continue
@@ -253,7 +253,7 @@
     """Record a failed send to an engine in the engine's health, the metrics and the log.
 
     :param kind: kind of failure, as in the metrics and the log
-    :param send: the failed send of a stream, None for a plain request
+    :param send: the failed send, None if the engine was not reached
     """
     ctx.instruments.sends[(call.service.name, kind)] += 1
     newly_ejected = engine.health.failed(asyncio.get_running_loop().time())
@@ -271,7 +271,7 @@
 
 
 def _progress_fields(send: Send | None) -> dict[str, float | None]:
-    """Return how long ago a stream was sent, and how long ago its first event arrived."""
+    """Return how long ago a request was sent, and how long ago a stream's first event arrived."""
     if send is None or not send.sent_at_s:
         return {}
     now_s = asyncio.get_running_loop().time()
--- a/godwitpath/gateway/intake.py
+++ b/godwitpath/gateway/intake.py
@@ -14,6 +14,7 @@
     write_gateway_response,
 )
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.fingerprint import fingerprint
 from godwitpath.gateway.forward import forward_plain
 from godwitpath.gateway.model import AccountSpec, RequestKind, Route
 from godwitpath.gateway.placement import Prompt
@@ -177,6 +178,7 @@
             prompt=prompt,
             responder=responder,
             respond_by_s=request.received_at_s + timeout_s - RESPONSE_MARGIN_S,
+            fingerprint=fingerprint(request, account.name if account is not None else ""),
         )
 
     def _take_quota(self, call: Call, account: AccountSpec) -> bool:
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -210,6 +210,7 @@
             zone=engine.entry.zone,
             started_at_ms=engine.entry.started_at_ms,
             parts=call.shared_parts,
+            fingerprint=call.fingerprint,
             attempt=call.attempts,
             left_s=round(left_s, 3),
             running=engine.all_running,
