Show that copies of a request go on to crash engines

The stand-in of an engine crashes on whole requests, and the rule on what may still reach engines serves both.

--- a/godwitpath_standin/gateway/crash_rule.py
+++ b/godwitpath_standin/gateway/crash_rule.py
@@ -1,43 +1,74 @@
-"""The users' rule on prompt parts that crash engines, judged from what reaches the engines."""
+"""The users' rules on what crashes engines, judged from what reaches the engines."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import singledispatch
 
-from godwitpath_standin.gateway.engine import Arrival, EngineStandin
-
-TOLERATED_CRASHES = 5
-"""Crashes under a part after which hardly any request with the part may reach an engine."""
+from godwitpath_standin.gateway.engine import Arrival, CrashSubject, EngineStandin, RequestCopy
 
 CONTACT_S = 4.0
-"""Time after the last tolerated crash until every daemon in touch has to know of the part."""
+"""Time after the last tolerated crash until every daemon in touch has to know of it."""
 
 TOLERATED_SENDS = 3
-"""Requests with the part that may reach engines after that time."""
+"""Requests that may reach engines after that time."""
+
+
+@singledispatch
+def tolerated_crashes(subject: CrashSubject) -> int:
+    """Return the number of crashes after which hardly any such request may reach an engine."""
+    raise TypeError(f"no rule on {subject!r}")
+
+
+@tolerated_crashes.register
+def _(subject: str) -> int:
+    return 5
+
+
+@tolerated_crashes.register
+def _(subject: RequestCopy) -> int:
+    return 3
+
+
+@singledispatch
+def _concerns(subject: CrashSubject, arrival: Arrival) -> bool:
+    """Return whether a request is one of those that crash engines."""
+    raise TypeError(f"no rule on {subject!r}")
+
+
+@_concerns.register
+def _(subject: str, arrival: Arrival) -> bool:
+    return subject in arrival.shared_parts
+
+
+@_concerns.register
+def _(subject: RequestCopy, arrival: Arrival) -> bool:
+    return subject == arrival.copy
 
 
-def crash_times_s(engines: Iterable[EngineStandin], part_id: str) -> list[float]:
-    """Return the loop times at which engines crashed on a part, in order."""
-    return sorted(engine.crashed_at_s for engine in engines if engine.crashed_on == part_id)
+def crash_times_s(engines: Iterable[EngineStandin], subject: CrashSubject) -> list[float]:
+    """Return the loop times at which engines crashed on something, in order."""
+    return sorted(engine.crashed_at_s for engine in engines if engine.crashed_on == subject)
 
 
 def late_sends(
     engines: Iterable[EngineStandin],
-    part_id: str,
+    subject: CrashSubject,
     counts: Callable[[Arrival], bool] = lambda arrival: True,
 ) -> list[Arrival]:
-    """Return the requests with a crashing part that reached engines when none should any more.
+    """Return the requests that crash engines and reached them when none should any more.
 
     :param counts: returns whether the daemon that sent a request was in touch
     """
     engines = list(engines)
-    crashes_s = crash_times_s(engines, part_id)
-    if len(crashes_s) < TOLERATED_CRASHES:
+    crashes_s = crash_times_s(engines, subject)
+    tolerated = tolerated_crashes(subject)
+    if len(crashes_s) < tolerated:
         return []
-    since_s = crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
+    since_s = crashes_s[tolerated - 1] + CONTACT_S
     return [
         arrival
         for engine in engines
         for arrival in engine.arrivals
-        if part_id in arrival.shared_parts and arrival.at_s > since_s and counts(arrival)
+        if _concerns(subject, arrival) and arrival.at_s > since_s and counts(arrival)
     ]
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -61,6 +61,22 @@
 """Faults that concern a body with neither a length nor chunks."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCopy:
+    """What all copies of a request have in common at an engine.
+
+    :ivar account: name of the client account, empty for an anonymous request
+    """
+
+    target: bytes
+    account: bytes
+    body: bytes
+
+
+CrashSubject = str | RequestCopy
+"""What crashes engines: a part of prompts, or a request."""
+
+
 @dataclass(slots=True)
 class Run:
     """A run of a request at an engine.
@@ -89,6 +105,7 @@
     :ivar answered_at_s: loop time at which the engine sent the head of its response, 0 before
     :ivar retry_after: pause in seconds that the engine asked for in its response, empty for none
     :ivar shared_parts: ids of the prompt's parts without the last one
+    :ivar copy: what the copies of the request have in common, None if it was not recorded
     """
 
     request_id: bytes
@@ -97,6 +114,7 @@
     answered_at_s: float = 0.0
     retry_after: str = ""
     shared_parts: tuple[str, ...] = ()
+    copy: RequestCopy | None = None
 
 
 @dataclass(slots=True)
@@ -118,9 +136,12 @@
     :ivar move_status: HTTP status of the response to a move
     :ivar crashing_parts: prompt parts, other than a prompt's last one, on which the engine crashes
         when it begins to write a response; may be shared between engines
+    :ivar crashing_requests: requests that crash the engine after it has begun to run them; may be
+        shared between engines
+    :ivar crash_after_s: time from the start of such a run to the crash
     :ivar on_crash: called when the engine crashes
     :ivar crashed_at_s: loop time at which it crashed, 0 before
-    :ivar crashed_on: the part on which it crashed, empty before
+    :ivar crashed_on: what it crashed on, empty before
     """
 
     engine_id: str
@@ -137,9 +158,11 @@
     moves: list[tuple[str, str]] = field(default_factory=list)
     move_status: int = 200
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_requests: set[RequestCopy] = field(default_factory=set)
+    crash_after_s: float = 0.08
     on_crash: Callable[[], None] = lambda: None
     crashed_at_s: float = 0.0
-    crashed_on: str = ""
+    crashed_on: CrashSubject = ""
     address: Address = field(default_factory=lambda: Address("127.0.0.1", 0))
     _server: StandinServer = field(init=False)
 
@@ -182,7 +205,10 @@
         request_id = request.header(b"x-attempt-id")
         headers: Headers = [(b"X-Attempt-Id", request_id)]
         now_s = asyncio.get_running_loop().time()
-        arrival = Arrival(request_id, now_s, self.limit, shared_parts=_shared_parts(request))
+        copy = RequestCopy(request.target, request.header(b"x-tenant"), request.body)
+        arrival = Arrival(
+            request_id, now_s, self.limit, shared_parts=_shared_parts(request), copy=copy
+        )
         self.arrivals.append(arrival)
         if arrival.limit:
             headers.append((b"Server-Limit", arrival.limit.encode()))
@@ -207,7 +233,10 @@
         if fault is not Fault.NO_STAMP:
             headers.append((b"X-Response-Stamp", f"stamp-{self.engine_id}".encode()))
         try:
-            if b"stream" in request.target:
+            if copy in self.crashing_requests:
+                await asyncio.sleep(self.crash_after_s)
+                await self._crash(copy)
+            elif b"stream" in request.target:
                 arrival.answered_at_s = arrival.at_s
                 await self._stream(run, responder, headers, fault)
             else:
@@ -219,9 +248,9 @@
             run.cancelled = True
             raise
 
-    async def _crash(self, part_id: str) -> None:
+    async def _crash(self, subject: CrashSubject) -> None:
         if not self.crashed_on:
-            self.crashed_on = part_id
+            self.crashed_on = subject
             self.crashed_at_s = asyncio.get_running_loop().time()
             self.on_crash()
             await self.stop()
--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -16,7 +16,7 @@
 from godwitpath_standin.gateway.cloud import FakeCloud
 from godwitpath_standin.gateway.cloud_app import CloudServer
 from godwitpath_standin.gateway.documents import configuration_document, settings_document
-from godwitpath_standin.gateway.engine import EngineStandin
+from godwitpath_standin.gateway.engine import EngineStandin, RequestCopy
 from godwitpath_standin.gateway.process import start_gateway
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
@@ -44,7 +44,7 @@
 platform removes the engine."""
 
 CRASHED_DOWN_S = 2.5
-"""Time until an engine that a prompt crashed is replaced."""
+"""Time until an engine that a request crashed is replaced."""
 
 BUSY_POLL_S = 0.1
 """Interval at which the end of another fault at the position is awaited."""
@@ -175,6 +175,7 @@
     :ivar keys: current API key of each account
     :ivar services: current service of each route
     :ivar crashing_parts: prompt parts on which every engine crashes
+    :ivar crashing_requests: requests on which every engine crashes
     """
 
     rng: random.Random
@@ -189,6 +190,7 @@
     keys: dict[str, str] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_requests: set[RequestCopy] = field(default_factory=set)
     history: History = field(init=False)
     store: StoreServer = field(init=False)
     copies: StoreCopies = field(init=False)
@@ -276,6 +278,7 @@
             events=20,
             event_s=0.04,
             crashing_parts=self.crashing_parts,
+            crashing_requests=self.crashing_requests,
             on_crash=lambda: self._on_crash(position, engine),
         )
         target = await engine.start()
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -6,7 +6,7 @@
 import json
 import random
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -19,14 +19,11 @@
     late_sends,
 )
 from godwitpath_standin.gateway.engine import EngineStandin
-from godwitpath_standin.soak.callers import Balancer
-from godwitpath_standin.soak.environment import RESTART_DELAY_S, Daemon, SoakEnvironment
+from godwitpath_standin.soak.environment import SoakEnvironment
 from godwitpath_standin.soak.faults import CrashEngine, CutStore, KillDaemons
 from godwitpath_standin.soak.injection import inject
 from godwitpath_standin.soak.proxy import Way
-from godwitpath_standin.soak.run import wait_until
-
-READY_S = 30.0
+from test.crash_fleet import crash_environment, until_all_ready
 
 DOCUMENTS = 12
 """Number of documents that the prompts are about."""
@@ -110,13 +107,7 @@
 
     async def until_ready(self) -> None:
         """Wait until killed daemons have exited and every daemon is ready again."""
-        await asyncio.sleep(RESTART_DELAY_S)
-        async with asyncio.timeout(READY_S):
-            for daemon in self.environment.daemons:
-                while True:
-                    if await _is_ready(daemon):
-                        break
-                    await asyncio.sleep(0.1)
+        await until_all_ready(self.environment)
 
     def started_share(self, since_s: float = 0.0, until_s: float = float("inf")) -> float:
         """Return the share of the ordinary requests of a time that began to be answered."""
@@ -126,25 +117,11 @@
         return sum(each.began for each in ordinary) / len(ordinary)
 
 
-async def _is_ready(daemon: Daemon) -> bool:
-    try:
-        return (await ask(daemon.ready_port, "/readyz", key="", timeout_s=1.0)).status == 200
-    except (OSError, TimeoutError):
-        return False
-
-
 @asynccontextmanager
 async def prompt_fleet(folder: Path, daemons: int = 4) -> AsyncIterator[PromptFleet]:
     """Run daemons as processes before five engines of each service."""
-    async with AsyncExitStack() as stack:
-        environment = SoakEnvironment(random.Random(1), folder, stack)
-        await environment.start(daemons, 5)
+    async with crash_environment(folder, daemons, 5) as environment:
         environment.crashing_parts.add(CRASHING_PART)
-        balancer = Balancer(environment.daemons)
-        polling = asyncio.create_task(balancer.run())
-        stack.callback(polling.cancel)
-        await wait_until(lambda: len(balancer.ready()) == daemons, READY_S)
-        await asyncio.sleep(1.0)
         yield PromptFleet(environment)
 
 
