--- a/godwitpath/commands/quarantine.py
+++ b/godwitpath/commands/quarantine.py
@@ -49,7 +49,7 @@
     now_s = time.time()
     for verdict in stored.verdicts:
         typer.echo(
-            f"{' + '.join(verdict.parts)}: {verdict.crashes} crashes,"
+            f"{' + '.join(verdict.subjects)}: {verdict.crashes} crashes,"
             f" the first {now_s - verdict.since_s:.0f} s ago"
         )
     if not stored.verdicts:
@@ -77,7 +77,7 @@
     """
     item = await store.get(QUARANTINE_KEY)
     stored = decode_quarantine(item)
-    if not any(part in verdict.parts for verdict in stored.verdicts):
+    if not any(part in verdict.subjects for verdict in stored.verdicts):
         raise NotFound(f"{part} is not quarantined")
     value: StoredQuarantine = lift(stored, part, now_s)
     revision = item.revision if item is not None else 0
--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Evidence about prompts that crash engines: the crashes, and the responses that went well."""
+"""Evidence about requests that crash engines: the crashes, and the responses that went well."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from godwitpath.gateway.engine_notices import Incarnation
-from godwitpath.gateway.quarantine_report import Parts, ReportedCrash
+from godwitpath.gateway.quarantine_report import ReportedCrash, Subjects
 
 EVIDENCE_RETENTION_S = 600.0
 """Time for which a crash counts."""
@@ -19,14 +19,14 @@
 MAX_CRASHES = 256
 """Number of crashes that are remembered."""
 
-MAX_PROMPTS_PER_CRASH = 128
-"""Number of prompts that are remembered of a crash."""
+MAX_REQUESTS_PER_CRASH = 128
+"""Number of requests that are remembered of a crash."""
 
-MAX_REPORTED_PROMPTS = 256
-"""Number of prompts in a report, which has to fit into a datagram."""
+MAX_REPORTED_REQUESTS = 256
+"""Number of requests in a report, which has to fit into a datagram."""
 
 MAX_SUCCESSES = 8192
-"""Number of parts of which it is remembered that a response went well: callers choose the ids."""
+"""Number of subjects of which it is remembered that a response went well: callers choose them."""
 
 
 @dataclass(slots=True)
@@ -34,20 +34,20 @@
     """A crash of one incarnation of an engine.
 
     :ivar at_s: time of the crash
-    :ivar learned_at_s: time at which its last prompt was learned
-    :ivar prompts: shared parts of each prompt that the engine could have begun to answer
-    :ivar own_prompts: those of the prompts that this daemon had sent
+    :ivar learned_at_s: time at which its last request was learned
+    :ivar requests: subjects of each request that the engine could have begun to answer
+    :ivar own_requests: those of the requests that this daemon had sent
     """
 
     at_s: float
     learned_at_s: float
-    prompts: set[Parts] = field(default_factory=set)
-    own_prompts: set[Parts] = field(default_factory=set)
+    requests: set[Subjects] = field(default_factory=set)
+    own_requests: set[Subjects] = field(default_factory=set)
 
 
 @dataclass(slots=True)
 class SuccessRecord:
-    """When a response to a part went well.
+    """When a response to a subject went well.
 
     :ivar succeeded_at_s: time of the last such response
     :ivar reported_at_s: time of the last one that the other daemons know of
@@ -58,34 +58,34 @@
 
 
 class CrashEvidence:
-    """Crashes by engine and by part, and successes by part, within bounds.
+    """Crashes by engine and by subject, and successes by subject, within bounds.
 
     :param started_at_s: time since which evidence is collected; earlier crashes do not count, since
         the responses that went well after them are not known
     :ivar crashes: the crashes by incarnation of the engine, in the order in which they were learned
-    :ivar successes: the successes by part, the last one that was renewed at the end
+    :ivar successes: the successes by subject, the last one that was renewed at the end
     """
 
-    __slots__ = ("_incarnations_by_part", "_started_at_s", "crashes", "successes")
+    __slots__ = ("_incarnations_by_subject", "_started_at_s", "crashes", "successes")
 
     def __init__(self, started_at_s: float) -> None:
         self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
         self.successes: OrderedDict[str, SuccessRecord] = OrderedDict()
-        self._incarnations_by_part: defaultdict[str, set[Incarnation]] = defaultdict(set)
+        self._incarnations_by_subject: defaultdict[str, set[Incarnation]] = defaultdict(set)
         self._started_at_s = started_at_s
 
     def add_crash(
         self,
         incarnation: Incarnation,
         at_s: float,
-        prompts: Iterable[Parts],
+        requests: Iterable[Subjects],
         now_s: float,
         *,
         own: bool,
     ) -> set[str]:
-        """Add a crash, or further prompts of a known one.
+        """Add a crash, or further requests of a known one.
 
-        :returns: the parts of the prompts that are new
+        :returns: the subjects of the requests that are new
         """
         if at_s < self._started_at_s or now_s - at_s >= EVIDENCE_RETENTION_S:
             return set()
@@ -95,40 +95,40 @@
             if len(self.crashes) > MAX_CRASHES:
                 self._drop_crash(next(iter(self.crashes)))
         crash.at_s = min(crash.at_s, at_s)
-        unknown = sorted({prompt for prompt in prompts if prompt} - crash.prompts)
-        new_prompts = unknown[: MAX_PROMPTS_PER_CRASH - len(crash.prompts)]
+        unknown = sorted({request for request in requests if request} - crash.requests)
+        new_requests = unknown[: MAX_REQUESTS_PER_CRASH - len(crash.requests)]
         if own:
-            crash.own_prompts.update(new_prompts)
-        if new_prompts:
-            crash.prompts.update(new_prompts)
+            crash.own_requests.update(new_requests)
+        if new_requests:
+            crash.requests.update(new_requests)
             crash.learned_at_s = now_s
-        new_parts = {part for prompt in new_prompts for part in prompt}
-        for part in new_parts:
-            self._incarnations_by_part[part].add(incarnation)
-        return new_parts
-
-    def add_success(self, part: str, at_s: float) -> SuccessRecord:
-        """Add a response to a part that went well, and return the success."""
-        success = self.successes.setdefault(part, SuccessRecord(at_s))
+        new_subjects = {subject for request in new_requests for subject in request}
+        for subject in new_subjects:
+            self._incarnations_by_subject[subject].add(incarnation)
+        return new_subjects
+
+    def add_success(self, subject: str, at_s: float) -> SuccessRecord:
+        """Add a response to a subject that went well, and return the success."""
+        success = self.successes.setdefault(subject, SuccessRecord(at_s))
         success.succeeded_at_s = max(success.succeeded_at_s, at_s)
-        self.successes.move_to_end(part)
+        self.successes.move_to_end(subject)
         while len(self.successes) > MAX_SUCCESSES:
             self.successes.popitem(last=False)
         return success
 
-    def succeeded_since(self, part: str, since_s: float) -> bool:
-        """Return whether a response to a part went well after a time."""
-        success = self.successes.get(part)
+    def succeeded_since(self, subject: str, since_s: float) -> bool:
+        """Return whether a response to a subject went well after a time."""
+        success = self.successes.get(subject)
         return success is not None and success.succeeded_at_s > since_s
 
-    def times_s(self, part: str) -> list[float]:
-        """Return the times of all crashes under a part."""
-        return [self.crashes[each].at_s for each in self._incarnations_by_part.get(part, ())]
+    def times_s(self, subject: str) -> list[float]:
+        """Return the times of all crashes under a subject."""
+        return [self.crashes[each].at_s for each in self._incarnations_by_subject.get(subject, ())]
 
-    def crashes_since_success(self, part: str) -> Iterator[Crash]:
-        """Yield the crashes under a part since the last response to it that went well."""
-        success = self.successes.get(part)
-        for incarnation in self._incarnations_by_part.get(part, ()):
+    def crashes_since_success(self, subject: str) -> Iterator[Crash]:
+        """Yield the crashes under a subject since the last response to it that went well."""
+        success = self.successes.get(subject)
+        for incarnation in self._incarnations_by_subject.get(subject, ()):
             crash = self.crashes[incarnation]
             if success is None or crash.at_s > success.succeeded_at_s:
                 yield crash
@@ -140,18 +140,18 @@
     def reported_crashes(self, now_s: float, *, relayed: bool) -> list[ReportedCrash]:
         """Return the crashes to report to the other daemons, the newest first.
 
-        :param relayed: whether to report also the prompts that other daemons reported
+        :param relayed: whether to report also the requests that other daemons reported
         """
         reported: list[ReportedCrash] = []
-        prompts_left = MAX_REPORTED_PROMPTS
+        requests_left = MAX_REPORTED_REQUESTS
         for (engine_id, started_at_ms), crash in reversed(self.crashes.items()):
             if now_s - crash.learned_at_s >= REPORT_S:
                 continue
-            prompts = sorted(crash.prompts if relayed else crash.own_prompts)[:prompts_left]
-            if prompts:
+            requests = sorted(crash.requests if relayed else crash.own_requests)[:requests_left]
+            if requests:
                 age_s = round(now_s - crash.at_s, 3)
-                reported.append(ReportedCrash(engine_id, started_at_ms, age_s, prompts))
-                prompts_left -= len(prompts)
+                reported.append(ReportedCrash(engine_id, started_at_ms, age_s, requests))
+                requests_left -= len(requests)
         return reported
 
     def drop_expired(self, now_s: float) -> None:
@@ -162,7 +162,7 @@
 
     def _drop_crash(self, incarnation: Incarnation) -> None:
         crash = self.crashes.pop(incarnation)
-        for part in {part for prompt in crash.prompts for part in prompt}:
-            self._incarnations_by_part[part].discard(incarnation)
-            if not self._incarnations_by_part[part]:
-                del self._incarnations_by_part[part]
+        for subject in {subject for request in crash.requests for subject in request}:
+            self._incarnations_by_subject[subject].discard(incarnation)
+            if not self._incarnations_by_subject[subject]:
+                del self._incarnations_by_subject[subject]
--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -1,7 +1,7 @@
-"""Finds out which engines crashed, and under which prompts.
+"""Finds out which engines crashed, and under which requests.
 
 When a stream breaks before its response has gone on for a moment, its engine may have crashed
-under the prompt. A crashed engine refuses connections. An engine that leaves, was stopped or only
+under the request. A crashed engine refuses connections. An engine that leaves, was stopped or only
 reset a connection has not crashed, and one that is silent may only be unreachable.
 """
 
@@ -14,15 +14,15 @@
 
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.engines import Engine, EngineRegistry
-from godwitpath.gateway.quarantine import PromptQuarantine, Verdict
-from godwitpath.gateway.quarantine_report import Parts, QuarantineReport
+from godwitpath.gateway.quarantine import Quarantine, Verdict
+from godwitpath.gateway.quarantine_report import QuarantineReport, Subjects
 from godwitpath.http1.client import connect
 from godwitpath.http1.messages import NotSent
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
 
 STABLE_AFTER_S = 0.25
-"""Time after the first event of a response from which on its prompt has not crashed the engine."""
+"""Time after the first event of a response from which on its request has not crashed the engine."""
 
 CONFIRM_TIMEOUT_S = 0.4
 """Timeout of a connection that shows whether an engine still listens."""
@@ -32,7 +32,7 @@
 connections before its port."""
 
 PENDING_S = 10.0
-"""Time for which the prompts of an engine that did not respond are kept, in case that another
+"""Time for which the requests of an engine that did not respond are kept, in case that another
 daemon finds it crashed."""
 
 
@@ -41,12 +41,12 @@
     """An engine whose streams broke.
 
     :ivar at_s: loop time of the first break
-    :ivar prompts: shared parts of the prompts that it could have begun to answer
+    :ivar requests: subjects of the requests that it could have begun to answer
     :ivar confirming: whether a task is finding out whether it crashed
     """
 
     at_s: float
-    prompts: set[Parts] = field(default_factory=set)
+    requests: set[Subjects] = field(default_factory=set)
     confirming: bool = True
 
 
@@ -61,7 +61,7 @@
     """
 
     def __init__(self, engines: EngineRegistry, report_soon: asyncio.Event | None = None) -> None:
-        self.quarantine = PromptQuarantine(asyncio.get_running_loop().time())
+        self.quarantine = Quarantine(asyncio.get_running_loop().time())
         self.verdict_added = asyncio.Event()
         self.counts: Counter[str] = Counter()
         self._engines = engines
@@ -69,16 +69,16 @@
         self._broken: dict[Incarnation, _BrokenEngine] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def note_broken(self, engine: Engine, parts: Parts, first_event_at_s: float) -> None:
+    def note_broken(self, engine: Engine, subjects: Subjects, first_event_at_s: float) -> None:
         """Note that a stream broke.
 
-        :param parts: shared parts of its prompt
+        :param subjects: subjects of its request
         :param first_event_at_s: loop time of the first event of its response, 0 if there was none
         """
         now_s = asyncio.get_running_loop().time()
         if first_event_at_s and now_s - first_event_at_s >= STABLE_AFTER_S:
             return
-        if not parts or not self._engines.is_ready(engine):
+        if not subjects or not self._engines.is_ready(engine):
             return
         incarnation = engine.entry.incarnation
         broken = self._broken.get(incarnation)
@@ -87,24 +87,24 @@
             task = asyncio.create_task(self._confirm(incarnation, engine.entry.address))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        broken.prompts.add(parts)
+        broken.requests.add(subjects)
 
-    def note_success(self, parts: Parts) -> None:
-        """Note that an engine has answered a prompt for a while, or to the end."""
+    def note_success(self, subjects: Subjects) -> None:
+        """Note that an engine has answered a request for a while, or to the end."""
         now_s = asyncio.get_running_loop().time()
-        self._log_lifted(self.quarantine.note_success(parts, now_s, now_s), "response")
+        self._log_lifted(self.quarantine.note_success(subjects, now_s, now_s), "response")
 
-    def verdict(self, parts: Parts) -> Verdict | None:
+    def verdict(self, subjects: Subjects) -> Verdict | None:
         """Return the verdict under which a request must not be sent, None if there is none."""
-        return self.quarantine.verdict(parts, asyncio.get_running_loop().time())
+        return self.quarantine.verdict(subjects, asyncio.get_running_loop().time())
 
     def note_refused(self, request_id: str, verdict: Verdict) -> None:
         """Log that a request is refused under a verdict."""
         self.counts["refused"] += 1
         decision(
-            "prompt_refused",
+            "quarantine_refused",
             request=request_id,
-            parts=sorted(verdict.parts),
+            subjects=sorted(verdict.subjects),
             crashes=verdict.crashes,
             since_age_s=round(asyncio.get_running_loop().time() - verdict.since_s, 3),
         )
@@ -119,7 +119,9 @@
             self._confirm_reported((crash.engine_id, crash.started_at_ms), sender)
         in_force = self.quarantine.verdicts
         lifted = [
-            each for each in before if not any(other.parts <= each.parts for other in in_force)
+            each
+            for each in before
+            if not any(other.subjects <= each.subjects for other in in_force)
         ]
         self._log_lifted(lifted, sender)
 
@@ -134,7 +136,7 @@
             self._log_quarantined(new_verdict, "own evidence")
         for verdict in self.quarantine.drop_expired(now_s):
             self.counts["expired"] += 1
-            decision("prompt_quarantine_expired", parts=sorted(verdict.parts))
+            decision("quarantine_expired", subjects=sorted(verdict.subjects))
 
     async def _confirm(self, incarnation: Incarnation, address: Address) -> None:
         """Find out whether an engine crashed."""
@@ -158,7 +160,7 @@
             self._broken[incarnation].confirming = False
 
     def _note_crash(self, incarnation: Incarnation) -> None:
-        """Take the prompts of an engine that crashed as evidence."""
+        """Take the requests of an engine that crashed as evidence."""
         broken = self._broken.pop(incarnation, None)
         if broken is None:
             return
@@ -168,16 +170,16 @@
             "engine_crashed",
             engine=incarnation[0],
             started_at_ms=incarnation[1],
-            prompts=sorted(broken.prompts),
+            requests=sorted(broken.requests),
         )
-        verdict = self.quarantine.note_crash(incarnation, broken.at_s, broken.prompts, now_s)
+        verdict = self.quarantine.note_crash(incarnation, broken.at_s, broken.requests, now_s)
         if verdict is not None:
             self._log_quarantined(verdict, "own evidence")
         if self._report_soon is not None:
             self._report_soon.set()
 
     def _confirm_reported(self, incarnation: Incarnation, sender: str) -> None:
-        """Take the prompts of an engine as evidence that another daemon found crashed."""
+        """Take the requests of an engine as evidence that another daemon found crashed."""
         if incarnation in self._broken:
             decision("engine_crash_heard", engine=incarnation[0], source=sender)
             self._note_crash(incarnation)
@@ -186,8 +188,8 @@
         self.counts["quarantined"] += 1
         now_s = asyncio.get_running_loop().time()
         decision(
-            "prompt_quarantined",
-            parts=sorted(verdict.parts),
+            "quarantine_began",
+            subjects=sorted(verdict.subjects),
             crashes=verdict.crashes,
             since_age_s=round(now_s - verdict.since_s, 3),
             engines=[incarnation[0] for incarnation, _ in self.quarantine.crashes(verdict)],
@@ -200,4 +202,4 @@
     def _log_lifted(self, verdicts: Iterable[Verdict], source: str) -> None:
         for verdict in verdicts:
             self.counts["lifted"] += 1
-            decision("prompt_quarantine_lifted", parts=sorted(verdict.parts), source=source)
+            decision("quarantine_lifted", subjects=sorted(verdict.subjects), source=source)
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -1,7 +1,7 @@
-"""Decides which prompts are refused because a part of them crashes the engines that answer it.
+"""Decides which requests are refused because one of their subjects crashes the engines.
 
-The evidence is a list of crashed engines, each with the prompts that it could have begun to answer
-at that moment, and the responses that went well. A part is quarantined once enough engines have
+The evidence is a list of crashed engines, each with the requests that it could have begun to answer
+at that moment, and the responses that went well. A subject is quarantined once enough engines have
 crashed under it and no response to it went well in between. The decision uses neither network nor
 clock; :mod:`godwitpath.gateway.crash_watch` provides the evidence of this daemon.
 
@@ -17,13 +17,13 @@
 
 from godwitpath.gateway.crash_evidence import REPORT_S, Crash, CrashEvidence
 from godwitpath.gateway.engine_notices import Incarnation
-from godwitpath.gateway.quarantine_report import Parts, QuarantineReport, ReportedVerdict
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
 
 CRASHES_TO_QUARANTINE = 4
 """Crashes under a part after which it is quarantined: two may coincide with a part by chance."""
 
 CRASHES_IN_DOUBT = 6
-"""Crashes that it takes if there is a better explanation: if a response to the part went well
+"""Crashes that it takes if there is a better explanation: if a response to the subject went well
 before, or if most engines crashed without it."""
 
 EXPLAINED_SHARE = 1 / 3
@@ -32,44 +32,44 @@
 
 SAME_CAUSE_S = 0.25
 """Time within which several crashes count as one: engines that fail together, such as those of a
-reclaimed zone, share a cause that is none of their prompts."""
+reclaimed zone, share a cause that is none of their requests."""
 
 MIN_SUSPICION_S = 2.0
-"""Time from the first crash under a part to its quarantine: by then every daemon knows of a
-response to the part that went well in between."""
+"""Time from the first crash under a subject to its quarantine: by then every daemon knows of a
+response to the subject that went well in between."""
 
 QUARANTINE_S = 900.0
-"""Time after the last request for a quarantined part at which the part is forgotten."""
+"""Time after the last request for a quarantined subject at which the subject is forgotten."""
 
 SAME_SUCCESS_S = 0.2
 """Difference up to which two times of a response that went well are the same, since they are
 reported as ages."""
 
 MAX_REPORTED_SUCCESSES = 512
-"""Number of parts with a success in a report, which has to fit into a datagram."""
+"""Number of subjects with a success in a report, which has to fit into a datagram."""
 
 MAX_VERDICTS = 64
-"""Number of verdicts in force: callers choose the ids of their parts."""
+"""Number of verdicts in force: callers choose what the subjects of their requests are."""
 
 
 @dataclass(slots=True)
 class Verdict:
-    """Parts whose requests are refused.
+    """Subjects whose requests are refused.
 
-    :ivar parts: a request is refused if it has all of them
+    :ivar subjects: a request is refused if it has all of them
     :ivar crashes: number of crashes that spoke for it
     :ivar since_s: time of the first of these crashes
     :ivar asked_at_s: time of the last request that was refused, at first that of the verdict
     """
 
-    parts: frozenset[str]
+    subjects: frozenset[str]
     crashes: int
     since_s: float
     asked_at_s: float
 
 
-class PromptQuarantine:
-    """Evidence about the parts of prompts, and the verdicts that follow from it.
+class Quarantine:
+    """Evidence about the subjects of requests, and the verdicts that follow from it.
 
     All times are in seconds of one clock, whose current time is passed to each method.
 
@@ -81,11 +81,11 @@
     def __init__(self, started_at_s: float) -> None:
         self._evidence = CrashEvidence(started_at_s)
         self._verdicts: dict[frozenset[str], Verdict] = {}
-        # Parts under which enough engines crashed, and which are judged a little later.
+        # Subjects under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
-        # Parts with a success to report to the other daemons, with the time of the first report.
+        # Subjects with a success to report to the other daemons, by time of the first report.
         self._reporting_since_s: dict[str, float] = {}
-        # Parts with a success that was new in a report of another daemon, with its time of receipt.
+        # Subjects with a success that was new in a report of another daemon, by time of receipt.
         self._received_at_s: dict[str, float] = {}
 
     # Evidence.
@@ -94,88 +94,92 @@
         self,
         incarnation: Incarnation,
         at_s: float,
-        prompts: Iterable[Parts],
+        requests: Iterable[Subjects],
         now_s: float,
         *,
         own: bool = True,
     ) -> Verdict | None:
         """Learn that an engine crashed; several daemons may report the same crash.
 
-        :param prompts: shared parts of the prompts that it could have begun to answer
+        :param requests: subjects of the requests that it could have begun to answer
         :param own: whether this daemon had sent them
         :returns: the new verdict that follows, None if there is none
         """
-        new_parts = self._evidence.add_crash(incarnation, at_s, prompts, now_s, own=own)
-        for part in new_parts:
-            self._report_if_needed(part, now_s)
-        self._suspects |= new_parts
+        new_subjects = self._evidence.add_crash(incarnation, at_s, requests, now_s, own=own)
+        for subject in new_subjects:
+            self._report_if_needed(subject, now_s)
+        self._suspects |= new_subjects
         return self.review(now_s)
 
-    def note_success(self, parts: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
-        """Learn that a response to a prompt went well.
+    def note_success(self, subjects: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
+        """Learn that a response to a request went well.
 
         :param at_s: time until which the engine had answered without a crash
         :returns: the verdicts that it refutes
         """
-        for part in parts:
-            self._evidence.add_success(part, at_s)
-            self._report_if_needed(part, now_s)
+        for subject in subjects:
+            self._evidence.add_success(subject, at_s)
+            self._report_if_needed(subject, now_s)
         return self._drop_refuted()
 
     # Decisions.
 
-    def verdict(self, parts: Iterable[str], now_s: float) -> Verdict | None:
+    def verdict(self, subjects: Iterable[str], now_s: float) -> Verdict | None:
         """Return the verdict under which a request is refused, None if it may be sent.
 
-        :param parts: shared parts of the request's prompt
+        :param subjects: subjects of the request
         """
         if not self._verdicts:
             return None
-        requested = set(parts)
+        requested = set(subjects)
         for verdict in self._verdicts.values():
-            if verdict.parts <= requested:
+            if verdict.subjects <= requested:
                 verdict.asked_at_s = now_s
                 return verdict
         return None
 
-    def is_suspect(self, parts: Iterable[str]) -> bool:
+    def is_suspect(self, subjects: Iterable[str]) -> bool:
         """Return whether a request whose engine may just have crashed is not repeated.
 
-        That crash, which is not confirmed yet, and one more would quarantine a part of its prompt.
+        That crash, which is not confirmed yet, and one more would quarantine one of its subjects.
         """
-        return any(len(self._counted(part)) + 2 >= self._required(part) for part in parts)
+        return any(
+            len(self._counted(subject)) + 2 >= self._required(subject) for subject in subjects
+        )
 
     @property
     def verdicts(self) -> list[Verdict]:
         """The verdicts in force."""
         return list(self._verdicts.values())
 
-    def refutes(self, parts: Iterable[str], since_s: float) -> bool:
-        """Return whether responses to all parts of a verdict went well since its first crash."""
-        return all(self._evidence.succeeded_since(part, since_s) for part in parts)
+    def refutes(self, subjects: Iterable[str], since_s: float) -> bool:
+        """Return whether responses to all subjects of a verdict went well since its first crash."""
+        return all(self._evidence.succeeded_since(subject, since_s) for subject in subjects)
 
     def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
         """Yield the engines whose known crashes speak for a verdict, with the time of each."""
         for incarnation, crash in self._evidence.crashes.items():
-            if any(verdict.parts.issubset(prompt) for prompt in crash.prompts):
+            if any(verdict.subjects.issubset(request) for request in crash.requests):
                 yield incarnation, crash.at_s
 
     def review(self, now_s: float) -> Verdict | None:
-        """Judge the parts under which engines crashed; to be called at short intervals.
+        """Judge the subjects under which engines crashed; to be called at short intervals.
 
         :returns: the new verdict, None if there is none
         """
-        crashes = {part: self._counted(part) for part in self._suspects}
+        crashes = {subject: self._counted(subject) for subject in self._suspects}
         self._suspects = {
-            part
-            for part, times_s in crashes.items()
-            if len(times_s) >= CRASHES_TO_QUARANTINE and len(times_s) >= self._required(part)
+            subject
+            for subject, times_s in crashes.items()
+            if len(times_s) >= CRASHES_TO_QUARANTINE and len(times_s) >= self._required(subject)
         }
-        due = [part for part in self._suspects if now_s - crashes[part][0] >= MIN_SUSPICION_S]
-        for part in sorted(due, key=self._ranking_key):
-            self._suspects.discard(part)
-            times_s = crashes[part]
-            verdict = Verdict(self._inseparable(part), len(times_s), times_s[0], now_s)
+        due = [
+            subject for subject in self._suspects if now_s - crashes[subject][0] >= MIN_SUSPICION_S
+        ]
+        for subject in sorted(due, key=self._ranking_key):
+            self._suspects.discard(subject)
+            times_s = crashes[subject]
+            verdict = Verdict(self._inseparable(subject), len(times_s), times_s[0], now_s)
             if self._add_verdict(verdict) is not None:
                 return verdict
         return None
@@ -185,7 +189,7 @@
         self._evidence.drop_expired(now_s)
         expired = [each for each in self.verdicts if now_s - each.asked_at_s >= QUARANTINE_S]
         for verdict in expired:
-            del self._verdicts[verdict.parts]
+            del self._verdicts[verdict.subjects]
         return expired
 
     # Exchange with other daemons.
@@ -196,22 +200,22 @@
         :param relayed: whether to report also what other daemons reported lately
         """
         successes = self._evidence.successes
-        for part, since_s in list(self._reporting_since_s.items()):
+        for subject, since_s in list(self._reporting_since_s.items()):
             if now_s - since_s >= REPORT_S:
-                del self._reporting_since_s[part]
-                success = successes.get(part)
+                del self._reporting_since_s[subject]
+                success = successes.get(subject)
                 if success is not None:
                     success.reported_at_s = success.succeeded_at_s
-        for part, received_at_s in list(self._received_at_s.items()):
+        for subject, received_at_s in list(self._received_at_s.items()):
             if now_s - received_at_s >= REPORT_S:
-                del self._received_at_s[part]
-        reported_parts = set(self._reporting_since_s)
+                del self._received_at_s[subject]
+        reported_subjects = set(self._reporting_since_s)
         if relayed:
-            reported_parts |= self._received_at_s.keys()
+            reported_subjects |= self._received_at_s.keys()
         succeeded = {
-            part: round(now_s - successes[part].succeeded_at_s, 3)
-            for part in islice(reported_parts, MAX_REPORTED_SUCCESSES)
-            if part in successes
+            subject: round(now_s - successes[subject].succeeded_at_s, 3)
+            for subject in islice(reported_subjects, MAX_REPORTED_SUCCESSES)
+            if subject in successes
         }
         crashes = self._evidence.reported_crashes(now_s, relayed=relayed)
         return QuarantineReport(crashes, self.reported_verdicts(now_s), succeeded)
@@ -220,7 +224,7 @@
         """Return the verdicts in force as they are reported."""
         return [
             ReportedVerdict(
-                tuple(sorted(verdict.parts)),
+                tuple(sorted(verdict.subjects)),
                 verdict.crashes,
                 round(now_s - verdict.since_s, 3),
                 round(now_s - verdict.asked_at_s, 3),
@@ -233,142 +237,147 @@
 
         :returns: the verdicts that are new
         """
-        for part, age_s in report.successes.items():
-            self.note_success((part,), now_s - age_s, now_s)
-            success = self._evidence.successes[part]
+        for subject, age_s in report.successes.items():
+            self.note_success((subject,), now_s - age_s, now_s)
+            success = self._evidence.successes[subject]
             if now_s - age_s > success.reported_at_s + SAME_SUCCESS_S:
-                self._received_at_s[part] = now_s
+                self._received_at_s[subject] = now_s
             success.reported_at_s = max(success.reported_at_s, now_s - age_s)
-            if not self._is_unreported(part):
-                self._reporting_since_s.pop(part, None)
+            if not self._is_unreported(subject):
+                self._reporting_since_s.pop(subject, None)
         new = [self._apply_verdict(verdict, now_s) for verdict in report.verdicts]
         for crash in report.crashes:
             incarnation = (crash.engine_id, crash.started_at_ms)
             at_s = now_s - crash.age_s
-            new.append(self.note_crash(incarnation, at_s, crash.prompts, now_s, own=False))
+            new.append(self.note_crash(incarnation, at_s, crash.requests, now_s, own=False))
         return [verdict for verdict in new if verdict is not None]
 
     def _apply_verdict(self, reported: ReportedVerdict, now_s: float) -> Verdict | None:
-        if reported.asked_age_s >= QUARANTINE_S or not reported.parts:
+        if reported.asked_age_s >= QUARANTINE_S or not reported.subjects:
             return None
-        # A daemon that has just started may not know that responses to a part went well before.
-        known_to_succeed = self._evidence.successes.keys() >= set(reported.parts)
+        # A daemon that has just started may not know that responses to a subject went well before.
+        known_to_succeed = self._evidence.successes.keys() >= set(reported.subjects)
         if known_to_succeed and reported.crashes < CRASHES_IN_DOUBT:
             return None
         return self._add_verdict(
             Verdict(
-                frozenset(reported.parts),
+                frozenset(reported.subjects),
                 reported.crashes,
                 now_s - reported.since_age_s,
                 now_s - reported.asked_age_s,
             )
         )
 
-    def _is_unreported(self, part: str) -> bool:
-        """Return whether a success changes what the other daemons count against a part."""
-        success = self._evidence.successes.get(part)
+    def _is_unreported(self, subject: str) -> bool:
+        """Return whether a success changes what the other daemons count against a subject."""
+        success = self._evidence.successes.get(subject)
         if success is None:
             return False
-        times_s = self._evidence.times_s(part)
-        times_s += [each.since_s for each in self._verdicts.values() if part in each.parts]
+        times_s = self._evidence.times_s(subject)
+        times_s += [each.since_s for each in self._verdicts.values() if subject in each.subjects]
         return any(success.reported_at_s < at_s < success.succeeded_at_s for at_s in times_s)
 
-    def _report_if_needed(self, part: str, now_s: float) -> None:
-        if part not in self._reporting_since_s and self._is_unreported(part):
-            self._reporting_since_s[part] = now_s
+    def _report_if_needed(self, subject: str, now_s: float) -> None:
+        if subject not in self._reporting_since_s and self._is_unreported(subject):
+            self._reporting_since_s[subject] = now_s
 
     # Judgement.
 
-    def _required(self, part: str) -> int:
-        """Return the number of crashes after which a part is quarantined."""
-        if part in self._evidence.successes:
+    def _required(self, subject: str) -> int:
+        """Return the number of crashes after which a subject is quarantined."""
+        if subject in self._evidence.successes:
             return CRASHES_IN_DOUBT
-        times_s = [crash.at_s for crash in self._counting_crashes(part)]
+        times_s = [crash.at_s for crash in self._counting_crashes(subject)]
         all_crashes = self._evidence.count_since(min(times_s)) if times_s else 0
         explains = len(times_s) >= EXPLAINED_SHARE * all_crashes
         return CRASHES_TO_QUARANTINE if explains else CRASHES_IN_DOUBT
 
-    def _counting_crashes(self, part: str) -> Iterator[Crash]:
-        """Yield the crashes that count against a part.
+    def _counting_crashes(self, subject: str) -> Iterator[Crash]:
+        """Yield the crashes that count against a subject.
 
-        Those that a verdict on other parts explains do not.
+        Those that a verdict on other subjects explains do not.
         """
-        for crash in self._evidence.crashes_since_success(part):
+        for crash in self._evidence.crashes_since_success(subject):
             explained = any(
-                part not in verdict.parts
-                and any(verdict.parts.issubset(prompt) for prompt in crash.prompts)
+                subject not in verdict.subjects
+                and any(verdict.subjects.issubset(request) for request in crash.requests)
                 for verdict in self._verdicts.values()
             )
             if not explained:
                 yield crash
 
-    def _counted(self, part: str) -> list[float]:
-        """Return the times of the crashes that count against a part, one for each cause."""
+    def _counted(self, subject: str) -> list[float]:
+        """Return the times of the crashes that count against a subject, one for each cause."""
         counted: list[float] = []
-        for at_s in sorted(crash.at_s for crash in self._counting_crashes(part)):
+        for at_s in sorted(crash.at_s for crash in self._counting_crashes(subject)):
             if not counted or at_s - counted[-1] >= SAME_CAUSE_S:
                 counted.append(at_s)
         return counted
 
-    def _ranking_key(self, part: str) -> tuple[bool, int, int, str]:
-        """Return by what the part to quarantine is chosen, the least doubtful first.
+    def _ranking_key(self, subject: str) -> tuple[bool, int, int, str]:
+        """Return by what the subject to quarantine is chosen, the least doubtful first.
 
-        A part that many requests share is found in many prompts of each crash.
+        A subject that many requests share is found in many requests of each crash.
         """
-        prompts = sum(
-            part in prompt for crash in self._counting_crashes(part) for prompt in crash.prompts
+        requests = sum(
+            subject in request
+            for crash in self._counting_crashes(subject)
+            for request in crash.requests
         )
-        return part in self._evidence.successes, prompts, -len(self._counted(part)), part
+        return subject in self._evidence.successes, requests, -len(self._counted(subject)), subject
 
-    def _inseparable(self, part: str) -> frozenset[str]:
-        """Return a part with those that the evidence does not distinguish from it.
+    def _inseparable(self, subject: str) -> frozenset[str]:
+        """Return a subject with those that the evidence does not distinguish from it.
 
-        These are in each prompt with the part under which an engine crashed.
+        These are in each request with the subject under which an engine crashed.
         """
         return frozenset.intersection(
             *(
-                frozenset(prompt)
-                for crash in self._counting_crashes(part)
-                for prompt in crash.prompts
-                if part in prompt
+                frozenset(request)
+                for crash in self._counting_crashes(subject)
+                for request in crash.requests
+                if subject in request
             )
         )
 
     def _add_verdict(self, verdict: Verdict) -> Verdict | None:
-        """Add a verdict without the parts to which a response went well since.
+        """Add a verdict without the subjects to which a response went well since.
 
         :returns: the verdict, None if nothing is left of it or a known one covers it
         """
         succeeded = {
-            part for part in verdict.parts if self._evidence.succeeded_since(part, verdict.since_s)
+            subject
+            for subject in verdict.subjects
+            if self._evidence.succeeded_since(subject, verdict.since_s)
         }
-        verdict.parts -= succeeded
-        if not verdict.parts:
+        verdict.subjects -= succeeded
+        if not verdict.subjects:
             return None
         for known in self.verdicts:
-            if known.parts <= verdict.parts:
+            if known.subjects <= verdict.subjects:
                 known.asked_at_s = max(known.asked_at_s, verdict.asked_at_s)
                 return None
-            if verdict.parts < known.parts:
-                del self._verdicts[known.parts]
+            if verdict.subjects < known.subjects:
+                del self._verdicts[known.subjects]
         if len(self._verdicts) >= MAX_VERDICTS:
             oldest = min(self._verdicts.values(), key=lambda each: each.asked_at_s)
-            del self._verdicts[oldest.parts]
-        self._verdicts[verdict.parts] = verdict
+            del self._verdicts[oldest.subjects]
+        self._verdicts[verdict.subjects] = verdict
         return verdict
 
     def _drop_refuted(self) -> list[Verdict]:
-        """Drop refuted parts of all verdicts; returns the verdicts of which nothing is left."""
+        """Drop refuted subjects of all verdicts; returns the verdicts of which nothing is left."""
         refuted = []
         for verdict in self.verdicts:
             if not any(
-                self._evidence.succeeded_since(part, verdict.since_s) for part in verdict.parts
+                self._evidence.succeeded_since(subject, verdict.since_s)
+                for subject in verdict.subjects
             ):
                 continue
-            parts = verdict.parts
-            del self._verdicts[parts]
+            subjects = verdict.subjects
+            del self._verdicts[subjects]
             self._add_verdict(verdict)
-            if not verdict.parts:
-                verdict.parts = parts
+            if not verdict.subjects:
+                verdict.subjects = subjects
                 refuted.append(verdict)
         return refuted
--- a/godwitpath/gateway/quarantine_report.py
+++ b/godwitpath/gateway/quarantine_report.py
@@ -1,4 +1,4 @@
-"""Parts of the daemons' reports: crashes of engines, and quarantined prompts."""
+"""Parts of the daemons' reports: crashes of engines, and what is quarantined."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from godwitpath.decoding import Age, Count
 
-Parts = tuple[str, ...]
-"""Ids of a prompt's parts without the last one, which belongs to one request."""
+Subjects = tuple[str, ...]
+"""What a crash of an engine under a request may be due to: the shared parts of its prompt."""
 
 
 class ReportedCrash(msgspec.Struct, array_like=True, frozen=True):
@@ -15,34 +15,35 @@
 
     :ivar started_at_ms: start time of the engine in Unix milliseconds
     :ivar age_s: time since the crash
-    :ivar prompts: shared parts of each prompt that the engine could have begun to answer
+    :ivar requests: subjects of each request that the engine could have begun to answer
     """
 
     engine_id: str
     started_at_ms: Count
     age_s: Age
-    prompts: list[Parts]
+    requests: list[Subjects]
 
 
 class ReportedVerdict(msgspec.Struct, array_like=True, frozen=True):
-    """A verdict on parts of prompts.
+    """A verdict on subjects.
 
-    :ivar parts: the quarantined part, with further parts if the evidence does not distinguish them
+    :ivar subjects: the quarantined subject, with further ones if the evidence does not distinguish
+        them
     :ivar crashes: number of crashes that spoke for it
     :ivar since_age_s: time since the first of these crashes
     :ivar asked_age_s: time since the last request that was refused, or since the verdict
     """
 
-    parts: Parts
+    subjects: Subjects
     crashes: Count
     since_age_s: Age
     asked_age_s: Age
 
 
 class QuarantineReport(msgspec.Struct, array_like=True, frozen=True):
-    """What a daemon reports about crashes and prompts.
+    """What a daemon reports about crashes and requests.
 
-    :ivar successes: time in seconds since a response to the part last went well, by part
+    :ivar successes: time in seconds since a response to the subject last went well, by subject
     """
 
     crashes: list[ReportedCrash] = []
--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -1,7 +1,7 @@
-"""Keeps the quarantined prompts in the store, so that a fleet that was restarted knows them.
+"""Keeps the quarantined requests in the store, so that a fleet that was restarted knows them.
 
 Daemons exchange verdicts in their reports. The store holds the verdicts for the case that no daemon
-is left that knows them, and the parts that an operator has lifted.
+is left that knows them, and the subjects that an operator has lifted.
 """
 
 from __future__ import annotations
@@ -16,14 +16,14 @@
 from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.members import KEY_PREFIX, Members
 from godwitpath.gateway.quarantine import QUARANTINE_S
-from godwitpath.gateway.quarantine_report import Parts, QuarantineReport, ReportedVerdict
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
 from godwitpath.gateway.store import Item, Precondition, Put, Store
 from godwitpath.gateway.unreadable import UnreadableValues
 from godwitpath.ports.kv import StoreError
 from godwitpath.telemetry.decisions import decision
 
 QUARANTINE_KEY = KEY_PREFIX + "quarantine"
-"""Store key of the quarantined prompts."""
+"""Store key of the quarantined requests."""
 
 CHECK_S = 5.0
 """Mean interval between two comparisons with the store's copy, which is written only if it lacks
@@ -39,13 +39,13 @@
 class StoredVerdict(msgspec.Struct, frozen=True):
     """A verdict in the store.
 
-    :ivar parts: the quarantined parts
+    :ivar subjects: the quarantined subjects
     :ivar crashes: number of crashes that spoke for it
     :ivar since_s: time of the first of them in seconds since 1970
     :ivar asked_at_s: time of the last request known at the writing, in seconds since 1970
     """
 
-    parts: Parts
+    subjects: Subjects = msgspec.field(name="parts")
     crashes: Count
     since_s: Finite
     asked_at_s: Finite
@@ -54,7 +54,7 @@
 class StoredQuarantine(msgspec.Struct, frozen=True):
     """Value of :data:`QUARANTINE_KEY`.
 
-    :ivar lifted: time in seconds since 1970 at which an operator lifted the verdicts on a part
+    :ivar lifted: time in seconds since 1970 at which an operator lifted the verdicts on a subject
     """
 
     verdicts: list[StoredVerdict] = []
@@ -72,21 +72,21 @@
     return StoredQuarantine() if item is None else decode(_decoder, item.value)
 
 
-def lift(stored: StoredQuarantine, part: str, now_s: float) -> StoredQuarantine:
-    """Return the store's copy without the verdicts on a part.
+def lift(stored: StoredQuarantine, subject: str, now_s: float) -> StoredQuarantine:
+    """Return the store's copy without the verdicts on a subject.
 
     :param now_s: time in seconds since 1970
     """
-    lifted = [verdict for verdict in stored.verdicts if part in verdict.parts]
-    parts = {each for verdict in lifted for each in verdict.parts}
+    lifted = [verdict for verdict in stored.verdicts if subject in verdict.subjects]
+    subjects = {each for verdict in lifted for each in verdict.subjects}
     return StoredQuarantine(
         [verdict for verdict in stored.verdicts if verdict not in lifted],
-        _without_old(stored.lifted, now_s) | dict.fromkeys(parts, now_s),
+        _without_old(stored.lifted, now_s) | dict.fromkeys(subjects, now_s),
     )
 
 
 def _without_old(lifted: dict[str, float], now_s: float) -> dict[str, float]:
-    return {part: at_s for part, at_s in lifted.items() if now_s - at_s < QUARANTINE_S}
+    return {subject: at_s for subject, at_s in lifted.items() if now_s - at_s < QUARANTINE_S}
 
 
 class QuarantineStore:
@@ -153,14 +153,16 @@
             QuarantineReport(
                 verdicts=[
                     ReportedVerdict(
-                        each.parts,
+                        each.subjects,
                         each.crashes,
                         max(0.0, now_s - each.since_s),
                         max(0.0, now_s - each.asked_at_s),
                     )
                     for each in stored.verdicts
                 ],
-                successes={part: max(0.0, now_s - at_s) for part, at_s in stored.lifted.items()},
+                successes={
+                    subject: max(0.0, now_s - at_s) for subject, at_s in stored.lifted.items()
+                },
             ),
         )
 
@@ -169,9 +171,9 @@
         if self._members.watcher.last_response_at_s is None:
             return False
         stored = self._stored().verdicts
-        asked_at_s = {each.parts: each.asked_at_s for each in stored}
+        asked_at_s = {each.subjects: each.asked_at_s for each in stored}
         return any(self._is_refuted(each) for each in stored) or any(
-            each.asked_at_s - asked_at_s.get(each.parts, 0.0) >= REFRESH_S
+            each.asked_at_s - asked_at_s.get(each.subjects, 0.0) >= REFRESH_S
             for each in self._own_verdicts()
         )
 
@@ -189,14 +191,14 @@
 
     def _is_refuted(self, stored: StoredVerdict) -> bool:
         since_s = asyncio.get_running_loop().time() - (self._now_s() - stored.since_s)
-        return self._crashes.quarantine.refutes(stored.parts, since_s)
+        return self._crashes.quarantine.refutes(stored.subjects, since_s)
 
     def _own_verdicts(self) -> Iterable[StoredVerdict]:
         now_s = self._now_s()
         loop_now_s = asyncio.get_running_loop().time()
         for each in self._crashes.quarantine.reported_verdicts(loop_now_s):
             yield StoredVerdict(
-                each.parts, each.crashes, now_s - each.since_age_s, now_s - each.asked_age_s
+                each.subjects, each.crashes, now_s - each.since_age_s, now_s - each.asked_age_s
             )
 
     async def _write(self) -> None:
@@ -204,7 +206,7 @@
         item = self._members.items.get(QUARANTINE_KEY)
         stored, now_s = self._read(item), self._now_s()
         verdicts = {
-            each.parts: each
+            each.subjects: each
             for each in (*stored.verdicts, *self._own_verdicts())
             if now_s - each.asked_at_s < QUARANTINE_S and not self._is_refuted(each)
         }
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -132,7 +132,7 @@
         quarantine = self._ctx.crashes.quarantine
         for verdict in quarantine.verdicts:
             yield {
-                "parts": sorted(verdict.parts),
+                "parts": sorted(verdict.subjects),
                 "crashes": verdict.crashes,
                 "since_age_s": round(now_s - verdict.since_s, 3),
                 "asked_age_s": round(now_s - verdict.asked_at_s, 3),
--- a/test/quarantine_model.py
+++ b/test/quarantine_model.py
@@ -16,8 +16,8 @@
 from godwitpath.gateway.crash_watch import STABLE_AFTER_S
 from godwitpath.gateway.peer_view import MESH_MAX
 from godwitpath.gateway.peers import REPORT_S
-from godwitpath.gateway.quarantine import PromptQuarantine
-from godwitpath.gateway.quarantine_report import Parts, QuarantineReport
+from godwitpath.gateway.quarantine import Quarantine
+from godwitpath.gateway.quarantine_report import QuarantineReport, Subjects
 
 ZONES = 3
 SAME_ZONE_DELAY_S = 0.001
@@ -43,7 +43,7 @@
     """
 
     daemon: ModelDaemon
-    parts: Parts
+    parts: Subjects
     begins_at_s: float
     repeated: bool = False
 
@@ -68,7 +68,7 @@
     """A daemon with its own evidence and verdicts."""
 
     number: int
-    quarantine: PromptQuarantine = field(default_factory=lambda: PromptQuarantine(0.0))
+    quarantine: Quarantine = field(default_factory=lambda: Quarantine(0.0))
 
     @property
     def zone(self) -> int:
@@ -89,7 +89,7 @@
     crashes_s: list[float] = field(default_factory=list)
     crashing_sends_s: list[float] = field(default_factory=list)
     ordinary_sent: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
-    wrong_verdicts: set[Parts] = field(default_factory=set)
+    wrong_verdicts: set[Subjects] = field(default_factory=set)
 
     def late_sends(self) -> int:
         """Return the number of requests that reached engines when none should any more."""
@@ -165,7 +165,7 @@
 
     def restart_daemon(self) -> None:
         """Restart a daemon, which forgets everything."""
-        self.rng.choice(self.daemons).quarantine = PromptQuarantine(self.now_s)
+        self.rng.choice(self.daemons).quarantine = Quarantine(self.now_s)
 
     def crash(self, engine: ModelEngine) -> None:
         """Crash an engine; it is back after a while."""
@@ -184,15 +184,15 @@
                 self.after(0.05, self._repeat, request.parts)
         self.after(DOWN_S, self._restart, engine)
 
-    def verdicts(self) -> list[Parts]:
+    def verdicts(self) -> list[Subjects]:
         """Return the verdicts in force at any daemon."""
         return [
-            tuple(sorted(verdict.parts))
+            tuple(sorted(verdict.subjects))
             for daemon in self.daemons
             for verdict in daemon.quarantine.verdicts
         ]
 
-    def _repeat(self, parts: Parts) -> None:
+    def _repeat(self, parts: Subjects) -> None:
         """Send a request again, as its caller does, at another daemon."""
         self._send(self.rng.choice(self.daemons), parts, repeated=True)
 
@@ -200,7 +200,7 @@
         engine.started += 1
         engine.up = True
 
-    def _send(self, daemon: ModelDaemon, parts: Parts, repeated: bool = False) -> None:
+    def _send(self, daemon: ModelDaemon, parts: Subjects, repeated: bool = False) -> None:
         engines = [engine for engine in self.engines if engine.up]
         verdict = daemon.quarantine.verdict(parts, self.now_s)
         if verdict is not None or not engines:
@@ -231,20 +231,24 @@
             self._count(request.parts, began=True)
             request.daemon.quarantine.note_success(request.parts, self.now_s, self.now_s)
 
-    def _count(self, parts: Parts, began: bool) -> None:
+    def _count(self, parts: Subjects, began: bool) -> None:
         if self._crashing_part not in parts:
             self.outcome.ordinary_sent[began] += 1
 
     def _note_crash(
-        self, daemon: ModelDaemon, incarnation: tuple[str, int], at_s: float, prompts: list[Parts]
+        self,
+        daemon: ModelDaemon,
+        incarnation: tuple[str, int],
+        at_s: float,
+        prompts: list[Subjects],
     ) -> None:
         daemon.quarantine.note_crash(incarnation, at_s, prompts, self.now_s)
         self._check_verdicts(daemon)
 
     def _check_verdicts(self, daemon: ModelDaemon) -> None:
         for verdict in daemon.quarantine.verdicts:
-            if self._crashing_part not in verdict.parts:
-                self.outcome.wrong_verdicts.add(tuple(sorted(verdict.parts)))
+            if self._crashing_part not in verdict.subjects:
+                self.outcome.wrong_verdicts.add(tuple(sorted(verdict.subjects)))
 
     def _report(self, daemon: ModelDaemon) -> None:
         self.after(REPORT_S * self.rng.uniform(0.9, 1.1), self._report, daemon)
--- a/test/test_gateway_crash_watch.py
+++ b/test/test_gateway_crash_watch.py
@@ -62,7 +62,7 @@
         watch = Watch(await closed_address())
         await watch.break_stream()
         [crash] = watch.crashes
-        assert (crash.engine_id, crash.started_at_ms, crash.prompts) == ("e1", 1, [CRASHING_PARTS])
+        assert (crash.engine_id, crash.started_at_ms, crash.requests) == ("e1", 1, [CRASHING_PARTS])
 
     async def test_streams_that_broke_together_are_one_crash(self) -> None:
         watch = Watch(await closed_address())
@@ -70,7 +70,7 @@
             watch.watch.note_broken(watch.engine, (part,), 0.0)
         await asyncio.sleep(0.1)
         [crash] = watch.crashes
-        assert crash.prompts == [("a",), ("b",)]
+        assert crash.requests == [("a",), ("b",)]
         assert watch.watch.counts["crash"] == 1
 
     async def test_a_crash_that_another_daemon_found_confirms_an_unclear_one(
@@ -87,7 +87,7 @@
         heard = QuarantineReport(crashes=[ReportedCrash("e1", 1, 0.5, [("other",)])])
         watch.watch.apply_report("d2", heard)
         [crash] = watch.crashes
-        assert crash.prompts == [CRASHING_PARTS]
+        assert crash.requests == [CRASHING_PARTS]
 
     async def test_an_engine_that_did_not_respond_is_looked_at_again(
         self, monkeypatch: pytest.MonkeyPatch
@@ -121,7 +121,7 @@
             await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
         await watch.break_stream()
         [crash] = watch.crashes
-        assert crash.prompts == [CRASHING_PARTS]
+        assert crash.requests == [CRASHING_PARTS]
 
 
 class TestNoCrash:
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -227,4 +227,4 @@
                 for line in path.read_text().splitlines()
             }
             assert "engine_crashed" in kinds
-            assert "prompt_quarantined" not in kinds
+            assert "quarantine_began" not in kinds
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -10,13 +10,13 @@
 from godwitpath.gateway.crash_evidence import (
     EVIDENCE_RETENTION_S,
     MAX_CRASHES,
-    MAX_PROMPTS_PER_CRASH,
+    MAX_REQUESTS_PER_CRASH,
 )
 from godwitpath.gateway.quarantine import (
     CRASHES_IN_DOUBT,
     MAX_VERDICTS,
     QUARANTINE_S,
-    PromptQuarantine,
+    Quarantine,
 )
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
 from test.quarantine_model import ModelOutcome, QuarantineModel
@@ -27,7 +27,7 @@
 CRASHING_PARTS = ("first", "crashing")
 
 
-def crashed(quarantine: PromptQuarantine, *crashes: tuple[float, list[tuple[str, ...]]]) -> None:
+def crashed(quarantine: Quarantine, *crashes: tuple[float, list[tuple[str, ...]]]) -> None:
     """Note crashes of different engines, at a time and with the prompts of each."""
     for at_s, prompts in crashes:
         quarantine.note_crash((f"e{at_s}", 1), at_s, prompts, at_s)
@@ -35,7 +35,7 @@
 
 class TestVerdict:
     def test_a_part_is_refused_after_four_crashes(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crash_times_s = [1.0, 3.0, 5.0, 7.0]
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in crash_times_s[:3]))
         assert quarantine.verdict(CRASHING_PARTS, 6.0) is None
@@ -46,19 +46,19 @@
         assert [at_s for _, at_s in quarantine.crashes(verdict)] == crash_times_s
 
     def test_crashes_in_quick_succession_are_judged_a_little_later(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((1.0 + 0.3 * n, [CRASHING_PARTS]) for n in range(5)))
         assert quarantine.review(2.9) is None
         assert quarantine.review(3.0) is not None
         assert quarantine.verdict(CRASHING_PARTS, 3.0) is not None
 
     def test_crashes_from_before_the_start_do_not_count(self) -> None:
-        quarantine = PromptQuarantine(2.0)
+        quarantine = Quarantine(2.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 3.0, 5.0, 7.0)))
         assert quarantine.verdicts == []
 
     def test_what_sound_requests_share_with_it_is_not_refused(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for at_s in (1.0, 2.0, 3.0, 5.0):
             crashed(quarantine, (at_s, [CRASHING_PARTS, ("first", f"doc{at_s}")]))
             quarantine.note_success(("first", "other"), at_s + 0.5, at_s + 0.5)
@@ -67,7 +67,7 @@
         assert quarantine.verdict(("first", "doc5.0"), 6.0) is None
 
     def test_a_crash_counts_once_whoever_tells_of_it(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for at_s in (1.0, 3.0, 5.0, 7.0):
             quarantine.note_crash(("e1", 1), at_s, [CRASHING_PARTS], at_s, own=at_s == 1.0)
         assert quarantine.verdicts == []
@@ -78,20 +78,20 @@
         assert quarantine.verdict(CRASHING_PARTS, 9.0) is not None
 
     def test_engines_that_crash_together_count_once(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for wave_at_s in (1.0, 4.0, 7.0):
             crashed(quarantine, *((wave_at_s + n * 0.01, [CRASHING_PARTS]) for n in range(20)))
         assert quarantine.verdicts == []
 
     def test_a_response_that_went_well_acquits_a_part(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, (1.0, [CRASHING_PARTS]), (3.0, [CRASHING_PARTS]))
         quarantine.note_success(CRASHING_PARTS, 4.0, 4.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (5.0, 7.0, 9.0)))
         assert quarantine.verdicts == []
 
     def test_a_part_that_was_sound_before_takes_more_crashes(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         quarantine.note_success(CRASHING_PARTS, 0.5, 0.5)
         crashed(quarantine, *((2.0 * n, [CRASHING_PARTS]) for n in range(1, CRASHES_IN_DOUBT)))
         assert quarantine.verdicts == []
@@ -99,7 +99,7 @@
         assert quarantine.verdict(CRASHING_PARTS, 20.0) is not None
 
     def test_a_part_takes_more_crashes_when_most_engines_crash_without_it(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for wave in range(1, CRASHES_IN_DOUBT + 1):
             assert quarantine.verdict(CRASHING_PARTS, 2.0 * wave) is None
             others = [(2.0 * wave + n * 0.01, [(f"doc{wave}{n}",)]) for n in range(1, 7)]
@@ -107,15 +107,15 @@
         assert quarantine.verdict(CRASHING_PARTS, 20.0) is not None
 
     def test_a_response_after_the_first_crash_lifts_the_verdict(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.note_success(("first",), 5.5, 5.5) == []
         [lifted] = quarantine.note_success(("crashing",), 5.6, 5.6)
-        assert lifted.parts == {"crashing"}
+        assert lifted.subjects == {"crashing"}
         assert quarantine.verdict(CRASHING_PARTS, 6.0) is None
 
     def test_parts_that_were_always_together_are_refused_together(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [("crashing", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.verdict(("doc",), 5.0) is None
         assert quarantine.verdict(("crashing", "doc"), 5.0) is not None
@@ -123,7 +123,7 @@
         assert quarantine.verdict(("crashing", "other"), 6.0) is not None
 
     def test_one_more_crash_tells_them_apart(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [("crashing", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.verdict(("crashing", "other"), 6.0) is None
         crashed(quarantine, (7.0, [("crashing", "other")]))
@@ -131,7 +131,7 @@
         assert len(quarantine.verdicts) == 1
 
     def test_a_common_part_is_not_refused_when_all_engines_crash_in_turn(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for at_s in (1.0, 3.0, 5.0, 7.0):
             waiting = [("first", f"doc{at_s}{n}") for n in range(6)]
             crashed(quarantine, (at_s, [*waiting, ("first", f"doc{at_s}", "crashing")]))
@@ -139,7 +139,7 @@
         assert quarantine.verdict(("first", "crashing"), 8.0) is not None
 
     def test_a_request_beside_a_quarantined_one_is_not_suspect(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for at_s in (1.0, 2.0, 3.0, 5.0):
             crashed(quarantine, (at_s, [("crashing",), (f"doc{at_s}",)]))
             assert not quarantine.is_suspect((f"doc{at_s}",))
@@ -148,7 +148,7 @@
         assert not quarantine.is_suspect(("doc",))
 
     def test_a_request_is_suspect_before_its_part_is_quarantined(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, (1.0, [CRASHING_PARTS]))
         assert not quarantine.is_suspect(CRASHING_PARTS)
         crashed(quarantine, (3.0, [CRASHING_PARTS]))
@@ -157,7 +157,7 @@
         assert not quarantine.is_suspect(CRASHING_PARTS)
 
     def test_a_verdict_ends_when_nobody_asks_any_more(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.verdict(CRASHING_PARTS, 500.0) is not None
         assert quarantine.drop_expired(500.0 + QUARANTINE_S - 1.0) == []
@@ -166,14 +166,14 @@
         assert quarantine.verdicts == []
 
     def test_old_crashes_do_not_count(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0)))
         quarantine.drop_expired(3.0 + EVIDENCE_RETENTION_S)
         crashed(quarantine, (4.0 + EVIDENCE_RETENTION_S, [CRASHING_PARTS]))
         assert quarantine.verdicts == []
 
     def test_made_up_parts_do_not_fill_the_memory(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         for number in range(3 * MAX_CRASHES):
             prompts = [(f"p{number}-{n}",) for n in range(100)]
             quarantine.note_crash((f"e{number}", 1), 2.0 * number, prompts, 2.0 * number)
@@ -181,11 +181,12 @@
         quarantine.apply_report(QuarantineReport(verdicts=verdicts), 2000.0)
         assert len(quarantine.verdicts) == MAX_VERDICTS
         assert (
-            len(quarantine._evidence._incarnations_by_part) <= MAX_CRASHES * MAX_PROMPTS_PER_CRASH
+            len(quarantine._evidence._incarnations_by_subject)
+            <= MAX_CRASHES * MAX_REQUESTS_PER_CRASH
         )
 
     def test_a_report_fits_into_a_datagram(self) -> None:
-        quarantine = PromptQuarantine(0.0)
+        quarantine = Quarantine(0.0)
         long = "x" * 32
         for number in range(50):
             prompts = [(f"first{long}", f"{number}-{n}{long}") for n in range(100)]
@@ -200,7 +201,7 @@
 
 class TestExchange:
     def test_daemons_that_saw_one_crash_each_agree(self) -> None:
-        daemons = [PromptQuarantine(0.0) for _ in range(4)]
+        daemons = [Quarantine(0.0) for _ in range(4)]
         for number, daemon in enumerate(daemons):
             at_s = 1.0 + 1.5 * number
             daemon.note_crash((f"e{number}", 1), at_s, [CRASHING_PARTS], at_s)
@@ -209,14 +210,14 @@
         assert all(daemon.verdict(CRASHING_PARTS, 6.0) for daemon in daemons)
 
     def test_a_daemon_that_starts_learns_the_verdicts(self) -> None:
-        known, started = PromptQuarantine(0.0), PromptQuarantine(60.0)
+        known, started = Quarantine(0.0), Quarantine(60.0)
         crashed(known, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         [verdict] = started.apply_report(known.report(60.0), 60.0)
-        assert verdict.parts == {"crashing", "first"}
+        assert verdict.subjects == {"crashing", "first"}
         assert started.verdict(CRASHING_PARTS, 61.0) is not None
 
     def test_a_refuted_verdict_does_not_return_from_a_late_report(self) -> None:
-        first, second = PromptQuarantine(0.0), PromptQuarantine(0.0)
+        first, second = Quarantine(0.0), Quarantine(0.0)
         crashed(first, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         second.apply_report(first.report(5.1), 5.1)
         late = second.report(5.2)
@@ -229,7 +230,7 @@
     def test_a_part_known_to_be_sound_is_not_refused_on_the_word_of_a_starting_daemon(
         self,
     ) -> None:
-        started, known = PromptQuarantine(0.0), PromptQuarantine(0.0)
+        started, known = Quarantine(0.0), Quarantine(0.0)
         known.note_success(("first",), 0.5, 0.5)
         crashed(started, *((at_s, [("first",)]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert started.verdicts
@@ -237,7 +238,7 @@
         assert known.verdicts == []
 
     def test_an_acquittal_is_told_only_while_it_is_news(self) -> None:
-        first, second = PromptQuarantine(0.0), PromptQuarantine(0.0)
+        first, second = Quarantine(0.0), Quarantine(0.0)
         first.note_success(("first",), 0.5, 0.5)
         assert first.report(0.6).successes == {}
         crashed(first, (1.0, [CRASHING_PARTS]))
@@ -311,7 +312,7 @@
 def test_in_any_order_only_parts_without_a_later_response_are_refused(
     steps: list[tuple[str, int, int, str]],
 ) -> None:
-    daemons = [PromptQuarantine(0.0) for _ in range(3)]
+    daemons = [Quarantine(0.0) for _ in range(3)]
     crashes: list[float] = []
     for number, (step, index, other, document) in enumerate(steps):
         now_s = 1.5 * number
@@ -326,11 +327,11 @@
         elif step == "report":
             daemons[other].apply_report(daemon.report(now_s), now_s)
         else:
-            daemons[index] = PromptQuarantine(now_s)
+            daemons[index] = Quarantine(now_s)
         for each in daemons:
-            assert all("crashing" in verdict.parts for verdict in each.verdicts)
+            assert all("crashing" in verdict.subjects for verdict in each.verdicts)
     # A daemon that hears of all crashes refuses the part, with whatever document.
-    witness = PromptQuarantine(0.0)
+    witness = Quarantine(0.0)
     for number, at_s in enumerate(crashes):
         witness.note_crash((f"w{number}", 1), at_s, [("crashing", f"d{number}")], at_s)
     assert bool(witness.verdict(("crashing", "new"), 1000.0)) == (len(crashes) >= 4)
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -203,4 +203,4 @@
         await asyncio.sleep(20.0)
         assert daemon.refuses
         stored = decode_quarantine(core.items[QUARANTINE_KEY])
-        assert [set(verdict.parts) for verdict in stored.verdicts] == [set(CRASHING_PARTS)]
+        assert [set(verdict.subjects) for verdict in stored.verdicts] == [set(CRASHING_PARTS)]
