Refuse copies of a request that crashes the engines that run it

Callers saw: copies of one read, from one account, ended nine engines one after the other; all else that ran there was lost, and the service had no engine for seconds. Cause: the crash of an engine was held against the engine, and against shared parts of prompts only. A plain request, or a prompt with one part, has none, so each copy was sent on its own merits at any daemon. Change: the request itself, by its fingerprint, is a subject of the same evidence. Three crashes with two causes and no success in between quarantine it; a copy whose engine broke is not repeated once another copy crashed one. The narrowest subject is refused: parts that other requests answered well are taken out of the verdict.

--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -70,6 +70,11 @@
         """Ids of the prompt's parts that other requests may share, none of a plain request."""
         return self.prompt.shared_part_ids if self.prompt is not None else ()
 
+    @property
+    def subjects(self) -> tuple[str, ...]:
+        """What a crash of an engine under the request may be due to."""
+        return (*self.shared_parts, self.fingerprint) if self.fingerprint else self.shared_parts
+
     @property
     def request_id(self) -> str:
         """Request id that the caller sent, as text for the log."""
--- a/godwitpath/gateway/crash_watch.py
+++ b/godwitpath/gateway/crash_watch.py
@@ -14,8 +14,9 @@
 
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.engines import Engine, EngineRegistry
-from godwitpath.gateway.quarantine import Quarantine, Verdict
+from godwitpath.gateway.quarantine import Quarantine
 from godwitpath.gateway.quarantine_report import QuarantineReport, Subjects
+from godwitpath.gateway.verdicts import Verdict
 from godwitpath.http1.client import connect
 from godwitpath.http1.messages import NotSent
 from godwitpath.ports.engine import Address
@@ -27,8 +28,8 @@
 CONFIRM_TIMEOUT_S = 0.4
 """Timeout of a connection that shows whether an engine still listens."""
 
-CONFIRM_AGAIN_S = 0.4
-"""Time until the second look at an engine that still listened: a process that ends may close its
+CONFIRM_WAITS_S = (0.0, 0.4, 0.6)
+"""Waits before each look at an engine that still listened: a process that ends may close its
 connections before its port."""
 
 PENDING_S = 10.0
@@ -141,7 +142,7 @@
     async def _confirm(self, incarnation: Incarnation, address: Address) -> None:
         """Find out whether an engine crashed."""
         listens = False
-        for wait_s in (0.0, CONFIRM_AGAIN_S):
+        for wait_s in CONFIRM_WAITS_S:
             await asyncio.sleep(wait_s)
             try:
                 connection = await connect(address.host, address.port, CONFIRM_TIMEOUT_S)
--- a/godwitpath/gateway/evacuate.py
+++ b/godwitpath/gateway/evacuate.py
@@ -163,7 +163,7 @@
                 run.set_move_task(asyncio.ensure_future(self._move(run)))
 
     async def _move(self, run: StreamRun) -> Continuation | None:
-        if self._ctx.crashes.verdict(run.call.shared_parts) is not None:
+        if self._ctx.crashes.verdict(run.call.subjects) is not None:
             # It would be stopped here and not continue elsewhere.
             self.move_counts["quarantined"] += 1
             return None
--- a/godwitpath/gateway/fingerprint.py
+++ b/godwitpath/gateway/fingerprint.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import hashlib
+from base64 import urlsafe_b64encode
 
 from godwitpath.http1.messages import Request
 
-FINGERPRINT_BYTES = 20
-"""Length of a fingerprint: two requests with the same one cannot be made on purpose."""
+FINGERPRINT_BYTES = 16
+"""Length of the digest of a request: two requests with the same one cannot be made on purpose."""
+
+ACCOUNT_BYTES = 3
+"""Length of the digest of the client account, which only tells the fingerprints of one account from
+those of the others."""
 
 FINGERPRINT_PREFIX = "request:"
 """Start of each fingerprint, which no id of a prompt's part has: parts are separated from their
 sizes by a colon."""
 
+_ACCOUNT_END = len(FINGERPRINT_PREFIX) + 4 * ACCOUNT_BYTES // 3
+
 
 def fingerprint(request: Request, account: str) -> str:
     """Return what all copies of a request have in common, as a digest.
@@ -22,15 +29,30 @@
 
     :param account: name of the client account, empty for an anonymous request
     """
-    fields = (
+    request_digest = _digest(
+        FINGERPRINT_BYTES,
         request.method.encode("latin-1"),
         request.header(b"host").lower(),
         request.target,
         account.encode(),
         request.body,
     )
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    return FINGERPRINT_PREFIX + _digest(ACCOUNT_BYTES, account.encode()) + request_digest
+
+
+def is_fingerprint(subject: str) -> bool:
+    """Return whether a subject is a request with its copies, not a part of prompts."""
+    return subject.startswith(FINGERPRINT_PREFIX)
+
+
+def account_digest(subject: str) -> str:
+    """Return what the fingerprints of one account have in common, empty for a part of prompts."""
+    return subject[:_ACCOUNT_END] if is_fingerprint(subject) else ""
+
+
+def _digest(size_bytes: int, *fields: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=size_bytes)
     for each in fields:
         digest.update(len(each).to_bytes(8, "big"))
         digest.update(each)
-    return FINGERPRINT_PREFIX + digest.hexdigest()
+    return urlsafe_b64encode(digest.digest()).rstrip(b"=").decode()
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -12,10 +12,10 @@
 from godwitpath.gateway.engines import Engine
 from godwitpath.gateway.permit_bucket import PROBE_INTERVAL_S
 from godwitpath.gateway.permits import Permit
-from godwitpath.gateway.quarantine import QUARANTINE_S
 from godwitpath.gateway.response_proof import is_unproven_refusal
 from godwitpath.gateway.retry_schedule import Opening
 from godwitpath.gateway.send import Send, SendRevoked
+from godwitpath.gateway.verdicts import quarantine_s
 from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, end_to_end_headers
 from godwitpath.http1.timeouts import SOCKET_LOOK_S
@@ -90,10 +90,14 @@
         except (ResponseLost, TimeoutError) as error:
             call.broken_sends += isinstance(error, ResponseLost)
             record_failure(ctx, call, engine, "response_lost", error, send)
+            if isinstance(error, ResponseLost):
+                ctx.crashes.note_broken(engine, call.subjects, first_event_at_s=0.0)
             if call.time_left_s() <= 0 or not may_retry(ctx, call):
                 break
             continue
         last_response = response
+        if not response.response_fields.not_run and response.response_fields.from_engine:
+            ctx.crashes.note_success(call.subjects)
         if response.response_fields.not_run:
             call.may_have_run = send.may_have_run_before
             if not response.response_fields.wrong_engine:
@@ -195,7 +199,7 @@
     Full engines are returned only if all of them are full. An engine that asked for a pause is
     never returned.
     """
-    if call.time_left_s() <= 0 or ctx.crashes.verdict(call.shared_parts) is not None:
+    if call.time_left_s() <= 0 or ctx.crashes.verdict(call.subjects) is not None:
         return []
     now_s = asyncio.get_running_loop().time()
     usable = [
@@ -224,7 +228,7 @@
         return False
     if call.may_have_run and not call.route.repeatable:
         return False
-    return not (call.broken_sends and ctx.crashes.quarantine.is_suspect(call.shared_parts))
+    return not (call.broken_sends and ctx.crashes.quarantine.is_suspect(call.subjects))
 
 
 def may_resume_elsewhere(ctx: GatewayContext, call: Call) -> bool:
@@ -332,10 +336,11 @@
 
     :param full_retry_after_s: Retry-After time if engines refused the request because they are full
     """
-    verdict = ctx.crashes.verdict(call.shared_parts)
+    verdict = ctx.crashes.verdict(call.subjects)
     if verdict is not None:
         ctx.crashes.note_refused(call.request_id, verdict)
-        return GatewayResponse(503, "prompt_quarantined", "no", QUARANTINE_S)
+        retry_after_s = quarantine_s(verdict.subjects)
+        return GatewayResponse(503, f"{verdict.kind}_quarantined", "no", retry_after_s)
     paused_retry_after_s = _paused_retry_after_s(ctx, call)
     if paused_retry_after_s is not None:
         return GatewayResponse(503, "engines_paused", "no", paused_retry_after_s)
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -12,19 +12,27 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from itertools import islice
 
 from godwitpath.gateway.crash_evidence import REPORT_S, Crash, CrashEvidence
 from godwitpath.gateway.engine_notices import Incarnation
+from godwitpath.gateway.fingerprint import is_fingerprint
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
+from godwitpath.gateway.verdicts import Verdict, Verdicts
 
 CRASHES_TO_QUARANTINE = 4
 """Crashes under a part after which it is quarantined: two may coincide with a part by chance."""
 
+CRASHES_OF_A_REQUEST = 3
+"""Crashes under a request after which its copies are refused."""
+
+CAUSES_OF_A_REQUEST = 2
+"""Number of causes among these crashes: a zone that is lost may end several engines that run copies
+of one request."""
+
 CRASHES_IN_DOUBT = 6
-"""Crashes that it takes if there is a better explanation: if a response to the subject went well
-before, or if most engines crashed without it."""
+"""Crashes under a part that it takes if there is a better explanation: if a response to the part
+went well before, or if most engines crashed without it."""
 
 EXPLAINED_SHARE = 1 / 3
 """Share of the crashes since the first one under a part that the part has to explain. In a large
@@ -38,9 +46,6 @@
 """Time from the first crash under a subject to its quarantine: by then every daemon knows of a
 response to the subject that went well in between."""
 
-QUARANTINE_S = 900.0
-"""Time after the last request for a quarantined subject at which the subject is forgotten."""
-
 SAME_SUCCESS_S = 0.2
 """Difference up to which two times of a response that went well are the same, since they are
 reported as ages."""
@@ -48,25 +53,6 @@
 MAX_REPORTED_SUCCESSES = 512
 """Number of subjects with a success in a report, which has to fit into a datagram."""
 
-MAX_VERDICTS = 64
-"""Number of verdicts in force: callers choose what the subjects of their requests are."""
-
-
-@dataclass(slots=True)
-class Verdict:
-    """Subjects whose requests are refused.
-
-    :ivar subjects: a request is refused if it has all of them
-    :ivar crashes: number of crashes that spoke for it
-    :ivar since_s: time of the first of these crashes
-    :ivar asked_at_s: time of the last request that was refused, at first that of the verdict
-    """
-
-    subjects: frozenset[str]
-    crashes: int
-    since_s: float
-    asked_at_s: float
-
 
 class Quarantine:
     """Evidence about the subjects of requests, and the verdicts that follow from it.
@@ -80,7 +66,7 @@
 
     def __init__(self, started_at_s: float) -> None:
         self._evidence = CrashEvidence(started_at_s)
-        self._verdicts: dict[frozenset[str], Verdict] = {}
+        self._verdicts = Verdicts()
         # Subjects under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
         # Subjects with a success to report to the other daemons, by time of the first report.
@@ -118,7 +104,7 @@
         :returns: the verdicts that it refutes
         """
         for subject in subjects:
-            self._evidence.add_success(subject, at_s)
+            self._evidence.successes.add(subject, at_s)
             self._report_if_needed(subject, now_s)
         return self._drop_refuted()
 
@@ -129,28 +115,22 @@
 
         :param subjects: subjects of the request
         """
-        if not self._verdicts:
-            return None
-        requested = set(subjects)
-        for verdict in self._verdicts.values():
-            if verdict.subjects <= requested:
-                verdict.asked_at_s = now_s
-                return verdict
-        return None
+        verdict = self._verdicts.find(subjects)
+        if verdict is not None:
+            verdict.asked_at_s = now_s
+        return verdict
 
     def is_suspect(self, subjects: Iterable[str]) -> bool:
         """Return whether a request whose engine may just have crashed is not repeated.
 
         That crash, which is not confirmed yet, and one more would quarantine one of its subjects.
         """
-        return any(
-            len(self._counted(subject)) + 2 >= self._required(subject) for subject in subjects
-        )
+        return any(self._convicts(subject, further_crashes=2) for subject in subjects)
 
     @property
     def verdicts(self) -> list[Verdict]:
         """The verdicts in force."""
-        return list(self._verdicts.values())
+        return list(self._verdicts)
 
     def refutes(self, subjects: Iterable[str], since_s: float) -> bool:
         """Return whether responses to all subjects of a verdict went well since its first crash."""
@@ -167,12 +147,8 @@
 
         :returns: the new verdict, None if there is none
         """
+        self._suspects = {subject for subject in self._suspects if self._convicts(subject)}
         crashes = {subject: self._counted(subject) for subject in self._suspects}
-        self._suspects = {
-            subject
-            for subject, times_s in crashes.items()
-            if len(times_s) >= CRASHES_TO_QUARANTINE and len(times_s) >= self._required(subject)
-        }
         due = [
             subject for subject in self._suspects if now_s - crashes[subject][0] >= MIN_SUSPICION_S
         ]
@@ -187,10 +163,7 @@
     def drop_expired(self, now_s: float) -> list[Verdict]:
         """Drop old evidence, and verdicts for which nobody asks any more; returns the latter."""
         self._evidence.drop_expired(now_s)
-        expired = [each for each in self.verdicts if now_s - each.asked_at_s >= QUARANTINE_S]
-        for verdict in expired:
-            del self._verdicts[verdict.subjects]
-        return expired
+        return self._verdicts.drop_expired(now_s)
 
     # Exchange with other daemons.
 
@@ -229,7 +202,7 @@
                 round(now_s - verdict.since_s, 3),
                 round(now_s - verdict.asked_at_s, 3),
             )
-            for verdict in self._verdicts.values()
+            for verdict in self._verdicts
         ]
 
     def apply_report(self, report: QuarantineReport, now_s: float) -> list[Verdict]:
@@ -253,20 +226,22 @@
         return [verdict for verdict in new if verdict is not None]
 
     def _apply_verdict(self, reported: ReportedVerdict, now_s: float) -> Verdict | None:
-        if reported.asked_age_s >= QUARANTINE_S or not reported.subjects:
+        if not reported.subjects:
             return None
         # A daemon that has just started may not know that responses to a subject went well before.
-        known_to_succeed = self._evidence.successes.keys() >= set(reported.subjects)
+        known_to_succeed = all(
+            each in self._evidence.successes and not is_fingerprint(each)
+            for each in reported.subjects
+        )
         if known_to_succeed and reported.crashes < CRASHES_IN_DOUBT:
             return None
-        return self._add_verdict(
-            Verdict(
-                frozenset(reported.subjects),
-                reported.crashes,
-                now_s - reported.since_age_s,
-                now_s - reported.asked_age_s,
-            )
+        verdict = Verdict(
+            frozenset(reported.subjects),
+            reported.crashes,
+            now_s - reported.since_age_s,
+            now_s - reported.asked_age_s,
         )
+        return None if verdict.has_expired(now_s) else self._add_verdict(verdict)
 
     def _is_unreported(self, subject: str) -> bool:
         """Return whether a success changes what the other daemons count against a subject."""
@@ -274,7 +249,7 @@
         if success is None:
             return False
         times_s = self._evidence.times_s(subject)
-        times_s += [each.since_s for each in self._verdicts.values() if subject in each.subjects]
+        times_s += [each.since_s for each in self._verdicts if subject in each.subjects]
         return any(success.reported_at_s < at_s < success.succeeded_at_s for at_s in times_s)
 
     def _report_if_needed(self, subject: str, now_s: float) -> None:
@@ -283,12 +258,23 @@
 
     # Judgement.
 
+    def _convicts(self, subject: str, further_crashes: int = 0) -> bool:
+        """Return whether the crashes under a subject suffice for its quarantine.
+
+        :param further_crashes: number of crashes, each with a cause of its own, to add to the known
+        """
+        causes = len(self._counted(subject)) + further_crashes
+        if not is_fingerprint(subject):
+            return causes >= self._required(subject)
+        crashes = sum(1 for _ in self._counting_crashes(subject)) + further_crashes
+        return crashes >= CRASHES_OF_A_REQUEST and causes >= CAUSES_OF_A_REQUEST
+
     def _required(self, subject: str) -> int:
-        """Return the number of crashes after which a subject is quarantined."""
+        """Return the number of crashes after which a part is quarantined."""
         if subject in self._evidence.successes:
             return CRASHES_IN_DOUBT
         times_s = [crash.at_s for crash in self._counting_crashes(subject)]
-        all_crashes = self._evidence.count_since(min(times_s)) if times_s else 0
+        all_crashes = self._evidence.count_with_parts_since(min(times_s)) if times_s else 0
         explains = len(times_s) >= EXPLAINED_SHARE * all_crashes
         return CRASHES_TO_QUARANTINE if explains else CRASHES_IN_DOUBT
 
@@ -301,7 +287,7 @@
             explained = any(
                 subject not in verdict.subjects
                 and any(verdict.subjects.issubset(request) for request in crash.requests)
-                for verdict in self._verdicts.values()
+                for verdict in self._verdicts
             )
             if not explained:
                 yield crash
@@ -353,17 +339,7 @@
         verdict.subjects -= succeeded
         if not verdict.subjects:
             return None
-        for known in self.verdicts:
-            if known.subjects <= verdict.subjects:
-                known.asked_at_s = max(known.asked_at_s, verdict.asked_at_s)
-                return None
-            if verdict.subjects < known.subjects:
-                del self._verdicts[known.subjects]
-        if len(self._verdicts) >= MAX_VERDICTS:
-            oldest = min(self._verdicts.values(), key=lambda each: each.asked_at_s)
-            del self._verdicts[oldest.subjects]
-        self._verdicts[verdict.subjects] = verdict
-        return verdict
+        return self._verdicts.add(verdict)
 
     def _drop_refuted(self) -> list[Verdict]:
         """Drop refuted subjects of all verdicts; returns the verdicts of which nothing is left."""
@@ -375,7 +351,7 @@
             ):
                 continue
             subjects = verdict.subjects
-            del self._verdicts[subjects]
+            self._verdicts.remove(verdict)
             self._add_verdict(verdict)
             if not verdict.subjects:
                 verdict.subjects = subjects
--- a/godwitpath/gateway/quarantine_report.py
+++ b/godwitpath/gateway/quarantine_report.py
@@ -7,7 +7,8 @@
 from godwitpath.decoding import Age, Count
 
 Subjects = tuple[str, ...]
-"""What a crash of an engine under a request may be due to: the shared parts of its prompt."""
+"""What a crash of an engine under a request may be due to: the shared parts of its prompt, and the
+request itself, by its fingerprint."""
 
 
 class ReportedCrash(msgspec.Struct, array_like=True, frozen=True):
--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -15,10 +15,10 @@
 from godwitpath.decoding import Count, Finite, Unreadable, decode
 from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.members import KEY_PREFIX, Members
-from godwitpath.gateway.quarantine import QUARANTINE_S
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
 from godwitpath.gateway.store import Item, Precondition, Put, Store
 from godwitpath.gateway.unreadable import UnreadableValues
+from godwitpath.gateway.verdicts import PROMPT_QUARANTINE_S, quarantine_s
 from godwitpath.ports.kv import StoreError
 from godwitpath.telemetry.decisions import decision
 
@@ -32,7 +32,7 @@
 WRITE_DELAY_S = 0.5
 """Longest random delay until a new verdict is written, so that usually one daemon does."""
 
-REFRESH_S = QUARANTINE_S / 3
+REFRESH_S = PROMPT_QUARANTINE_S / 3
 """Difference to the time of the last request in the store's copy from which it is written again."""
 
 
@@ -86,7 +86,9 @@
 
 
 def _without_old(lifted: dict[str, float], now_s: float) -> dict[str, float]:
-    return {subject: at_s for subject, at_s in lifted.items() if now_s - at_s < QUARANTINE_S}
+    return {
+        subject: at_s for subject, at_s in lifted.items() if now_s - at_s < quarantine_s((subject,))
+    }
 
 
 class QuarantineStore:
@@ -208,7 +210,7 @@
         verdicts = {
             each.subjects: each
             for each in (*stored.verdicts, *self._own_verdicts())
-            if now_s - each.asked_at_s < QUARANTINE_S and not self._is_refuted(each)
+            if now_s - each.asked_at_s < quarantine_s(each.subjects) and not self._is_refuted(each)
         }
         value = StoredQuarantine(list(verdicts.values()), _without_old(stored.lifted, now_s))
         revision = item.revision if item is not None else 0
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -63,8 +63,8 @@
     """The engine asked for a pause before the request was sent."""
 
 
-class PromptRefused(SendRevoked):
-    """A part of the prompt was quarantined before the request was sent."""
+class RequestQuarantined(SendRevoked):
+    """The request, or a part of its prompt, was quarantined before it was sent."""
 
 
 class Send:
@@ -137,8 +137,8 @@
             raise EngineLeft("the engine is leaving")
         if not self._is_wanted(kv_cache is not None):
             raise EnginePaused("the engine wants no requests now")
-        if ctx.crashes.verdict(call.shared_parts) is not None:
-            raise PromptRefused("a part of the prompt is quarantined")
+        if ctx.crashes.verdict(call.subjects) is not None:
+            raise RequestQuarantined("the request is quarantined")
         send_fields = SendFields(
             engine_id=self.engine.entry.engine_id,
             time_left_s=left_s,
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -113,7 +113,7 @@
             record_failure(ctx, call, engine, "stream_broken", error, send)
             if not send.first_event_at_s:
                 call.broken_sends += 1
-            ctx.crashes.note_broken(engine, call.shared_parts, send.first_event_at_s)
+            ctx.crashes.note_broken(engine, call.subjects, send.first_event_at_s)
             if call.time_left_s() <= 0 or not progress.resumable or not may_retry(ctx, call):
                 break
             continue
@@ -191,7 +191,7 @@
                 send.first_event_at_s = loop.time()
             if not noted_success and 0 < send.first_event_at_s <= loop.time() - STABLE_AFTER_S:
                 noted_success = True
-                ctx.crashes.note_success(call.shared_parts)
+                ctx.crashes.note_success(call.subjects)
             run.events = progress.event_count
             await call.responder.drain()
         if splitter.incomplete:
@@ -206,7 +206,7 @@
         ctx.instruments.responses[(call.route.name, "engine", str(head.status))] += 1
         complete_head = head
         if not noted_success and head.states_end:
-            ctx.crashes.note_success(call.shared_parts)
+            ctx.crashes.note_success(call.subjects)
         return None
     finally:
         if ctx.evacuator is not None:
--- a/test/test_gateway_crash_watch.py
+++ b/test/test_gateway_crash_watch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from godwitpath.gateway import crash_watch
-from godwitpath.gateway.crash_watch import CONFIRM_AGAIN_S, STABLE_AFTER_S, CrashWatch
+from godwitpath.gateway.crash_watch import CONFIRM_WAITS_S, STABLE_AFTER_S, CrashWatch
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash, ReportedVerdict
 from godwitpath.http1.messages import NotSent
@@ -35,7 +35,7 @@
         now_s = asyncio.get_running_loop().time()
         first_event_at_s = now_s - began_ago_s if began_ago_s is not None else 0.0
         self.watch.note_broken(self.engine, CRASHING_PARTS, first_event_at_s)
-        await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
+        await asyncio.sleep(sum(CONFIRM_WAITS_S) + 0.2)
 
     @property
     def crashes(self) -> list[ReportedCrash]:
@@ -118,7 +118,7 @@
         async with listening() as address:
             watch = Watch(address)
             watch.watch.note_broken(watch.engine, ("before",), 0.0)
-            await asyncio.sleep(CONFIRM_AGAIN_S + 0.2)
+            await asyncio.sleep(sum(CONFIRM_WAITS_S) + 0.2)
         await watch.break_stream()
         [crash] = watch.crashes
         assert crash.requests == [CRASHING_PARTS]
--- a/test/test_gateway_crashing_prompts.py
+++ b/test/test_gateway_crashing_prompts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from godwitpath.gateway.quarantine import QUARANTINE_S
+from godwitpath.gateway.verdicts import PROMPT_QUARANTINE_S
 from godwitpath_standin.gateway.caller import ClientResponse, ask
 from godwitpath_standin.gateway.crash_rule import (
     CONTACT_S,
@@ -201,7 +201,7 @@
                 assert response is not None
                 assert response.status == 503
                 assert response.body == b'{"error":"prompt_quarantined","ran":"no"}'
-                assert float(response.headers["retry-after"]) == QUARANTINE_S
+                assert float(response.headers["retry-after"]) == PROMPT_QUARANTINE_S
             assert loop.time() - started_at_s < 1.5
 
 
--- a/test/test_gateway_evacuate.py
+++ b/test/test_gateway_evacuate.py
@@ -84,7 +84,7 @@
     )
     service = SimpleNamespace(name="lm", engine=SimpleNamespace(cache_tokens=1, moves=True))
     call: Any = SimpleNamespace(
-        service=service, prompt=object(), request_id="r", priority=1, shared_parts=("p",)
+        service=service, prompt=object(), request_id="r", priority=1, subjects=("p",)
     )
     mover = Mover()
     source = engines.get("e0")
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -14,11 +14,10 @@
 )
 from godwitpath.gateway.quarantine import (
     CRASHES_IN_DOUBT,
-    MAX_VERDICTS,
-    QUARANTINE_S,
     Quarantine,
 )
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
+from godwitpath.gateway.verdicts import MAX_VERDICTS, PROMPT_QUARANTINE_S
 from test.quarantine_model import ModelOutcome, QuarantineModel
 
 FLEETS = [(7, 5), (30, 12), (100, 30), (195, 45)]
@@ -160,8 +159,8 @@
         quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [CRASHING_PARTS]) for at_s in (1.0, 2.0, 3.0, 5.0)))
         assert quarantine.verdict(CRASHING_PARTS, 500.0) is not None
-        assert quarantine.drop_expired(500.0 + QUARANTINE_S - 1.0) == []
-        assert len(quarantine.drop_expired(500.0 + QUARANTINE_S)) == 1
+        assert quarantine.drop_expired(500.0 + PROMPT_QUARANTINE_S - 1.0) == []
+        assert len(quarantine.drop_expired(500.0 + PROMPT_QUARANTINE_S)) == 1
         crashed(quarantine, *((2000.0 + at_s, [CRASHING_PARTS]) for at_s in (0.0, 2.0, 4.0)))
         assert quarantine.verdicts == []
 
--- a/test/test_gateway_quarantine_path.py
+++ b/test/test_gateway_quarantine_path.py
@@ -8,7 +8,7 @@
 
 from godwitpath.gateway.model import RequestKind
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
-from godwitpath.gateway.send import PromptRefused
+from godwitpath.gateway.send import RequestQuarantined
 from godwitpath.gateway.wire_fields import KvCacheSource
 from godwitpath.ports.engine import Address
 from test.notice_model import ModelDaemon, ModelResponse
@@ -55,7 +55,7 @@
         engine = daemon.ctx.engines.get("e0")
         assert engine is not None
         quarantine(daemon)
-        with pytest.raises(PromptRefused):
+        with pytest.raises(RequestQuarantined):
             await daemon.send(engine).open(3, KvCacheSource(Address("h", 0), "k"))
         assert arrivals(daemon) == 0
 
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -19,7 +19,6 @@
 from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engines import EngineRegistry
 from godwitpath.gateway.members import MemberEntry, Members
-from godwitpath.gateway.quarantine import QUARANTINE_S
 from godwitpath.gateway.quarantine_store import (
     QUARANTINE_KEY,
     QuarantineStore,
@@ -28,6 +27,7 @@
     decode_quarantine,
 )
 from godwitpath.gateway.store import Item
+from godwitpath.gateway.verdicts import PROMPT_QUARANTINE_S
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 from test.mutations import DEEP, values_of_others
 
@@ -105,9 +105,9 @@
         core = StoreCore()
         async with running(core, "d1") as [daemon]:
             daemon.crash()
-            await asyncio.sleep(QUARANTINE_S / 2)
+            await asyncio.sleep(PROMPT_QUARANTINE_S / 2)
             assert daemon.refuses
-            await asyncio.sleep(QUARANTINE_S * 0.8)
+            await asyncio.sleep(PROMPT_QUARANTINE_S * 0.8)
         async with running(core, "d2") as [started]:
             assert started.refuses
 
