Model copies of a request before engines: few reach them late, no sound request is refused

At 7, 30, 100 and 195 daemons, a copy every .1 to 3 s and every minute, beside restarts, engines that end by chance and zones that end in a row with popular reads of three skews.

--- a/test/quarantine_model.py
+++ b/test/quarantine_model.py
@@ -83,19 +83,21 @@
     :ivar crashes_s: times of the crashes under the crashing part
     :ivar crashing_sends_s: times at which requests with that part reached engines
     :ivar ordinary_sent: ordinary requests that were sent or refused, by whether they began
-    :ivar wrong_verdicts: parts of each verdict that would refuse ordinary requests
+    :ivar wrong_verdicts: subjects of each verdict that would refuse ordinary requests
+    :ivar tolerated_crashes: crashes after which hardly any such request may reach an engine
     """
 
     crashes_s: list[float] = field(default_factory=list)
     crashing_sends_s: list[float] = field(default_factory=list)
     ordinary_sent: dict[bool, int] = field(default_factory=lambda: {True: 0, False: 0})
     wrong_verdicts: set[Subjects] = field(default_factory=set)
+    tolerated_crashes: int = TOLERATED_CRASHES
 
     def late_sends(self) -> int:
         """Return the number of requests that reached engines when none should any more."""
-        if len(self.crashes_s) < TOLERATED_CRASHES:
+        if len(self.crashes_s) < self.tolerated_crashes:
             return 0
-        since_s = self.crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
+        since_s = self.crashes_s[self.tolerated_crashes - 1] + CONTACT_S
         return sum(at_s > since_s for at_s in self.crashing_sends_s)
 
     def started_share(self) -> float:
--- a/test/test_gateway_request_quarantine.py
+++ b/test/test_gateway_request_quarantine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from godwitpath.gateway.crash_evidence import EVIDENCE_RETENTION_S, MAX_SUCCESSES
@@ -10,6 +12,8 @@
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
 from godwitpath.gateway.verdicts import MAX_VERDICTS, REQUEST_QUARANTINE_S
 from godwitpath.http1.messages import Request
+from godwitpath_standin.gateway.crash_rule import TOLERATED_SENDS
+from test.request_quarantine_model import RequestModel
 
 
 def copy_of(item: int, account: str = "hauliers") -> str:
@@ -142,3 +146,45 @@
         [verdict] = quarantine.verdicts
         assert copy_of(0) in verdict.subjects
         assert quarantine.verdict(("document", copy_of(1)), now_s + 1.0) is None
+
+
+FLEETS = [(7, 3), (30, 12), (100, 30), (195, 45)]
+"""Numbers of daemons and engines."""
+
+
+def copies_day(daemons: int, engines: int, interval_s: float, for_s: float) -> RequestModel:
+    """Play a day on which copies of one request come at random intervals, beside sound ones."""
+    model = RequestModel(daemons, engines, seed=1)
+    model.every(0.1, model.send_ordinary)
+    model.every(interval_s, model.send_crashing)
+    model.run(for_s)
+    return model
+
+
+class TestFleet:
+    @pytest.mark.parametrize(("interval_s", "for_s"), [(0.1, 12.0), (0.5, 16.0), (3.0, 30.0)])
+    @pytest.mark.parametrize(("daemons", "engines"), FLEETS)
+    def test_few_copies_reach_engines_late(
+        self, daemons: int, engines: int, interval_s: float, for_s: float
+    ) -> None:
+        outcome = copies_day(daemons, engines, interval_s, for_s).outcome
+        assert len(outcome.crashes_s) >= CRASHES_OF_A_REQUEST
+        assert outcome.late_sends() <= TOLERATED_SENDS
+        assert not outcome.wrong_verdicts
+
+    def test_few_copies_that_come_every_minute_reach_engines_late(self) -> None:
+        outcome = copies_day(7, 5, 60.0, 600.0).outcome
+        assert outcome.late_sends() <= TOLERATED_SENDS
+        assert not outcome.wrong_verdicts
+
+    @pytest.mark.parametrize("skew", [0.4, 0.8, 1.5])
+    @pytest.mark.parametrize(("daemons", "engines"), FLEETS)
+    def test_engines_that_end_for_other_reasons_quarantine_nothing(
+        self, daemons: int, engines: int, skew: float
+    ) -> None:
+        model = RequestModel(daemons, engines, seed=3, crashing=False, skew=skew)
+        model.every(0.05, model.send_ordinary)
+        model.every(4.0, partial(model.crash_share, 0.3))
+        model.every(12.0, model.end_zones_in_a_row)
+        model.every(10.0, model.restart_daemon)
+        assert not model.run(25.0).wrong_verdicts
