--- a/godwitpath_standin/soak/callers.py
+++ b/godwitpath_standin/soak/callers.py
@@ -21,7 +21,8 @@
 connection until the daemon closes it."""
 
 CRASHING_SHARE = 0.03
-"""Share of the prompts that have a part on which engines crash."""
+"""Share of the prompts that have a part on which engines crash, and of the requests that are copies
+of one that crashes them."""
 
 TARGETS = {
     "read": ("GET", "/read/x"),
@@ -146,9 +147,17 @@
         self._sent_count += 1
         route = self._rng.choice(list(TARGETS))
         account = self._rng.choice(sorted(self._environment.keys))
-        return _new_request(
-            self._environment, daemon, f"{self._name}-{self._sent_count}", route, account
-        )
+        request_id = f"{self._name}-{self._sent_count}"
+        for copy in self._environment.crashing_requests:
+            if self._rng.random() < CRASHING_SHARE:
+                [route] = (
+                    name for name, (_, each) in TARGETS.items() if each.encode() == copy.target
+                )
+                account = copy.account.decode()
+                sent = _new_request(self._environment, daemon, request_id, route, account)
+                sent.body = copy.body
+                return sent
+        return _new_request(self._environment, daemon, request_id, route, account)
 
     async def _send(
         self, sent: SentRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -8,7 +8,7 @@
 
 from godwitpath_standin.gateway.caller import ClientResponse
 from godwitpath_standin.gateway.cloud import FakeCloud
-from godwitpath_standin.gateway.engine import EngineStandin, Run
+from godwitpath_standin.gateway.engine import EngineStandin, RequestCopy, Run
 
 SETTLE_S = 4.0
 """Time after a disruption until every time limit holds again, as the platform specifies."""
@@ -111,6 +111,7 @@
     :ivar written: configurations in the order in which the store confirmed them
     :ivar drained_at_s: loop time at which the store entry of an engine became draining, by engine
     :ivar crashing_parts: prompt parts on which engines crashed
+    :ivar crashing_requests: requests on which engines crashed
     :ivar stalls: periods in which the soak's own process ran late
     :ivar unexpected_exits: messages about daemon exits that no injected fault explains
     """
@@ -122,6 +123,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     drained_at_s: dict[str, float] = field(default_factory=dict)
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_requests: set[RequestCopy] = field(default_factory=set)
     stalls: list[Stall] = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
 
--- a/godwitpath_standin/soak/injection.py
+++ b/godwitpath_standin/soak/injection.py
@@ -336,3 +336,4 @@
         position.engine.script.clear()
         position.engine.limit = ""
     environment.crashing_parts.clear()
+    environment.crashing_requests.clear()
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -14,7 +14,7 @@
 
 from godwitpath_standin.gateway.cloud import DutyCall, UsageReport
 from godwitpath_standin.gateway.crash_rule import CONTACT_S, TOLERATED_SENDS, late_sends
-from godwitpath_standin.gateway.engine import Arrival
+from godwitpath_standin.gateway.engine import Arrival, CrashSubject
 from godwitpath_standin.gateway.limit_rule import WINDOW_S, LimitedArrival, exceeded_windows
 from godwitpath_standin.soak.history import History, SentRequest, Violation
 
@@ -222,8 +222,8 @@
         yield LimitedArrival(sent.daemon, arrival.at_s, arrival.answered_at_s)
 
 
-def crashing_prompts_refused(history: History) -> Iterator[Violation]:
-    """Check that requests with a part that crashes engines soon reach none any more."""
+def crashing_requests_refused(history: History) -> Iterator[Violation]:
+    """Check that requests that crash engines, or have such a part, soon reach none any more."""
 
     def in_touch(arrival: Arrival) -> bool:
         sent = history.sent.get(arrival.request_id.decode())
@@ -232,10 +232,11 @@
         )
 
     engines = [engine for _, engine in history.engines]
-    for part in sorted(history.crashing_parts):
-        late = late_sends(engines, part, in_touch)
+    subjects: list[CrashSubject] = [*sorted(history.crashing_parts), *history.crashing_requests]
+    for subject in subjects:
+        late = late_sends(engines, subject, in_touch)
         if len(late) > TOLERATED_SENDS:
-            yield Violation("crashing prompts", f"{len(late)} sends of {part} too late")
+            yield Violation("crashing requests", f"{len(late)} sends of {subject} too late")
 
 
 def one_count_per_usage_window(history: History) -> Iterator[Violation]:
@@ -303,7 +304,7 @@
     drained_engines_unused,
     retries_within_budget,
     engine_limits_kept,
-    crashing_prompts_refused,
+    crashing_requests_refused,
     one_count_per_usage_window,
     one_holder_per_token,
     holders_do_not_alternate,
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from godwitpath_standin.gateway.engine import RequestCopy
 from godwitpath_standin.soak.callers import Balancer, Caller, probe
 from godwitpath_standin.soak.drills import draw_drills
-from godwitpath_standin.soak.environment import Daemon, SoakEnvironment
+from godwitpath_standin.soak.environment import ACCOUNTS, Daemon, SoakEnvironment
 from godwitpath_standin.soak.faults import ENDING_FAULTS, AnyFault, draw_fault
 from godwitpath_standin.soak.history import History, Violation
 from godwitpath_standin.soak.injection import heal, inject
@@ -120,6 +121,7 @@
         ]
         background_tasks += [asyncio.create_task(caller.run()) for caller in callers]
         background_tasks.append(asyncio.create_task(_send_crashing_prompts(environment, plan)))
+        background_tasks.append(asyncio.create_task(_send_crashing_requests(environment, plan)))
         await _inject_faults(environment, plan, outcome)
         if not outcome.violations:
             await _check_recovery(environment, balancer, outcome)
@@ -173,6 +175,17 @@
     environment.crashing_parts.add(part)
 
 
+async def _send_crashing_requests(environment: SoakEnvironment, plan: SoakPlan) -> None:
+    """Have copies of one request crash engines from some moment on, until the faults end."""
+    rng = random.Random(f"{plan.seed} crashing requests")
+    await asyncio.sleep(rng.uniform(0.0, plan.duration_s / 3))
+    target = rng.choice([b"/read/x", b"/book/x"])
+    account = rng.choice(ACCOUNTS).encode()
+    copy = RequestCopy(target, account, b"crashes engines")
+    environment.history.crashing_requests.add(copy)
+    environment.crashing_requests.add(copy)
+
+
 async def _check_recovery(
     environment: SoakEnvironment, balancer: Balancer, outcome: SoakOutcome
 ) -> None:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -206,7 +206,7 @@
             at_s = 100.0 if number < 5 else 104.1
             engine.arrivals = [Arrival(request.request_id.encode(), at_s, shared_parts=("dead",))]
             recorded.engines.append(("lm", engine))
-        assert violated(recorded) == {"crashing prompts"}
+        assert violated(recorded) == {"crashing requests"}
         recorded.disruptions.append(Disruption("edge-0", 101.0, 101.1))
         assert violated(recorded) == set()
 
