--- a/test/test_gateway_crashing_requests.py
+++ b/test/test_gateway_crashing_requests.py
@@ -15,7 +15,10 @@
 from godwitpath_standin.gateway.crash_rule import TOLERATED_SENDS, crash_times_s, late_sends
 from godwitpath_standin.gateway.engine import EngineStandin, RequestCopy
 from godwitpath_standin.soak.environment import SoakEnvironment
-from test.crash_fleet import crash_environment
+from godwitpath_standin.soak.faults import CrashEngine, CutStore, KillDaemons
+from godwitpath_standin.soak.injection import inject
+from godwitpath_standin.soak.proxy import Way
+from test.crash_fleet import crash_environment, until_all_ready
 
 SOUND_PER_S = 20.0
 """Rate of the requests that crash no engine."""
@@ -134,6 +137,15 @@
         yield fleet
 
 
+def copies_since(fleet: CopyFleet, since_s: float) -> int:
+    """Return the number of copies that reached engines after a time."""
+    return sum(
+        arrival.copy == fleet.crashing and arrival.at_s > since_s
+        for engine in fleet.engines()
+        for arrival in engine.arrivals
+    )
+
+
 class TestCrashingRequest:
     @pytest.mark.parametrize("kind", sorted(METHODS))
     async def test_copies_of_a_request_that_crashes_engines_stop_reaching_them(
@@ -146,3 +158,76 @@
             late = late_sends(fleet.engines(), fleet.crashing)
             assert len(late) <= TOLERATED_SENDS, f"{len(late)} sent late, {len(crashes_s)} crashed"
             assert fleet.served_share(since_s=crashes_s[:3][-1] + 8.0) >= 0.95
+
+    async def test_a_daemon_that_starts_and_one_without_the_store_refuse_copies(
+        self, tmp_path: Path
+    ) -> None:
+        async with copy_fleet(tmp_path, "read") as fleet:
+            environment = fleet.environment
+            first, cut, *_ = environment.daemons
+            cut_store = CutStore(cut.name, tuple(Way), 12.0)
+            cutting = asyncio.create_task(inject(cut_store, environment))
+            await fleet.load(for_s=7.0, copies_per_s=1.5)
+            now_s = asyncio.get_running_loop().time()
+            await inject(KillDaemons((first.name,)), environment)
+            await until_all_ready(environment)
+            await fleet.load(for_s=3.0, copies_per_s=10)
+            assert copies_since(fleet, now_s) == 0
+            await cutting
+
+    async def test_a_fleet_that_was_replaced_as_a_whole_refuses_copies(
+        self, tmp_path: Path
+    ) -> None:
+        async with copy_fleet(tmp_path, "book") as fleet:
+            await fleet.load(for_s=9.0, copies_per_s=1.5)
+            now_s = asyncio.get_running_loop().time()
+            names = tuple(daemon.name for daemon in fleet.environment.daemons)
+            await inject(KillDaemons(names), fleet.environment)
+            await until_all_ready(fleet.environment)
+            ready_at_s = asyncio.get_running_loop().time()
+            await fleet.load(for_s=3.0, copies_per_s=10)
+            assert copies_since(fleet, now_s) == 0
+            assert fleet.served_share(since_s=ready_at_s) >= 0.95
+
+    async def test_the_caller_is_told_at_once_that_a_copy_has_not_run(self, tmp_path: Path) -> None:
+        async with copy_fleet(tmp_path, "read") as fleet:
+            await fleet.load(for_s=7.0, copies_per_s=1.5)
+            started_at_s = asyncio.get_running_loop().time()
+            await fleet.load(for_s=1.0, copies_per_s=10, sound_per_s=1)
+            refused = [
+                each.response
+                for each in fleet.sent
+                if not each.sound and each.sent_at_s >= started_at_s
+            ]
+            assert len(refused) == 10
+            for response in refused:
+                assert response is not None
+                assert response.status == 503
+                assert response.body == b'{"error":"request_quarantined","ran":"no"}'
+            assert asyncio.get_running_loop().time() - started_at_s < 1.5
+
+
+class TestOtherCrashes:
+    async def test_popular_requests_beside_engines_that_end_for_another_reason_are_served(
+        self, tmp_path: Path
+    ) -> None:
+        async with crash_environment(tmp_path, daemons=4, engines=5) as environment:
+            fleet = CopyFleet(environment, "read")
+            load = asyncio.create_task(fleet.load(for_s=12.0, copies_per_s=10))
+            positions = [
+                number
+                for number, each in enumerate(environment.positions)
+                if each.service == "desk"
+            ]
+            async with asyncio.TaskGroup() as group:
+                for wave in range(6):
+                    for position in (positions[wave % 5], positions[(wave + 2) % 5]):
+                        group.create_task(inject(CrashEngine(position, 0.0), environment))
+                    await asyncio.sleep(1.5)
+            await load
+            reasons = {
+                each.response.body
+                for each in fleet.sent
+                if each.response is not None and each.response.status == 503
+            }
+            assert not any(b"quarantined" in reason for reason in reasons)
