--- a/godwitpath/commands/quarantine.py
+++ b/godwitpath/commands/quarantine.py
@@ -37,7 +37,7 @@
 
 @app.command("list")
 def list_verdicts(settings: PlatformSettingsOption, json_output: JsonOption = False) -> None:
-    """List the quarantined parts with the crashes that speak for each.
+    """List the quarantined requests and parts of prompts with the crashes that speak for each.
 
     Example: godwitpath quarantine list --settings settings.json
     """
@@ -53,33 +53,33 @@
             f" the first {now_s - verdict.since_s:.0f} s ago"
         )
     if not stored.verdicts:
-        typer.echo("no prompt is quarantined")
+        typer.echo("nothing is quarantined")
 
 
 @app.command("lift")
 def lift_verdict(
-    part: Annotated[str, typer.Argument(help="Quarantined part of a prompt.")],
+    subject: Annotated[str, typer.Argument(help="Quarantined request or part of a prompt.")],
     settings: PlatformSettingsOption,
 ) -> None:
-    """Lift the verdicts on a part; requests with it are sent again until engines crash anew.
+    """Lift the verdicts on a subject; requests with it are sent again until engines crash anew.
 
     Example: godwitpath quarantine lift 91bd3f06 --settings settings.json
     """
-    asyncio.run(lift_in_store(open_platform_store(settings), part, time.time()))
-    typer.echo(f"{part}: lifted")
+    asyncio.run(lift_in_store(open_platform_store(settings), subject, time.time()))
+    typer.echo(f"{subject}: lifted")
 
 
-async def lift_in_store(store: Store, part: str, now_s: float) -> None:
-    """Lift the verdicts on a part.
+async def lift_in_store(store: Store, subject: str, now_s: float) -> None:
+    """Lift the verdicts on a subject.
 
     :param now_s: time in seconds since 1970
     :raises NotFound: there is none
     """
     item = await store.get(QUARANTINE_KEY)
     stored = decode_quarantine(item)
-    if not any(part in verdict.subjects for verdict in stored.verdicts):
-        raise NotFound(f"{part} is not quarantined")
-    value: StoredQuarantine = lift(stored, part, now_s)
+    if not any(subject in verdict.subjects for verdict in stored.verdicts):
+        raise NotFound(f"{subject} is not quarantined")
+    value: StoredQuarantine = lift(stored, subject, now_s)
     revision = item.revision if item is not None else 0
     await store.transact(
         [Precondition(QUARANTINE_KEY, revision)], [Put(QUARANTINE_KEY, msgspec.json.encode(value))]
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -155,7 +155,8 @@
         for subject in sorted(due, key=self._ranking_key):
             self._suspects.discard(subject)
             times_s = crashes[subject]
-            verdict = Verdict(self._inseparable(subject), len(times_s), times_s[0], now_s)
+            count = self._crash_count(subject)
+            verdict = Verdict(self._inseparable(subject), count, times_s[0], now_s)
             if self._add_verdict(verdict) is not None:
                 return verdict
         return None
@@ -266,9 +267,18 @@
         causes = len(self._counted(subject)) + further_crashes
         if not is_fingerprint(subject):
             return causes >= self._required(subject)
-        crashes = sum(1 for _ in self._counting_crashes(subject)) + further_crashes
+        crashes = self._crash_count(subject) + further_crashes
         return crashes >= CRASHES_OF_A_REQUEST and causes >= CAUSES_OF_A_REQUEST
 
+    def _crash_count(self, subject: str) -> int:
+        """Return the number of crashes that speak against a subject.
+
+        For a part, those with one cause are one.
+        """
+        if is_fingerprint(subject):
+            return sum(1 for _ in self._counting_crashes(subject))
+        return len(self._counted(subject))
+
     def _required(self, subject: str) -> int:
         """Return the number of crashes after which a part is quarantined."""
         if subject in self._evidence.successes:
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -152,7 +152,7 @@
         assert outputs == [
             (0, "crashing: 4 crashes, the first 60 s ago\n"),
             (0, "crashing: lifted\n"),
-            (0, "no prompt is quarantined\n"),
+            (0, "nothing is quarantined\n"),
         ]
         again = CliRunner().invoke(app, ["quarantine", "lift", "crashing", *settings])
         assert again.exit_code == 6
--- a/test/test_gateway_request_quarantine.py
+++ b/test/test_gateway_request_quarantine.py
@@ -48,7 +48,9 @@
         crashed(quarantine, *((1.0 + n * 0.05, [CRASHING]) for n in range(4)))
         assert quarantine.review(10.0) is None
         crashed(quarantine, (10.0, [CRASHING]))
-        assert quarantine.verdict(CRASHING, 10.0) is not None
+        verdict = quarantine.verdict(CRASHING, 10.0)
+        assert verdict is not None
+        assert verdict.crashes == 5
 
     def test_crashes_in_quick_succession_wait_for_the_responses_in_between(self) -> None:
         quarantine = Quarantine(0.0)
