--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -53,7 +53,7 @@
     :ivar placer: ranks engines for requests
     :ivar quota: token buckets of the accounts
     :ivar limits: limits on their requests that engines have stated
-    :ivar crashes: engines that crashed, and the prompts that are refused for it
+    :ivar crashes: engines that crashed, and the requests that are refused for it
     :ivar permits: permits for sends to limited engines
     :ivar body_budget: bounds the responses that are read as a whole
     :ivar retry_schedule: times at which callers of limited engines may return
--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -14,7 +14,7 @@
 """Time for which a crash counts against parts of prompts."""
 
 REQUEST_EVIDENCE_RETENTION_S = 6 * 3600.0
-"""Time for which a crash counts against requests, whose copies may come seldom."""
+"""Time for which a crash counts against requests, which may be repeated at long intervals."""
 
 REPORT_S = 1.6
 """Time for which a change is repeated in reports to the other daemons: four reports, of which
--- a/godwitpath/gateway/fingerprint.py
+++ b/godwitpath/gateway/fingerprint.py
@@ -11,8 +11,8 @@
 """Length of the digest of a request: two requests with the same one cannot be made on purpose."""
 
 ACCOUNT_BYTES = 3
-"""Length of the digest of the client account, which only tells the fingerprints of one account from
-those of the others."""
+"""Length of the digest of the client account, which only distinguishes its fingerprints from those
+of other accounts."""
 
 FINGERPRINT_PREFIX = "request:"
 """Start of each fingerprint, which no id of a prompt's part has: parts are separated from their
@@ -25,7 +25,7 @@
     """Return what all copies of a request have in common, as a digest.
 
     Ids, deadlines and other headers differ between copies. An account's API key may be replaced, so
-    that the account stands for it.
+    that the account is used instead.
 
     :param account: name of the client account, empty for an anonymous request
     """
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -55,7 +55,7 @@
         and seconds since a daemon first heard it, by engine
     :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
         service
-    :ivar quarantine: crashes of engines that the sender found, and quarantined prompts
+    :ivar quarantine: crashes of engines that the sender found, and what is quarantined
     """
 
     name: str
--- a/godwitpath/gateway/verdicts.py
+++ b/godwitpath/gateway/verdicts.py
@@ -12,14 +12,14 @@
 """Time after the last request for a quarantined part at which the part is forgotten."""
 
 REQUEST_QUARANTINE_S = 6 * 3600.0
-"""The same for a quarantined request, whose copies may come seldom."""
+"""The same for a quarantined request, which may be repeated at long intervals."""
 
 MAX_VERDICTS = 64
 """Number of verdicts in force: callers choose what the subjects of their requests are."""
 
 
 def quarantine_s(subjects: Iterable[str]) -> float:
-    """Return the time in seconds after which a verdict ends for which nobody asks any more."""
+    """Return the time in seconds without such a request after which a verdict ends."""
     return REQUEST_QUARANTINE_S if any(map(is_fingerprint, subjects)) else PROMPT_QUARANTINE_S
 
 
@@ -49,7 +49,7 @@
         return max(map(account_digest, self.subjects))
 
     def has_expired(self, now_s: float) -> bool:
-        """Return whether nobody has asked for it for so long that it ends."""
+        """Return whether no such request has arrived for so long that it ends."""
         return now_s - self.asked_at_s >= quarantine_s(self.subjects)
 
 
@@ -95,7 +95,7 @@
         del self._by_subjects[verdict.subjects]
 
     def drop_expired(self, now_s: float) -> list[Verdict]:
-        """Drop the verdicts for which nobody asks any more, and return them."""
+        """Drop the verdicts that have expired, and return them."""
         expired = [each for each in self if each.has_expired(now_s)]
         for verdict in expired:
             self.remove(verdict)
--- a/test/test_gateway_crashing_requests.py
+++ b/test/test_gateway_crashing_requests.py
@@ -20,7 +20,7 @@
 from godwitpath_standin.soak.proxy import Way
 from test.crash_fleet import crash_environment, until_all_ready
 
-SOUND_PER_S = 20.0
+ORDINARY_PER_S = 20.0
 """Rate of the requests that crash no engine."""
 
 METHODS = {"read": "GET", "book": "POST", "stream": "POST"}
@@ -30,11 +30,11 @@
 class SentCopy:
     """A request of the test's callers.
 
-    :ivar sound: whether it crashes no engine
+    :ivar ordinary: whether it crashes no engine
     """
 
     copy: RequestCopy
-    sound: bool
+    ordinary: bool
     sent_at_s: float
     response: ClientResponse | None = None
 
@@ -62,24 +62,24 @@
         return [engine for name, engine in self.environment.history.engines if name == service]
 
     async def load(
-        self, for_s: float, copies_per_s: float, sound_per_s: float = SOUND_PER_S
+        self, for_s: float, copies_per_s: float, ordinary_per_s: float = ORDINARY_PER_S
     ) -> None:
-        """Send copies and sound requests to random daemons, and await the responses."""
+        """Send copies and ordinary requests to random daemons, and await the responses."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._send_steadily(group, for_s, sound_per_s, sound=True))
-            group.create_task(self._send_steadily(group, for_s, copies_per_s, sound=False))
+            group.create_task(self._send_steadily(group, for_s, ordinary_per_s, ordinary=True))
+            group.create_task(self._send_steadily(group, for_s, copies_per_s, ordinary=False))
 
     async def _send_steadily(
-        self, group: asyncio.TaskGroup, for_s: float, per_s: float, *, sound: bool
+        self, group: asyncio.TaskGroup, for_s: float, per_s: float, *, ordinary: bool
     ) -> None:
         for _ in range(int(for_s * per_s)):
-            copy = self._sound_request() if sound else self.crashing
-            sent = SentCopy(copy, sound, asyncio.get_running_loop().time())
+            copy = self._ordinary_request() if ordinary else self.crashing
+            sent = SentCopy(copy, ordinary, asyncio.get_running_loop().time())
             self.sent.append(sent)
             group.create_task(self._ask(sent, f"r{len(self.sent)}"))
             await asyncio.sleep(1 / per_s)
 
-    def _sound_request(self) -> RequestCopy:
+    def _ordinary_request(self) -> RequestCopy:
         """Return a request, a third of which share all but one field with the crashing one."""
         crashing = self.crashing
         item = self.rng.randrange(1, 12)
@@ -121,11 +121,11 @@
             return
 
     def served_share(self, since_s: float) -> float:
-        """Return the share of the sound requests since a time that were served."""
-        sound = [each for each in self.sent if each.sound and each.sent_at_s >= since_s]
+        """Return the share of the ordinary requests since a time that were served."""
+        ordinary = [each for each in self.sent if each.ordinary and each.sent_at_s >= since_s]
         return sum(
-            each.response is not None and each.response.status == 200 for each in sound
-        ) / len(sound)
+            each.response is not None and each.response.status == 200 for each in ordinary
+        ) / len(ordinary)
 
 
 @asynccontextmanager
@@ -193,11 +193,11 @@
         async with copy_fleet(tmp_path, "read") as fleet:
             await fleet.load(for_s=7.0, copies_per_s=1.5)
             started_at_s = asyncio.get_running_loop().time()
-            await fleet.load(for_s=1.0, copies_per_s=10, sound_per_s=1)
+            await fleet.load(for_s=1.0, copies_per_s=10, ordinary_per_s=1)
             refused = [
                 each.response
                 for each in fleet.sent
-                if not each.sound and each.sent_at_s >= started_at_s
+                if not each.ordinary and each.sent_at_s >= started_at_s
             ]
             assert len(refused) == 10
             for response in refused:
--- a/test/test_gateway_planned_stop.py
+++ b/test/test_gateway_planned_stop.py
@@ -92,32 +92,24 @@
         return sent.response.complete and not closing
 
 
-def runs_without_response(callers: SteadyCallers) -> list[str]:
-    """Return the requests that an engine began to run and whose callers got no whole response."""
+def sent_to_engines(callers: SteadyCallers) -> list[SentRequest]:
+    """Return the requests that an engine began to run."""
     run_ids = {
         run.request_id.decode()
         for engine in callers.environment.engines.values()
         for run in engine.runs
     }
-    return [
-        sent.request_id
-        for sent in callers.sent
-        if sent.request_id in run_ids and not sent.response.complete
-    ]
+    return [sent for sent in callers.sent if sent.request_id in run_ids]
+
+
+def runs_without_response(callers: SteadyCallers) -> list[str]:
+    """Return the requests that an engine ran and whose callers got no whole response."""
+    return [each.request_id for each in sent_to_engines(callers) if not each.response.complete]
 
 
 def false_refusals(callers: SteadyCallers) -> list[str]:
     """Return the requests that were refused as not run and that an engine ran."""
-    run_ids = {
-        run.request_id.decode()
-        for engine in callers.environment.engines.values()
-        for run in engine.runs
-    }
-    return [
-        sent.request_id
-        for sent in callers.sent
-        if sent.request_id in run_ids and sent.response.status == 503
-    ]
+    return [each.request_id for each in sent_to_engines(callers) if each.response.status == 503]
 
 
 async def stop_under_load(
--- a/test/test_gateway_request_quarantine.py
+++ b/test/test_gateway_request_quarantine.py
@@ -77,7 +77,7 @@
         crashed(quarantine, *((at_s, [request]) for at_s in (1.0, 3.0, 5.0)))
         assert quarantine.verdict(request, 6.0) is not None
         assert quarantine.verdict(("first", "document", copy_of(1)), 6.0) is None
-        # The parts, which nothing distinguishes from the request yet, turn out to be sound.
+        # Responses to other requests with these parts show that the parts are not the cause.
         assert quarantine.note_success(("first", "document", copy_of(1)), 7.0, 7.0) == []
         assert quarantine.verdict((copy_of(0),), 8.0) is not None
 
@@ -155,7 +155,7 @@
 
 
 def copies_day(daemons: int, engines: int, interval_s: float, for_s: float) -> RequestModel:
-    """Play a day on which copies of one request come at random intervals, beside sound ones."""
+    """Play a day on which copies of one request come at random intervals, beside others."""
     model = RequestModel(daemons, engines, seed=1)
     model.every(0.1, model.send_ordinary)
     model.every(interval_s, model.send_crashing)
