Soak: keep the port of an engine that a request crashed

Traced: the soak's daemons still sent to the port of an ended engine, which the test's server had been given. The port refuses connections now until the soak ends; a test of the proxy shows it.

--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -332,7 +332,7 @@
 
         A fault that was injected at the position ends first, and may have replaced the engine.
         """
-        await position.link.stop()
+        await position.link.stop(keep_port=True)
         await asyncio.sleep(CRASHED_DOWN_S)
         while True:
             if not position.busy:
--- a/godwitpath_standin/soak/proxy.py
+++ b/godwitpath_standin/soak/proxy.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "_direction_open",
+        "_kept_port",
         "_server",
         "_target",
         "_tasks",
@@ -47,6 +48,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._kept_port: socket.socket | None = None
         self.clear_faults()
 
     async def start(self) -> Address:
@@ -72,11 +74,22 @@
         for writer in list(self._writers):
             _reset_connection(writer)
 
-    async def stop(self) -> None:
-        """Stop listening and reset every open connection."""
+    async def stop(self, *, keep_port: bool = False) -> None:
+        """Stop listening and reset every open connection.
+
+        :param keep_port: whether the port refuses connections until the proxy is stopped again,
+            rather than being free for another program, which would get requests meant for this one
+        """
+        if self._kept_port is not None:
+            self._kept_port.close()
+            self._kept_port = None
         if self._server is not None:
             self._server.close()
         self.reset()
+        if keep_port:
+            self._kept_port = socket.socket()
+            self._kept_port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._kept_port.bind((self.address.host, self.address.port))
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -318,6 +319,14 @@
             proxy.clear_faults()
             assert (await response_task).endswith(b"ok")
 
+    async def test_a_kept_port_refuses_connections_and_is_not_free(self) -> None:
+        async with proxied() as (_, proxy, ask):
+            await proxy.stop(keep_port=True)
+            with pytest.raises(ConnectionRefusedError):
+                await ask()
+            with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                other.bind((proxy.address.host, proxy.address.port))
+
     async def test_reset_reaches_the_client_at_once(self) -> None:
         async with proxied() as (_, proxy, ask):
             proxy.hold(Way.UP)
