Bound responses and requests by fields, pieces and work, not by bytes alone

Cause: limits counted bytes where the cost is objects or calls of the parser, and one iteration of the event loop parsed all that every connection had received.

Change: http1/response_limits.py counts fields, interim and skipped responses, pieces, framing and comments, and bounds bodies by server and in sum; http1/turns.py lets connections that receive much read 16 KB in turn, one in each iteration, servers in turn; a server parses at most 16 pipelined requests and begins a waiting one in turn. Bodies are kept in one piece. A limit is named in engine_failed (`limit`, `amount`) and counted as limit_exceeded.

--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -24,9 +24,9 @@
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.wire_fields import CallerFields, EngineResponseFields, SendFields
-from godwitpath.http1.client import BodyBudget
 from godwitpath.http1.messages import Headers, ResponseHead
 from godwitpath.http1.pool import ConnectionPool
+from godwitpath.http1.response_limits import BodyBudget
 
 
 class HeaderCodec(Protocol):
--- a/godwitpath/gateway/events.py
+++ b/godwitpath/gateway/events.py
@@ -5,10 +5,15 @@
 from dataclasses import dataclass
 
 from godwitpath.decoding import parse_whole
+from godwitpath.http1.response_limits import ResponseLimitExceeded
 
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an event; a stream with a larger event is treated as malformed."""
 
+MAX_COMMENTS = 1_024
+"""Maximum number of comments in a row: an engine that keeps its connection open with one a second
+may be silent for 17 minutes."""
+
 
 @dataclass(slots=True, frozen=True)
 class StreamEvent:
@@ -16,21 +21,12 @@
 
     :ivar event_id: value of the event's `id` field, None if the field is missing or not a number
     :ivar data: raw bytes of the event, including the empty line that ends it
+    :ivar comment: whether it holds nothing but comments and empty lines
     """
 
     event_id: int | None
     data: bytes
-
-    @property
-    def comment(self) -> bool:
-        """Whether it holds nothing but comments and empty lines."""
-        return self.event_id is None and all(
-            line.startswith(b":") for line in self.data.split(b"\n") if line
-        )
-
-
-class EventTooLong(ValueError):
-    """An event exceeds :data:`MAX_EVENT_BYTES`."""
+    comment: bool
 
 
 class EventSplitter:
@@ -40,25 +36,43 @@
     """
 
     def __init__(self) -> None:
-        self.incomplete = b""
+        self.incomplete = bytearray()
+        # Number of bytes of the incomplete event in which no end begins.
+        self._searched_bytes = 0
+        self._comments = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add a chunk of the stream and return the events that are now complete.
 
-        :raises EventTooLong: the incomplete event exceeds :data:`MAX_EVENT_BYTES`
+        :raises ResponseLimitExceeded: the incomplete event is too long, or too many comments follow
+            one another
         """
         events = []
-        buffer = self.incomplete + data
-        start = 0
-        while (end := buffer.find(b"\n\n", start)) >= 0:
-            raw = buffer[start : end + 2]
-            events.append(StreamEvent(_event_id(raw), raw))
-            start = end + 2
-        self.incomplete = buffer[start:]
-        if len(self.incomplete) > MAX_EVENT_BYTES:
-            raise EventTooLong(f"event longer than {MAX_EVENT_BYTES} bytes")
+        buffer = self.incomplete
+        buffer += data
+        start, search_from = 0, self._searched_bytes
+        while (end := buffer.find(b"\n\n", search_from)) >= 0:
+            events.append(self._event(bytes(buffer[start : end + 2])))
+            start = search_from = end + 2
+        del buffer[:start]
+        # The last byte may be the first one of the end.
+        self._searched_bytes = max(0, len(buffer) - 1)
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise ResponseLimitExceeded("event bytes", len(buffer))
         return events
 
+    def _event(self, raw: bytes) -> StreamEvent:
+        event_id = _event_id(raw)
+        comment = event_id is None and _is_comment(raw)
+        self._comments = self._comments + 1 if comment else 0
+        if self._comments > MAX_COMMENTS:
+            raise ResponseLimitExceeded("comments in a row", self._comments)
+        return StreamEvent(event_id, raw, comment)
+
+
+def _is_comment(raw: bytes) -> bool:
+    return all(line.startswith(b":") for line in raw.split(b"\n") if line)
+
 
 def _event_id(raw: bytes) -> int | None:
     for line in raw.split(b"\n"):
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -18,6 +18,7 @@
 from godwitpath.gateway.verdicts import quarantine_s
 from godwitpath.gateway.wire_fields import EngineResponseFields
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, end_to_end_headers
+from godwitpath.http1.response_limits import ResponseLimitExceeded
 from godwitpath.http1.timeouts import SOCKET_LOOK_S
 from godwitpath.telemetry.decisions import decision
 
@@ -256,9 +257,11 @@
 ) -> None:
     """Record a failed send to an engine in the engine's health, the metrics and the log.
 
-    :param kind: kind of failure, as in the metrics and the log
+    :param kind: kind of failure, as in the metrics and the log, of any error but an exceeded limit
     :param send: the failed send, None if the engine was not reached
     """
+    if isinstance(error, ResponseLimitExceeded):
+        kind = "limit_exceeded"
     ctx.instruments.sends[(call.service.name, kind)] += 1
     newly_ejected = engine.health.failed(asyncio.get_running_loop().time())
     decision(
@@ -270,10 +273,18 @@
         error=str(error) or repr(error),
         attempts=call.attempts,
         ejected=newly_ejected,
+        **_limit_fields(error),
         **_progress_fields(send),
     )
 
 
+def _limit_fields(error: Exception) -> dict[str, str | int]:
+    """Return which limit a response exceeded, and the amount that did."""
+    if not isinstance(error, ResponseLimitExceeded):
+        return {}
+    return {"limit": error.limit, "amount": error.amount}
+
+
 def _progress_fields(send: Send | None) -> dict[str, float | None]:
     """Return how long ago a request was sent, and how long ago a stream's first event arrived."""
     if send is None or not send.sent_at_s:
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -13,7 +13,7 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.crash_watch import STABLE_AFTER_S
 from godwitpath.gateway.evacuate import Continuation, StreamRun
-from godwitpath.gateway.events import EventSplitter, EventTooLong
+from godwitpath.gateway.events import EventSplitter
 from godwitpath.gateway.forward import (
     MAX_UNREACHABLE_ENGINES,
     PlainResponse,
@@ -168,6 +168,7 @@
     loop = asyncio.get_running_loop()
     complete_head: ResponseHead | None = None
     data_received = noted_success = False
+    reservation = ctx.body_budget.reserve(candidate.engine.entry.address)
     if ctx.evacuator is not None:
         ctx.evacuator.add_run(run)
     try:
@@ -189,6 +190,7 @@
                 _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
             if _forward_events(call, head, splitter, data, progress) and not send.first_event_at_s:
                 send.first_event_at_s = loop.time()
+            reservation.resize(len(splitter.incomplete))
             if not noted_success and 0 < send.first_event_at_s <= loop.time() - STABLE_AFTER_S:
                 noted_success = True
                 ctx.crashes.note_success(call.subjects)
@@ -211,6 +213,7 @@
     finally:
         if ctx.evacuator is not None:
             ctx.evacuator.remove_run(run)
+        reservation.release()
         send.close(complete_head)
 
 
@@ -265,12 +268,10 @@
     """Forward the events that are complete once a chunk of data was received.
 
     :returns: whether the chunk completed an event
-    :raises StreamBroken: an event is too long, or not the next one
+    :raises StreamBroken: an event is not the next one
+    :raises ResponseLimitExceeded: an event is too long, or too many comments follow one another
     """
-    try:
-        events = splitter.feed(data)
-    except EventTooLong as error:
-        raise StreamBroken(str(error)) from error
+    events = splitter.feed(data)
     forwarded: list[bytes] = []
     try:
         for event in events:
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -11,75 +11,42 @@
 import asyncio
 import math
 import select
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Any
 
 import httptools
 
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost
+from godwitpath.http1.response_limits import (
+    MAX_BODY_BYTES,
+    BodyBudget,
+    ResponseCost,
+    ResponseLimitExceeded,
+)
 from godwitpath.http1.timeouts import SOCKET_LOOK_S, socket_timeout
+from godwitpath.http1.turns import READ_BYTES, READ_PIECES, read_turns
 
-READ_HIGH_WATER_BYTES = 262_144
+READ_HIGH_WATER_BYTES = 65_536
 """Number of buffered body bytes above which a connection pauses reading."""
 
-MAX_HEAD_BYTES = 131_072
-"""Maximum size of the head of a response, and of chunk extensions, trailers or skipped responses
-that arrive without any byte of its body."""
-
-MAX_BODY_BYTES = 16_777_216
-"""Maximum size of a body that is read as a whole."""
-
-UNSHARED_BODY_BYTES = 1_048_576
-"""Size of a body up to which it does not count towards `MAX_SHARED_BODY_BYTES`, so that ordinary
-responses are read while engines fail with endless ones."""
-
-MAX_SHARED_BODY_BYTES = 67_108_864
-"""Maximum size of all larger bodies that are being read as a whole at the same time."""
+MAX_TRANSFER_BYTES = 33_554_432
+"""Maximum size of a transfer: the largest value that daemons exchange, in base64 and escaped."""
 
 MIN_TRANSFER_BYTES_PER_S = 8_000
 """Slowest rate at which the body of a response is still awaited: a tenth of the share that fifteen
 transfers have of a link of 10 Mbit/s."""
 
-MAX_SKIPPED_RESPONSES = 4
-"""Number of responses to other requests that are skipped before a connection is closed."""
-
 ResponsePredicate = Callable[[ResponseHead], bool]
 """Returns whether a response belongs to the request that was sent."""
 
 
-class BodyBudget:
-    """Bounds the memory of bodies that are read as a whole at the same time.
-
-    :ivar shared_bytes: bytes of larger bodies that are being read
-    """
-
-    __slots__ = ("shared_bytes",)
-
-    def __init__(self) -> None:
-        self.shared_bytes = 0
-
-    def add(self, body_bytes: int, added_bytes: int) -> int:
-        """Count the next bytes of a body.
-
-        :param body_bytes: size of the body with these bytes
-        :returns: number of bytes that were added to the shared ones
-        :raises ResponseLost: the body, or all larger bodies together, are too large
-        """
-        shared_bytes = min(added_bytes, max(0, body_bytes - UNSHARED_BODY_BYTES))
-        if body_bytes > MAX_BODY_BYTES or self.shared_bytes + shared_bytes > MAX_SHARED_BODY_BYTES:
-            raise ResponseLost(f"response body is too large after {body_bytes} bytes")
-        self.shared_bytes += shared_bytes
-        return shared_bytes
-
-
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Connection to a server with at most one active exchange.
 
     :ivar reusable: whether the connection can be used for another exchange
     :ivar exchanges: number of exchanges started so far
     :ivar idle_since_s: event loop time at which the last exchange ended
     :ivar idle_limit_s: maximum idle time after which the connection is not reused
-    :ivar received_body_bytes: body bytes of the current response that have arrived
     """
 
     def __init__(self) -> None:
@@ -87,20 +54,21 @@
         self.exchanges = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = math.inf
-        self.received_body_bytes = 0
         self._transport: asyncio.Transport | None = None
+        self._turns = read_turns()
+        self._server: Hashable = None
         self._parser: Any = None
         self._accept: ResponsePredicate | None = None
         self._method = ""
         self._head: ResponseHead | None = None
         self._complete = True
         self._skipping_response = False
-        self._skipped_responses = 0
+        self._cost = ResponseCost()
         self._error: Exception | None = None
-        self._body_chunks: list[bytes] = []
-        self._buffered_bytes = 0
-        self._head_bytes = 0
+        # Received part of the body that was not read, in one piece however it arrived.
+        self._body = bytearray()
         self._reading_paused = False
+        self._awaits_turn = False
         self._waiter: asyncio.Future[None] | None = None
         self._header_fields: list[tuple[bytes, bytes]] = []
         self._reason = b""
@@ -127,12 +95,10 @@
         self._head = None
         self._complete = False
         self._skipping_response = False
-        self._skipped_responses = 0
+        self._cost = ResponseCost()
         self._error = None
-        self._body_chunks.clear()
-        self._buffered_bytes = 0
-        self.received_body_bytes = 0
-        self._head_bytes = 0
+        self._body.clear()
+        self._pause_or_resume_reading()
         self._transport.write(data)
 
     async def head(self) -> ResponseHead:
@@ -153,25 +119,22 @@
         timeout before it looks at the socket.
         """
         await asyncio.sleep(SOCKET_LOOK_S)
-        return bool(self._body_chunks)
+        return bool(self._body) or self._awaits_turn
 
     async def read(self) -> bytes:
         """Wait for body bytes and return those received, or nothing at the end of the body.
 
         :raises ResponseLost: the connection ended before the body was complete
         """
-        while not self._body_chunks:
+        while not self._body:
             if self._complete:
                 return b""
             if self._error is not None:
                 raise self._error
             await self._wait()
-        data = b"".join(self._body_chunks)
-        self._body_chunks.clear()
-        self._buffered_bytes = 0
-        if self._reading_paused and self._transport is not None:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        data = bytes(self._body)
+        self._body.clear()
+        self._pause_or_resume_reading()
         return data
 
     async def read_whole(self, budget: BodyBudget) -> bytes:
@@ -181,21 +144,26 @@
         :raises ResponseLost: the connection ended before the body was complete, or the body is
             too large
         """
-        chunks = []
-        body_bytes = shared_bytes = 0
+        if self._head is not None and (self._head.length_bytes or 0) > MAX_BODY_BYTES:
+            raise ResponseLimitExceeded("body bytes", self._head.length_bytes or 0)
+        reservation = budget.reserve(self._server)
+        body = bytearray()
         try:
-            while chunk := await self.read():
-                body_bytes += len(chunk)
-                shared_bytes += budget.add(body_bytes, len(chunk))
-                chunks.append(chunk)
-            return b"".join(chunks)
+            while data := await self.read():
+                reservation.resize(len(body) + len(data))
+                body += data
+            return bytes(body)
         finally:
-            budget.shared_bytes -= shared_bytes
+            reservation.release()
 
-    async def read_transfer(self, stall_timeout_s: float) -> bytes:
+    async def read_transfer(
+        self, stall_timeout_s: float, max_bytes: int = MAX_TRANSFER_BYTES
+    ) -> bytes:
         """Return the rest of the body, which may take as long as its size requires.
 
         :param stall_timeout_s: longest time without progress
+        :param max_bytes: maximum size of the body
+        :raises ResponseLimitExceeded: the body is larger
         :raises ResponseLost: the connection ended, the transfer stalled, or it was slower than
             :data:`MIN_TRANSFER_BYTES_PER_S`
         """
@@ -203,8 +171,10 @@
         length_bytes = self._head.length_bytes if self._head is not None else None
         deadline_s = math.inf
         if length_bytes is not None:
+            if length_bytes > max_bytes:
+                raise ResponseLimitExceeded("body bytes", length_bytes)
             deadline_s = loop.time() + stall_timeout_s + length_bytes / MIN_TRANSFER_BYTES_PER_S
-        chunks: list[bytes] = []
+        body = bytearray()
         while True:
             try:
                 async with asyncio.timeout_at(min(deadline_s, loop.time() + stall_timeout_s)):
@@ -213,11 +183,13 @@
                 if await self.look_for_data() and loop.time() < deadline_s:
                     continue
                 raise ResponseLost(
-                    f"timed out after {self.received_body_bytes} of {length_bytes} bytes"
+                    f"timed out after {self._cost.body_bytes} of {length_bytes} bytes"
                 ) from error
             if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
+                return bytes(body)
+            body += chunk
+            if len(body) > max_bytes:
+                raise ResponseLimitExceeded("body bytes", len(body))
 
     def close(self) -> None:
         """Close the connection and abort any active exchange."""
@@ -245,26 +217,32 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._server = transport.get_extra_info("peername")
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._turns.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(memoryview(self._turns.buffer)[:nbytes])
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, which may change once the call has returned."""
         if self._complete or self._parser is None:
             # Bytes after a complete response belong to no request.
             self.close()
             return
-        body_bytes_before = self.received_body_bytes
+        pieces_before = self._cost.pieces
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(ResponseLost(f"invalid HTTP response: {error}"))
+            self._cost.add_received(len(data), self._complete)
+        except (httptools.HttpParserError, ResponseLimitExceeded) as error:
+            self._fail(_limit_exceeded(error) or ResponseLost(f"invalid HTTP response: {error}"))
             self.close()
             return
-        if self.received_body_bytes > body_bytes_before:
-            self._head_bytes = 0
-        elif not self._complete:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._fail(ResponseLost("response head or trailer is too large"))
-                self.close()
+        pieces = self._cost.pieces - pieces_before
+        if not self._complete and (len(data) >= READ_BYTES or pieces >= READ_PIECES):
+            self._wait_for_turn()
+        self._pause_or_resume_reading()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -296,11 +274,13 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._cost.add_field()
         self._header_fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
         if 100 <= status < 200:
+            self._cost.add_interim_response()
             self._skipping_response = True
             return
         head = ResponseHead(status, self._reason, self._header_fields)
@@ -311,9 +291,7 @@
         elif length.isdigit() and not head.chunked:
             head.length_bytes = int(length)
         if self._accept is not None and not self._accept(head):
-            self._skipped_responses += 1
-            if self._skipped_responses > MAX_SKIPPED_RESPONSES:
-                raise httptools.HttpParserError("too many responses to other requests")
+            self._cost.add_skipped_response()
             self._skipping_response = True
             return
         self._skipping_response = False
@@ -325,16 +303,8 @@
     def on_body(self, body: bytes) -> None:
         if self._skipping_response or self._complete:
             return
-        self._body_chunks.append(body)
-        self._buffered_bytes += len(body)
-        self.received_body_bytes += len(body)
-        if (
-            self._buffered_bytes > READ_HIGH_WATER_BYTES
-            and not self._reading_paused
-            and self._transport
-        ):
-            self._reading_paused = True
-            self._transport.pause_reading()
+        self._cost.add_piece(len(body))
+        self._body += body
 
     def on_message_complete(self) -> None:
         if self._skipping_response:
@@ -346,9 +316,28 @@
         head = self._head
         self_delimited = head.chunked or head.length_bytes is not None
         persistent = self._parser.should_keep_alive() and self._method != "HEAD"
-        self.reusable = self_delimited and persistent and self._skipped_responses == 0
+        self.reusable = self_delimited and persistent and not self._cost.skipped_any
         self.idle_since_s = asyncio.get_running_loop().time()
 
+    def _wait_for_turn(self) -> None:
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._turns.wait(self._server, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._pause_or_resume_reading()
+
+    def _pause_or_resume_reading(self) -> None:
+        must_pause = len(self._body) > READ_HIGH_WATER_BYTES or self._awaits_turn
+        if self._transport is None or must_pause is self._reading_paused:
+            return
+        self._reading_paused = must_pause
+        if must_pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _fail(self, error: Exception) -> None:
         if self._error is None:
             self._error = error
@@ -364,6 +353,12 @@
         await self._waiter
 
 
+def _limit_exceeded(error: BaseException) -> ResponseLimitExceeded | None:
+    """Return the limit for which a callback made the parser fail, None for another error."""
+    causes = (error, error.__cause__, error.__context__)
+    return next((each for each in causes if isinstance(each, ResponseLimitExceeded)), None)
+
+
 async def connect(host: str, port: int, timeout_s: float) -> ClientConnection:
     """Open a connection.
 
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -19,11 +19,21 @@
 from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.messages import Headers, Request, encode_response_head
 from godwitpath.http1.responder import Responder
+from godwitpath.http1.response_limits import (
+    FRAMING_BYTES_PER_BODY_BYTE,
+    MAX_FIELDS,
+    pieces_allowed,
+)
+from godwitpath.http1.turns import READ_BYTES, READ_PIECES, read_turns
 
 MAX_PIPELINED_REQUESTS = 16
-"""Number of received requests waiting on one connection at which it pauses reading."""
+"""Number of requests waiting on one connection at which it parses and reads no further."""
 
-WRITE_HIGH_WATER_BYTES = 262_144
+PARSE_BYTES = 2_048
+"""Most received bytes that are parsed before the waiting requests are counted: a request can be as
+short as 18 bytes."""
+
+WRITE_HIGH_WATER_BYTES = 65_536
 """Number of unsent response bytes of a connection above which :meth:`Responder.drain` waits."""
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -37,7 +47,7 @@
 _DEFAULT_LIMITS = CallerLimits()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ServerPolicy:
     """Callbacks that connections use to handle requests.
 
@@ -51,7 +61,7 @@
     keep_alive_allowed: Callable[[], bool] = lambda: True
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Server side of a caller's connection."""
 
     def __init__(self, policy: ServerPolicy, connections: set[ServerConnection]) -> None:
@@ -60,6 +70,10 @@
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpRequestParser(self)
         self._loop = asyncio.get_running_loop()
+        self._turns = read_turns()
+        # Received bytes that are not parsed yet, since enough requests are waiting.
+        self._unparsed = b""
+        self._received_at_s = 0.0
         self._pending_requests: deque[Request] = deque()
         self._handler_task: asyncio.Task[None] | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
@@ -71,11 +85,13 @@
         self._header_fields: Headers = []
         self._header_field_bytes = 0
         self._head_bytes = 0
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_pieces = 0
         self._reading_body = False
         self._error_status = 0
         self._reading_paused = False
+        self._reads_in_turn = False
+        self._awaits_turn = False
         self._closing = False
         self._idle_since_s = self._loop.time()
         self._completed_requests = 0
@@ -145,12 +161,40 @@
         self._connections.add(self)
         self._start_timer()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._turns.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(memoryview(self._turns.buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        if self._closing:
-            return
+        """Parse received bytes, as far as the waiting requests allow."""
+        self._received_at_s = self._loop.time()
+        pieces_before = self._body_pieces
+        self._unparsed += data
+        self._parse_received()
+        pieces = self._body_pieces - pieces_before
+        if len(data) >= READ_BYTES or pieces >= READ_PIECES:
+            self._reads_in_turn = True
+            self._pause_or_resume_reading()
+            self._wait_for_turn()
+
+    def _parse_received(self) -> None:
+        """Parse what was received until enough requests are waiting, then read on if it was all."""
+        data, self._unparsed = self._unparsed, b""
+        start = 0
+        while start < len(data) and not self._closing:
+            if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
+                self._unparsed = data[start:]
+                break
+            self._parse(data[start : start + PARSE_BYTES])
+            start += PARSE_BYTES
+        self._pause_or_resume_reading()
+
+    def _parse(self, data: bytes) -> None:
         if self._request_started_at_s is None:
-            self._request_started_at_s = self._loop.time()
-        completed_before, body_bytes_before = self._completed_requests, self._body_bytes
+            self._request_started_at_s = self._received_at_s
+        completed_before, body_bytes_before = self._completed_requests, len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -164,13 +208,11 @@
             return
         if self._completed_requests > completed_before:
             return
-        if self._body_bytes > body_bytes_before:
-            self._head_bytes = 0
-        else:
-            # Chunk extensions and trailers count like a head.
-            self._head_bytes += len(data)
-            if self._head_bytes > self._policy.limits().max_header_bytes:
-                self._reject(431)
+        # Chunk extensions and trailers count like a head.
+        self._head_bytes += len(data) - (len(self._body) - body_bytes_before)
+        allowed_bytes = FRAMING_BYTES_PER_BODY_BYTE * len(self._body)
+        if self._head_bytes > self._policy.limits().max_header_bytes + allowed_bytes:
+            self._reject(431)
 
     def eof_received(self) -> bool:
         return False
@@ -179,6 +221,7 @@
         self._connections.discard(self)
         self._transport = None
         self._closing = True
+        self._unparsed = b""
         self._pending_requests.clear()
         self._can_write.set()
         if self._timeout_timer is not None:
@@ -198,7 +241,7 @@
         request_started_at_s = self._request_started_at_s
         self._reset_request_state()
         self._request_started_at_s = (
-            request_started_at_s if request_started_at_s is not None else self._loop.time()
+            request_started_at_s if request_started_at_s is not None else self._received_at_s
         )
 
     def on_url(self, url: bytes) -> None:
@@ -207,7 +250,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_fields.append((name.lower(), value))
         self._header_field_bytes += len(name) + len(value) + 4
-        if self._header_field_bytes > self._policy.limits().max_header_bytes:
+        too_large = self._header_field_bytes > self._policy.limits().max_header_bytes
+        if too_large or len(self._header_fields) > MAX_FIELDS:
             self._error_status = 431
             raise httptools.HttpParserError("request head is too large")
 
@@ -223,11 +267,14 @@
                 self.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
-        self._body_chunks.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._policy.limits().max_body_bytes:
+        self._body += body
+        self._body_pieces += 1
+        if len(self._body) > self._policy.limits().max_body_bytes:
             self._error_status = 413
             raise httptools.HttpParserError("request body is too large")
+        if not pieces_allowed(self._body_pieces, len(self._body)):
+            self._error_status = 413
+            raise httptools.HttpParserError("request body has too many pieces")
 
     def on_message_complete(self) -> None:
         now_s = self._loop.time()
@@ -235,7 +282,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._target,
             headers=self._header_fields,
-            body=b"".join(self._body_chunks),
+            body=bytes(self._body),
             received_at_s=(
                 self._request_started_at_s if self._request_started_at_s is not None else now_s
             ),
@@ -246,10 +293,8 @@
         self._reset_request_state()
         self._completed_requests += 1
         self._pending_requests.append(request)
-        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
-        self._start_next_request()
+        if len(self._pending_requests) == 1 and not self._awaits_turn:
+            self._start_next_request()
 
     # Handling of requests in their order of arrival.
 
@@ -257,9 +302,6 @@
         if self._handler_task is None and self._pending_requests:
             self._cancel_timer()
             request = self._pending_requests.popleft()
-            if self._reading_paused and self._transport is not None:
-                self._reading_paused = False
-                self._transport.resume_reading()
             self._handler_task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
@@ -275,7 +317,29 @@
             else:
                 self._idle_since_s = self._loop.time()
                 self._start_timer()
-                self._start_next_request()
+                if self._pending_requests or self._unparsed:
+                    self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        """Start the next request, and read on, when it is this connection's turn."""
+        if not self._awaits_turn and not self._closing:
+            self._awaits_turn = True
+            self._turns.wait(self._policy, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = self._reads_in_turn = False
+        self._start_next_request()
+        self._parse_received()
+
+    def _pause_or_resume_reading(self) -> None:
+        must_pause = bool(self._unparsed) or self._reads_in_turn
+        if self._transport is None or must_pause is self._reading_paused:
+            return
+        self._reading_paused = must_pause
+        if must_pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _close_transport(self) -> None:
         if self._transport is not None:
@@ -339,8 +403,8 @@
         self._header_fields = []
         self._header_field_bytes = 0
         self._head_bytes = 0
-        self._body_chunks = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_pieces = 0
         self._reading_body = False
         self._error_status = 0
 
--- a/test/test_gateway_pulls.py
+++ b/test/test_gateway_pulls.py
@@ -23,8 +23,9 @@
     SourceChooser,
     decompress_view,
 )
-from godwitpath.http1.client import BodyBudget, ClientConnection, connect
+from godwitpath.http1.client import ClientConnection, connect
 from godwitpath.http1.messages import ResponseLost, encode_request_head
+from godwitpath.http1.response_limits import BodyBudget
 from godwitpath_standin.gateway.documents import (
     configuration_document,
     route,
