Bound requests to the ports for readiness, metrics and pulls

What was seen (trial): 20 unsigned requests with 15 MB bodies to the readiness port took the process from 31 to 331 MB, the limit of the machine; the metrics and the pull port do the same. Cause: these ports had the default limits of callers, 16 MB a body, and a pull's signature is checked once its body is complete.

--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -20,6 +20,7 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.peers import Peers
+from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.gateway.state_dump import StateDump
 from godwitpath.gateway.unreadable import UnreadableValues
 from godwitpath.http1.messages import Request
@@ -67,7 +68,7 @@
 
         :returns: the server, None if the address is in use; the daemon then serves no metrics
         """
-        policy = ServerPolicy(self._handle)
+        policy = ServerPolicy(self._handle, lambda: SERVICE_PORT_LIMITS)
         try:
             return await listen(address.host, address.port, policy, self._connections)
         except OSError as error:
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -39,6 +39,7 @@
 from godwitpath.gateway.peer_state import sum_loads
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView
 from godwitpath.gateway.permits import SendPermits
+from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.gateway.store import era_of
 from godwitpath.gateway.unreadable import UnreadableValues
@@ -114,7 +115,7 @@
         settings = self._ctx.settings
         port = settings.peer_ports[0]
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=(settings.host, port))
-        policy = ServerPolicy(self.puller.handle)
+        policy = ServerPolicy(self.puller.handle, lambda: SERVICE_PORT_LIMITS)
         self._server = await listen(settings.host, port, policy, self._connections)
 
     async def run(self) -> None:
--- a/godwitpath/gateway/readiness.py
+++ b/godwitpath/gateway/readiness.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
 from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
@@ -25,7 +26,7 @@
 
     async def listen(self, address: Address) -> asyncio.Server:
         """Listen on an address."""
-        policy = ServerPolicy(self._handle)
+        policy = ServerPolicy(self._handle, lambda: SERVICE_PORT_LIMITS)
         return await listen(address.host, address.port, policy, self._connections)
 
     async def _handle(self, request: Request, responder: Responder) -> None:
