End calls whose response goes on without end

What was seen (trial): a response of the store, the cloud or an engine's move that states no length and goes on at five bytes a second kept its call for ever: a watch then hears of no change, a lease lapses while its renewal waits, and the duty holder's report of usage never ends. One that goes on fast was kept up to 32 MB, for each of any number of moves.

Cause: the slowest rate of a transfer was applied to stated lengths only, and one bound, that of the largest value, to answers that contain no value.

Change: HttpApiClient reads a body without a stated length under the same slowest rate; answers without values have 64 KB, transactions and reads the bound of before. The errors are those of a lost response (StoreUncertain, StoreRefused, CloudUncertain, MoveFailed); a bound is logged as platform_response_limit with address, call, limit and amount, and counted as limit_exceeded.

Evidence: 9 of 10 cases of test_platform_endless_responses.py failed on the code before (the tenth says that large bodies without a length are still read).

--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from godwitpath.http1.client import MIN_TRANSFER_BYTES_PER_S, ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, encode_request_head
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
+from godwitpath.http1.response_limits import ResponseLimitExceeded
 from godwitpath.ports.engine import Address
+from godwitpath.telemetry.decisions import decision
 
 CONNECT_TIMEOUT_S = 0.8
 """Maximum time to open a connection: two round trips between regions and a lost first packet."""
@@ -20,6 +23,9 @@
 STALL_TIMEOUT_S = 0.8
 """Longest time without progress while a response arrives, as for a connection."""
 
+MAX_ANSWER_BYTES = 65_536
+"""Maximum size of a response that contains no values: a status, a number, or why it was refused."""
+
 MAX_CONNECTION_IDLE_S = 10.0
 """Maximum idle time of a connection that is reused."""
 
@@ -61,6 +67,7 @@
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
         may_send: Callable[[], bool] = lambda: True,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> ApiResponse:
         """Make a call and return its response.
 
@@ -69,16 +76,33 @@
         :param kind: kind of the call, under which it is counted in :attr:`calls`
         :param body: value that is encoded as JSON and sent as the request body, None for no body
         :param may_send: returns whether the call is still allowed once its connection is open
+        :param max_body_bytes: maximum size of the response's body
         :raises NotSent: the call was not carried out
         :raises ResponseLost: the call may have been carried out, or may be carried out later
         """
         try:
             response = await self.exchange(
-                method, target, body, headers, timeout_s=timeout_s, may_send=may_send
+                method,
+                target,
+                body,
+                headers,
+                timeout_s=timeout_s,
+                may_send=may_send,
+                max_body_bytes=max_body_bytes,
             )
         except NotSent:
             self.calls[(kind, "unreachable")] += 1
             raise
+        except ResponseLimitExceeded as error:
+            self.calls[(kind, "limit_exceeded")] += 1
+            decision(
+                "platform_response_limit",
+                address=str(self._address),
+                call=kind,
+                limit=error.limit,
+                amount=error.amount,
+            )
+            raise
         except ResponseLost:
             self.calls[(kind, "lost")] += 1
             raise
@@ -100,12 +124,14 @@
         headers: tuple[tuple[bytes, bytes], ...] = (),
         timeout_s: float | None = None,
         may_send: Callable[[], bool] = lambda: True,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> ApiResponse:
         """Send a request and return its response for any status.
 
         :param body: value that is encoded as JSON and sent as the request body, None for no body
         :param timeout_s: longest time until the response begins, None for no limit
         :param may_send: returns whether the request may be sent once its connection is open
+        :param max_body_bytes: maximum size of the response's body
         :raises NotSent: no byte of the request was sent
         :raises ResponseLost: no complete response arrived
         :raises TimeoutError: no response began in time
@@ -129,7 +155,7 @@
             async with asyncio.timeout_at(time_left.when()):
                 head = await connection.head()
             connection.idle_limit_s = keep_alive_limit_s(head.header(b"keep-alive"))
-            response_body = await connection.read_transfer(STALL_TIMEOUT_S)
+            response_body = await _read_body(connection, head, max_body_bytes)
         except BaseException:
             connection.close()
             raise
@@ -139,3 +165,32 @@
     def close(self) -> None:
         """Close every idle connection."""
         self._pool.close()
+
+
+async def _read_body(connection: ClientConnection, head: ResponseHead, max_bytes: int) -> bytes:
+    """Return the body of a response, which arrives at the slowest rate of a transfer or faster.
+
+    :raises ResponseLost: the connection ended, or the body is too slow or too large
+    """
+    if head.length_bytes is not None:
+        return await connection.read_transfer(STALL_TIMEOUT_S, max_bytes)
+    # A body that states no length may never end, however steadily it arrives.
+    loop = asyncio.get_running_loop()
+    started_at_s = progress_at_s = loop.time()
+    body = bytearray()
+    while True:
+        deadline_s = started_at_s + STALL_TIMEOUT_S + len(body) / MIN_TRANSFER_BYTES_PER_S
+        try:
+            async with asyncio.timeout_at(min(deadline_s, progress_at_s + STALL_TIMEOUT_S)):
+                chunk = await connection.read()
+        except TimeoutError as error:
+            if await connection.look_for_data() and loop.time() < deadline_s:
+                progress_at_s = loop.time()
+                continue
+            raise ResponseLost(f"timed out after {len(body)} bytes of a body") from error
+        if not chunk:
+            return bytes(body)
+        progress_at_s = loop.time()
+        body += chunk
+        if len(body) > max_bytes:
+            raise ResponseLimitExceeded("body bytes", len(body))
--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -25,8 +25,9 @@
     without_era,
 )
 from godwitpath.gateway.unreadable import UnreadableValues
+from godwitpath.http1.client import MAX_TRANSFER_BYTES
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost
-from godwitpath.platform.http_api import HttpApiClient
+from godwitpath.platform.http_api import MAX_ANSWER_BYTES, HttpApiClient
 from godwitpath.platform.store_items import (
     ItemsDecoder,
     ItemsResponse,
@@ -211,24 +212,34 @@
         self, kind: str, target: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> tuple[int, bytes, int]:
         try:
-            return await self._call(kind, "GET", target, None, timeout_s)
+            return await self._call(kind, "GET", target, None, timeout_s, MAX_TRANSFER_BYTES)
         except StoreUncertain as error:
             raise StoreRefused(str(error)) from error
 
     async def _write(
         self, kind: str, method: str, target: str, body: Any
     ) -> tuple[int, bytes, int]:
-        return await self._call(kind, method, target, body, CALL_TIMEOUT_S)
+        # The response to a transaction whose conditions do not hold contains the current values.
+        max_bytes = MAX_TRANSFER_BYTES if kind == "txn" else MAX_ANSWER_BYTES
+        return await self._call(kind, method, target, body, CALL_TIMEOUT_S, max_bytes)
 
     async def _call(
-        self, kind: str, method: str, target: str, body: Any, timeout_s: float
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        body: Any,
+        timeout_s: float,
+        max_body_bytes: int,
     ) -> tuple[int, bytes, int]:
         """Make a call; returns status and body of the response, and the store's era.
 
         :raises StoreUncertain: no response, or one from before the store was restored
         """
         try:
-            response = await self._api.call(kind, method, target, body, timeout_s=timeout_s)
+            response = await self._api.call(
+                kind, method, target, body, timeout_s=timeout_s, max_body_bytes=max_body_bytes
+            )
         except NotSent as error:
             raise StoreRefused(f"{kind}: {error}") from error
         except ResponseLost as error:
--- /dev/null
+++ b/test/test_platform_endless_responses.py
@@ -0,0 +1,145 @@
+"""Responses of the store, the cloud and engines that do not end: the call does, in bounded time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
+
+from godwitpath.gateway.cloud import CloudUncertain, FencingToken
+from godwitpath.gateway.evacuate import MoveFailed
+from godwitpath.platform.cloud import PlatformCloud
+from godwitpath.platform.http_api import MAX_ANSWER_BYTES
+from godwitpath.platform.run_mover import PlatformRunMover
+from godwitpath.platform.store import PlatformStore
+from godwitpath.ports.engine import Address
+from godwitpath.ports.kv import StoreRefused, StoreUncertain
+from test.raw_server import Exchange, raw_server
+
+TOKEN = FencingToken("d1", 7, lambda: True)
+
+ANSWERED_WITHIN_S = 3.0
+
+Call = Callable[[Address, Counter[tuple[str, str]]], Awaitable[object]]
+
+
+async def watch(address: Address, calls: Counter[tuple[str, str]]) -> None:
+    store = PlatformStore(address)
+    try:
+        await store.changes("k/", 1, 0.2)
+    finally:
+        calls.update(store.calls)
+        store.close()
+
+
+async def renew(address: Address, calls: Counter[tuple[str, str]]) -> None:
+    store = PlatformStore(address)
+    try:
+        await store.renew(1)
+    finally:
+        calls.update(store.calls)
+        store.close()
+
+
+async def report(address: Address, calls: Counter[tuple[str, str]]) -> None:
+    cloud = PlatformCloud(address)
+    try:
+        await cloud.report_usage(TOKEN, 1, {"a": 1})
+    finally:
+        calls.update(cloud.calls)
+        cloud.close()
+
+
+async def order(address: Address, calls: Counter[tuple[str, str]]) -> None:
+    cloud = PlatformCloud(address)
+    try:
+        await cloud.order_engines(TOKEN, "s", "a", 1, False)
+    finally:
+        calls.update(cloud.calls)
+        cloud.close()
+
+
+async def move(address: Address, calls: Counter[tuple[str, str]]) -> None:
+    await PlatformRunMover().move_run(address, "r1", address)
+
+
+async def send_slowly(exchange: Exchange) -> None:
+    exchange.start_chunks()
+    with suppress(OSError):
+        while True:
+            exchange.chunk(b" ")
+            await exchange.writer.drain()
+            await asyncio.sleep(0.2)
+
+
+async def send_fast(exchange: Exchange) -> None:
+    exchange.start_chunks()
+    with suppress(OSError):
+        while True:
+            exchange.chunk(b" " * 60_000)
+            await exchange.writer.drain()
+
+
+@pytest.mark.parametrize(
+    ("call", "failure"),
+    [
+        (watch, StoreRefused),
+        (renew, StoreUncertain),
+        (report, CloudUncertain),
+        (order, CloudUncertain),
+        (move, MoveFailed),
+    ],
+)
+async def test_a_call_ends_although_its_response_goes_on_slowly_without_end(
+    call: Call, failure: type[Exception]
+) -> None:
+    calls: Counter[tuple[str, str]] = Counter()
+    async with raw_server(send_slowly) as server:
+        async with asyncio.timeout(ANSWERED_WITHIN_S):
+            with pytest.raises(failure, match="timed out after"):
+                await call(server.address, calls)
+    assert all(outcome == "lost" for _, outcome in calls)
+
+
+@pytest.mark.parametrize(
+    ("call", "failure", "kind"),
+    [
+        (renew, StoreUncertain, "renew"),
+        (report, CloudUncertain, "usage"),
+        (order, CloudUncertain, "scale"),
+        (move, MoveFailed, ""),
+    ],
+)
+async def test_a_response_without_values_is_not_kept_beyond_its_bound(
+    call: Call, failure: type[Exception], kind: str
+) -> None:
+    calls: Counter[tuple[str, str]] = Counter()
+    async with raw_server(send_fast) as server:
+        async with asyncio.timeout(ANSWERED_WITHIN_S):
+            with pytest.raises(failure, match="limit of body bytes") as raised:
+                await call(server.address, calls)
+    amount = int(str(raised.value).split()[-1])
+    assert MAX_ANSWER_BYTES < amount < 4 * MAX_ANSWER_BYTES
+    assert calls == (Counter({(kind, "limit_exceeded"): 1}) if kind else Counter())
+
+
+async def test_a_large_body_without_a_stated_length_is_read() -> None:
+    async def send(exchange: Exchange) -> None:
+        exchange.start_chunks()
+        exchange.chunk(b'{"currentRev":7,"events":[')
+        for _ in range(40):
+            exchange.chunk(b" " * 60_000)
+            await exchange.writer.drain()
+            await asyncio.sleep(0.02)
+        exchange.chunk(b"]}")
+        exchange.chunk(b"")
+
+    async with raw_server(send) as server:
+        store = PlatformStore(server.address)
+        try:
+            assert await store.changes("k/", 1, 0.2) == ([], 7)
+        finally:
+            store.close()
