--- a/test/test_gateway_store_restore.py
+++ b/test/test_gateway_store_restore.py
@@ -10,7 +10,7 @@
 
 from godwitpath.gateway.catalogue import REAPPEAR_GRACE_S, Catalogue
 from godwitpath.gateway.engines import EngineRegistry, EngineState
-from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder
+from godwitpath.gateway.holder import HOLDER_KEY, LEASE_FACTOR, DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.members import (
     MEMBERS_PREFIX,
@@ -203,7 +203,20 @@
     assert engine.entry.state is EngineState.DRAINING
 
 
-async def test_fencing_tokens_rise_across_a_restore(running_store: RunningStore) -> None:
+WITH_AND_WITHOUT_FENCING = pytest.mark.parametrize(
+    ("bounds", "acquire_s"),
+    [
+        (Bounds(fencing_checked=True), 1.0),
+        (Bounds(fencing_checked=False), Bounds().lease_s * LEASE_FACTOR + 1.0),
+    ],
+    ids=["fencing-checked", "fencing-not-checked"],
+)
+
+
+@WITH_AND_WITHOUT_FENCING
+async def test_fencing_tokens_rise_across_a_restore(
+    running_store: RunningStore, bounds: Bounds, acquire_s: float
+) -> None:
     server, store, _ = running_store
     snapshot = server.core.snapshot()
     for _ in range(50):
@@ -211,10 +224,9 @@
     tokens = []
     for name in ("d1", "d2"):
         members = Members(store, name, MemberEntry("127.0.0.1", 1, "a", 1), Random(1))
-        bounds = Bounds(fencing_checked=True)
         holder = DutyHolder(store, members, name, bounds, Random(1), lambda *_: 0.0)
         tasks = [asyncio.create_task(job) for job in (members.run(), holder.run())]
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.0 + acquire_s)
         token = holder.fencing_token()
         assert token is not None
         tokens.append(token.number)
@@ -325,18 +337,18 @@
         assert {each.ctx.in_force.version for each in daemons} == {9}
 
 
+@WITH_AND_WITHOUT_FENCING
 async def test_a_holder_whose_key_a_restore_lost_acts_under_a_new_token_only(
-    running_store: RunningStore,
+    running_store: RunningStore, bounds: Bounds, acquire_s: float
 ) -> None:
     server, store, _ = running_store
     members = Members(store, "d1", MemberEntry("127.0.0.1", 1, "a", 1), Random(1))
-    bounds = Bounds(fencing_checked=True)
     holder = DutyHolder(store, members, "d1", bounds, Random(1), lambda *_: 0.0)
     tasks = [asyncio.create_task(members.run())]
     await asyncio.sleep(1.0)
     snapshot = server.core.snapshot()
     tasks.append(asyncio.create_task(holder.run()))
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(acquire_s)
     token = holder.fencing_token()
     assert token is not None
     valid_until_s = holder._valid_until_s
