Claim no removal of an engine that a listing found while the engine is kept

Cause: a daemon whose entries vanished while the store was away keeps the engines for 2.2 s. Where it found the removals by a listing, after its history was lost, it gave them the listing's revision, and so claimed to have applied all changes up to the one before, the real removals among them. A daemon that pulled its view took the entries, and its watch went on after the removals (skip_to_revision). A daemon that pulled before it had listed kept them too: a listing removes the keys that the watcher knows, and it was not told those that came from peers.

Fix: such a removal claims the revision up to which every change was reported before the listing; the watcher is told the keys of a peer's view. Messages are unchanged.

Evidence: the three tests of test_gateway_pending_removals.py failed on the code before and pass. Tests of freshness, catalogue, odd items and restores: 108 passed.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -61,11 +61,11 @@
     """Removal of an engine's entry that is not applied yet: the engine may register again.
 
     :ivar drop_at_s: loop time at which the engine is dropped if it has not registered again
-    :ivar revision: store revision of the removal
+    :ivar known_revision: store revision at which the entry is known to have existed
     """
 
     drop_at_s: float
-    revision: int
+    known_revision: int
 
 
 class Catalogue:
@@ -143,8 +143,8 @@
         A pending removal does not count as applied: a peer that pulled the entries as of the
         revision of the removal would keep the removed engine.
         """
-        before_removals = [removal.revision - 1 for removal in self._pending_removals.values()]
-        return min([self._newest_revision, *before_removals])
+        known_revisions = [removal.known_revision for removal in self._pending_removals.values()]
+        return min([self._newest_revision, *known_revisions])
 
     @property
     def seen_revision(self) -> int:
@@ -300,8 +300,8 @@
             self._drop_key(key, source)
         for key in self.raw_entries.keys() | entries.keys():
             self._revision_by_key[key] = max(self._revision_by_key.get(key, 0), revision)
+            self.entries_watcher.note_key(key)
         self.raw_entries = entries
-        # The watch of the store need not repeat changes up to this revision.
         self.entries_watcher.skip_to_revision(revision)
 
     def _is_outdated(self, key: str, revision: int) -> bool:
@@ -347,7 +347,8 @@
         # Engines whose entries lapsed during a store outage register again soon after it.
         drop_at_s = self.entries_watcher.recovered_at_s + REAPPEAR_GRACE_S
         if drop_at_s > now_s and self._engines.get(engine_id) is not None:
-            self._pending_removals[engine_id] = _PendingRemoval(drop_at_s, revision)
+            known_revision = self.entries_watcher.revision_before(revision)
+            self._pending_removals[engine_id] = _PendingRemoval(drop_at_s, known_revision)
             return
         self.drop_entry(engine_id, "store")
 
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -79,6 +79,8 @@
         self._confirmed = False
         # Era of the last revision, which is kept while the prefix is listed again.
         self._era = 0
+        # Revision up to which every change was reported, also while the prefix is listed again.
+        self._complete_revision = 0
         # Ends the watch request that waits, None while none does.
         self._watch_timeout: asyncio.Timeout | None = None
         store.on_restored(self._end_watch)
@@ -118,8 +120,15 @@
         if self.revision:
             self.revision = max(self.revision, revision)
 
+    def revision_before(self, removal_revision: int) -> int:
+        """Return the store revision before a removal that is being reported.
+
+        A listing does not say when between its revision and the last one the removal was.
+        """
+        return removal_revision - 1 if self.revision else self._complete_revision
+
     def note_key(self, key: str) -> None:
-        """Note a key that this daemon wrote, so that a listing without the key removes it."""
+        """Note a key that did not come from the store, so that a listing without it removes it."""
         self._keys.add(key)
 
     async def _list_or_watch(self) -> None:
@@ -143,7 +152,7 @@
                 self._apply_removal(change.key, change.revision)
             else:
                 self._apply_item(change.item, change.item.revision)
-        self.revision = max(self.revision, revision)
+        self.revision = self._complete_revision = max(self.revision, revision)
         if changes:
             # Lets further changes accumulate, so that one watch request returns them together.
             await asyncio.sleep(self._pause_s())
@@ -178,7 +187,7 @@
                 await self._look_up(key, listing.revision)
             else:
                 self._apply_removal(key, listing.revision)
-        self.revision = listing.revision
+        self.revision = self._complete_revision = listing.revision
         self.synced.set()
 
     async def _look_up(self, key: str, revision: int) -> None:
