Pause between watches of a store that answers each at once

What happens: a store that answers every watch without waiting, with a change, without any, or that its history was removed, is asked again at once, without end: the daemon's only thread does little else. Cause: only errors of the store made the watcher pause.

Change: 20 ms between the starts of watches that bring changes, .1 s of those that bring none before their wait, and a growing pause of .1 to .8 s once a loss of history follows another one within 2 s. The first loss is still acted on at once.

Evidence: the three cases of the new test failed before (more than 500, 110 and 20 watches in 10 s of the loop's clock, where the test ends them), and pass.

--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -27,6 +27,12 @@
 RETRY_MAX_S = 0.8
 """Longest backoff while the store does not respond."""
 
+MIN_WATCH_INTERVAL_S = 0.02
+"""Shortest interval between two watch requests, for a store that always has changes."""
+
+REPEATED_LOSS_S = 2.0
+"""Time after a loss of history within which another one makes the watcher pause."""
+
 
 class StoreWatcher:
     """Lists a prefix, then watches it and reports each change to callbacks.
@@ -81,6 +87,9 @@
         self._era = 0
         # Ends the watch request that waits, None while none does.
         self._watch_timeout: asyncio.Timeout | None = None
+        # Loop time of the last loss of history, and the pause after another one soon.
+        self._lost_at_s = -math.inf
+        self._loss_pause_s = 0.0
         store.on_restored(self._end_watch)
 
     async def run(self) -> None:
@@ -93,6 +102,7 @@
             except HistoryLost as error:
                 decision("store_history_lost", prefix=self._prefix, reason=str(error))
                 self.revision = 0
+                await asyncio.sleep(self._pause_after_loss_s())
             except StoreError as error:
                 self._confirmed = False
                 self._note_outage(error)
@@ -133,7 +143,9 @@
             await asyncio.sleep(IDLE_POLL_S)
             return
         wait_s = self._wait_s if self._confirmed else CONFIRM_WAIT_S
+        started_at_s = asyncio.get_running_loop().time()
         changes, revision = await self._watch(wait_s)
+        took_s = asyncio.get_running_loop().time() - started_at_s
         self._confirmed = True
         self._note_response()
         for change in changes:
@@ -146,7 +158,19 @@
         self.revision = max(self.revision, revision)
         if changes:
             # Lets further changes accumulate, so that one watch request returns them together.
-            await asyncio.sleep(self._pause_s())
+            await asyncio.sleep(max(self._pause_s(), MIN_WATCH_INTERVAL_S - took_s))
+        else:
+            # Without changes the store should have waited for them.
+            await asyncio.sleep(max(0.0, min(RETRY_MIN_S, wait_s) - took_s))
+
+    def _pause_after_loss_s(self) -> float:
+        """Return the pause after a loss of history: none, unless such losses repeat."""
+        now_s = asyncio.get_running_loop().time()
+        repeated = now_s - self._lost_at_s < REPEATED_LOSS_S
+        self._lost_at_s = now_s
+        pause_s = self._loss_pause_s if repeated else 0.0
+        self._loss_pause_s = min(RETRY_MAX_S, max(RETRY_MIN_S, pause_s * 2))
+        return pause_s
 
     async def _watch(self, wait_s: float) -> tuple[list[Change], int]:
         """Wait for changes, at most until another call learns that the store was restored."""
--- a/test/test_gateway_store_watch.py
+++ b/test/test_gateway_store_watch.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from godwitpath.gateway.store import Item
+from godwitpath.gateway.store import Change, HistoryLost, Item
 from godwitpath.gateway.store_watch import StoreWatcher
 from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 
@@ -146,3 +146,39 @@
         await state.store.get("x")
         await asyncio.sleep(0.1)
         assert state.values["k/a"] == b"2"
+
+
+def always_a_change(state: Watched) -> list[Change]:
+    revision = state.core.put("k/a", b"2")
+    return [Change("k/a", revision, Item("k/a", b"2", revision, 1, 0))]
+
+
+def never_a_change(state: Watched) -> list[Change]:
+    return []
+
+
+def no_history(state: Watched) -> list[Change]:
+    raise HistoryLost("the history was removed")
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("answer", "most_watches"),
+    [(always_a_change, 500), (never_a_change, 110), (no_history, 20)],
+)
+async def test_a_store_that_answers_every_watch_at_once_is_not_asked_without_pause(
+    answer: Callable[[Watched], list[Change]], most_watches: int
+) -> None:
+    async with watched() as state:
+        watches = 0
+
+        async def changes(prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+            nonlocal watches
+            watches += 1
+            assert watches <= most_watches
+            return answer(state), after
+
+        state.store.changes = changes  # type: ignore[method-assign]
+        state.core.put("k/a", b"2")
+        await asyncio.sleep(10.0)
+        assert 5 < watches <= most_watches
