Bound responses of the store by items, not by bytes alone

What was seen (trials, a stand-in store in the same process): a listing of 900,000 tiny items in one response of 30 MB took 264 MB and blocked the loop for most of 3.3 s; pages without end took 236 MB, 228 of which were kept after their failure; an array of 15 million numbers in place of an item blocked it for 21.8 s, and 8 million numbers in place of items did not end within 60 s and 2.5 GB.

Cause: the bounds count bytes of a response and pages of a listing; objects are made of every part before anything counts them.

Change: at most 20,000 items a response and a listing, counted by their brackets before they are decoded; at most 32 MB a listing; at most 262,144 tokens where an unreadable part has to be found. A listing is then refused, a watch lists again, a transaction is uncertain; logged as platform_response_limit and counted.

Six of the new cases of test_platform_endless_responses.py failed before.

--- a/godwitpath/platform/json_parts.py
+++ b/godwitpath/platform/json_parts.py
@@ -13,6 +13,10 @@
 
 from godwitpath.decoding import Unreadable, decode
 
+MAX_TOKENS = 262_144
+"""Maximum number of strings, brackets and commas of a text. Each takes about half a microsecond, in
+which nothing else runs."""
+
 _STRING = rb'"[^"\\]*(?:\\.[^"\\]*)*"'
 
 # Runs of brackets are matched together, so that deep nesting is as fast as a long text.
@@ -53,7 +57,9 @@
         raise Unreadable("another type of value")
     open_brackets = bytearray()
     start = 1
-    for token in _TOKEN.finditer(text):
+    for count_before, token in enumerate(_TOKEN.finditer(text)):
+        if count_before == MAX_TOKENS:
+            raise Unreadable(f"more than {MAX_TOKENS} tokens")
         first = token[0][:1]
         if token[0] == b'"':
             raise Unreadable("a string does not end")
--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -29,11 +29,13 @@
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost
 from godwitpath.platform.http_api import MAX_ANSWER_BYTES, HttpApiClient
 from godwitpath.platform.store_items import (
+    MAX_ITEMS,
     ItemsDecoder,
     ItemsResponse,
     ListPage,
     Number,
     RawItem,
+    TooManyItems,
     TxnConflictItems,
     UnreadableItem,
     WatchResult,
@@ -82,6 +84,7 @@
 
     def __init__(self, address: Address) -> None:
         self._api = HttpApiClient(address)
+        self._address = address
         self.calls = self._api.calls
         self.unreadable = UnreadableValues("store_item_unreadable")
         # Newest era of a response, None before the first one.
@@ -106,16 +109,25 @@
         revision = 0
         first_era = 0
         after = ""
+        total_bytes = 0
         for page_number in range(MAX_LIST_PAGES):
             query = {"prefix": prefix} | ({"after": after} if after else {})
             _, body, era = await self._read("list", f"/kv-range?{urlencode(query)}")
-            page, unreadable_of_page = _decode_items(body, _list_decoder, prefix)
+            total_bytes += len(body)
+            if total_bytes > MAX_TRANSFER_BYTES:
+                raise self._limit_exceeded("list", "listing bytes", total_bytes)
+            try:
+                page, unreadable_of_page = _decode_items(body, _list_decoder, prefix)
+            except TooManyItems as error:
+                raise self._limit_exceeded("list", "items", error.amount) from error
             if page_number == 0:
                 revision, first_era = with_era(era, page.current_rev), era
             elif era != first_era:
                 raise StoreRefused("list: the store was restored between two pages")
             items.extend(_to_item(entry, era) for entry in page.entries)
             unreadable.extend(unreadable_of_page)
+            if len(items) + len(unreadable) > MAX_ITEMS:
+                raise self._limit_exceeded("list", "items", len(items) + len(unreadable))
             if not page.has_more:
                 break
             last_key = page.entries[-1].key if page.entries else ""
@@ -146,7 +158,12 @@
             raise HistoryLost(f"the history of {prefix} after revision {number} was removed")
         if era != era_of(after):
             raise HistoryLost(f"the store was restored after revision {number} of {prefix}")
-        response, unreadable = _decode_items(body, _watch_decoder, prefix)
+        try:
+            response, unreadable = _decode_items(body, _watch_decoder, prefix)
+        except TooManyItems as error:
+            # A listing may have fewer items than the history.
+            refused = self._limit_exceeded("watch", "items", error.amount)
+            raise HistoryLost(str(refused)) from error
         unreadable += remove_future_changes(response)
         self._note_unreadable(prefix, unreadable)
         if any(each.any_key for each in unreadable):
@@ -182,7 +199,11 @@
         }
         status, response, era = await self._write("txn", "POST", "/kv-txn", body)
         if status == 412:
-            current, _ = _decode_items(response, _conflict_decoder)
+            try:
+                current, _ = _decode_items(response, _conflict_decoder)
+            except TooManyItems as error:
+                refused = self._limit_exceeded("txn", "items", error.amount)
+                raise StoreUncertain(str(refused)) from error
             raise TxnConflict([_to_item(entry, era) for entry in current.entries])
         if status == 404:
             raise LeaseLapsed("the lease of a put has ended")
@@ -246,6 +267,18 @@
             raise StoreUncertain(f"{kind}: {error}") from error
         return response.status, response.body, self._note_era(kind, response.head)
 
+    def _limit_exceeded(self, kind: str, limit: str, amount: int) -> StoreRefused:
+        """Count and log a response that would cost too much, and return the error."""
+        self.calls[(kind, "limit_exceeded")] += 1
+        decision(
+            "platform_response_limit",
+            address=str(self._address),
+            call=kind,
+            limit=limit,
+            amount=amount,
+        )
+        return StoreRefused(f"{kind}: the response exceeds the limit of {limit}: {amount}")
+
     def _note_unreadable(self, prefix: str, items: Iterable[UnreadableItem]) -> None:
         for item in items:
             if item.removed:
@@ -284,6 +317,8 @@
 ) -> tuple[P, list[UnreadableItem]]:
     try:
         return decoder.decode(body, prefix)
+    except TooManyItems:
+        raise
     except Unreadable as error:
         raise StoreUncertain(f"response of the store cannot be decoded: {error}") from error
 
--- a/godwitpath/platform/store_items.py
+++ b/godwitpath/platform/store_items.py
@@ -17,6 +17,10 @@
 MAX_KEY_LENGTH = 200
 """Maximum length of a key of the store."""
 
+MAX_ITEMS = 20_000
+"""Maximum number of items of a response, and of a whole listing, many times those of the largest
+fleets: a short item takes several times as much memory as it has bytes."""
+
 Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << ERA_BITS) - 1)]
 """The store's own number of a revision."""
 
@@ -78,6 +82,17 @@
     removed: bool = False
 
 
+class TooManyItems(Unreadable):
+    """A response or a listing has too many items.
+
+    :ivar amount: number of items, at least as far as they were counted
+    """
+
+    def __init__(self, amount: int) -> None:
+        super().__init__(f"more than {MAX_ITEMS} items: {amount}")
+        self.amount = amount
+
+
 class ItemsDecoder(Generic[P]):
     """Decodes a type of response that has items in one of its fields.
 
@@ -93,8 +108,13 @@
         """Return a response with the items that can be read, and the others.
 
         :param prefix: prefix of the keys that the response is about
+        :raises TooManyItems: the response has more items than :data:`MAX_ITEMS`
         :raises Unreadable: the response cannot be read, apart from its items
         """
+        # Before objects are made of them. An item is an object, and so is the response.
+        brackets = body.count(b"{") - 1
+        if brackets > MAX_ITEMS:
+            raise TooManyItems(brackets)
         unreadable: list[UnreadableItem] = []
         try:
             response = decode(self._decoder, body)
@@ -113,6 +133,8 @@
     def _decode_parts(self, body: bytes) -> tuple[P, list[UnreadableItem]]:
         fields = split_object(body)
         texts = split_array(fields.pop(self._items_field, b"[]"))
+        if len(texts) > MAX_ITEMS:
+            raise TooManyItems(len(texts))
         rest = b",".join(msgspec.json.encode(name) + b":" + fields[name] for name in fields)
         response = decode(self._decoder, b"{" + rest + b"}")
         items = getattr(response, self._items_field)
--- a/test/test_platform_endless_responses.py
+++ b/test/test_platform_endless_responses.py
@@ -11,12 +11,14 @@
 
 from godwitpath.gateway.cloud import CloudUncertain, FencingToken
 from godwitpath.gateway.evacuate import MoveFailed
+from godwitpath.gateway.store import HistoryLost
+from godwitpath.platform import store_items
 from godwitpath.platform.cloud import PlatformCloud
 from godwitpath.platform.http_api import MAX_ANSWER_BYTES
 from godwitpath.platform.run_mover import PlatformRunMover
 from godwitpath.platform.store import PlatformStore
 from godwitpath.ports.engine import Address
-from godwitpath.ports.kv import StoreRefused, StoreUncertain
+from godwitpath.ports.kv import StoreError, StoreRefused, StoreUncertain
 from test.raw_server import Exchange, raw_server
 
 TOKEN = FencingToken("d1", 7, lambda: True)
@@ -143,3 +145,87 @@
             assert await store.changes("k/", 1, 0.2) == ([], 7)
         finally:
             store.close()
+
+
+MANY = 30_000
+
+
+def listed(entries: bytes, has_more: bool = False) -> bytes:
+    more = b"true" if has_more else b"false"
+    return b'{"currentRev":7,"entries":[' + entries + b'],"hasMore":' + more + b"}"
+
+
+def tiny_items() -> bytes:
+    return b",".join(b'{"key":"k/%d","revision":1}' % number for number in range(MANY))
+
+
+async def list_all(address: Address) -> tuple[Counter[tuple[str, str]], str]:
+    """List a prefix, which fails; returns the counted calls and why it failed."""
+    store = PlatformStore(address)
+    try:
+        with pytest.raises(StoreError) as raised:
+            await store.list_items("k/")
+        return store.calls, str(raised.value)
+    finally:
+        store.close()
+
+
+@pytest.mark.parametrize(
+    ("entries", "outcomes"),
+    [
+        (tiny_items(), {"200", "limit_exceeded"}),
+        (b"1," * MANY + b"1", {"200", "limit_exceeded"}),
+        (b"[" + b"1," * 400_000 + b"1]", {"200"}),
+    ],
+    ids=["tiny items", "no objects", "one long array"],
+)
+async def test_a_page_of_very_many_items_is_refused_before_objects_are_made_of_them(
+    entries: bytes, outcomes: set[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = Counter[str]()
+    describe = store_items._describe
+
+    def count(text: bytes, reason: str) -> store_items.UnreadableItem:
+        made["item"] += 1
+        return describe(text, reason)
+
+    monkeypatch.setattr(store_items, "_describe", count)
+    async with raw_server(lambda exchange: respond(exchange, listed(entries))) as server:
+        calls, reason = await list_all(server.address)
+    assert "items" in reason or "tokens" in reason
+    assert {outcome for _, outcome in calls} == outcomes
+    assert not made
+
+
+@pytest.mark.parametrize(("items", "value_bytes"), [(900, 0), (1, 3_000_000)])
+async def test_pages_without_end_are_refused_in_bounded_memory(
+    items: int, value_bytes: int
+) -> None:
+    async def serve(exchange: Exchange) -> None:
+        first = exchange.number * items
+        entries = b",".join(
+            b'{"key":"k/%09d","revision":1,"value":"%b"}' % (number, b"A" * value_bytes)
+            for number in range(first, first + items)
+        )
+        await respond(exchange, listed(entries, has_more=True))
+
+    async with raw_server(serve) as server:
+        calls, reason = await list_all(server.address)
+    assert "items" in reason or "listing bytes" in reason
+    assert calls[("list", "limit_exceeded")] == 1
+    assert calls[("list", "200")] < 25
+
+
+async def test_a_watch_of_very_many_changes_is_followed_by_a_listing() -> None:
+    body = b'{"currentRev":7,"events":[' + tiny_items() + b"]}"
+    async with raw_server(lambda exchange: respond(exchange, body)) as server:
+        store = PlatformStore(server.address)
+        with pytest.raises(HistoryLost, match="limit of items"):
+            await store.changes("k/", 1, 0.2)
+        store.close()
+    assert store.calls[("watch", "limit_exceeded")] == 1
+
+
+async def respond(exchange: Exchange, body: bytes) -> None:
+    exchange.respond(body)
+    await exchange.writer.drain()
