Bound the entries of a pulled view before they are decoded

What was seen (trial): a compressed view of 3.2 MB grew to 13.3 MB, within the bound of 16 MB, and to 1.6 million entries: 213 MB, and 1.2 s in which nothing else ran. Cause: the bound counts bytes. Change: a view has at most 20,000 entries; MessagePack states their number before them, so that none is decoded. The pull fails as before (pull_failed with the bound, its peer is avoided for 3 s).

--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -171,6 +171,9 @@
 
 StatedRevisions = TypeVar("StatedRevisions", PeerReport, ZoneSummary, "CatalogueView")
 
+MAX_ENTRIES = 20_000
+"""Maximum number of entries of a view, many times the engines of the largest fleets."""
+
 
 class CatalogueView(msgspec.Struct, array_like=True):
     """A daemon's view of the configuration and the engines, for a peer without access to the store.
@@ -190,7 +193,7 @@
     fresh: bool
     configuration_revision: Number
     value: bytes
-    entries: dict[str, bytes]
+    entries: Annotated[dict[str, bytes], msgspec.Meta(max_length=MAX_ENTRIES)]
     engines_revision: Number
     configuration_age_s: Age | None = None
     engines_age_s: Age | None = None
--- a/test/test_gateway_pulls.py
+++ b/test/test_gateway_pulls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import tracemalloc
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -13,8 +14,9 @@
 import msgspec
 import pytest
 
+from godwitpath.decoding import Unreadable, decode
 from godwitpath.gateway.engines import EngineState
-from godwitpath.gateway.peer_messages import CatalogueView, seal, unseal
+from godwitpath.gateway.peer_messages import CatalogueView, seal, unseal, view_decoder
 from godwitpath.gateway.pulls import (
     FAILED_SOURCE_S,
     MAX_VIEW_BYTES,
@@ -302,3 +304,18 @@
     for data in (b"view", zlib.compress(b"view")[:-1], zlib.compress(bytes(MAX_VIEW_BYTES + 1))):
         with pytest.raises(ResponseLost):
             decompress_view(data)
+
+
+def test_a_small_view_that_grows_to_very_many_entries_is_refused_before_they_are_decoded() -> None:
+    entries = {f"{number:x}": b"" for number in range(400_000)}
+    compressed = zlib.compress(msgspec.msgpack.encode(CatalogueView(False, 1, b"", entries, 1)))
+    view = decompress_view(compressed)
+    del entries
+    tracemalloc.start()
+    try:
+        with pytest.raises(Unreadable, match="length <= "):
+            decode(view_decoder, view)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 1_000_000
