Report usage although the counts of open windows cannot be read

Callers saw nothing; the platform got no usage report any more: a new duty holder read pin, statement and open counts before its first report, and an item of the open counts that the store returned unreadable failed this read each time, although only a holder that has read them writes them anew.

Pin and statement decide what may be reported, so a holder still waits for them. The open counts only add what daemons counted that do not run any more; without them the reports go on, and the next write replaces them.

test_open_counts_that_cannot_be_read_do_not_stop_the_reports failed on the code before: windows 201 and 202 were missing after 15 s.

--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -22,7 +22,15 @@
 from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain, FencedOff, FencingToken
 from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder, boot_time_s
 from godwitpath.gateway.settings import Bounds
-from godwitpath.gateway.store import Item, Precondition, Put, Store, TxnConflict, era_of
+from godwitpath.gateway.store import (
+    Item,
+    ItemUnreadable,
+    Precondition,
+    Put,
+    Store,
+    TxnConflict,
+    era_of,
+)
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.usage_progress import Progress, resume
 from godwitpath.gateway.usage_store import (
@@ -221,10 +229,18 @@
     async def _look_up_missing(self, items: dict[str, Item]) -> None:
         """Read the keys that a listing lacks, since it contains items that cannot be read.
 
-        :raises StoreError: whether one of them exists cannot be read
+        Reports go on without the open counts, which daemons that run report again.
+
+        :raises StoreError: whether one of the others exists cannot be read
         """
         for key in (PIN_KEY, TERM_KEY, OPEN_KEY):
-            item = None if key in items else await self._store.get(key)
+            try:
+                item = None if key in items else await self._store.get(key)
+            except ItemUnreadable as error:
+                if key != OPEN_KEY:
+                    raise
+                decision("usage_state_unreadable", key=key, reason=str(error))
+                continue
             if item is not None:
                 items[key] = item
 
--- a/test/test_gateway_usage_restore.py
+++ b/test/test_gateway_usage_restore.py
@@ -8,7 +8,7 @@
 import pytest
 
 from godwitpath.gateway.usage_duty import UsageDuty
-from godwitpath.gateway.usage_store import PIN_KEY, TERM_KEY
+from godwitpath.gateway.usage_store import OPEN_KEY, PIN_KEY, TERM_KEY
 from godwitpath_standin.gateway.cloud import FakeCloud
 from godwitpath_standin.gateway.store_core import StoreCore
 from test.test_gateway_duties import Daemon, boot_clock, make_usage_duty
@@ -93,6 +93,20 @@
         assert all(len(counts) == 1 for counts in usage.values()), usage
         assert usage.keys() >= set(range(203, 206))
 
+    async def test_open_counts_that_cannot_be_read_do_not_stop_the_reports(self) -> None:
+        core, cloud, stale = StoreCore(), FakeCloud(), set[int]()
+        first = UsageDaemon(core, cloud, 0, stale)
+        await asyncio.sleep(9.5)
+        assert 200 in cloud.usage
+        await first.kill()
+        stale.add(0)
+        successor = UsageDaemon(core, cloud, 1, stale)
+        successor.daemon.store.faults.unreadable_keys = {OPEN_KEY}
+        await asyncio.sleep(15.0)
+        await successor.kill()
+        assert {201, 202} <= cloud.usage.keys()
+        assert all(len(counts) == 1 for counts in cloud.usage.values()), cloud.usage
+
     @pytest.mark.parametrize("nameless", [False, True])
     async def test_a_pin_that_cannot_be_read_is_not_taken_for_a_lost_one(
         self, nameless: bool
