Bound the parts of a configuration before they are decoded

What was seen (trial): a configuration of 24.5 MB, within the bound of a value, with 330,000 routes took 250 MB and 4.8 s in which nothing else ran, on every daemon at the same time. Cause: the bound of a value counts bytes.

Change: at most 250,000 objects and commas, some 40,000 routes. A larger one is configuration_unreadable, with the bound and the amount, and the last one stays.

--- a/godwitpath/platform/configuration.py
+++ b/godwitpath/platform/configuration.py
@@ -107,6 +107,10 @@
 
 _decoder = msgspec.json.Decoder(_Configuration, strict=False)
 
+MAX_PARTS = 250_000
+"""Maximum number of a configuration's objects and commas, which is that of some 40,000 routes. They
+are decoded while nothing else runs, by all daemons at the same time."""
+
 
 def decode_configuration(value: bytes, revision: int) -> Configuration:
     """Decode a configuration.
@@ -115,6 +119,11 @@
     :param revision: store revision of the value
     :raises ConfigurationUnreadable: the value is not a valid configuration
     """
+    parts = value.count(b"{") + value.count(b",")
+    if parts > MAX_PARTS:
+        raise ConfigurationUnreadable(
+            f"configuration of revision {revision}: more than {MAX_PARTS} parts: {parts}"
+        )
     try:
         raw = decode(_decoder, value)
     except Unreadable as error:
--- a/test/test_platform_configuration.py
+++ b/test/test_platform_configuration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -88,3 +89,32 @@
         lines = await environment.log()
         kinds = [line["message_type"] for line in lines]
         assert kinds.count("configuration_unreadable") == 1
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"version":1,"routes":['
+        + b",".join([b'{"name":"r","host":"h","prefix":"/","kind":"k"}'] * 60_000)
+        + b"]}",
+        b'{"version":1,"tenants":[{"name":"t","apiKeys":[' + b'"k",' * 300_000 + b'"k"]}]}',
+    ],
+    ids=["routes", "keys"],
+)
+def test_a_configuration_of_very_many_parts_is_refused_before_objects_are_made_of_them(
+    value: bytes,
+) -> None:
+    tracemalloc.start()
+    try:
+        with pytest.raises(ConfigurationUnreadable, match="more than 250000 parts: 300"):
+            decode_configuration(value, 1)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 1_000_000
+
+
+def test_a_configuration_of_many_routes_is_read() -> None:
+    routes = [{"name": f"r{each}", "host": "h", "prefix": "/", "kind": "k"} for each in range(5000)]
+    value = json.dumps({"version": 1, "routes": routes}).encode()
+    assert len(decode_configuration(value, 1).routes) == 5000
