List a prefix again when its watches bring ever new keys

What happens: a listing is bounded, but each watch may bring as many new keys again, which are kept without end. Cause: nothing counts what is known of a prefix.

Change: beyond 20,000 keys or 32 MB of values the watcher lists the prefix again, which forgets the keys that are not there, or is refused by the bound of a listing; the reason is in store_history_lost, and repeated losses pause.

--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -30,6 +30,12 @@
 MIN_WATCH_INTERVAL_S = 0.02
 """Shortest interval between two watch requests, for a store that always has changes."""
 
+MAX_KEYS = 20_000
+"""Maximum number of keys that are known of a prefix, many times those of the largest fleets."""
+
+MAX_KNOWN_BYTES = 33_554_432
+"""Maximum size of their values."""
+
 REPEATED_LOSS_S = 2.0
 """Time after a loss of history within which another one makes the watcher pause."""
 
@@ -80,7 +86,9 @@
         self._pause_s = pause_s
         self._should_watch = should_watch
         self._on_unreadable = on_unreadable
-        self._keys: set[str] = set()
+        # Size of the value of each known key.
+        self._keys: dict[str, int] = {}
+        self._known_bytes = 0
         # Whether the last watch request was answered, so that the next one may wait for changes.
         self._confirmed = False
         # Era of the last revision, which is kept while the prefix is listed again.
@@ -130,7 +138,7 @@
 
     def note_key(self, key: str) -> None:
         """Note a key that this daemon wrote, so that a listing without the key removes it."""
-        self._keys.add(key)
+        self._keys.setdefault(key, 0)
 
     async def _list_or_watch(self) -> None:
         if not self.revision:
@@ -155,6 +163,7 @@
                 self._apply_removal(change.key, change.revision)
             else:
                 self._apply_item(change.item, change.item.revision)
+            self._check_known()
         self.revision = max(self.revision, revision)
         if changes:
             # Lets further changes accumulate, so that one watch request returns them together.
@@ -197,7 +206,7 @@
             self._apply_item(item, listing.revision)
         for key in listing.unreadable_keys:
             self._note_unreadable(key)
-        for key in self._keys - listed_keys:
+        for key in self._keys.keys() - listed_keys:
             if listing.any_key_missing:
                 await self._look_up(key, listing.revision)
             else:
@@ -221,20 +230,28 @@
             self._apply_item(item, revision)
 
     def _apply_item(self, item: Item, revision: int) -> None:
-        self._keys.add(item.key)
+        self._known_bytes += len(item.value) - self._keys.get(item.key, 0)
+        self._keys[item.key] = len(item.value)
         self.unreadable_keys.discard(item.key)
         # A later page, or a key that is read by itself, may be newer than the listing or the
         # changes. The watch, which goes on at their revision, repeats all changes since.
         if item.revision <= revision:
             self._on_item(item)
 
+    def _check_known(self) -> None:
+        """List the prefix again if the changes say that more is in it than a listing may have."""
+        if len(self._keys) > MAX_KEYS:
+            raise HistoryLost(f"more than {MAX_KEYS} keys: {len(self._keys)}")
+        if self._known_bytes > MAX_KNOWN_BYTES:
+            raise HistoryLost(f"values of more than {MAX_KNOWN_BYTES} bytes: {self._known_bytes}")
+
     def _apply_removal(self, key: str, revision: int) -> None:
-        self._keys.discard(key)
+        self._known_bytes -= self._keys.pop(key, 0)
         self.unreadable_keys.discard(key)
         self._on_removed(key, revision)
 
     def _note_unreadable(self, key: str) -> None:
-        self._keys.add(key)
+        self._keys.setdefault(key, 0)
         self.unreadable_keys.add(key)
         self._on_unreadable(key)
 
--- a/test/test_gateway_store_watch.py
+++ b/test/test_gateway_store_watch.py
@@ -182,3 +182,26 @@
         state.core.put("k/a", b"2")
         await asyncio.sleep(10.0)
         assert 5 < watches <= most_watches
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(("items", "value"), [(1_000, b"v"), (1, bytes(1_000_000))])
+async def test_changes_of_ever_new_keys_are_not_kept_without_bound(
+    items: int, value: bytes
+) -> None:
+    async with watched() as state:
+        written = most_known = 0
+
+        async def changes(prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+            nonlocal written, most_known
+            most_known = max(most_known, len(state.values))
+            written += items
+            keys = [f"k/new-{number}" for number in range(written - items, written)]
+            return [Change(key, after, Item(key, value, after, after, 0)) for key in keys], after
+
+        state.store.changes = changes  # type: ignore[method-assign]
+        state.core.put("k/a", b"2")
+        await asyncio.sleep(3.0)
+        assert written >= 50 * items
+        assert most_known * len(value) <= 35_000_000
+        assert most_known <= 21_002
