Return the memory of large bodies to the system

What was seen (trial): a server that had written responses of 15 MB to 20 callers which did not read kept 245 of 274 MB after they had gone, without end. Cause: the C library raises the size from which a block is mapped by itself as such blocks are freed, up to 32 MB. Later ones lie in its heap, which shrinks only from its end.

Change: the daemon fixes that size at 256 KB when it starts.

--- a/godwitpath/gateway/__main__.py
+++ b/godwitpath/gateway/__main__.py
@@ -22,6 +22,7 @@
 
     from godwitpath.errors import GodwitpathError
     from godwitpath.gateway.daemon import run_gateway
+    from godwitpath.gateway.memory import return_large_blocks
     from godwitpath.platform.settings import decode_settings, settings_path
 
     path = settings_path()
@@ -30,6 +31,7 @@
     except (OSError, GodwitpathError) as error:
         print(f"godwitpath: {error}", file=sys.stderr)
         return 2
+    return_large_blocks()
     asyncio.run(run_gateway(settings, path))
     return 0
 
