Write an operator's lift of a quarantine again that a restore of the store lost

What callers saw: nothing yet (by reading, then a test). After a restore that lost the lift, a daemon that had been out of touch went on to refuse the lifted requests.

Cause: the lift lay in the store alone. Daemons that had applied it took the verdict out of the restored copy, but did not write the lift, so that a daemon that had not heard of it kept its verdict and wrote it again.

Fix: daemons remember the lifts that the store's copy has stated, for as long as a verdict lasts, and write what it lacks. If all daemons restart before, nothing knows it.

Evidence: both cases of test_a_lift_that_a_restore_lost_reaches_a_daemon_that_had_not_heard_of_it failed on the code before and pass; the copy is written once, not in turns.

--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -115,6 +115,8 @@
         self._rng = rng
         self._changed = members.changed_event()
         self._applied_revision = 0
+        # Lifts that the store's copy has stated, which a restore of the store may lose.
+        self._lifted: dict[str, float] = {}
         self.unreadable = UnreadableValues("quarantine_unreadable")
 
     async def run(self) -> None:
@@ -150,6 +152,7 @@
             return
         self._applied_revision = item.revision
         stored, now_s = self._read(item), self._now_s()
+        self._lifted = self._all_lifts(stored)
         self._crashes.apply_report(
             "store",
             QuarantineReport(
@@ -169,16 +172,27 @@
         )
 
     def _lacks_something(self) -> bool:
-        """Return whether the store's copy lacks a verdict, or has an old or a refuted one."""
+        """Return whether the store's copy lacks a verdict or a lift, or has what is outdated."""
         if self._members.watcher.last_response_at_s is None:
             return False
-        stored = self._stored().verdicts
-        asked_at_s = {each.subjects: each.asked_at_s for each in stored}
-        return any(self._is_refuted(each) for each in stored) or any(
-            each.asked_at_s - asked_at_s.get(each.subjects, 0.0) >= REFRESH_S
-            for each in self._own_verdicts()
+        stored = self._stored()
+        asked_at_s = {each.subjects: each.asked_at_s for each in stored.verdicts}
+        return (
+            not self._all_lifts(stored).items() <= stored.lifted.items()
+            or any(self._is_refuted(each) for each in stored.verdicts)
+            or any(
+                each.asked_at_s - asked_at_s.get(each.subjects, 0.0) >= REFRESH_S
+                for each in self._own_verdicts()
+            )
         )
 
+    def _all_lifts(self, stored: StoredQuarantine) -> dict[str, float]:
+        """Return the lifts that still count, of the store's copy and of earlier ones."""
+        latest = dict(stored.lifted)
+        for subject, at_s in self._lifted.items():
+            latest[subject] = max(at_s, latest.get(subject, at_s))
+        return _without_old(latest, self._now_s())
+
     def _stored(self) -> StoredQuarantine:
         return self._read(self._members.items.get(QUARANTINE_KEY))
 
@@ -204,7 +218,7 @@
             )
 
     async def _write(self) -> None:
-        """Write the verdicts of the store's copy that still hold, and this daemon's."""
+        """Write the verdicts of the store's copy that still hold, and this daemon's; all lifts."""
         item = self._members.items.get(QUARANTINE_KEY)
         stored, now_s = self._read(item), self._now_s()
         verdicts = {
@@ -212,7 +226,7 @@
             for each in (*stored.verdicts, *self._own_verdicts())
             if now_s - each.asked_at_s < quarantine_s(each.subjects) and not self._is_refuted(each)
         }
-        value = StoredQuarantine(list(verdicts.values()), _without_old(stored.lifted, now_s))
+        value = StoredQuarantine(list(verdicts.values()), self._all_lifts(stored))
         revision = item.revision if item is not None else 0
         put = Put(QUARANTINE_KEY, msgspec.json.encode(value))
         try:
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -25,6 +25,7 @@
     StoredQuarantine,
     StoredVerdict,
     decode_quarantine,
+    lift,
 )
 from godwitpath.gateway.store import Item
 from godwitpath.gateway.verdicts import PROMPT_QUARANTINE_S
@@ -40,7 +41,8 @@
     """The components of a daemon that keep the store's copy of the verdicts."""
 
     def __init__(self, core: StoreCore, name: str) -> None:
-        store, rng = FakeStore(core), Random(name)
+        self.store = store = FakeStore(core)
+        rng = Random(name)
         self.crashes = CrashWatch(EngineRegistry())
         self.members = Members(store, name, MemberEntry("127.0.0.1", 1, "a", 1), rng)
         clock = asyncio.get_running_loop().time
@@ -122,6 +124,33 @@
             assert not stored(core).verdicts
             assert not daemon.refuses
 
+    @pytest.mark.parametrize("copy_has_verdict", [True, False])
+    async def test_a_lift_that_a_restore_lost_reaches_a_daemon_that_had_not_heard_of_it(
+        self, copy_has_verdict: bool
+    ) -> None:
+        core = StoreCore()
+        async with running(core, "d1", "d2") as [first, second]:
+            copy = core.snapshot()
+            first.crash()
+            await asyncio.sleep(2.0)
+            copy = core.snapshot() if copy_has_verdict else copy
+            second.store.faults.down = True
+            lifted = lift(stored(core), "crashing", 1e9 + asyncio.get_running_loop().time())
+            core.put(QUARANTINE_KEY, msgspec.json.encode(lifted))
+            await asyncio.sleep(2.0)
+            assert (first.refuses, second.refuses) == (False, True)
+            core.restore(copy)
+            await asyncio.sleep(2.0)
+            second.store.faults.down = False
+            await asyncio.sleep(30.0)
+            assert (first.refuses, second.refuses) == (False, False)
+            assert not stored(core).verdicts
+            revision = core.items[QUARANTINE_KEY].revision
+            await asyncio.sleep(60.0)
+            assert core.items[QUARANTINE_KEY].revision == revision
+        async with running(core, "d3") as [started]:
+            assert not started.refuses
+
     async def test_a_copy_that_cannot_be_read_is_replaced(self) -> None:
         core = StoreCore()
         core.put(QUARANTINE_KEY, b"{")
