--- a/test/test_platform_endless_responses.py
+++ b/test/test_platform_endless_responses.py
@@ -147,6 +147,31 @@
             store.close()
 
 
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100
+FIELDS = b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 1_000
+TRAILERS = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n" + b"a: b\r\n" * 1_000
+
+
+@pytest.mark.parametrize(
+    ("data", "limit"),
+    [(INTERIM, "interim responses"), (FIELDS, "fields"), (TRAILERS, "fields")],
+    ids=["interim responses", "fields", "trailers"],
+)
+@pytest.mark.parametrize(("call", "failure"), [(watch, StoreRefused), (report, CloudUncertain)])
+async def test_heads_and_trailers_of_the_platform_are_bounded(
+    call: Call, failure: type[Exception], data: bytes, limit: str
+) -> None:
+    async def send(exchange: Exchange) -> None:
+        exchange.writer.write(data)
+        await exchange.writer.drain()
+
+    calls: Counter[tuple[str, str]] = Counter()
+    async with raw_server(send) as server, asyncio.timeout(ANSWERED_WITHIN_S):
+        with pytest.raises(failure, match=f"limit of {limit}"):
+            await call(server.address, calls)
+    assert [outcome for _, outcome in calls] == ["limit_exceeded"]
+
+
 MANY = 30_000
 
 
