Pace the turns of connections that receive much by the time that they cost

Cause: a turn of many small pieces or events takes milliseconds, every iteration had one, and what a connection held, up to 64 KB of events, was handled outside of turns once its caller had drained.

A body may have 1,024 pieces whatever its size.

--- a/godwitpath/gateway/events.py
+++ b/godwitpath/gateway/events.py
@@ -15,7 +15,7 @@
 may be silent for 17 minutes."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class StreamEvent:
     """One event of a stream.
 
--- a/godwitpath/gateway/send.py
+++ b/godwitpath/gateway/send.py
@@ -17,6 +17,7 @@
 from godwitpath.http1.client import ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, encode_request_head
 from godwitpath.http1.pool import MAX_IDLE_PER_SERVER, keep_alive_limit_s
+from godwitpath.http1.turns import FIRST_READ_BYTES, READ_BYTES
 from godwitpath.ranking import score
 from godwitpath.telemetry.decisions import decision
 
@@ -157,6 +158,7 @@
             accept=lambda head: ctx.header_codec.decode_engine_response(
                 head, call.fields.request_id
             ).matches_request,
+            max_read_bytes=READ_BYTES if call.prompt is None else FIRST_READ_BYTES,
         )
         self.sent_at_s = loop.time()
         self.prefill_alone = (
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -272,6 +272,7 @@
     :raises ResponseLimitExceeded: an event is too long, or too many comments follow one another
     """
     events = splitter.feed(data)
+    now_s = asyncio.get_running_loop().time()
     forwarded: list[bytes] = []
     try:
         for event in events:
@@ -279,7 +280,7 @@
             if event.event_id is not None:
                 progress.last_event_id = event.event_id
             progress.event_count += not event.comment
-            progress.last_event_at_s = asyncio.get_running_loop().time()
+            progress.last_event_at_s = now_s
             forwarded.append(event.data)
     except EventOutOfPlace as error:
         raise StreamBroken(str(error)) from error
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -24,10 +24,13 @@
     ResponseLimitExceeded,
 )
 from godwitpath.http1.timeouts import SOCKET_LOOK_S, socket_timeout
-from godwitpath.http1.turns import READ_BYTES, READ_PIECES, read_turns
-
-READ_HIGH_WATER_BYTES = 65_536
-"""Number of buffered body bytes above which a connection pauses reading."""
+from godwitpath.http1.turns import (
+    FIRST_READ_BYTES,
+    READ_BYTES,
+    is_heavy,
+    next_read_bytes,
+    read_turns,
+)
 
 MAX_TRANSFER_BYTES = 33_554_432
 """Maximum size of a transfer: the largest value that daemons exchange, in base64 and escaped."""
@@ -68,6 +71,10 @@
         # Received part of the body that was not read, in one piece however it arrived.
         self._body = bytearray()
         self._reading_paused = False
+        self._read_bytes = FIRST_READ_BYTES
+        self._max_read_bytes = READ_BYTES
+        # Whether what arrived may only be handled in turn, and whether it waits for the turn.
+        self._heavy = False
         self._awaits_turn = False
         self._waiter: asyncio.Future[None] | None = None
         self._header_fields: list[tuple[bytes, bytes]] = []
@@ -75,11 +82,18 @@
 
     # Interface for users of the connection.
 
-    def send(self, method: str, data: bytes, accept: ResponsePredicate | None = None) -> None:
+    def send(
+        self,
+        method: str,
+        data: bytes,
+        accept: ResponsePredicate | None = None,
+        max_read_bytes: int = READ_BYTES,
+    ) -> None:
         """Start an exchange.
 
         :param data: serialized head and body
         :param accept: responses for which it returns False are skipped
+        :param max_read_bytes: most bytes that are read at once, fewer if the reader parses them
         :raises NotSent: the connection is closed, or something arrived before the request
         """
         if self._transport is None or self._transport.is_closing():
@@ -98,6 +112,9 @@
         self._cost = ResponseCost()
         self._error = None
         self._body.clear()
+        self._read_bytes = FIRST_READ_BYTES
+        self._max_read_bytes = max_read_bytes
+        self._heavy = False
         self._pause_or_resume_reading()
         self._transport.write(data)
 
@@ -119,17 +136,19 @@
         timeout before it looks at the socket.
         """
         await asyncio.sleep(SOCKET_LOOK_S)
-        return bool(self._body) or self._awaits_turn
+        return bool(self._body) or self._heavy
 
     async def read(self) -> bytes:
         """Wait for body bytes and return those received, or nothing at the end of the body.
 
         :raises ResponseLost: the connection ended before the body was complete
         """
-        while not self._body:
-            if self._complete:
+        while not self._body or self._heavy:
+            if self._heavy:
+                self._wait_for_turn()
+            elif self._complete:
                 return b""
-            if self._error is not None:
+            elif self._error is not None:
                 raise self._error
             await self._wait()
         data = bytes(self._body)
@@ -219,11 +238,11 @@
         self._transport = transport
         self._server = transport.get_extra_info("peername")
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        return self._turns.buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._turns.buffer[: self._read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(memoryview(self._turns.buffer)[:nbytes])
+        self.data_received(self._turns.buffer[:nbytes])
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes, which may change once the call has returned."""
@@ -240,7 +259,10 @@
             self.close()
             return
         pieces = self._cost.pieces - pieces_before
-        if not self._complete and (len(data) >= READ_BYTES or pieces >= READ_PIECES):
+        next_bytes = next_read_bytes(self._read_bytes, len(data), pieces)
+        self._read_bytes = min(self._max_read_bytes, next_bytes)
+        if not self._complete and is_heavy(max(len(data), len(self._body)), pieces):
+            self._heavy = True
             self._wait_for_turn()
         self._pause_or_resume_reading()
         self._wake()
@@ -326,14 +348,18 @@
 
     def _take_turn(self) -> None:
         self._awaits_turn = False
+        if self._body and self._waiter is None:
+            # Its reader is busy, and waits for another turn when it reads on.
+            return
+        self._heavy = False
         self._pause_or_resume_reading()
+        self._wake()
 
     def _pause_or_resume_reading(self) -> None:
-        must_pause = len(self._body) > READ_HIGH_WATER_BYTES or self._awaits_turn
-        if self._transport is None or must_pause is self._reading_paused:
+        if self._transport is None or self._heavy is self._reading_paused:
             return
-        self._reading_paused = must_pause
-        if must_pause:
+        self._reading_paused = self._heavy
+        if self._reading_paused:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/godwitpath/http1/response_limits.py
+++ b/godwitpath/http1/response_limits.py
@@ -29,7 +29,7 @@
 """Bytes of chunk sizes, chunk extensions and trailers that each byte of a body allows, beyond
 :data:`MAX_HEAD_BYTES`: a chunk of a single byte has five."""
 
-FREE_PIECES = 4_096
+FREE_PIECES = 1_024
 """Number of pieces of any size in which a body may arrive."""
 
 MIN_MEAN_PIECE_BYTES = 2
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -24,7 +24,7 @@
     MAX_FIELDS,
     pieces_allowed,
 )
-from godwitpath.http1.turns import READ_BYTES, READ_PIECES, read_turns
+from godwitpath.http1.turns import FIRST_READ_BYTES, is_heavy, next_read_bytes, read_turns
 
 MAX_PIPELINED_REQUESTS = 16
 """Number of requests waiting on one connection at which it parses and reads no further."""
@@ -71,6 +71,7 @@
         self._parser: Any = httptools.HttpRequestParser(self)
         self._loop = asyncio.get_running_loop()
         self._turns = read_turns()
+        self._read_bytes = FIRST_READ_BYTES
         # Received bytes that are not parsed yet, since enough requests are waiting.
         self._unparsed = b""
         self._received_at_s = 0.0
@@ -161,11 +162,11 @@
         self._connections.add(self)
         self._start_timer()
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        return self._turns.buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._turns.buffer[: self._read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(memoryview(self._turns.buffer)[:nbytes]))
+        self.data_received(bytes(self._turns.buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, as far as the waiting requests allow."""
@@ -174,7 +175,8 @@
         self._unparsed += data
         self._parse_received()
         pieces = self._body_pieces - pieces_before
-        if len(data) >= READ_BYTES or pieces >= READ_PIECES:
+        self._read_bytes = next_read_bytes(self._read_bytes, len(data), pieces)
+        if is_heavy(len(data), pieces):
             self._reads_in_turn = True
             self._pause_or_resume_reading()
             self._wait_for_turn()
