Claim no change of a listing before all that it lacks was looked up

A listing with a nameless item makes the watcher read each missing key by itself. Meanwhile the daemon claimed the revision of the items that it had applied, so a peer that pulled kept an engine whose removal was still to be found. The claim now stays at the last complete revision until the listing is done.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -144,7 +144,8 @@
         revision of the removal would keep the removed engine.
         """
         known_revisions = [removal.known_revision for removal in self._pending_removals.values()]
-        return min([self._newest_revision, *known_revisions])
+        newest = self.entries_watcher.limit_while_listing(self._newest_revision)
+        return min([newest, *known_revisions])
 
     @property
     def seen_revision(self) -> int:
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -95,6 +95,7 @@
         self._era = 0
         # Revision up to which every change was reported, also while the prefix is listed again.
         self._complete_revision = 0
+        self._partly_listed = False
         # Ends the watch request that waits, None while none does.
         self._watch_timeout: asyncio.Timeout | None = None
         # Loop time of the last loss of history, and the pause after another one soon.
@@ -133,6 +134,13 @@
         """Return the time since the store's last response, None before the first."""
         return None if self.last_response_at_s is None else now_s - self.last_response_at_s
 
+    def limit_while_listing(self, revision: int) -> int:
+        """Return a revision, or the last one before a listing of which only a part is reported.
+
+        Some of the keys that the listing lacks may still have to be read by themselves.
+        """
+        return min(revision, self._complete_revision) if self._partly_listed else revision
+
     def skip_to_revision(self, revision: int) -> None:
         """Skip changes up to a revision, because a peer has already sent them."""
         if self.revision:
@@ -210,6 +218,7 @@
         listing = await self._store.list_items(self._prefix)
         self._note_response()
         self._note_era(listing.revision)
+        self._partly_listed = True
         listed_keys = {item.key for item in listing.items} | listing.unreadable_keys
         for item in listing.items:
             self._apply_item(item, listing.revision)
@@ -221,6 +230,7 @@
             else:
                 self._apply_removal(key, listing.revision)
         self.revision = self._complete_revision = listing.revision
+        self._partly_listed = False
         self.synced.set()
 
     async def _look_up(self, key: str, revision: int) -> None:
--- /dev/null
+++ b/test/test_http1_sound_callers.py
@@ -0,0 +1,56 @@
+"""Sound callers with ordinary bodies, while each iteration of the event loop has other work."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from godwitpath.http1.messages import Request
+from godwitpath.http1.responder import Responder
+from godwitpath.http1.server import ServerPolicy, listen
+
+CALLERS = 30
+REQUESTS_EACH = 5
+WORK_S = 0.002
+
+
+async def _respond(request: Request, responder: Responder) -> None:
+    responder.respond(200, [], b"")
+
+
+async def _call(port: int, body: bytes) -> list[float]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    took_s = []
+    for _ in range(REQUESTS_EACH):
+        started_at_s = time.monotonic()
+        writer.write(b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body))
+        await reader.readuntil(b"\r\n\r\n")
+        took_s.append(time.monotonic() - started_at_s)
+    writer.close()
+    return took_s
+
+
+@pytest.mark.parametrize("body_bytes", [6_000, 120_000])
+async def test_bodies_of_sound_callers_are_not_delayed_where_iterations_have_other_work(
+    body_bytes: int,
+) -> None:
+    loop = asyncio.get_running_loop()
+    working = True
+
+    def work() -> None:
+        time.sleep(WORK_S)
+        if working:
+            loop.call_soon(work)
+
+    server = await listen("127.0.0.1", 0, ServerPolicy(_respond), set())
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        work()
+        try:
+            calls = [_call(port, b"b" * body_bytes) for _ in range(CALLERS)]
+            took_s = sorted(sum(await asyncio.gather(*calls), []))
+        finally:
+            working = False
+    assert took_s[len(took_s) // 2] < 0.25, (took_s[len(took_s) // 2], took_s[-1])
