Act only after the lease time where the acquisition crossed a restore

Where tokens are not checked, a daemon that had seen no holder could be the first to write to the restored store, and held the duties beside the holder whose key the restore had lost. Its term now begins at once, so that nobody else takes the duties, and acts when the lost holder's lease has ended. duty_taken states it (acts_in_s).

--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -134,6 +134,8 @@
         # Fencing tokens of the terms before that the current one continues.
         self._continued_tokens: set[int] = set()
         self._term_started_at_s = 0.0
+        # Boot time from which this daemon acts in the current term.
+        self._acts_from_s = 0.0
         # Boot time of the last write that proved a settled term of this daemon.
         self._confirmed_at_s = float("-inf")
         self._members_changed = members.changed_event()
@@ -176,7 +178,12 @@
         A duty calls it before each write to the store, because the lease may have ended in the
         meantime. For a call to the platform it uses :meth:`begin_call`.
         """
-        if not self._token or self._released or boot_time_s() >= self._valid_until_s:
+        now_s = boot_time_s()
+        if (
+            not self._token
+            or self._released
+            or not self._acts_from_s <= now_s < self._valid_until_s
+        ):
             return None
         number = self._token
         return FencingToken(self._name, number, lambda: self._holds(number))
@@ -349,7 +356,7 @@
 
         :param previous: store item of the duty holder to replace, None if there is no duty holder
         """
-        requested_at_s = boot_time_s()
+        requested_at_s, era_before = boot_time_s(), self.store_era
         lease_id = await self._store.grant(self._lease_s)
         nonce = self._rng.getrandbits(63)
         entry = HolderEntry(self._name, self._members.incarnation, nonce)
@@ -370,6 +377,10 @@
         else:
             self._continued_tokens.clear()
         self._term_started_at_s = now_s
+        self._acts_from_s = now_s
+        if not self._replacement_allowed and era_of(token) != era_before:
+            # A restore since this daemon looked for a holder may have lost that holder's key.
+            self._acts_from_s += self._lease_s
         self._replaced = False
         self._lease_id = lease_id
         self._token = self._last_token = token
@@ -381,6 +392,7 @@
             replaced=previous is not None,
             continues=sorted(self._continued_tokens),
             calls_wait_s=round(self._call_spacing.wait_s(token, now_s), 3),
+            acts_in_s=round(self._acts_from_s - now_s, 3),
         )
 
     def _drop_duties(self, reason: str) -> None:
--- a/test/test_gateway_two_holders.py
+++ b/test/test_gateway_two_holders.py
@@ -87,6 +87,27 @@
         core.restore(copy)
         assert await watch_holders([d0, Daemon(core, 1, stale)]) == (0.0, [1])
 
+    async def test_a_daemon_that_saw_no_holder_before_a_restore_takes_no_duties_in_the_later_era(
+        self,
+    ) -> None:
+        """Its own write is the first to reach the restored store, since its watch is silent."""
+        core, stale = StoreCore(), set[int]()
+        copy = core.snapshot()
+        d1 = Daemon(core, 1, stale)
+        await until(lambda: d1.holder.store_era is not None)
+        d1.store.faults.watches_silent = True
+        core.put("other", b"")
+        d0 = Daemon(core, 0, stale)
+        await d1.holder.release()
+        d1.holder._released = False
+        await until(lambda: d0.holder.fencing_token() is not None)
+        assert d1.holder.fencing_token() is None
+        await asyncio.sleep(8.0)
+        assert holder_indexes([d0, d1]) == [0]
+        d0.store.faults.down = True
+        core.restore(copy)
+        assert await watch_holders([d0, d1]) == (0.0, [1])
+
     async def test_a_holder_whose_watch_fell_silent_does_not_go_on_under_anothers_lease(
         self,
     ) -> None:
