--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -40,7 +40,8 @@
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.usage_duty import UsageDuty
 from godwitpath.http1.pool import ConnectionPool
-from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.platform.adapter import PlatformAdapter
 from godwitpath.platform.settings import decode_settings
 from godwitpath.telemetry.decisions import decision, start_decision_log
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -263,7 +263,8 @@
     if isinstance(error, ResponseLimitExceeded):
         kind = "limit_exceeded"
     ctx.instruments.sends[(call.service.name, kind)] += 1
-    newly_ejected = engine.health.failed(asyncio.get_running_loop().time())
+    shared = isinstance(error, ResponseLimitExceeded) and error.shared
+    newly_ejected = not shared and engine.health.failed(asyncio.get_running_loop().time())
     decision(
         "engine_failed",
         request=call.request_id,
--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -17,18 +17,16 @@
 
 import msgspec
 
-from godwitpath.decoding import Unreadable, decode
 from godwitpath.gateway.call_spacing import CallSpacing
 from godwitpath.gateway.cloud import FencingToken
-from godwitpath.gateway.members import KEY_PREFIX, Members
+from godwitpath.gateway.holder_entry import HOLDER_KEY, HolderEntry, decode_holder
+from godwitpath.gateway.members import Members
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import Item, Precondition, Put, Store, TxnConflict, era_of
 from godwitpath.gateway.usage_progress import TERM_SETTLE_SHARE
 from godwitpath.ports.kv import LeaseLapsed, StoreError, StoreUncertain
 from godwitpath.telemetry.decisions import decision
 
-HOLDER_KEY = KEY_PREFIX + "holder"
-
 LEASE_FACTOR = 2.0
 """Time to live of the lease as a multiple of the deployment's lease time, so that the duty holder
 keeps the duties during a short outage of the store. Where the platform itself checks the fencing
@@ -52,42 +50,11 @@
 """Longest time between two checks of the duty holder and of this daemon's lease."""
 
 
-class HolderEntry(msgspec.Struct, frozen=True):
-    """Value of the store key that names the duty holder.
-
-    :ivar name: name of the duty holder's daemon
-    :ivar incarnation: incarnation of that daemon
-    :ivar nonce: random number that distinguishes the terms of one incarnation
-    """
-
-    name: str
-    incarnation: int
-    nonce: int
-
-
-_ENTRY = msgspec.json.Decoder(HolderEntry)
-
-
 def boot_time_s() -> float:
     """Return the seconds since the machine booted, including the time it was suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def known_holder(members: Members) -> tuple[str, int]:
-    """Return the duty holder's name and fencing token, ("", 0) if no daemon holds the duties."""
-    item = members.items.get(HOLDER_KEY)
-    entry = _decode_entry(item) if item is not None else None
-    return (entry.name, item.revision) if item is not None and entry is not None else ("", 0)
-
-
-def _decode_entry(item: Item) -> HolderEntry | None:
-    """Return who an item names as the duty holder, None if it cannot be decoded."""
-    try:
-        return decode(_ENTRY, item.value)
-    except Unreadable:
-        return None
-
-
 class DutyHolder:
     """Acquires the duties when no daemon holds them, or when the duty holder sends no reports.
 
@@ -210,7 +177,8 @@
 
     def _holds(self, number: int) -> bool:
         """Return whether this daemon still holds the duties under a fencing token's number."""
-        return number == self._token and not self._released and boot_time_s() < self._valid_until_s
+        may_act = self._acts_from_s <= boot_time_s() < self._valid_until_s
+        return number == self._token and not self._released and may_act
 
     async def run(self) -> None:
         """Acquire the duties and renew their lease, until cancelled."""
@@ -310,7 +278,7 @@
         While it does not hold the duties the key is of an earlier term: a restored store may list
         it, or a write of it was carried out late.
         """
-        entry = _decode_entry(holder)
+        entry = decode_holder(holder)
         own = (self._name, self._members.incarnation)
         return entry is not None and (entry.name, entry.incarnation) == own
 
@@ -323,7 +291,7 @@
         """
         if not self._replacement_allowed:
             return False
-        entry = _decode_entry(holder)
+        entry = decode_holder(holder)
         if holder.revision != self._seen_holder_revision:
             self._seen_holder_revision = holder.revision
             self._holder_first_seen_at_s = boot_time_s()
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -25,7 +25,8 @@
 from godwitpath.gateway.unreadable import UnreadableValues
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.platform.adapter import PlatformAdapter
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -22,7 +22,8 @@
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.grantors import Grantors
-from godwitpath.gateway.holder import boot_time_s, known_holder
+from godwitpath.gateway.holder import boot_time_s
+from godwitpath.gateway.holder_entry import known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_messages import (
     PeerMessage,
@@ -43,7 +44,8 @@
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.gateway.store import era_of
 from godwitpath.gateway.unreadable import UnreadableValues
-from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.telemetry.decisions import decision
 
 REPORT_S = 0.4
--- a/godwitpath/gateway/readiness.py
+++ b/godwitpath/gateway/readiness.py
@@ -8,7 +8,8 @@
 from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
 
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -15,7 +15,8 @@
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import EngineState
-from godwitpath.gateway.holder import DutyHolder, known_holder
+from godwitpath.gateway.holder import DutyHolder
+from godwitpath.gateway.holder_entry import known_holder
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_view import PeerView
 from godwitpath.gateway.store_watch import StoreWatcher
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -22,6 +22,7 @@
     BodyBudget,
     ResponseCost,
     ResponseLimitExceeded,
+    limit_exceeded,
 )
 from godwitpath.http1.timeouts import SOCKET_LOOK_S, socket_timeout
 from godwitpath.http1.turns import (
@@ -256,7 +257,7 @@
             self._parser.feed_data(data)
             self._cost.add_received(len(data), self._complete)
         except (httptools.HttpParserError, ResponseLimitExceeded) as error:
-            self._fail(_limit_exceeded(error) or ResponseLost(f"invalid HTTP response: {error}"))
+            self._fail(limit_exceeded(error) or ResponseLost(f"invalid HTTP response: {error}"))
             self.close()
             return
         pieces = self._cost.pieces - pieces_before
@@ -385,12 +386,6 @@
         await self._waiter
 
 
-def _limit_exceeded(error: BaseException) -> ResponseLimitExceeded | None:
-    """Return the limit for which a callback made the parser fail, None for another error."""
-    causes = (error, error.__cause__, error.__context__)
-    return next((each for each in causes if isinstance(each, ResponseLimitExceeded)), None)
-
-
 async def connect(host: str, port: int, timeout_s: float) -> ClientConnection:
     """Open a connection.
 
--- a/godwitpath/http1/response_limits.py
+++ b/godwitpath/http1/response_limits.py
@@ -44,9 +44,9 @@
 """Size of a body up to which it does not count towards the sums, so that ordinary responses are
 read while engines fail with endless ones."""
 
-MAX_SERVER_BODY_BYTES = 25_165_824
-"""Maximum size of all larger bodies from one server at the same time: one of the maximum size, and
-half as much besides."""
+MAX_SERVER_BODY_BYTES = 50_331_648
+"""Maximum size of all larger bodies from one server at the same time. It leaves room for one of the
+maximum size from another."""
 
 MAX_SHARED_BODY_BYTES = 67_108_864
 """Maximum size of all larger bodies at the same time."""
@@ -57,12 +57,21 @@
 
     :ivar limit: name of the limit
     :ivar amount: the amount that exceeds it, in the limit's unit
+    :ivar shared: whether the limit is one of all servers together, so that the response itself need
+        not be at fault
     """
 
-    def __init__(self, limit: str, amount: int) -> None:
+    def __init__(self, limit: str, amount: int, shared: bool = False) -> None:
         super().__init__(f"the response exceeds the limit of {limit}: {amount}")
         self.limit = limit
         self.amount = amount
+        self.shared = shared
+
+
+def limit_exceeded(error: BaseException) -> ResponseLimitExceeded | None:
+    """Return the limit for which a callback made the parser fail, None for another error."""
+    causes = (error, error.__cause__, error.__context__)
+    return next((each for each in causes if isinstance(each, ResponseLimitExceeded)), None)
 
 
 def pieces_allowed(pieces: int, body_bytes: int) -> bool:
@@ -182,7 +191,7 @@
             raise ResponseLimitExceeded("body bytes of its server", server_bytes)
         total_bytes = self.shared_bytes.total() + added_bytes
         if added_bytes > 0 and total_bytes > MAX_SHARED_BODY_BYTES:
-            raise ResponseLimitExceeded("body bytes of all servers", total_bytes)
+            raise ResponseLimitExceeded("body bytes of all servers", total_bytes, shared=True)
         self.shared_bytes[server] = server_bytes
         if not server_bytes:
             del self.shared_bytes[server]
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -10,22 +10,15 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import httptools
 
-from godwitpath.http1.held_bytes import HeldBytes
-from godwitpath.http1.limits import CallerLimits
-from godwitpath.http1.messages import Headers, Request, encode_response_head
+from godwitpath.http1.messages import Request, encode_response_head
+from godwitpath.http1.request_parts import RequestParts
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.response_limits import (
-    FRAMING_BYTES_PER_BODY_BYTE,
-    MAX_FIELDS,
-    UNSHARED_BODY_BYTES,
-    pieces_allowed,
-)
+from godwitpath.http1.response_limits import UNSHARED_BODY_BYTES
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.http1.turns import FIRST_READ_BYTES, is_heavy, next_read_bytes, read_turns
 from godwitpath.telemetry.decisions import decision
 
@@ -47,29 +40,6 @@
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Handler = Callable[[Request, Responder], Awaitable[None]]
-"""Handles a request and writes the response with the responder."""
-
-_DEFAULT_LIMITS = CallerLimits()
-
-
-@dataclass(slots=True, eq=False)
-class ServerPolicy:
-    """Callbacks that connections use to handle requests.
-
-    :ivar handler: handles a request and writes the response
-    :ivar limits: returns the limits currently in force
-    :ivar keep_alive_allowed: returns whether connections may stay open after a response
-    :ivar received: bodies of requests that are being received or handled
-    :ivar unsent: responses that their callers have not read
-    """
-
-    handler: Handler
-    limits: Callable[[], CallerLimits] = lambda: _DEFAULT_LIMITS
-    keep_alive_allowed: Callable[[], bool] = lambda: True
-    received: HeldBytes = field(default_factory=HeldBytes)
-    unsent: HeldBytes = field(default_factory=HeldBytes)
-
 
 class ServerConnection(asyncio.BufferedProtocol):
     """Server side of a caller's connection."""
@@ -90,19 +60,9 @@
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
-        # State of the request that is being received.
-        self._request_started_at_s: float | None = None
-        self._target = b""
-        self._header_fields: Headers = []
-        self._header_field_bytes = 0
-        self._head_bytes = 0
-        self._bytes_in_a_row = 0
-        self._body = bytearray()
-        self._body_pieces = 0
+        self._parts = RequestParts()
         # Size of the bodies of requests that wait or are being handled.
         self._complete_body_bytes = 0
-        self._reading_body = False
-        self._error_status = 0
         self._reading_paused = False
         self._reads_in_turn = False
         self._awaits_turn = False
@@ -118,7 +78,7 @@
         return (
             self._handler_task is None
             and not self._pending_requests
-            and self._request_started_at_s is None
+            and self._parts.started_at_s is None
         )
 
     def may_keep_alive(self) -> bool:
@@ -192,10 +152,10 @@
         if self._closing:
             return
         started_at_s = self._received_at_s = self._loop.time()
-        pieces_before = self._body_pieces
+        pieces_before = self._parts.pieces
         self._unparsed += data
         self._parse_received()
-        pieces = self._body_pieces - pieces_before
+        pieces = self._parts.pieces - pieces_before
         self._read_bytes = next_read_bytes(self._read_bytes, len(data), pieces)
         self._hold_bodies()
         if is_heavy(len(data), pieces) and not self._closing:
@@ -218,29 +178,21 @@
         self._pause_or_resume_reading()
 
     def _parse(self, data: bytes) -> None:
-        if self._request_started_at_s is None:
-            self._request_started_at_s = self._received_at_s
-        completed_before, body_bytes_before = self._completed_requests, len(self._body)
+        if self._parts.started_at_s is None:
+            self._parts.started_at_s = self._received_at_s
+        completed_before, body_bytes_before = self._completed_requests, len(self._parts.body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # Upgrades are not supported. Bytes after the request are ignored.
             self._closing = True
         except httptools.HttpParserError:
-            self._reject(self._error_status or 400)
-            return
-        if self._error_status:
-            self._reject(self._error_status)
+            self._reject(self._parts.error_status or 400)
             return
         if self._completed_requests > completed_before:
             return
-        # Chunk extensions and trailers count like a head.
-        max_bytes = self._policy.limits().max_header_bytes
-        body_bytes = len(self._body) - body_bytes_before
-        self._head_bytes += len(data) - body_bytes
-        self._bytes_in_a_row = 0 if body_bytes else self._bytes_in_a_row + len(data)
-        allowed_bytes = max_bytes + FRAMING_BYTES_PER_BODY_BYTE * len(self._body)
-        if self._head_bytes > allowed_bytes or self._bytes_in_a_row > max_bytes:
+        body_bytes = len(self._parts.body) - body_bytes_before
+        if not self._parts.framing_allowed(len(data), body_bytes, self._policy.limits()):
             self._reject(431)
 
     def eof_received(self) -> bool:
@@ -251,6 +203,7 @@
         self._transport = None
         self._closing = True
         self._unparsed = b""
+        self._parts = RequestParts()
         self._pending_requests.clear()
         self._policy.received.release(self)
         self._policy.unsent.release(self)
@@ -270,60 +223,38 @@
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
-        request_started_at_s = self._request_started_at_s
-        self._reset_request_state()
-        self._request_started_at_s = (
-            request_started_at_s if request_started_at_s is not None else self._received_at_s
-        )
+        started_at_s = self._parts.started_at_s
+        self._parts = RequestParts(self._received_at_s if started_at_s is None else started_at_s)
 
     def on_url(self, url: bytes) -> None:
-        self._target += url
+        self._parts.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._header_fields.append((name.lower(), value))
-        self._header_field_bytes += len(name) + len(value) + 4
-        too_large = self._header_field_bytes > self._policy.limits().max_header_bytes
-        if too_large or len(self._header_fields) > MAX_FIELDS:
-            self._error_status = 431
-            raise httptools.HttpParserError("request head is too large")
+        self._parts.add_field(name, value, self._policy.limits())
 
     def on_headers_complete(self) -> None:
-        self._reading_body = True
-        self._head_bytes = self._bytes_in_a_row = 0
-        limit_bytes = self._policy.limits().max_body_bytes
-        for key, value in self._header_fields:
-            if key == b"content-length" and value.isdigit() and int(value) > limit_bytes:
-                self._error_status = 413
-                raise httptools.HttpParserError("request body is too large")
+        self._parts.complete_head(self._policy.limits())
+        for key, value in self._parts.headers:
             if key == b"expect" and value.lower() == b"100-continue" and self._handler_task is None:
                 self.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
-        self._body += body
-        self._body_pieces += 1
-        if len(self._body) > self._policy.limits().max_body_bytes:
-            self._error_status = 413
-            raise httptools.HttpParserError("request body is too large")
-        if not pieces_allowed(self._body_pieces, len(self._body)):
-            self._error_status = 413
-            raise httptools.HttpParserError("request body has too many pieces")
+        self._parts.add_body(body, self._policy.limits())
 
     def on_message_complete(self) -> None:
-        now_s = self._loop.time()
+        parts, now_s = self._parts, self._loop.time()
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
-            target=self._target,
-            headers=self._header_fields,
-            body=bytes(self._body),
-            received_at_s=(
-                self._request_started_at_s if self._request_started_at_s is not None else now_s
-            ),
+            target=parts.target,
+            headers=parts.headers,
+            body=bytes(parts.body),
+            received_at_s=now_s if parts.started_at_s is None else parts.started_at_s,
             completed_at_s=now_s,
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
         )
-        self._complete_body_bytes += len(self._body)
-        self._reset_request_state()
+        self._parts = RequestParts()
+        self._complete_body_bytes += len(request.body)
         self._completed_requests += 1
         self._pending_requests.append(request)
         if len(self._pending_requests) == 1 and not self._awaits_turn:
@@ -395,8 +326,10 @@
 
         A connection whose requests are complete is not ended: they are responded to.
         """
-        body_bytes = self._complete_body_bytes + len(self._body)
-        self._policy.received.hold(self, body_bytes, self._end_receiving if self._body else None)
+        if self._transport is not None:
+            body_bytes = self._complete_body_bytes + len(self._parts.body)
+            end = self._end_receiving if self._parts.body else None
+            self._policy.received.hold(self, body_bytes, end)
 
     def _end_unread(self, unsent_bytes: int) -> None:
         decision("caller_ended", reason="unread response", held_bytes=unsent_bytes)
@@ -439,36 +372,19 @@
             return
         limits = self._policy.limits()
         now_s = self._loop.time()
-        if self._request_started_at_s is not None and not self._reading_body:
-            if now_s - self._request_started_at_s >= limits.header_timeout_s:
+        started_at_s = self._parts.started_at_s
+        if started_at_s is None:
+            if now_s - self._idle_since_s >= limits.idle_timeout_s:
+                self._close_transport()
+                return
+        else:
+            complete = self._parts.head_complete
+            limit_s = limits.idle_timeout_s if complete else limits.header_timeout_s
+            if now_s - started_at_s >= limit_s:
                 self._reject(408)
                 return
-        elif (
-            self._request_started_at_s is None
-            and now_s - self._idle_since_s >= limits.idle_timeout_s
-        ):
-            self._close_transport()
-            return
-        elif (
-            self._reading_body
-            and now_s - (self._request_started_at_s or now_s) >= limits.idle_timeout_s
-        ):
-            self._reject(408)
-            return
         self._start_timer()
 
-    def _reset_request_state(self) -> None:
-        self._request_started_at_s = None
-        self._target = b""
-        self._header_fields = []
-        self._header_field_bytes = 0
-        self._head_bytes = 0
-        self._bytes_in_a_row = 0
-        self._body = bytearray()
-        self._body_pieces = 0
-        self._reading_body = False
-        self._error_status = 0
-
 
 async def listen(
     host: str, port: int, policy: ServerPolicy, connections: set[ServerConnection]
--- a/test/test_gateway_duties.py
+++ b/test/test_gateway_duties.py
@@ -9,7 +9,8 @@
 import pytest
 from hypothesis import given
 
-from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder, known_holder
+from godwitpath.gateway.holder import DutyHolder
+from godwitpath.gateway.holder_entry import HOLDER_KEY, known_holder
 from godwitpath.gateway.members import MemberEntry, Members
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import Item
--- a/test/test_gateway_lease_reuse.py
+++ b/test/test_gateway_lease_reuse.py
@@ -8,7 +8,7 @@
 import pytest
 
 import test.test_gateway_duties as duties
-from godwitpath.gateway.holder import HOLDER_KEY, HolderEntry
+from godwitpath.gateway.holder_entry import HOLDER_KEY, HolderEntry
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import Precondition, Put
 from godwitpath_standin.gateway.cloud import FakeCloud
--- a/test/test_gateway_peers.py
+++ b/test/test_gateway_peers.py
@@ -10,7 +10,7 @@
 
 from godwitpath.gateway.engine_limits import EngineLimit
 from godwitpath.gateway.engines import EngineEntry, EngineState
-from godwitpath.gateway.holder import HOLDER_KEY, HolderEntry
+from godwitpath.gateway.holder_entry import HOLDER_KEY, HolderEntry
 from godwitpath.gateway.members import LEASE_S
 from godwitpath.gateway.model import AccountSpec
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -32,7 +32,8 @@
 )
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import Handler, ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import Handler, ServerPolicy
 from godwitpath.http1.timeouts import SOCKET_LOOK_S
 from godwitpath_standin.gateway.caller import read_response
 
--- a/test/test_http1_closing_reads.py
+++ b/test/test_http1_closing_reads.py
@@ -8,7 +8,8 @@
 
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, ServerPolicy, listen
+from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.http1.turns import READ_BYTES
 
 UPGRADE = b"POST / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: h2c\r\n"
--- a/test/test_http1_sound_callers.py
+++ b/test/test_http1_sound_callers.py
@@ -10,7 +10,8 @@
 
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerPolicy, listen
+from godwitpath.http1.server import listen
+from godwitpath.http1.server_policy import ServerPolicy
 
 CALLERS = 30
 REQUESTS_EACH = 5
