Add senders without end, and a bound on memory, to the soak

They have a random source of their own, so that the other faults of a seed stay as they were. What an engine answers without end is recorded as a run that began, so that a refusal of it as not run is a violation. No check excuses a flood. A new check, in every soak: no daemon takes over 300 MB.

--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -206,6 +206,9 @@
         Path | None, typer.Option(help="Folder for the logs of runs with violations.")
     ] = None,
     kills: Annotated[bool, typer.Option(help="Whether faults end processes of daemons.")] = True,
+    floods: Annotated[
+        bool, typer.Option(help="Whether engines and callers send without end.")
+    ] = False,
 ) -> None:
     """Inject random faults into a gateway's daemons; exit 1 on a violated invariant."""
     from godwitpath_standin.soak.run import SoakPlan, run_soak
@@ -213,7 +216,9 @@
     violated_runs = 0
     for number in range(seed, seed + runs):
         folder = logs / f"seed-{number}" if logs is not None else None
-        outcome = asyncio.run(run_soak(SoakPlan(number, minutes * 60, processes, kills), folder))
+        outcome = asyncio.run(
+            run_soak(SoakPlan(number, minutes * 60, processes, kills, floods), folder)
+        )
         for line in outcome.lines():
             typer.echo(line)
         violated_runs += bool(outcome.violations)
--- a/godwitpath_standin/gateway/engine.py
+++ b/godwitpath_standin/gateway/engine.py
@@ -15,6 +15,7 @@
 from godwitpath.http1.messages import Headers, Request, encode_response_head
 from godwitpath.http1.responder import Responder
 from godwitpath.ports.engine import Address
+from godwitpath_standin.gateway.endless import REPEATED, EndlessKind, endless_start
 from godwitpath_standin.gateway.server import StandinServer
 
 LATE_COPY_S = 0.03
@@ -129,6 +130,8 @@
     :ivar leaving: value of the header `Server-Leaving`, empty to state nothing
     :ivar retry_after: value of the header `Retry-After` in refusals, empty to state none
     :ivar refuses: whether every request is refused as not run
+    :ivar endless: what the engine sends without end in response to a request that it runs, None to
+        respond properly
     :ivar arrivals: requests in the order in which they arrived
     :ivar runs: runs in the order of their start
     :ivar refused: number of requests refused as not run, by HTTP status
@@ -152,6 +155,7 @@
     leaving: str = ""
     retry_after: str = ""
     refuses: bool = False
+    endless: EndlessKind | None = None
     arrivals: list[Arrival] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     refused: Counter[int] = field(default_factory=Counter)
@@ -233,7 +237,9 @@
         if fault is not Fault.NO_STAMP:
             headers.append((b"X-Response-Stamp", f"stamp-{self.engine_id}".encode()))
         try:
-            if copy in self.crashing_requests:
+            if self.endless:
+                await self._respond_without_end(request, responder, headers, self.endless)
+            elif copy in self.crashing_requests:
                 await asyncio.sleep(self.crash_after_s)
                 await self._crash(copy)
             elif b"stream" in request.target:
@@ -273,6 +279,19 @@
         """Return the header fields of the engine's notices."""
         return [(b"Server-Leaving", self.leaving.encode())] if self.leaving else []
 
+    async def _respond_without_end(
+        self, request: Request, responder: Responder, headers: Headers, kind: EndlessKind
+    ) -> None:
+        """Send until the connection is closed, which cancels the run."""
+        if b"stream" in request.target:
+            headers.append((b"content-type", b"text/event-stream"))
+        connection = responder._connection
+        connection.write(endless_start(kind, headers))
+        while True:
+            connection.write(REPEATED[kind])
+            await connection.drain()
+            await asyncio.sleep(0)
+
     async def _respond_plain(
         self, responder: Responder, headers: Headers, fault: Fault, request_id: bytes
     ) -> None:
--- a/godwitpath_standin/soak/faults.py
+++ b/godwitpath_standin/soak/faults.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from godwitpath_standin.gateway.endless import EndlessKind
 from godwitpath_standin.gateway.engine import Fault
+from godwitpath_standin.soak.junk import JunkKind
 from godwitpath_standin.soak.proxy import Way
 
 ENGINE_FAULTS = (
@@ -214,6 +216,28 @@
     for_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class EndlessEngine:
+    """Makes an engine answer the requests of a while by sending until their connections are closed.
+
+    :ivar position: index of the engine's position in the deployment
+    :ivar for_s: time for which requests that arrive are answered so
+    """
+
+    position: int
+    kind: EndlessKind
+    for_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class JunkCallers:
+    """Callers without a key send junk without end to a daemon for a while."""
+
+    name: str
+    kind: JunkKind
+    for_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class MoveRoute:
     """The operator changes the service of a route."""
@@ -249,6 +273,8 @@
     | FailRequests
     | LimitEngine
     | CutEngine
+    | EndlessEngine
+    | JunkCallers
     | MoveRoute
     | ReplaceKey
 )
--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -113,6 +113,7 @@
     :ivar crashing_parts: prompt parts on which engines crashed
     :ivar crashing_requests: requests on which engines crashed
     :ivar stalls: periods in which the soak's own process ran late
+    :ivar peak_memory_mb: largest resident memory of the processes of a daemon, by daemon
     :ivar unexpected_exits: messages about daemon exits that no injected fault explains
     """
 
@@ -125,6 +126,7 @@
     crashing_parts: set[str] = field(default_factory=set)
     crashing_requests: set[RequestCopy] = field(default_factory=set)
     stalls: list[Stall] = field(default_factory=list)
+    peak_memory_mb: dict[str, float] = field(default_factory=dict)
     unexpected_exits: list[str] = field(default_factory=list)
 
     def ended(self) -> Iterator[SentRequest]:
--- a/godwitpath_standin/soak/injection.py
+++ b/godwitpath_standin/soak/injection.py
@@ -24,7 +24,9 @@
     DelayStoreWrites,
     DrainEngine,
     DropHistory,
+    EndlessEngine,
     FailRequests,
+    JunkCallers,
     KillDaemons,
     LimitEngine,
     LoseStoreResponses,
@@ -39,6 +41,7 @@
     StoreOutage,
 )
 from godwitpath_standin.soak.invariants import DRAIN_S
+from godwitpath_standin.soak.junk import send_junk
 
 DAEMON_START_S = 3.0
 """Longest time that a daemon takes to start."""
@@ -285,6 +288,19 @@
     position.busy = False
 
 
+@inject.register
+async def _(fault: EndlessEngine, environment: SoakEnvironment) -> None:
+    engine = environment.positions[fault.position].engine
+    engine.endless = fault.kind
+    await asyncio.sleep(fault.for_s)
+    engine.endless = None
+
+
+@inject.register
+async def _(fault: JunkCallers, environment: SoakEnvironment) -> None:
+    await send_junk(_daemon_by_name(environment, fault.name).caller_port, fault.kind, fault.for_s)
+
+
 @inject.register
 async def _(fault: MoveRoute, environment: SoakEnvironment) -> None:
     await _wait_for_store(environment)
@@ -335,5 +351,6 @@
         position.link.clear_faults()
         position.engine.script.clear()
         position.engine.limit = ""
+        position.engine.endless = None
     environment.crashing_parts.clear()
     environment.crashing_requests.clear()
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -39,6 +39,9 @@
 LEASE_S = 3.0
 """Time within which no duty holder may act again after another one has acted."""
 
+MAX_MEMORY_MB = 300.0
+"""Largest resident memory of a daemon, as the users specify."""
+
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
 """A limit that an engine states in the form that the users specify."""
 
@@ -287,6 +290,13 @@
                 yield Violation("holders in turn", f"{holders} acted on {subject}")
 
 
+def memory_bounded(history: History) -> Iterator[Violation]:
+    """Check that no daemon takes more memory than the platform gives."""
+    for name, peak_mb in history.peak_memory_mb.items():
+        if peak_mb > MAX_MEMORY_MB:
+            yield Violation("memory", f"{name} took {peak_mb:.0f} MB")
+
+
 def no_unexpected_exits(history: History) -> Iterator[Violation]:
     """Check that no daemon exits unexpectedly."""
     for message in history.unexpected_exits:
@@ -308,6 +318,7 @@
     one_count_per_usage_window,
     one_holder_per_token,
     holders_do_not_alternate,
+    memory_bounded,
     no_unexpected_exits,
 )
 
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -8,19 +8,21 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from godwitpath_standin.gateway.engine import RequestCopy
 from godwitpath_standin.soak.callers import Balancer, Caller, probe
-from godwitpath_standin.soak.drills import draw_drills
+from godwitpath_standin.soak.drills import TimedFault, draw_drills
 from godwitpath_standin.soak.environment import ACCOUNTS, Daemon, SoakEnvironment
 from godwitpath_standin.soak.faults import ENDING_FAULTS, AnyFault, draw_fault
+from godwitpath_standin.soak.floods import draw_floods
 from godwitpath_standin.soak.history import History, Violation
 from godwitpath_standin.soak.injection import heal, inject
 from godwitpath_standin.soak.invariants import violations
+from godwitpath_standin.soak.memory import record_memory
 from godwitpath_standin.soak.usage_report import UsageSummary, summarize_usage
 
 READY_S = 60.0
@@ -57,12 +59,14 @@
     :ivar duration_s: time during which faults begin
     :ivar daemons: number of daemon processes
     :ivar kills: whether faults end processes of daemons
+    :ivar floods: whether engines and callers send without end
     """
 
     seed: int
     duration_s: float
     daemons: int = 5
     kills: bool = True
+    floods: bool = False
 
 
 @dataclass(slots=True)
@@ -72,6 +76,7 @@
     :ivar faults: injected faults with the time at which each began, in order
     :ivar statuses: number of requests by HTTP status, 0 for no response
     :ivar stalled_s: time for which the soak's own process ran late
+    :ivar peak_memory_mb: largest resident memory of a daemon
     :ivar usage: how the reported usage compares with the engines' runs
     """
 
@@ -80,6 +85,7 @@
     faults: list[str] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     stalled_s: float = 0.0
+    peak_memory_mb: float = 0.0
     usage: UsageSummary = field(default_factory=UsageSummary)
 
     def lines(self) -> Iterator[str]:
@@ -90,7 +96,8 @@
         yield (
             f"seed {plan.seed}: {verdict}; {plan.daemons} daemons, {len(self.faults)} faults in "
             f"{plan.duration_s:.0f} s, {self.statuses.total()} requests ({status_counts}); "
-            f"{self.usage}; stalled for {self.stalled_s:.1f} s"
+            f"{self.usage}; up to {self.peak_memory_mb:.0f} MB a daemon; "
+            f"stalled for {self.stalled_s:.1f} s"
         )
         if self.violations:
             yield from self.faults
@@ -112,7 +119,9 @@
         environment = SoakEnvironment(rng, folder, stack)
         await environment.start(plan.daemons, ENGINES_PER_SERVICE)
         balancer = Balancer(environment.daemons)
-        background_tasks = [asyncio.create_task(balancer.run())]
+        background_tasks = [
+            asyncio.create_task(job) for job in (balancer.run(), record_memory(environment))
+        ]
         stack.push_async_callback(_cancel, background_tasks)
         await wait_until(lambda: len(balancer.ready()) == plan.daemons, READY_S)
         callers = [
@@ -128,6 +137,7 @@
         outcome.violations = outcome.violations or list(violations(environment.history))
         outcome.statuses = Counter(sent.response.status for sent in environment.history.ended())
         outcome.stalled_s = environment.history.stalled_s(0.0, environment.now_s)
+        outcome.peak_memory_mb = max(environment.history.peak_memory_mb.values(), default=0.0)
         outcome.usage = summarize_usage(environment.history, time.time(), environment.now_s)
         outcome.violations += unlogged_refusals(environment.history, folder)
     return outcome
@@ -148,15 +158,19 @@
                 outcome.faults.append(f"{at_s:7.2f} s  {fault}")
                 group.create_task(inject(fault, environment))
 
-        async def begin_drills() -> None:
-            rng = random.Random(f"{plan.seed} drills")
-            for at_s, fault in draw_drills(rng, names, positions, plan.duration_s):
+        async def begin_in_time(faults: Iterable[TimedFault]) -> None:
+            for at_s, fault in faults:
                 await asyncio.sleep(started_at_s + at_s - environment.now_s)
                 if outcome.violations:
                     return
                 begin(fault)
 
-        group.create_task(begin_drills())
+        timed_faults = [("drills", draw_drills)]
+        if plan.floods:
+            timed_faults.append(("floods", draw_floods))
+        for name, draw in timed_faults:
+            rng = random.Random(f"{plan.seed} {name}")
+            group.create_task(begin_in_time(draw(rng, names, positions, plan.duration_s)))
         while environment.now_s < started_at_s + plan.duration_s and not outcome.violations:
             begin(draw_fault(environment.rng, names, positions))
             await asyncio.sleep(environment.rng.expovariate(1 / MEAN_FAULT_GAP_S))
