--- a/godwitpath/http1/turns.py
+++ b/godwitpath/http1/turns.py
@@ -109,16 +109,17 @@
         self._cost_s += cost_s
 
     def _give_turn(self) -> None:
+        if not self._waiting:
+            self._scheduled = False
+            return
         self._cost_s = 0.0
         started_at_s = self._now_s()
-        while self._waiting:
-            if self._next()() is not False:
-                # What the turn sets off, a read and the work of a task, is done when the next
-                # iteration is.
-                self._call_later(0.0, lambda: self._call_later(0.0, self._end_turn))
-                self._cost_s += self._now_s() - started_at_s
-                return
-        self._scheduled = False
+        # What the turn sets off, a read and the work of a task, is done when the next iteration is.
+        # Scheduled before, so that the turns go on if a function fails.
+        self._call_later(0.0, lambda: self._call_later(0.0, self._end_turn))
+        while self._waiting and self._next()() is False:
+            continue
+        self._cost_s += self._now_s() - started_at_s
 
     def _next(self) -> Callable[[], bool | None]:
         """Remove and return the function whose turn it is."""
--- a/test/test_http1_turns.py
+++ b/test/test_http1_turns.py
@@ -148,3 +148,19 @@
     assert calls == [0]
     await asyncio.sleep(3 * MAX_PAUSE_S)
     assert calls == [0, 1, 2]
+
+
+def test_turns_go_on_after_a_connection_whose_turn_failed() -> None:
+    iterations = Iterations()
+    order: list[str] = []
+
+    def fail() -> None:
+        raise ValueError("a fault of one connection")
+
+    iterations.turns.wait("group", fail)
+    iterations.turns.wait("group", lambda: order.append("next"))
+    with pytest.raises(ValueError, match="a fault of one connection"):
+        iterations.run()
+    while iterations.due:
+        iterations.run()
+    assert order == ["next"]
