Test endless responses against daemons that are calm at the same time

Cause: the check compared six seconds beside junk with three calm seconds before them.

Change: two more daemons without junk are observed during the same six seconds. Bound (twice p95, all answered, 300 MB) and kinds are as before; the calm leg is six seconds in place of three.

--- a/test/endless_parts.py
+++ b/test/endless_parts.py
@@ -149,6 +149,11 @@
             self.environment.core.put(ENGINES_PREFIX + engine_id, entry)
 
 
+async def observe_both(first: TwoDaemons, second: TwoDaemons, for_s: float) -> tuple[Seen, Seen]:
+    """Ask the sound service of four daemons at the same time."""
+    return await asyncio.gather(first.observe(for_s), second.observe(for_s))
+
+
 @asynccontextmanager
 async def two_daemons() -> AsyncIterator[TwoDaemons]:
     """Run two daemons with one store, and sound engines of the service `sound`."""
--- a/test/test_gateway_endless_beside.py
+++ b/test/test_gateway_endless_beside.py
@@ -1,4 +1,8 @@
-"""Tests of callers of one service beside junk without end at another, or from other callers."""
+"""Tests of callers of one service beside junk without end at another, or from other callers.
+
+Two other daemons run at the same time without junk, as what the responses are compared with, so
+that whatever else the machine does delays both alike.
+"""
 
 from __future__ import annotations
 
@@ -6,14 +10,20 @@
 
 import pytest
 
-from test.endless_parts import FAULTY_ENGINES, Seen, Sender, sender, two_daemons
+from test.endless_parts import (
+    FAULTY_ENGINES,
+    Seen,
+    Sender,
+    observe_both,
+    sender,
+    two_daemons,
+)
 
 MEMORY_MB = 300
 """Memory of a daemon, as the users specify."""
 
 CALLERS = 60
-CALM_S = 3.0
-BESIDE_S = 6.0
+OBSERVED_S = 6.0
 CLOSED_WITHIN_S = 4.0
 
 
@@ -38,12 +48,11 @@
 async def test_an_endless_response_delays_no_other_service(
     kind: str, service: str, target: str
 ) -> None:
-    async with two_daemons() as daemons:
-        calm = await daemons.observe(CALM_S)
+    async with two_daemons() as calm_daemons, two_daemons() as daemons:
         async with sender("engines", kind, FAULTY_ENGINES) as engines:
             daemons.register_faulty(service, engines.started)
             async with sender("service", target, CALLERS, *daemons.ports):
-                beside = await daemons.observe(BESIDE_S)
+                calm, beside = await observe_both(calm_daemons, daemons, OBSERVED_S)
             assert (await engines.state())["requests"] >= CALLERS
             await until_closed(engines)
         check(calm, beside)
@@ -51,9 +60,8 @@
 
 @pytest.mark.parametrize("kind", ["pipelined", "bytes"])
 async def test_endless_requests_without_a_key_delay_no_other_caller(kind: str) -> None:
-    async with two_daemons() as daemons:
-        calm = await daemons.observe(CALM_S)
+    async with two_daemons() as calm_daemons, two_daemons() as daemons:
         async with sender("junk", kind, CALLERS, *daemons.ports) as callers:
-            beside = await daemons.observe(BESIDE_S)
+            calm, beside = await observe_both(calm_daemons, daemons, OBSERVED_S)
             assert (await callers.state())["channels"] >= CALLERS
         check(calm, beside)
