Hold back comments before the first event of a stream's run

Cause: comments were forwarded as they came, and the response was begun with them. When the run was lost before its first event, its comments stood before the events of the next run, and where there was no next run the caller got a broken 200 in place of a whole error. Comments also counted as a first event for the limit on sends that break and for the evidence of crashes.

--- a/godwitpath/gateway/events.py
+++ b/godwitpath/gateway/events.py
@@ -1,4 +1,8 @@
-"""Splits an event stream into whole events, so that no partial event is forwarded."""
+"""Splits an event stream into whole events, so that no partial event is forwarded.
+
+Comments before the first event of a run are held back, so that a run that is lost before it leaves
+nothing at its caller, and the response may still become an error.
+"""
 
 from __future__ import annotations
 
@@ -70,6 +74,42 @@
         return StreamEvent(event_id, raw, comment)
 
 
+class LeadingComments:
+    """Comments that a run's response has before its first event.
+
+    :ivar size_bytes: size of those that are held back
+    """
+
+    __slots__ = ("_first_event_seen", "_held", "size_bytes")
+
+    def __init__(self) -> None:
+        self.size_bytes = 0
+        self._held: list[bytes] = []
+        self._first_event_seen = False
+
+    def pass_on(self, events: list[StreamEvent]) -> bytes:
+        """Return what may be forwarded once some events were received.
+
+        :raises ResponseLimitExceeded: more than :data:`MAX_EVENT_BYTES` would be held back
+        """
+        if not self._first_event_seen:
+            self._first_event_seen = any(not event.comment for event in events)
+        self._held += [event.data for event in events]
+        if self._first_event_seen:
+            return self.release()
+        self.size_bytes += sum(len(event.data) for event in events)
+        if self.size_bytes > MAX_EVENT_BYTES:
+            raise ResponseLimitExceeded("comment bytes", self.size_bytes)
+        return b""
+
+    def release(self) -> bytes:
+        """Return what is held back, as the response has ended or its first event has come."""
+        data = b"".join(self._held)
+        self._held.clear()
+        self.size_bytes = 0
+        return data
+
+
 def _is_comment(raw: bytes) -> bool:
     return all(line.startswith(b":") for line in raw.split(b"\n") if line)
 
--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -13,7 +13,7 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.crash_watch import STABLE_AFTER_S
 from godwitpath.gateway.evacuate import Continuation, StreamRun
-from godwitpath.gateway.events import EventSplitter
+from godwitpath.gateway.events import EventSplitter, LeadingComments, StreamEvent
 from godwitpath.gateway.forward import (
     MAX_UNREACHABLE_ENGINES,
     PlainResponse,
@@ -184,17 +184,19 @@
             return PlainResponse(head, response_fields, body)
         if progress.head is not None and not continues_stream(progress.head, head):
             raise StreamBroken(f"status {head.status} does not continue the stream")
-        splitter = EventSplitter()
+        splitter, leading_comments = EventSplitter(), LeadingComments()
         while data := await _read(ctx, call, send, progress):
             if not data_received:
                 data_received = True
                 _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
             forwarding_since_s = loop.time()
-            if _forward_events(call, head, splitter, data, progress) and not send.first_event_at_s:
+            events = splitter.feed(data)
+            _forward_events(call, head, events, leading_comments, progress)
+            if not send.first_event_at_s and any(not event.comment for event in events):
                 send.first_event_at_s = loop.time()
             if len(data) >= FIRST_READ_BYTES:
                 read_turns().note_cost(loop.time() - forwarding_since_s)
-            reservation.resize(len(splitter.incomplete))
+            reservation.resize(len(splitter.incomplete) + leading_comments.size_bytes)
             if not noted_success and 0 < send.first_event_at_s <= loop.time() - STABLE_AFTER_S:
                 noted_success = True
                 ctx.crashes.note_success(call.subjects)
@@ -206,6 +208,7 @@
             raise StreamBroken("the connection ended before the first event")
         if not head.states_end and await run.stopped_by_move():
             raise StreamBroken("the connection ended when the run was moved")
+        _write_events(call, head, leading_comments.release(), progress)
         if not call.responder.started:
             _start_response(call, head)
         call.responder.finish()
@@ -265,19 +268,17 @@
 def _forward_events(
     call: Call,
     head: ResponseHead,
-    splitter: EventSplitter,
-    data: bytes,
+    events: list[StreamEvent],
+    leading_comments: LeadingComments,
     progress: _Progress,
-) -> bool:
-    """Forward the events that are complete once a chunk of data was received.
+) -> None:
+    """Forward events that were received.
 
-    :returns: whether the chunk completed an event
     :raises StreamBroken: an event is not the next one
-    :raises ResponseLimitExceeded: an event is too long, or too many comments follow one another
+    :raises ResponseLimitExceeded: the comments before the first event are too long
     """
-    events = splitter.feed(data)
     now_s = asyncio.get_running_loop().time()
-    forwarded: list[bytes] = []
+    forwarded: list[StreamEvent] = []
     try:
         for event in events:
             check_place(event, progress.last_event_id)
@@ -285,23 +286,20 @@
                 progress.last_event_id = event.event_id
             progress.event_count += not event.comment
             progress.last_event_at_s = now_s
-            forwarded.append(event.data)
+            forwarded.append(event)
     except EventOutOfPlace as error:
         raise StreamBroken(str(error)) from error
     finally:
-        _write_events(call, head, forwarded, progress)
-    return bool(events)
+        _write_events(call, head, leading_comments.pass_on(forwarded), progress)
 
 
-def _write_events(
-    call: Call, head: ResponseHead, forwarded: list[bytes], progress: _Progress
-) -> None:
-    if not forwarded:
+def _write_events(call: Call, head: ResponseHead, data: bytes, progress: _Progress) -> None:
+    if not data:
         return
     if not call.responder.started:
         progress.head = head
         _start_response(call, head)
-    call.responder.send(b"".join(forwarded))
+    call.responder.send(data)
 
 
 def _start_response(call: Call, head: ResponseHead) -> None:
