Give up transfers that are slower than what has arrived allows

Cause: read_transfer bounded a body that states its length by the time that the whole length takes at 8 kB a second, an hour for 32 MB, and one that states none by nothing but a pause of .8 s. A peer that sent a byte now and then held a pull for hours. The platform's calls had a bound of their own for bodies without a length.

Change: http1/transfers.py reads all bodies of pulls and of the platform's calls. The time allowed since the start is .8 s and a second for each 8 kB that have arrived, with a stated length or without. The copy of this in platform/http_api.py is gone.

test_http1.py: its three calls of the method connection.read_transfer are calls of the function now, with the same bounds.

--- a/godwitpath/gateway/pulls.py
+++ b/godwitpath/gateway/pulls.py
@@ -35,6 +35,7 @@
 from godwitpath.http1.messages import NotSent, Request, ResponseLost, encode_request_head
 from godwitpath.http1.pool import ConnectionPool
 from godwitpath.http1.responder import Responder
+from godwitpath.http1.transfers import read_transfer
 from godwitpath.telemetry.decisions import decision
 
 WATCH_LATE_S = 0.5
@@ -302,7 +303,7 @@
             connection.send("POST", encode_request_head("POST", PULL_TARGET, headers) + body)
             async with asyncio.timeout_at(deadline_s):
                 head = await connection.head()
-            response = await connection.read_transfer(PULL_TIMEOUT_S)
+            response = await read_transfer(connection, PULL_TIMEOUT_S)
         except TimeoutError as error:
             raise ResponseLost("timed out before the response began") from error
         finally:
--- a/godwitpath/http1/client.py
+++ b/godwitpath/http1/client.py
@@ -33,13 +33,6 @@
     read_turns,
 )
 
-MAX_TRANSFER_BYTES = 33_554_432
-"""Maximum size of a transfer: the largest value that daemons exchange, in base64 and escaped."""
-
-MIN_TRANSFER_BYTES_PER_S = 8_000
-"""Slowest rate at which the body of a response is still awaited: a tenth of the share that fifteen
-transfers have of a link of 10 Mbit/s."""
-
 ResponsePredicate = Callable[[ResponseHead], bool]
 """Returns whether a response belongs to the request that was sent."""
 
@@ -177,41 +170,6 @@
         finally:
             reservation.release()
 
-    async def read_transfer(
-        self, stall_timeout_s: float, max_bytes: int = MAX_TRANSFER_BYTES
-    ) -> bytes:
-        """Return the rest of the body, which may take as long as its size requires.
-
-        :param stall_timeout_s: longest time without progress
-        :param max_bytes: maximum size of the body
-        :raises ResponseLimitExceeded: the body is larger
-        :raises ResponseLost: the connection ended, the transfer stalled, or it was slower than
-            :data:`MIN_TRANSFER_BYTES_PER_S`
-        """
-        loop = asyncio.get_running_loop()
-        length_bytes = self._head.length_bytes if self._head is not None else None
-        deadline_s = math.inf
-        if length_bytes is not None:
-            if length_bytes > max_bytes:
-                raise ResponseLimitExceeded("body bytes", length_bytes)
-            deadline_s = loop.time() + stall_timeout_s + length_bytes / MIN_TRANSFER_BYTES_PER_S
-        body = bytearray()
-        while True:
-            try:
-                async with asyncio.timeout_at(min(deadline_s, loop.time() + stall_timeout_s)):
-                    chunk = await self.read()
-            except TimeoutError as error:
-                if await self.look_for_data() and loop.time() < deadline_s:
-                    continue
-                raise ResponseLost(
-                    f"timed out after {self._cost.body_bytes} of {length_bytes} bytes"
-                ) from error
-            if not chunk:
-                return bytes(body)
-            body += chunk
-            if len(body) > max_bytes:
-                raise ResponseLimitExceeded("body bytes", len(body))
-
     def close(self) -> None:
         """Close the connection and abort any active exchange."""
         self.reusable = False
@@ -223,6 +181,16 @@
         """Whether the connection is closed."""
         return self._transport is None or self._transport.is_closing()
 
+    @property
+    def length_bytes(self) -> int | None:
+        """Length that the response states for its body, None if it states none."""
+        return self._head.length_bytes if self._head is not None else None
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of the body that have arrived, read or not."""
+        return self._cost.body_bytes
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds bytes, or the end of the connection, that were not read."""
--- a/godwitpath/platform/http_api.py
+++ b/godwitpath/platform/http_api.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from godwitpath.http1.client import MIN_TRANSFER_BYTES_PER_S, ClientConnection
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost, encode_request_head
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
 from godwitpath.http1.response_limits import ResponseLimitExceeded
+from godwitpath.http1.transfers import read_transfer
 from godwitpath.ports.engine import Address
 from godwitpath.telemetry.decisions import decision
 
@@ -155,7 +155,7 @@
             async with asyncio.timeout_at(time_left.when()):
                 head = await connection.head()
             connection.idle_limit_s = keep_alive_limit_s(head.header(b"keep-alive"))
-            response_body = await _read_body(connection, head, max_body_bytes)
+            response_body = await read_transfer(connection, STALL_TIMEOUT_S, max_body_bytes)
         except BaseException:
             connection.close()
             raise
@@ -165,32 +165,3 @@
     def close(self) -> None:
         """Close every idle connection."""
         self._pool.close()
-
-
-async def _read_body(connection: ClientConnection, head: ResponseHead, max_bytes: int) -> bytes:
-    """Return the body of a response, which arrives at the slowest rate of a transfer or faster.
-
-    :raises ResponseLost: the connection ended, or the body is too slow or too large
-    """
-    if head.length_bytes is not None:
-        return await connection.read_transfer(STALL_TIMEOUT_S, max_bytes)
-    # A body that states no length may never end, however steadily it arrives.
-    loop = asyncio.get_running_loop()
-    started_at_s = progress_at_s = loop.time()
-    body = bytearray()
-    while True:
-        deadline_s = started_at_s + STALL_TIMEOUT_S + len(body) / MIN_TRANSFER_BYTES_PER_S
-        try:
-            async with asyncio.timeout_at(min(deadline_s, progress_at_s + STALL_TIMEOUT_S)):
-                chunk = await connection.read()
-        except TimeoutError as error:
-            if await connection.look_for_data() and loop.time() < deadline_s:
-                progress_at_s = loop.time()
-                continue
-            raise ResponseLost(f"timed out after {len(body)} bytes of a body") from error
-        if not chunk:
-            return bytes(body)
-        progress_at_s = loop.time()
-        body += chunk
-        if len(body) > max_bytes:
-            raise ResponseLimitExceeded("body bytes", len(body))
--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -25,8 +25,8 @@
     without_era,
 )
 from godwitpath.gateway.unreadable import UnreadableValues
-from godwitpath.http1.client import MAX_TRANSFER_BYTES
 from godwitpath.http1.messages import NotSent, ResponseHead, ResponseLost
+from godwitpath.http1.transfers import MAX_TRANSFER_BYTES
 from godwitpath.platform.http_api import MAX_ANSWER_BYTES, HttpApiClient
 from godwitpath.platform.store_items import (
     MAX_ITEMS,
--- a/test/test_gateway_pulls.py
+++ b/test/test_gateway_pulls.py
@@ -8,7 +8,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from random import Random
 
 import msgspec
@@ -35,6 +35,7 @@
 from godwitpath_standin.gateway.engine import EngineStandin
 from test.gateway_fleet import STORE_WAIT_S, Daemon, fleet
 from test.gateway_parts import json_bytes
+from test.raw_server import Exchange, raw_server
 from test.slow_link import SlowLink
 
 LINK_BYTES_PER_S = 1_250_000
@@ -255,6 +256,32 @@
             assert current.version == 99
 
 
+@pytest.mark.parametrize("framing", [b"transfer-encoding: chunked", b"content-length: 33000000"])
+async def test_a_pull_ends_although_its_response_goes_on_slowly_without_end(
+    framing: bytes,
+) -> None:
+    asked = asyncio.Event()
+
+    async def send_slowly(exchange: Exchange) -> None:
+        asked.set()
+        exchange.writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+        with suppress(OSError):
+            while True:
+                exchange.writer.write(b"1\r\nx\r\n")
+                await exchange.writer.drain()
+                await asyncio.sleep(0.2)
+
+    async with fleet(2, "a") as (source, daemon), raw_server(send_slowly) as server:
+        await asyncio.sleep(2.0)
+        daemon.store.faults.down = True
+        pull_over(daemon, {source.members._entry.port: server.address.port})
+        source.store._core.put("op/config", large_configuration(99))
+        async with asyncio.timeout(4.0):
+            await asked.wait()
+        await asyncio.sleep(2 * PULL_TIMEOUT_S)
+        assert daemon.peers.puller.counts["pulls_failed"] >= 1
+
+
 async def test_a_daemon_whose_pulls_fail_watches_the_store_itself() -> None:
     async with fleet(18, "abc") as daemons:
         core = daemons[0].store._core
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -35,6 +35,7 @@
 from godwitpath.http1.server import ServerConnection, listen
 from godwitpath.http1.server_policy import Handler, ServerPolicy
 from godwitpath.http1.timeouts import SOCKET_LOOK_S
+from godwitpath.http1.transfers import read_transfer
 from godwitpath_standin.gateway.caller import read_response
 
 LIMITS = CallerLimits(2048, 4096, 0.3, 0.6)
@@ -289,7 +290,7 @@
     connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n")
     for number, part in enumerate(parts, start=1):
         loop.call_later(number * gap_s, connection.data_received, part)
-    return await connection.read_transfer(stall_timeout_s)
+    return await read_transfer(connection, stall_timeout_s)
 
 
 @contextmanager
@@ -387,7 +388,7 @@
             connection.send("GET", encode_request_head("GET", b"/", [(b"Host", b"h")]))
             await connection.head()
             asyncio.get_running_loop().call_later(0.1, time.sleep, 0.2)
-            assert len(await connection.read_transfer(stall_timeout_s=0.1)) == 10_000
+            assert len(await read_transfer(connection, stall_timeout_s=0.1)) == 10_000
             connection.close()
 
     async def test_a_transfer_below_the_slowest_rate_ends(self) -> None:
@@ -395,7 +396,7 @@
         async with scripted_server(head, *[b"x"] * 400) as connection:
             await connection.head()
             with pytest.raises(ResponseLost, match="of 400 bytes"):
-                await connection.read_transfer(stall_timeout_s=0.05)
+                await read_transfer(connection, stall_timeout_s=0.05)
 
     async def test_interim_response_is_skipped(self) -> None:
         responses = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"
