Bound the time of a whole listing of the store

Cause: a listing was bounded in pages, items and bytes, and each page by itself in time. A store that gave a page of one item each 1.4 s held a listing for 1,400 s of the loop's time (new test: ended as "list: more than 1000 pages", and neither counted nor logged).

Change: a listing as a whole has 60 s, then it is given up as one that is too large: platform_response_limit with "listing seconds", counted as limit_exceeded, and tried again. The listing of 1,100 engines in 22 pages fits though each page begins only at the end of its own 1.5 s (33 s, new test).

--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, TypeVar
@@ -60,6 +61,10 @@
 MAX_LIST_PAGES = 1000
 """Maximum number of pages that are read for one listing, so that no listing is endless."""
 
+MAX_LISTING_S = 60.0
+"""Maximum time of a listing. That of 1,100 engines takes 33 s if each of its 22 pages begins at the
+end of :data:`CALL_TIMEOUT_S`, and 20 s more on a share of 80 kB a second."""
+
 
 class _TxnResult(msgspec.Struct):
     revision: Number
@@ -104,47 +109,11 @@
             raise ItemUnreadable(f"item of {key} cannot be read: {error}") from error
 
     async def list_items(self, prefix: str) -> Listing:
-        items: list[Item] = []
-        unreadable: list[UnreadableItem] = []
-        revision = 0
-        first_era = 0
-        after = ""
-        total_bytes = 0
-        for page_number in range(MAX_LIST_PAGES):
-            query = {"prefix": prefix} | ({"after": after} if after else {})
-            _, body, era = await self._read("list", f"/kv-range?{urlencode(query)}")
-            total_bytes += len(body)
-            if total_bytes > MAX_TRANSFER_BYTES:
-                raise self._limit_exceeded("list", "listing bytes", total_bytes)
-            try:
-                page, unreadable_of_page = _decode_items(body, _list_decoder, prefix)
-            except TooManyItems as error:
-                raise self._limit_exceeded("list", "items", error.amount) from error
-            if page_number == 0:
-                revision, first_era = with_era(era, page.current_rev), era
-            elif era != first_era:
-                raise StoreRefused("list: the store was restored between two pages")
-            items.extend(_to_item(entry, era) for entry in page.entries)
-            unreadable.extend(unreadable_of_page)
-            if len(items) + len(unreadable) > MAX_ITEMS:
-                raise self._limit_exceeded("list", "items", len(items) + len(unreadable))
-            if not page.has_more:
-                break
-            last_key = page.entries[-1].key if page.entries else ""
-            if last_key <= after:
-                raise StoreRefused("list: a page has no key that the next one begins after")
-            after = last_key
-        else:
-            raise StoreRefused(f"list: more than {MAX_LIST_PAGES} pages")
-        self._note_unreadable(prefix, unreadable)
-        for item in items:
-            self.unreadable.forget(item.key)
-        return Listing(
-            items,
-            revision,
-            frozenset(each.key for each in unreadable if each.key is not None),
-            any(each.any_key for each in unreadable),
-        )
+        try:
+            async with asyncio.timeout(MAX_LISTING_S):
+                return await self._list_pages(prefix)
+        except TimeoutError as error:
+            raise self._limit_exceeded("list", "listing seconds", int(MAX_LISTING_S)) from error
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
         number = without_era(after)
@@ -229,6 +198,49 @@
         """Close every connection."""
         self._api.close()
 
+    async def _list_pages(self, prefix: str) -> Listing:
+        items: list[Item] = []
+        unreadable: list[UnreadableItem] = []
+        revision = 0
+        first_era = 0
+        after = ""
+        total_bytes = 0
+        for page_number in range(MAX_LIST_PAGES):
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            _, body, era = await self._read("list", f"/kv-range?{urlencode(query)}")
+            total_bytes += len(body)
+            if total_bytes > MAX_TRANSFER_BYTES:
+                raise self._limit_exceeded("list", "listing bytes", total_bytes)
+            try:
+                page, unreadable_of_page = _decode_items(body, _list_decoder, prefix)
+            except TooManyItems as error:
+                raise self._limit_exceeded("list", "items", error.amount) from error
+            if page_number == 0:
+                revision, first_era = with_era(era, page.current_rev), era
+            elif era != first_era:
+                raise StoreRefused("list: the store was restored between two pages")
+            items.extend(_to_item(entry, era) for entry in page.entries)
+            unreadable.extend(unreadable_of_page)
+            if len(items) + len(unreadable) > MAX_ITEMS:
+                raise self._limit_exceeded("list", "items", len(items) + len(unreadable))
+            if not page.has_more:
+                break
+            last_key = page.entries[-1].key if page.entries else ""
+            if last_key <= after:
+                raise StoreRefused("list: a page has no key that the next one begins after")
+            after = last_key
+        else:
+            raise StoreRefused(f"list: more than {MAX_LIST_PAGES} pages")
+        self._note_unreadable(prefix, unreadable)
+        for item in items:
+            self.unreadable.forget(item.key)
+        return Listing(
+            items,
+            revision,
+            frozenset(each.key for each in unreadable if each.key is not None),
+            any(each.any_key for each in unreadable),
+        )
+
     async def _read(
         self, kind: str, target: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> tuple[int, bytes, int]:
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -13,10 +13,11 @@
 
 from godwitpath.gateway.store import HistoryLost, ItemUnreadable, Listing, TxnConflict
 from godwitpath.http1.messages import ResponseHead
+from godwitpath.platform import store as platform_store
 from godwitpath.platform.http_api import ApiResponse
-from godwitpath.platform.store import PlatformStore
+from godwitpath.platform.store import CALL_TIMEOUT_S, MAX_LISTING_S, PlatformStore
 from godwitpath.ports.engine import Address
-from godwitpath.ports.kv import StoreError
+from godwitpath.ports.kv import StoreError, StoreRefused
 from test.mutations import DEEP, ODD_VALUES, mutated, values_of_others
 
 ITEM = {
@@ -248,3 +249,54 @@
         return eras
 
     assert asyncio.run(hear_eras()) == [2, 4]
+
+
+class SlowPagesApi:
+    """Lists items in pages, each of which takes some time.
+
+    :param item_count: number of items, None for pages without end
+    """
+
+    def __init__(self, item_count: int | None, page_items: int, page_s: float) -> None:
+        self._item_count = item_count
+        self._page_items = page_items
+        self._page_s = page_s
+        self._listed = 0
+
+    async def call(self, *args: object, **options: object) -> ApiResponse:
+        await asyncio.sleep(self._page_s)
+        first, self._listed = self._listed, self._listed + self._page_items
+        numbers = range(first, min(self._listed, self._item_count or self._listed))
+        entries = b",".join(item(f"servers/{number:06}") for number in numbers)
+        has_more = b"false" if self._listed == self._item_count else b"true"
+        body = b'{"currentRev":7,"entries":[' + entries + b'],"hasMore":' + has_more + b"}"
+        return ApiResponse(200, body, ResponseHead(200, b"", []))
+
+
+def listing_slowly(item_count: int | None, page_items: int, page_s: float) -> PlatformStore:
+    store = answered(b"")
+    store._api = SlowPagesApi(item_count, page_items, page_s)  # type: ignore[assignment]
+    return store
+
+
+@pytest.mark.looptime
+async def test_a_listing_in_many_slow_pages_is_given_up_and_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limits: list[str] = []
+    monkeypatch.setattr(
+        platform_store, "decision", lambda kind, **fields: limits.append(fields["limit"])
+    )
+    store = listing_slowly(None, page_items=1, page_s=1.4)
+    started_at_s = asyncio.get_running_loop().time()
+    with pytest.raises(StoreRefused, match="listing seconds"):
+        await store.list_items("servers/")
+    assert asyncio.get_running_loop().time() - started_at_s == pytest.approx(MAX_LISTING_S)
+    assert store.calls[("list", "limit_exceeded")] == 1
+    assert limits == ["listing seconds"]
+
+
+@pytest.mark.looptime
+async def test_the_listing_of_the_largest_fleet_is_read_from_the_slowest_store() -> None:
+    store = listing_slowly(1_100, page_items=50, page_s=CALL_TIMEOUT_S)
+    assert len((await store.list_items("servers/")).items) == 1_100
