Bound the open connections of each port

The event loop accepts as many connections in one iteration as may wait, 1,024.

Change: each port has a share of the files that the process may open (RLIMIT_NOFILE): .375 for callers, 4,096 at most, .1 for peers, .02 each for readiness and metrics, so that a call to an engine for each caller and more are left. Beyond it, of the connections without a complete request the one that has been idle longest is ended, then the one that has been receiving longest, else the new one. At most 16 connections are accepted in an iteration. connections_ended is logged at most every 10 s and port; godwitpath.gateway.connections and connections.ended count. listen has a module of its own, and so has the reset of a connection, which the soak's proxy uses too.

Ruled out: ending only idle connections or the new one. Half requests would then keep new callers out for the 10 s of their timeout.

Changed tests: get_write_buffer_size, which returns 0, in the transports of test_gateway_cloud_calls.py and test_http1_closing_reads.py; imports of listen; test_gateway_port_limits.py passes OpenConnections to listen. No check is changed.

--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -18,6 +18,7 @@
 from godwitpath.gateway.instruments import Instruments
 from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.placement import Placer
+from godwitpath.gateway.port_limits import PortConnections, max_open_files
 from godwitpath.gateway.read_speed import ReadSpeedEstimator
 from godwitpath.gateway.retry_budget import RetryBudget
 from godwitpath.gateway.retry_schedule import RetrySchedule
@@ -65,6 +66,7 @@
     :ivar ages: returns the age of this daemon's configuration and of its engines' entries
     :ivar evacuator: moves streams away from engines that are leaving
     :ivar read_speeds: measured speed of prefill by service
+    :ivar ports: bounds the open connections of each port
     :ivar instruments: counters and histograms for the metrics
     """
 
@@ -90,4 +92,5 @@
     read_speeds: defaultdict[str, ReadSpeedEstimator] = field(
         default_factory=lambda: defaultdict(ReadSpeedEstimator)
     )
+    ports: PortConnections = field(default_factory=lambda: PortConnections(max_open_files()))
     instruments: Instruments = field(default_factory=Instruments)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -39,8 +39,9 @@
 from godwitpath.gateway.supervise import keep_running
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.usage_duty import UsageDuty
+from godwitpath.http1.listener import listen
 from godwitpath.http1.pool import ConnectionPool
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.platform.adapter import PlatformAdapter
 from godwitpath.platform.settings import decode_settings
@@ -157,11 +158,16 @@
             self._intake.handle,
             lambda: self._ctx.in_force.limits,
             lambda: not self.stopping,
+            self._ctx.ports.callers,
         )
         address = settings.caller_address
         caller_server = await listen(address.host, address.port, policy, self._connections)
-        readiness_server = await self._readiness.listen(settings.readiness_address)
-        metrics_server = await self._metrics.listen(settings.metrics_address)
+        readiness_server = await self._readiness.listen(
+            settings.readiness_address, self._ctx.ports.readiness
+        )
+        metrics_server = await self._metrics.listen(
+            settings.metrics_address, self._ctx.ports.metrics
+        )
         decision("started", version=__version__, zone=settings.zone)
         await self._peers.start()
         jobs: dict[str, Callable[[], Awaitable[None]]] = {
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -23,9 +23,11 @@
 from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.gateway.state_dump import StateDump
 from godwitpath.gateway.unreadable import UnreadableValues
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
+from godwitpath.http1.open_connections import OpenConnections
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.platform.adapter import PlatformAdapter
 from godwitpath.ports.engine import Address
@@ -64,12 +66,15 @@
         self._metrics: Metrics | None = None
         self._connections: set[ServerConnection] = set()
 
-    async def listen(self, address: Address) -> asyncio.Server | None:
+    async def listen(self, address: Address, connections: OpenConnections) -> asyncio.Server | None:
         """Listen on an address.
 
+        :param connections: bounds the open connections
         :returns: the server, None if the address is in use; the daemon then serves no metrics
         """
-        policy = ServerPolicy(self._handle, lambda: SERVICE_PORT_LIMITS)
+        policy = ServerPolicy(
+            self._handle, lambda: SERVICE_PORT_LIMITS, open_connections=connections
+        )
         try:
             return await listen(address.host, address.port, policy, self._connections)
         except OSError as error:
@@ -105,6 +110,12 @@
             ("sends", "{send}", "Sends to engines by outcome: which service fails?", self._sends),
             ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
             ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
+            (
+                "connections.ended",
+                "{connection}",
+                "Connections beyond a port's limit.",
+                self._ended,
+            ),
             ("unreadable", "{value}", "Values of other writers not read.", self._unreadable),
             ("read.tokens", "{token}", "Prompt tokens given to engines to read.", self._tokens),
             ("permits", "{permit}", "Permits for sends to limited engines.", self._permits),
@@ -117,6 +128,7 @@
             ("engines", "{engine}", "Engines by service, state and kind.", self._engines),
             ("engines.limited", "{engine}", "Engines with a limit, by service.", self._limited),
             ("engines.limit", "{request}/s", "Sum of engines' limits.", self._limit_per_s),
+            ("connections", "{connection}", "Open connections by port.", self._open),
             ("running", "{request}", "Own requests at engines, by service.", self._running),
             ("configuration.revision", "{revision}", "Store revision in force.", self._revision),
             ("store.silent", "s", "Time since the store last answered.", self._store_response_age),
@@ -148,6 +160,15 @@
             for name, count in list(counts.items()):
                 yield count, {"event": name}
 
+    def _ended(self) -> Samples:
+        for connections in self._ctx.ports.all():
+            for phase, count in list(connections.ended.items()):
+                yield count, {"port": connections.port, "phase": phase}
+
+    def _open(self) -> Samples:
+        for connections in self._ctx.ports.all():
+            yield len(connections), {"port": connections.port}
+
     def _unreadable(self) -> Samples:
         for values in self._unreadable_values:
             for kind, count in list(values.counts.items()):
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -44,7 +44,8 @@
 from godwitpath.gateway.pulls import CataloguePuller
 from godwitpath.gateway.store import era_of
 from godwitpath.gateway.unreadable import UnreadableValues
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.listener import listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.telemetry.decisions import decision
 
@@ -117,7 +118,9 @@
         settings = self._ctx.settings
         port = settings.peer_ports[0]
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=(settings.host, port))
-        policy = ServerPolicy(self.puller.handle, lambda: SERVICE_PORT_LIMITS)
+        policy = ServerPolicy(
+            self.puller.handle, lambda: SERVICE_PORT_LIMITS, open_connections=self._ctx.ports.peers
+        )
         self._server = await listen(settings.host, port, policy, self._connections)
 
     async def run(self) -> None:
--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -7,15 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections import deque
 from typing import Any
 
 import httptools
 
 from godwitpath.http1.messages import Request, encode_response_head
+from godwitpath.http1.open_connections import Phase
 from godwitpath.http1.request_parts import RequestParts
+from godwitpath.http1.resets import reset as reset_transport
 from godwitpath.http1.responder import Responder
 from godwitpath.http1.response_limits import UNSHARED_BODY_BYTES
 from godwitpath.http1.server_policy import ServerPolicy
@@ -35,9 +35,6 @@
 WRITE_HIGH_WATER_BYTES = 65_536
 """Number of unsent response bytes of a connection above which :meth:`Responder.drain` waits."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of `SO_LINGER` that makes closing the socket send a reset."""
-
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -75,11 +72,7 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being received, pending or being handled."""
-        return (
-            self._handler_task is None
-            and not self._pending_requests
-            and self._parts.started_at_s is None
-        )
+        return self._phase() is Phase.IDLE
 
     def may_keep_alive(self) -> bool:
         """Return whether the connection may stay open after the current response."""
@@ -116,10 +109,7 @@
         if self._transport is None:
             return
         if reset:
-            self._transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-            self._transport.abort()
+            reset_transport(self._transport)
         else:
             self._close_transport()
 
@@ -140,6 +130,7 @@
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
         self._start_timer()
+        self._policy.open_connections.add(self, self._end_unserved, self._loop.time())
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._turns.buffer[: self._read_bytes]
@@ -175,6 +166,7 @@
                 break
             self._parse(data[start : start + PARSE_BYTES])
             start += PARSE_BYTES
+        self._note_phase()
         self._pause_or_resume_reading()
 
     def _parse(self, data: bytes) -> None:
@@ -200,6 +192,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._connections.discard(self)
+        self._policy.open_connections.remove(self)
         self._transport = None
         self._closing = True
         self._unparsed = b""
@@ -287,6 +280,7 @@
             else:
                 self._idle_since_s = self._loop.time()
                 self._start_timer()
+                self._note_phase()
                 if self._pending_requests or self._unparsed:
                     self._wait_for_turn()
 
@@ -331,6 +325,24 @@
             end = self._end_receiving if self._parts.body else None
             self._policy.received.hold(self, body_bytes, end)
 
+    def _phase(self) -> Phase:
+        if self._handler_task is not None or self._pending_requests or self._unparsed:
+            return Phase.HANDLING
+        return Phase.IDLE if self._parts.started_at_s is None else Phase.RECEIVING
+
+    def _note_phase(self) -> None:
+        """State what the connection is doing; it is not idle while a response is being sent."""
+        if self._transport is not None:
+            sending = self._transport.get_write_buffer_size() > 0
+            phase = Phase.HANDLING if sending else self._phase()
+            self._policy.open_connections.note_phase(self, phase)
+
+    def _end_unserved(self) -> None:
+        """Close the connection, which has no complete request, and its file at once."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
     def _end_unread(self, unsent_bytes: int) -> None:
         decision("caller_ended", reason="unread response", held_bytes=unsent_bytes)
         self.disconnect(reset=True)
@@ -384,16 +396,3 @@
                 self._reject(408)
                 return
         self._start_timer()
-
-
-async def listen(
-    host: str, port: int, policy: ServerPolicy, connections: set[ServerConnection]
-) -> asyncio.Server:
-    """Listen on an address and return the server.
-
-    :param connections: updated with the connections that are open
-    """
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        lambda: ServerConnection(policy, connections), host, port, backlog=1024
-    )
--- a/godwitpath_standin/gateway/server.py
+++ b/godwitpath_standin/gateway/server.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.listener import listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import Handler, ServerPolicy
 from godwitpath.ports.engine import Address
 
--- a/godwitpath_standin/soak/proxy.py
+++ b/godwitpath_standin/soak/proxy.py
@@ -6,7 +6,7 @@
 import socket
 from enum import StrEnum
 
-from godwitpath.http1.server import RESET_ON_CLOSE
+from godwitpath.http1.resets import reset
 from godwitpath.ports.engine import Address
 
 CHUNK_BYTES = 65_536
@@ -72,7 +72,7 @@
     def reset(self) -> None:
         """Reset every open connection at both ends."""
         for writer in list(self._writers):
-            _reset_connection(writer)
+            reset(writer.transport)
 
     async def stop(self, *, keep_port: bool = False) -> None:
         """Stop listening and reset every open connection.
@@ -117,7 +117,7 @@
             for end in (writer, upstream_writer):
                 if end is not None:
                     self._writers.discard(end)
-                    _reset_connection(end)
+                    reset(end.transport)
 
     async def _forward(
         self, way: Way, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -133,10 +133,3 @@
             # The client has closed the connection, so the rest of the response has no reader.
             raise ConnectionAbortedError
         writer.close()
-
-
-def _reset_connection(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
--- a/test/test_gateway_cloud_calls.py
+++ b/test/test_gateway_cloud_calls.py
@@ -46,6 +46,9 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         return
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return False
 
--- a/test/test_gateway_port_limits.py
+++ b/test/test_gateway_port_limits.py
@@ -10,10 +10,15 @@
 import pytest
 
 from godwitpath.gateway.metrics_page import MetricsPage
+from godwitpath.gateway.port_limits import MAX_CALLERS, PortConnections
 from godwitpath.gateway.readiness import Readiness
+from godwitpath.http1.open_connections import OpenConnections
 from godwitpath.ports.engine import Address
 from test.gateway_fleet import fleet
 
+STREAMS_OF_A_DAEMON = 75
+"""Open streams of a daemon at the size that is aimed at (docs/CAPACITY.md)."""
+
 ANY_PORT = Address("127.0.0.1", 0)
 
 
@@ -28,7 +33,7 @@
     unused: Any = None
     page = MetricsPage(*([unused] * 7))
     endpoint = Readiness(lambda: True) if purpose == "readiness" else page
-    server = await endpoint.listen(ANY_PORT)
+    server = await endpoint.listen(ANY_PORT, OpenConnections())
     assert server is not None
     async with server:
         yield Address(*server.sockets[0].getsockname()[:2])
@@ -62,3 +67,13 @@
         status_line = await reader.readline()
         writer.close()
     assert status_line.startswith(b"HTTP/1.1 431 ")
+
+
+@pytest.mark.parametrize("max_files", [256, 1_024, 20_000, 1_000_000, float("inf")])
+def test_connections_of_all_ports_leave_files_for_a_call_of_each_caller(max_files: float) -> None:
+    ports = PortConnections(max_files)
+    accepted = sum(connections.max_open for connections in ports.all())
+    assert max_files - accepted > ports.callers.max_open
+    assert ports.callers.max_open <= MAX_CALLERS
+    if max_files >= 1_024:
+        assert ports.callers.max_open > STREAMS_OF_A_DAEMON
--- a/test/test_http1.py
+++ b/test/test_http1.py
@@ -22,6 +22,7 @@
 
 from godwitpath.http1.client import ClientConnection, connect
 from godwitpath.http1.limits import CallerLimits
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import (
     NotSent,
     Request,
@@ -32,7 +33,7 @@
 )
 from godwitpath.http1.pool import ConnectionPool, keep_alive_limit_s
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import Handler, ServerPolicy
 from godwitpath.http1.timeouts import SOCKET_LOOK_S
 from godwitpath.http1.transfers import read_transfer
--- a/test/test_http1_closing_reads.py
+++ b/test/test_http1_closing_reads.py
@@ -6,9 +6,10 @@
 
 import pytest
 
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
 from godwitpath.http1.turns import READ_BYTES
 
@@ -61,6 +62,9 @@
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return False
 
--- a/test/test_http1_held_bytes.py
+++ b/test/test_http1_held_bytes.py
@@ -10,10 +10,11 @@
 
 from godwitpath.http1.held_bytes import MAX_HELD_BYTES, HeldBytes
 from godwitpath.http1.limits import CallerLimits
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
 from godwitpath.http1.response_limits import UNSHARED_BODY_BYTES
-from godwitpath.http1.server import ServerConnection, listen
+from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
 
 BODY_BYTES = 8_388_608
--- a/test/test_http1_pipelining.py
+++ b/test/test_http1_pipelining.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from godwitpath.http1.client import ClientConnection
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request, ResponseLost
 from godwitpath.http1.responder import Responder
 from godwitpath.http1.response_limits import FREE_PIECES, MAX_FIELDS, BodyBudget
@@ -18,7 +19,6 @@
     PARSE_BYTES,
     ServerConnection,
     ServerPolicy,
-    listen,
 )
 
 PIPELINED = 10_000
--- a/test/test_http1_sound_callers.py
+++ b/test/test_http1_sound_callers.py
@@ -9,9 +9,9 @@
 
 import pytest
 
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
-from godwitpath.http1.server import listen
 from godwitpath.http1.server_policy import ServerPolicy
 
 CALLERS = 30
--- a/test/test_http1_trailers.py
+++ b/test/test_http1_trailers.py
@@ -8,10 +8,10 @@
 
 from godwitpath.http1.client import ClientConnection
 from godwitpath.http1.limits import CallerLimits
+from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
 from godwitpath.http1.responder import Responder
 from godwitpath.http1.response_limits import MAX_HEAD_BYTES, BodyBudget, ResponseLimitExceeded
-from godwitpath.http1.server import listen
 from godwitpath.http1.server_policy import ServerPolicy
 
 BODY_BYTES = 200_000
