Poll the configuration again soon after a poll that failed

Cause: a watcher whose poll failed read the store again only after the whole poll interval. When the store stops responding on the connections that are open, the watch is silent and the poll fails after the store's timeout of 1 s on a connection of the pool; the next one follows up to 3 s later. Where the polls of all entries are close to one another, as after a common start, a change is in force up to 5.5 s after it was stored, and not within 5 s. Change: after a failed poll the next one follows after .25 s, which doubles with each further failure up to the interval.

--- a/godwitpath/config_sync/in_force.py
+++ b/godwitpath/config_sync/in_force.py
@@ -38,6 +38,9 @@
 POLL_INTERVAL_S = 3.0
 """Interval at which a watcher reads the store, to find changes that a stalled watch missed."""
 
+FIRST_POLL_BACKOFF_S = 0.25
+"""Backoff after a poll that failed; it doubles with each further failure."""
+
 WATCH_IDLE_TIMEOUT_S = 30.0
 """Time without an event after which a watch is reopened."""
 
@@ -66,6 +69,19 @@
 ChangeListener = Callable[[ConfigEnvelope, Configuration], None]
 
 
+def poll_interval_s(failed_polls: int) -> float:
+    """Return the longest time until the next poll.
+
+    It is short after a failure, since the connection may have been lost and the next read opens
+    another one.
+
+    :param failed_polls: consecutive polls that failed
+    """
+    if not failed_polls:
+        return POLL_INTERVAL_S
+    return min(POLL_INTERVAL_S, FIRST_POLL_BACKOFF_S * 2.0 ** min(failed_polls - 1, 16))
+
+
 class ConfigInForce:
     """The configuration in force at this entry and its synchronization with store and peers.
 
@@ -265,14 +281,25 @@
             self.counts["watches_ended"] += 1
 
     async def _poll_forever(self, store: KeyValueStore) -> None:
+        failed_polls = 0
         while True:
-            await asyncio.sleep(POLL_INTERVAL_S * self._rng.uniform(0.8, 1.0))
-            if self._is_watcher():
-                value = await self._read_store()
-                stored = self._decode_stored(value)
-                self._offer_all(stored)
-                if value is not None and stored is not None:
-                    await self._repair(store, value, stored)
+            interval_s = poll_interval_s(failed_polls)
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.0))
+            failed = self._is_watcher() and not await self._poll(store)
+            failed_polls = failed_polls + 1 if failed else 0
+
+    async def _poll(self, store: KeyValueStore) -> bool:
+        """Read the configuration and correct the store; returns whether the store responded."""
+        try:
+            value = await self._read(store)
+        except (GodwitpathError, TimeoutError):
+            self.counts["read_failures"] += 1
+            return False
+        stored = self._decode_stored(value)
+        self._offer_all(stored)
+        if value is not None and stored is not None:
+            await self._repair(store, value, stored)
+        return True
 
     async def _repair(self, store: KeyValueStore, value: KeyValue, stored: ConfigEnvelope) -> None:
         replacement = corrected_envelope(self.envelope, stored) if self.envelope else None
--- a/test/test_config_sync.py
+++ b/test/test_config_sync.py
@@ -8,10 +8,10 @@
 import pytest
 
 from godwitpath.config.envelope import CURRENT_KEY, decode_envelope, encode_envelope
-from godwitpath.config_sync.in_force import STORE_TIMEOUT_S
-from godwitpath.ports.kv import KeyValue
-from godwitpath_standin.fakes.kv import FakeKeyValueStore
-from godwitpath_standin.fakes.peer_fleet import Fleet, envelope, until
+from godwitpath.config_sync.in_force import STORE_TIMEOUT_S, poll_interval_s
+from godwitpath.ports.kv import KeyValue, StoreRefused
+from godwitpath_standin.fakes.kv import FakeKeyValueStore, loop_core
+from godwitpath_standin.fakes.peer_fleet import Fleet, Ports, envelope, until
 
 pytestmark = pytest.mark.looptime
 
@@ -150,3 +150,65 @@
     fleet = Fleet(1, store=store)
     await until(lambda: all_at_revision(fleet, 1), CONFIG_APPLY_S)
     await fleet.stop()
+
+
+class PooledStore(FakeKeyValueStore):
+    """A client with connections in a pool, which the store can stop answering.
+
+    Calls on these get no response in time; the first that has failed retires all of them.
+    """
+
+    silent_connections = 0
+
+    def silence(self, open_connections: int) -> None:
+        """Stop responding, permanently, on the open watch and on the connections of the pool."""
+        self.suppress_watch_events()
+        self.silent_connections = open_connections
+
+    async def get(self, key: str) -> KeyValue | None:
+        await self._use_connection()
+        return await super().get(key)
+
+    async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> list[KeyValue]:
+        await self._use_connection()
+        return await super().scan(prefix, limit, after)
+
+    async def _use_connection(self) -> None:
+        if self.silent_connections:
+            self.silent_connections -= 1
+            await asyncio.sleep(self.timeout_s)
+            self.silent_connections = 0
+            raise StoreRefused("no response in time")
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+async def test_a_change_while_open_connections_are_silent_is_in_force_in_time(seed: int) -> None:
+    core = loop_core()
+    operator = FakeKeyValueStore(core)
+    fleet = Fleet(0, seed=seed)
+    stores = [PooledStore(core) for _ in range(5)]
+    for number, store in enumerate(stores):
+        fleet.ports = Ports(store)
+        fleet.region_of[f"e{number}"] = f"r{number % 3}"
+        fleet.add(f"e{number}")
+    await write(operator, 1)
+    await until(lambda: all_at_revision(fleet, 1), PROPAGATION_TIMEOUT_S)
+    # The entries started together, so that their polls are still close to one another.
+    await asyncio.sleep(9.0)
+    for store in stores:
+        store.silence(open_connections=2)
+    await write(operator, 2)
+    await until(lambda: all_at_revision(fleet, 2), PROPAGATION_TIMEOUT_S)
+    await fleet.stop()
+
+
+def test_polls_after_failures_return_to_their_interval() -> None:
+    assert [poll_interval_s(failed_polls) for failed_polls in range(7)] == [
+        3,
+        0.25,
+        0.5,
+        1,
+        2,
+        3,
+        3,
+    ]
