Wait for the claimant of a key, and run the request when it has failed

Cause: an entry that finds a key claimed for a request that nobody holds yet, by an entry that membership still lists as live, answered its caller with a stream of that request. When the claimant had died between the claim and the copy of its record (long where the backups answer late), that stream showed only comments until the search for a holder ended after 20 s, in an error "no entry that holds the request can be reached". A caller with a deadline of 30 s had little left. Change: such a claim is waited for, for up to 5 s: until the record is found, the key is released or the claimant is no longer live; in the last two cases the key is claimed and the request runs. Tests: a claimant that died, whose failure is detected after 2 s; before the change the other entry got the dead request ("assert RecordRef(... holder='e0', epoch=0 ...) is None"), now its claim is granted. A claimant that accepts 1 s later: before, epoch 0 ("False != True"), now its record.

--- a/godwitpath/records/finder.py
+++ b/godwitpath/records/finder.py
@@ -28,6 +28,12 @@
 from godwitpath.records.record import KEEP_OUTCOME_S, RecordRef
 from godwitpath.records.table import RecordCounters, RecordTable
 
+MAX_CLAIM_WAIT_S = 5.0
+"""Time that the other claimant of a key has to accept its request, before its reader searches."""
+
+CLAIM_CHECK_INTERVAL_S = 0.1
+"""Interval between checks whether the other claimant of a key has accepted its request."""
+
 
 class RecordFinder:
     """Looks a record up locally, then at the few entries that may have the record.
@@ -78,6 +84,9 @@
     ) -> RecordRef | None:
         """Claim an idempotency key at the entry that ranks first for the key.
 
+        A key that another entry has claimed for a request that it has not accepted yet is waited
+        for, for at most ``MAX_CLAIM_WAIT_S``.
+
         :returns: the request that already has the key; None if the caller's request may run
         """
         self._counters.key_claims += 1
@@ -87,17 +96,28 @@
         if current is None or current.request_id == request_id:
             return None
         self._counters.key_conflicts += 1
-        found = await self.find(account, current.request_id)
-        if found is not None:
-            return found
-        if self._calls.is_live(current.holder):
-            # The holder has claimed the key and is about to accept the request.
-            return _claimed_ref(request, current)
-        request.replaces = current.request_id
-        current = await self._claim_at_arbiter(request)
-        if current is None or current.request_id == request_id:
-            return None
-        return _claimed_ref(request, current)
+        return await self._await_claimed(request, current)
+
+    async def _await_claimed(self, request: ClaimKey, current: KeyClaimed) -> RecordRef | None:
+        """Wait until the other claimant of a key accepts its request, releases the key or fails.
+
+        :returns: the claimant's request; None if the key was claimed in its place
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + MAX_CLAIM_WAIT_S
+        while True:
+            found = await self.find(request.account, current.request_id)
+            if found is not None:
+                return found
+            if loop.time() >= end_s or current.body_digest != request.body_digest:
+                return _claimed_ref(request, current)
+            if not self._calls.is_live(current.holder):
+                request.replaces = current.request_id
+            await asyncio.sleep(CLAIM_CHECK_INTERVAL_S)
+            latest = await self._claim_at_arbiter(request)
+            if latest is None or latest.request_id == request.request_id:
+                return None
+            current = latest
 
     async def release_key(self, account: str, idempotency_key: str, request_id: str) -> None:
         """Release the claim on an idempotency key after the request was refused."""
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -117,6 +117,32 @@
     await fleet.stop()
 
 
+async def test_a_key_whose_claimant_failed_before_it_accepted_is_granted_on_detection() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"].store, fleet.nodes["e4"].store
+    assert await claimant.claim_key("a", "k", "d", claimant.new_request_id("a", "k")) is None
+    await fleet.kill("e0")
+    # The caller lost its connection and retries at another entry at once.
+    async with asyncio.timeout(DETECTION_S + 1.0):
+        assert await other.claim_key("a", "k", "d", other.new_request_id("a", "k")) is None
+    await fleet.stop()
+
+
+async def test_a_claim_waits_for_the_record_of_the_claimant() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"], fleet.nodes["e4"]
+    record = claimant.record(key="k")
+    assert await claimant.store.claim_key("a", "k", "d", record.request_id) is None
+    request_id = other.store.new_request_id("a", "k")
+    claim = asyncio.create_task(other.store.claim_key("a", "k", "d", request_id))
+    await asyncio.sleep(1.0)
+    await claimant.store.accept(record)
+    found = await asyncio.wait_for(claim, 1.0)
+    assert found is not None
+    assert (found.request_id, found.holder, found.epoch > 0) == (record.request_id, "e0", True)
+    await fleet.stop()
+
+
 async def test_text_is_complete_after_the_holder_fails() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
