Let the load generator go on after an error event

Change: each attempt starts without an error. What counts as completed, lost or wrong is as before. Test: an entry that sends an error event first and the whole answer then.

--- a/godwitpath_standin/load.py
+++ b/godwitpath_standin/load.py
@@ -224,6 +224,7 @@
     async def _read_stream(self, response: HttpResponse, stream: _StreamState) -> None:
         loop = asyncio.get_running_loop()
         stream.buffer = b""
+        stream.error_text = ""
         try:
             while chunk := await response.read():
                 *events, stream.buffer = (stream.buffer + chunk).split(b"\n\n")
