Let readers go on when a record moves after more than 20 s

Cause: the time of the last reply from a holder was taken at the start of a read and renewed by replies of other entries only. A reader at the holder itself that had followed its record for more than 20 s found that time long past when the record moved, as by a hand-over in a planned stop, and ended at once in "no entry holds request ..." without a search. Change: a record that was here until it moved renews the time. Test: a reader of text and one of the outcome at the holder for 40 s, then a hand-over. Before the change "RecordLost: no entry holds request req-...", after it the text is whole.

--- a/godwitpath/records/reader.py
+++ b/godwitpath/records/reader.py
@@ -55,6 +55,10 @@
         self.ref = ref
         self.last_reply_at_s = now_s
 
+    def found(self, now_s: float) -> None:
+        """Note that a holder was there until now."""
+        self.last_reply_at_s = now_s
+
 
 class RecordReader:
     """Follows records by long polls and serves long polls from peers."""
@@ -102,6 +106,8 @@
                 return
             except RecordMoved:
                 pass
+            if record is not None:
+                search.found(self._now_s())
             await self._find_holder(search)
 
     async def outcome(self, ref: RecordRef) -> Outcome:
@@ -111,8 +117,8 @@
         """
         search = _HolderSearch(ref, self._now_s())
         while True:
+            record = self._local_record(ref)
             try:
-                record = self._local_record(ref)
                 if record is not None:
                     return await record.wait_outcome()
                 message = AwaitOutcome(0, ref.account, ref.request_id, POLL_WAIT_S)
@@ -120,6 +126,8 @@
                 if reply.outcome is not None:
                     return reply.outcome
             except RecordMoved:
+                if record is not None:
+                    search.found(self._now_s())
                 await self._find_holder(search)
 
     def _local_record(self, ref: RecordRef) -> RequestRecord | None:
@@ -159,7 +167,7 @@
             del self._reply_futures[message.poll_id]
         if not reply.held:
             raise RecordMoved(ref.request_id, reply.holder)
-        search.last_reply_at_s = self._now_s()
+        search.found(self._now_s())
         return reply
 
     def close(self) -> None:
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -7,6 +7,8 @@
 import pytest
 
 from godwitpath.ports.peers import Peer
+from godwitpath.records.messages import local_ref
+from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S
 from godwitpath.records.record import (
     OffsetUnknown,
     Outcome,
@@ -143,6 +145,26 @@
     await fleet.stop()
 
 
+async def test_a_reader_goes_on_when_a_record_moves_that_was_here_for_long() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    record = node.record()
+    await node.store.accept(record)
+    ref = local_ref(record)
+    pieces: list[Piece] = []
+
+    async def follow() -> None:
+        async for batch in node.store.follow(ref, 0):
+            pieces.extend(batch)
+
+    followers = asyncio.gather(follow(), node.store.outcome(ref))
+    await asyncio.sleep(2 * HOLDER_SEARCH_TIMEOUT_S)
+    assert await node.store.hand_over() == 1
+    await asyncio.wait_for(followers, SETTLED_S)
+    assert "".join(piece.text for piece in pieces) == complete_text(record)
+    await fleet.stop()
+
+
 async def test_text_is_complete_after_the_holder_fails() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
