Tell readers soon that a record is lost that only a failed entry had

Cause: a reader searched for 20 s for a record whose holder had failed and that no entry knew, as when no backup had its copy, or the copy was found and dropped just after. The stream shows comments until then, so that a caller sees no failure until its own deadline: "TimeoutError: ". Change: once the last holder is no longer live and no entry has known the record for 5 s, it counts as lost. The search looks at least once more after a pause of the process. Test: reading the outcome of a record that died with its entry (detected after 2 s) must end within 10 s, reading its text later within 8 s.

--- a/godwitpath/records/reader.py
+++ b/godwitpath/records/reader.py
@@ -39,6 +39,9 @@
 HOLDER_SEARCH_TIMEOUT_S = 20.0
 """Time without a reply from any holder after which a record counts as lost."""
 
+FAILED_HOLDER_SEARCH_TIMEOUT_S = 5.0
+"""Time for which no entry knows a record of a failed holder, after which it counts as lost."""
+
 P = TypeVar("P", FollowRecord, AwaitOutcome)
 
 
@@ -47,17 +50,28 @@
 
 
 class _HolderSearch:
-    """The last known holder of a record, and the time of the last reply from any holder."""
+    """The last known holder of a record, and the time of the last reply from any holder.
+
+    :ivar known_at_s: time at which the holder was last live, or another entry knew the record
+    """
 
-    __slots__ = ("last_reply_at_s", "ref")
+    __slots__ = ("known_at_s", "last_reply_at_s", "ref")
 
     def __init__(self, ref: RecordRef, now_s: float) -> None:
         self.ref = ref
         self.last_reply_at_s = now_s
+        self.known_at_s = now_s
 
     def found(self, now_s: float) -> None:
         """Note that a holder was there until now."""
-        self.last_reply_at_s = now_s
+        self.last_reply_at_s = self.known_at_s = now_s
+
+    def timed_out(self, now_s: float) -> bool:
+        """Return whether the record counts as lost."""
+        return (
+            now_s - self.last_reply_at_s > HOLDER_SEARCH_TIMEOUT_S
+            or now_s - self.known_at_s > FAILED_HOLDER_SEARCH_TIMEOUT_S
+        )
 
 
 class RecordReader:
@@ -86,7 +100,8 @@
         :param after_tokens: offset in tokens
         :param seen: text that the reader already has
         :raises OffsetUnknown: the text cannot be continued from the offset
-        :raises RecordLost: no holder was found within ``HOLDER_SEARCH_TIMEOUT_S``
+        :raises RecordLost: no holder was found within ``HOLDER_SEARCH_TIMEOUT_S``, or no entry
+            knew the record of a failed holder for ``FAILED_HOLDER_SEARCH_TIMEOUT_S``
         """
         search = _HolderSearch(ref, self._now_s())
         if seen is None and after_tokens == 0:
@@ -113,7 +128,8 @@
     async def outcome(self, ref: RecordRef) -> Outcome:
         """Wait for the outcome from any holder of the record.
 
-        :raises RecordLost: no holder was found within ``HOLDER_SEARCH_TIMEOUT_S``
+        :raises RecordLost: no holder was found within ``HOLDER_SEARCH_TIMEOUT_S``, or no entry
+            knew the record of a failed holder for ``FAILED_HOLDER_SEARCH_TIMEOUT_S``
         """
         search = _HolderSearch(ref, self._now_s())
         while True:
@@ -176,9 +192,11 @@
             task.cancel()
 
     async def _find_holder(self, search: _HolderSearch) -> None:
-        if self._now_s() - search.last_reply_at_s > HOLDER_SEARCH_TIMEOUT_S:
-            raise RecordLost(f"no entry holds request {search.ref.request_id}")
         found = await self._finder.find(search.ref.account, search.ref.request_id)
+        if found is not None or self._calls.is_live(search.ref.holder):
+            search.known_at_s = self._now_s()
+        if search.timed_out(self._now_s()):
+            raise RecordLost(f"no entry holds request {search.ref.request_id}")
         if found is not None and found.epoch >= search.ref.epoch:
             search.ref = found
         await asyncio.sleep(RETRY_INTERVAL_S)
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -8,11 +8,12 @@
 
 from godwitpath.ports.peers import Peer
 from godwitpath.records.messages import local_ref
-from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S
+from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S, RecordLost
 from godwitpath.records.record import (
     OffsetUnknown,
     Outcome,
     Piece,
+    RecordRef,
     RequestRecord,
     TextSeen,
     pieces_after,
@@ -145,6 +146,21 @@
     await fleet.stop()
 
 
+async def test_a_record_that_only_a_failed_entry_had_is_soon_known_to_be_lost() -> None:
+    fleet = RecordFleet()
+    lost = fleet.nodes["e0"].record()
+    ref = RecordRef("a", lost.request_id, "e0", epoch=1)
+    await fleet.kill("e0")
+    reader = fleet.nodes["e4"].store
+    # A caller that waits for it has time left for another request.
+    async with asyncio.timeout(DETECTION_S + 8.0):
+        with pytest.raises(RecordLost):
+            await reader.outcome(ref)
+    with pytest.raises(RecordLost):
+        await asyncio.wait_for(anext(reader.follow(ref, 0)), 8.0)
+    await fleet.stop()
+
+
 async def test_a_reader_goes_on_when_a_record_moves_that_was_here_for_long() -> None:
     fleet = RecordFleet()
     node = fleet.nodes["e0"]
