--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -7,10 +7,13 @@
 import pytest
 
 from godwitpath.ports.peers import Peer
+from godwitpath.records.messages import local_ref
+from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S, RecordLost
 from godwitpath.records.record import (
     OffsetUnknown,
     Outcome,
     Piece,
+    RecordRef,
     RequestRecord,
     TextSeen,
     pieces_after,
@@ -117,6 +120,67 @@
     await fleet.stop()
 
 
+async def test_a_key_whose_claimant_failed_before_it_accepted_is_granted_on_detection() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"].store, fleet.nodes["e4"].store
+    assert await claimant.claim_key("a", "k", "d", claimant.new_request_id("a", "k")) is None
+    await fleet.kill("e0")
+    # The caller lost its connection and retries at another entry at once.
+    async with asyncio.timeout(DETECTION_S + 1.0):
+        assert await other.claim_key("a", "k", "d", other.new_request_id("a", "k")) is None
+    await fleet.stop()
+
+
+async def test_a_claim_waits_for_the_record_of_the_claimant() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"], fleet.nodes["e4"]
+    record = claimant.record(key="k")
+    assert await claimant.store.claim_key("a", "k", "d", record.request_id) is None
+    request_id = other.store.new_request_id("a", "k")
+    claim = asyncio.create_task(other.store.claim_key("a", "k", "d", request_id))
+    await asyncio.sleep(1.0)
+    await claimant.store.accept(record)
+    found = await asyncio.wait_for(claim, 1.0)
+    assert found is not None
+    assert (found.request_id, found.holder, found.epoch > 0) == (record.request_id, "e0", True)
+    await fleet.stop()
+
+
+async def test_a_record_that_only_a_failed_entry_had_is_soon_known_to_be_lost() -> None:
+    fleet = RecordFleet()
+    lost = fleet.nodes["e0"].record()
+    ref = RecordRef("a", lost.request_id, "e0", epoch=1)
+    await fleet.kill("e0")
+    reader = fleet.nodes["e4"].store
+    # A caller that waits for it has time left for another request.
+    async with asyncio.timeout(DETECTION_S + 8.0):
+        with pytest.raises(RecordLost):
+            await reader.outcome(ref)
+    with pytest.raises(RecordLost):
+        await asyncio.wait_for(anext(reader.follow(ref, 0)), 8.0)
+    await fleet.stop()
+
+
+async def test_a_reader_goes_on_when_a_record_moves_that_was_here_for_long() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    record = node.record()
+    await node.store.accept(record)
+    ref = local_ref(record)
+    pieces: list[Piece] = []
+
+    async def follow() -> None:
+        async for batch in node.store.follow(ref, 0):
+            pieces.extend(batch)
+
+    followers = asyncio.gather(follow(), node.store.outcome(ref))
+    await asyncio.sleep(2 * HOLDER_SEARCH_TIMEOUT_S)
+    assert await node.store.hand_over() == 1
+    await asyncio.wait_for(followers, SETTLED_S)
+    assert "".join(piece.text for piece in pieces) == complete_text(record)
+    await fleet.stop()
+
+
 async def test_text_is_complete_after_the_holder_fails() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
