--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -209,6 +209,16 @@
     floods: Annotated[
         bool, typer.Option(help="Whether engines and callers send without end.")
     ] = False,
+    old_build: Annotated[
+        Path | None,
+        typer.Option(
+            help="Checkout of an earlier build; half of the daemons begin with it, and each restart"
+            " of a daemon changes its build.",
+            exists=True,
+            file_okay=False,
+            resolve_path=True,
+        ),
+    ] = None,
 ) -> None:
     """Inject random faults into a gateway's daemons; exit 1 on a violated invariant."""
     from godwitpath_standin.soak.run import SoakPlan, run_soak
@@ -216,9 +226,8 @@
     violated_runs = 0
     for number in range(seed, seed + runs):
         folder = logs / f"seed-{number}" if logs is not None else None
-        outcome = asyncio.run(
-            run_soak(SoakPlan(number, minutes * 60, processes, kills, floods), folder)
-        )
+        plan = SoakPlan(number, minutes * 60, processes, kills, floods, old_build)
+        outcome = asyncio.run(run_soak(plan, folder))
         for line in outcome.lines():
             typer.echo(line)
         violated_runs += bool(outcome.violations)
--- a/godwitpath_standin/gateway/process.py
+++ b/godwitpath_standin/gateway/process.py
@@ -13,23 +13,29 @@
 
 
 async def start_gateway(
-    settings: Path, metrics_port: int, output: int | IO[bytes], errors: IO[bytes] | None = None
+    settings: Path,
+    metrics_port: int,
+    output: int | IO[bytes],
+    errors: IO[bytes] | None = None,
+    *,
+    checkout: Path = ROOT,
 ) -> asyncio.subprocess.Process:
-    """Start a daemon from the checkout.
+    """Start a daemon.
 
     :param settings: settings file of the daemon
     :param metrics_port: port of the metrics page
     :param output: standard output with the log lines, in a form that `subprocess` accepts
     :param errors: standard error, None to inherit that of this process
+    :param checkout: root of the checkout whose build the daemon runs
     """
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "godwitpath.gateway",
-        cwd=ROOT,
+        cwd=checkout,
         env={
             **os.environ,
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(checkout),
             SETTINGS_VARIABLE: str(settings),
             METRICS_VARIABLE: str(metrics_port),
         },
--- a/godwitpath_standin/soak/environment.py
+++ b/godwitpath_standin/soak/environment.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 import signal
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +23,7 @@
 from godwitpath_standin.gateway.store_app import StoreServer
 from godwitpath_standin.gateway.store_core import StoreCore
 from godwitpath_standin.ports import ReservedPorts
+from godwitpath_standin.process import ROOT
 from godwitpath_standin.soak.history import (
     EVERY_DAEMON,
     Disruption,
@@ -83,6 +86,7 @@
     :ivar cloud_link: proxy to the cloud API
     :ivar started_at_s: loop time at which the process was started
     :ivar exit_expected: whether an injected fault may end the process
+    :ivar checkouts: roots of the checkouts whose builds its starts run, in turn
     """
 
     def __init__(self, name: str, zone: str, ports: list[int], folder: Path) -> None:
@@ -92,6 +96,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.exit_expected = False
         self.started_at_s = 0.0
+        self.checkouts: Iterator[Path] = itertools.cycle([ROOT])
         self.store_link: LoopbackProxy
         self.cloud_link: LoopbackProxy
         self._settings = folder / f"{name}.json"
@@ -137,7 +142,9 @@
         """Start the process."""
         self.exit_expected = False
         self.started_at_s = asyncio.get_running_loop().time()
-        self.process = await start_gateway(self._settings, self.ports[3], self._log, self._log)
+        self.process = await start_gateway(
+            self._settings, self.ports[3], self._log, self._log, checkout=next(self.checkouts)
+        )
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -169,6 +176,7 @@
 
     :ivar rng: source of the random faults
     :ivar folder: folder for settings files and logs
+    :ivar old_build: root of a checkout of an earlier build that daemons run, too, None for none
     :ivar core: state of the store
     :ivar entries: what the operator and the engines say in the store, by key
     :ivar restoring: held while the store is away and comes back from an older copy
@@ -181,6 +189,7 @@
     rng: random.Random
     folder: Path
     stack: AsyncExitStack
+    old_build: Path | None = None
     core: StoreCore = field(default_factory=StoreCore)
     entries: dict[str, bytes] = field(default_factory=dict)
     restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -236,6 +245,7 @@
                 await link.start()
                 self.stack.push_async_callback(link.stop)
             daemon.write_settings()
+            daemon.checkouts = self._checkouts(number)
             self.daemons.append(daemon)
         self.stack.push_async_callback(self._kill_daemons)
         for daemon in self.daemons:
@@ -344,6 +354,16 @@
             await self.start_engine(position)
             position.busy = False
 
+    def _checkouts(self, number: int) -> Iterator[Path]:
+        """Return the checkouts that the starts of a daemon run.
+
+        Half of the daemons begin with the earlier build, and each start of a daemon runs the other
+        build than the one before.
+        """
+        if self.old_build is None:
+            return itertools.cycle([ROOT])
+        return itertools.islice(itertools.cycle([self.old_build, ROOT]), number % 2, None)
+
     async def _add_position(self, service: str, zone: str) -> None:
         engine = EngineStandin("")
         position = EnginePosition(service, zone, engine, LoopbackProxy(engine.address))
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -60,6 +60,7 @@
     :ivar daemons: number of daemon processes
     :ivar kills: whether faults end processes of daemons
     :ivar floods: whether engines and callers send without end
+    :ivar old_build: root of a checkout of an earlier build, which daemons run at every second start
     """
 
     seed: int
@@ -67,6 +68,7 @@
     daemons: int = 5
     kills: bool = True
     floods: bool = False
+    old_build: Path | None = None
 
 
 @dataclass(slots=True)
@@ -116,7 +118,7 @@
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="godwitpath-")))
         folder.mkdir(parents=True, exist_ok=True)
-        environment = SoakEnvironment(rng, folder, stack)
+        environment = SoakEnvironment(rng, folder, stack, plan.old_build)
         await environment.start(plan.daemons, ENGINES_PER_SERVICE)
         balancer = Balancer(environment.daemons)
         background_tasks = [
