The soak checks that no daemon logs what another one wrote as unreadable

Change: a violation "readable" for each daemon and kind of log line about messages and items that daemons write.

--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -23,6 +23,7 @@
 from godwitpath_standin.soak.injection import heal, inject
 from godwitpath_standin.soak.invariants import violations
 from godwitpath_standin.soak.memory import record_memory
+from godwitpath_standin.soak.readability import unreadable_messages
 from godwitpath_standin.soak.usage_report import UsageSummary, summarize_usage
 
 READY_S = 60.0
@@ -141,7 +142,7 @@
         outcome.stalled_s = environment.history.stalled_s(0.0, environment.now_s)
         outcome.peak_memory_mb = max(environment.history.peak_memory_mb.values(), default=0.0)
         outcome.usage = summarize_usage(environment.history, time.time(), environment.now_s)
-        outcome.violations += unlogged_refusals(environment.history, folder)
+        outcome.violations += log_violations(environment.history, folder)
     return outcome
 
 
@@ -237,6 +238,15 @@
     return status
 
 
+def log_violations(history: History, folder: Path) -> Iterator[Violation]:
+    """Yield every violation that the logs of the daemons show.
+
+    :param folder: folder with the logs of the daemons
+    """
+    yield from unlogged_refusals(history, folder)
+    yield from unreadable_messages(folder)
+
+
 def unlogged_refusals(history: History, folder: Path) -> Iterator[Violation]:
     """Yield a violation for each refusal that no log of a daemon mentions.
 
