Replace an unreadable key of the duty holder that no holder can stand behind

Cause: an item of the holder's key that the store returns unreadable was never replaced, since nothing told its revision. A holder's key ends with its lease; one that another writer left without a lease stayed, and the duties with it. The holder before it went on on its own note of the key.

Change: ItemUnreadable states the revision, and whether a lease may keep the item, where an odd field leaves these readable. A key under a lease, or whose revision cannot be read, stays. A holder that finds another revision under an unreadable key drops the duties at its next renewal. A key that can be read again without a change is noticed by the same read.

--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -23,6 +23,7 @@
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import Item, Precondition, Put, Store, TxnConflict, era_of
+from godwitpath.gateway.unreadable_holder import UnreadableHolder
 from godwitpath.gateway.usage_progress import TERM_SETTLE_SHARE
 from godwitpath.ports.kv import LeaseLapsed, StoreError, StoreUncertain
 from godwitpath.telemetry.decisions import decision
@@ -80,6 +81,7 @@
         self._cooldown_s = bounds.lease_s + LEASE_MARGIN_S
         self._call_spacing = CallSpacing(self._cooldown_s)
         self._no_report_timeout_s = bounds.lease_s
+        self._unreadable = UnreadableHolder(self._lease_s + LEASE_MARGIN_S)
         self._term_settle_s = bounds.usage_late_s * TERM_SETTLE_SHARE
         self._replacement_allowed = bounds.fencing_checked
         self._report_age_s = report_age_s
@@ -228,20 +230,35 @@
         if self._token or self._members.watcher.last_response_at_s is None:
             return
         if HOLDER_KEY in self._members.watcher.unreadable_keys:
-            # Some daemon holds the duties, and the revision that a replacement states is unknown.
+            await self._replace_unreadable()
             return
         holder = self._members.items.get(HOLDER_KEY)
         if holder is not None and not self._is_own(holder):
             self._replaced = True
         if self._may_retake(holder):
-            await self._acquire(holder)
+            await self._acquire(holder.revision if holder else 0)
             return
         if self._lost_holder_may_act() or boot_time_s() - self._lost_at_s < self._cooldown_s:
             return
         if holder is None or self._is_own(holder) or self._stopped_reporting(holder):
             await asyncio.sleep(0.2 * self._rng.random())
             if self._members.items.get(HOLDER_KEY) == holder and not self._released:
-                await self._acquire(holder)
+                await self._acquire(holder.revision if holder else 0)
+
+    async def _replace_unreadable(self) -> None:
+        """Replace a key that the store returns unreadable, if no daemon can hold the duties by it.
+
+        A holder that cannot hear of the other writer may act on; only the platform refuses it.
+        """
+        now_s, watcher = boot_time_s(), self._members.watcher
+        cooled_down = now_s - self._lost_at_s >= self._cooldown_s
+        if not (self._replacement_allowed and cooled_down and self._unreadable.is_read_due(now_s)):
+            return
+        error = await watcher.read_again(HOLDER_KEY)
+        if error and self._unreadable.note_read(error.revision, error.leased, boot_time_s()):
+            await asyncio.sleep(0.2 * self._rng.random())
+            if HOLDER_KEY in watcher.unreadable_keys and not self._released:
+                await self._acquire(error.revision)
 
     def _may_retake(self, holder: Item | None) -> bool:
         """Return whether a restore of the store ended this daemon's term, and no other one began.
@@ -316,20 +333,25 @@
         renewed_at_s = self._valid_until_s + LEASE_MARGIN_S - self._lease_s
         if now_s < renewed_at_s + self._lease_s / RENEWALS_PER_LEASE:
             return
+        if HOLDER_KEY in self._members.watcher.unreadable_keys:
+            error = await self._members.watcher.read_again(HOLDER_KEY)
+            if error is not None and error.revision not in (0, self._token):
+                self._drop_duties("another writer replaced the holder's key")
+                return
         await self._store.renew(self._lease_id)
         self._valid_until_s = now_s + self._lease_s - LEASE_MARGIN_S
 
-    async def _acquire(self, previous: Item | None) -> None:
+    async def _acquire(self, previous_revision: int) -> None:
         """Acquire the duties, unless another daemon acquires them first.
 
-        :param previous: store item of the duty holder to replace, None if there is no duty holder
+        :param previous_revision: revision of the holder's key to replace, 0 if there is none
         """
         requested_at_s, era_before = boot_time_s(), self.store_era
         lease_id = await self._store.grant(self._lease_s)
         nonce = self._rng.getrandbits(63)
         entry = HolderEntry(self._name, self._members.incarnation, nonce)
         value = msgspec.json.encode(entry)
-        condition = Precondition(HOLDER_KEY, previous.revision if previous else 0)
+        condition = Precondition(HOLDER_KEY, previous_revision)
         try:
             token = await self._store.transact([condition], [Put(HOLDER_KEY, value, lease_id)])
         except TxnConflict:
@@ -357,7 +379,7 @@
         decision(
             "duty_taken",
             fence=token,
-            replaced=previous is not None,
+            replaced=previous_revision != 0,
             continues=sorted(self._continued_tokens),
             calls_wait_s=round(self._call_spacing.wait_s(token, now_s), 3),
             acts_in_s=round(self._acts_from_s - now_s, 3),
--- a/godwitpath/gateway/store.py
+++ b/godwitpath/gateway/store.py
@@ -104,7 +104,16 @@
 
 
 class ItemUnreadable(StoreRefused):
-    """The item of a key cannot be read; the key exists."""
+    """The item of a key cannot be read; the key exists.
+
+    :ivar revision: revision of the write that set its value, 0 if that cannot be read either
+    :ivar leased: whether it may be kept under a lease
+    """
+
+    def __init__(self, reason: str, revision: int = 0, leased: bool = True) -> None:
+        super().__init__(reason)
+        self.revision = revision
+        self.leased = leased
 
 
 class TxnConflict(StoreError):
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -157,6 +157,20 @@
         """Note a key that did not come from the store, so that a listing without it removes it."""
         self._keys.setdefault(key, 0)
 
+    async def read_again(self, key: str) -> ItemUnreadable | None:
+        """Read one of :attr:`unreadable_keys`; returns why it still cannot be read.
+
+        It may be read again without a change that a watch would deliver.
+        """
+        revision = self._complete_revision
+        try:
+            item = await self._store.get(key)
+        except ItemUnreadable as error:
+            return error
+        if key in self.unreadable_keys:
+            self._apply_read(key, item, revision)
+        return None
+
     async def _list_or_watch(self) -> None:
         if not self.revision:
             await self._list()
@@ -243,6 +257,9 @@
         except ItemUnreadable:
             self._note_unreadable(key)
             return
+        self._apply_read(key, item, revision)
+
+    def _apply_read(self, key: str, item: Item | None, revision: int) -> None:
         if item is None:
             self._apply_removal(key, revision)
         else:
--- a/godwitpath/platform/store.py
+++ b/godwitpath/platform/store.py
@@ -39,6 +39,7 @@
     TxnConflictItems,
     UnreadableItem,
     WatchResult,
+    read_revision,
     remove_future_changes,
 )
 from godwitpath.ports.engine import Address
@@ -101,7 +102,9 @@
         try:
             return _to_item(decode(_item_decoder, body), era)
         except Unreadable as error:
-            raise ItemUnreadable(f"item of {key} cannot be read: {error}") from error
+            number, leased = read_revision(body)
+            reason = f"item of {key} cannot be read: {error}"
+            raise ItemUnreadable(reason, with_era(era, number), leased) from error
 
     async def list_items(self, prefix: str) -> Listing:
         items: list[Item] = []
--- a/godwitpath/platform/store_items.py
+++ b/godwitpath/platform/store_items.py
@@ -160,6 +160,20 @@
     ]
 
 
+def read_revision(text: bytes) -> tuple[int, bool]:
+    """Read what replaces an item that cannot be read as a whole.
+
+    :returns: the store's own number of its revision, 0 if unknown, and whether it may be kept under
+        a lease
+    """
+    try:
+        fields = split_object(text)
+        number = decode(_number_decoder, fields.get("revision", b"0"))
+    except Unreadable:
+        return 0, True
+    return number, fields.get("lease", b"0") != b"0"
+
+
 def _describe(text: bytes, reason: str) -> UnreadableItem:
     """Return what is known of an item that cannot be read."""
     checksum = f"{zlib.crc32(text):08x}"
@@ -182,4 +196,5 @@
 
 
 _item_decoder = msgspec.json.Decoder(RawItem)
+_number_decoder: msgspec.json.Decoder[int] = msgspec.json.Decoder(Number)
 _key_decoder = msgspec.json.Decoder(_Key)
--- a/godwitpath_standin/gateway/store_core.py
+++ b/godwitpath_standin/gateway/store_core.py
@@ -33,7 +33,9 @@
     :ivar watches_silent: whether watch requests get no response, while other calls do
     :ivar write_responses_to_lose: number of next writes that take effect and get no response
     :ivar unreadable_keys: keys whose items cannot be read
-    :ivar nameless: whether these items have no key either, except where a key is read by itself
+    :ivar unreadable_values: values whose items cannot be read, apart from revision and lease
+    :ivar nameless: whether the items of `unreadable_keys` have no key either, except where a key is
+        read by itself
     :ivar write_delay_s: if not 0, writes fail as uncertain at once and take effect after this time
     """
 
@@ -42,6 +44,7 @@
     watches_silent: bool = False
     write_responses_to_lose: int = 0
     unreadable_keys: set[str] = field(default_factory=set)
+    unreadable_values: set[bytes] = field(default_factory=set)
     nameless: bool = False
     write_delay_s: float = 0.0
 
@@ -258,6 +261,9 @@
         item = self._core.items.get(key)
         if item is not None and key in self.faults.unreadable_keys and not self.faults.nameless:
             raise ItemUnreadable(f"item of {key}")
+        if item is not None and item.value in self.faults.unreadable_values:
+            revision = with_era(self._era, item.revision)
+            raise ItemUnreadable(f"item of {key}", revision, bool(item.lease_id))
         return self._with_era(item) if item is not None else None
 
     async def list_items(self, prefix: str) -> Listing:
@@ -265,11 +271,15 @@
         self._core.expire()
         keys = {key for key in self._core.items if key.startswith(prefix)}
         unreadable_keys = keys & self.faults.unreadable_keys
+        nameless = self.faults.nameless and bool(unreadable_keys)
+        values = self.faults.unreadable_values
+        unreadable_values = {key for key in keys if self._core.items[key].value in values}
+        readable_keys = keys - unreadable_keys - unreadable_values
         return Listing(
-            [self._with_era(self._core.items[key]) for key in sorted(keys - unreadable_keys)],
+            [self._with_era(self._core.items[key]) for key in sorted(readable_keys)],
             with_era(self._era, self._core.revision),
-            frozenset() if self.faults.nameless else frozenset(unreadable_keys),
-            self.faults.nameless and bool(unreadable_keys),
+            frozenset(unreadable_values | (set() if nameless else unreadable_keys)),
+            nameless,
         )
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
@@ -335,7 +345,8 @@
 
     def _change_with_era(self, change: Change) -> Change:
         revision = with_era(self._era, change.revision)
-        if change.key in self.faults.unreadable_keys:
+        value = change.item.value if change.item is not None else None
+        if change.key in self.faults.unreadable_keys or value in self.faults.unreadable_values:
             return Change(change.key, revision, None, readable=False)
         item = self._with_era(change.item) if change.item is not None else None
         return Change(change.key, revision, item)
--- a/test/test_platform_store.py
+++ b/test/test_platform_store.py
@@ -15,6 +15,7 @@
 from godwitpath.http1.messages import ResponseHead
 from godwitpath.platform.http_api import ApiResponse
 from godwitpath.platform.store import PlatformStore
+from godwitpath.platform.store_items import read_revision
 from godwitpath.ports.engine import Address
 from godwitpath.ports.kv import StoreError
 from test.mutations import DEEP, ODD_VALUES, mutated, values_of_others
@@ -231,6 +232,39 @@
         asyncio.run(answered(item("gateway/holder", revision=-1)).get("gateway/holder"))
 
 
+@pytest.mark.parametrize(
+    ("odd", "revision", "leased"),
+    [
+        (item("gateway/holder", value=7, lease=0), 5, False),
+        (item("gateway/holder", value="\ud800"), 5, True),
+        (
+            item("gateway/holder", notes="#", lease=0).replace(b'"#"', b"[" * DEEP + b"]" * DEEP),
+            5,
+            False,
+        ),
+        (item("gateway/holder", createRevision=2**40, lease=0), 5, False),
+        (item("gateway/holder", lease=2**63), 5, True),
+        (item("gateway/holder", lease=None, value=7), 5, True),
+        (item("gateway/holder", revision=-1), 0, True),
+        (item("gateway/holder", revision=10**30), 0, True),
+        (b'{"key":"gateway/holder","value":7}', 0, False),
+        (b"7", 0, True),
+    ],
+)
+def test_an_item_that_cannot_be_read_by_itself_states_what_replaces_it(
+    odd: bytes, revision: int, leased: bool
+) -> None:
+    with pytest.raises(ItemUnreadable) as raised:
+        asyncio.run(answered(odd).get("gateway/holder"))
+    assert (raised.value.revision, raised.value.leased) == (revision, leased)
+
+
+@given(ODD_ITEMS)
+def test_any_item_has_a_revision_within_the_protocol_or_none(odd: bytes) -> None:
+    number, _ = read_revision(odd)
+    assert 0 <= number <= MAX_REVISION
+
+
 @pytest.mark.parametrize("era", [b"9" * 5_000, b"8192", b"-1", b"\xb2", b"1e3"])
 def test_an_era_that_is_no_era_is_an_error_of_the_store(era: bytes) -> None:
     with pytest.raises(StoreError):
