Go on with the usage reports after a pin or a statement that cannot be read

Cause: a holder that could not read the pin or the statement by themselves failed to load what was stored, again and again, so no window was reported until someone wrote the key.

Change: either counts as lost, as after a restore: the window it may name is not reported again, windows that have ended before are left out (usage_left_out, 'unreadable'), later ones cannot have been pinned by anyone. The next pin is written on the condition of the revision of the unreadable pin or, where that cannot be read, of the statement, which each pin writes too; a late pin is then not applied after the next one. While neither revision can be read the reports wait, as before. The first window left is no less than that of the statement, also of an older era.

With pins that state no condition the six tests of late pins fail (two counts), so they guard it. Tests of progress, stored forms, restore, starts, late pin, duties and restore schedules pass.

--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -42,6 +42,7 @@
     PinnedWindow,
     TermState,
     merge_counts,
+    pin_condition,
     read_stored,
 )
 from godwitpath.ports.kv import StoreError, StoreRefused, StoreUncertain
@@ -58,6 +59,9 @@
 POLL_INTERVAL_S = 0.25
 """Interval at which a daemon checks whether it holds the duty and a window is due."""
 
+UNREADABLE = "unreadable"
+"""Reason for which windows are left out: the store returned a pin or a statement unreadable."""
+
 RETRY_DELAY_S = 0.5
 """Pause after a failed call of the store or the cloud API."""
 
@@ -98,7 +102,9 @@
         self._uncertain_until_s: float | None = None
         # Whether a write of a pin may have been applied, or may still be.
         self._pin_in_doubt = False
-        self._pin_revision = 0
+        # Condition of the next pin, which that pin ends.
+        self._pin_condition = Precondition(PIN_KEY, 0)
+        self._uncertain_reason = ""
         self._pinned: PinnedWindow | None = None
         self._pin_reported = False
 
@@ -128,7 +134,7 @@
             # A restore of the store has lost the pin.
             await self._pin(fencing_token, self._pinned)
         if self._uncertain_until_s is not None and self._holder.settled:
-            self._leave_out_until(self._next_window(), "store restored", fencing_token)
+            self._leave_out_until(self._next_window(), self._uncertain_reason, fencing_token)
             self._uncertain_until_s = None
             self._state_stored = True
         if boot_time_s() - self._open_counts_stored_at_s >= OPEN_WRITE_INTERVAL_S:
@@ -154,12 +160,12 @@
         """Write the final counts of a window to the store."""
         term = TermState(fencing_token.number, pinned.window + 1, pin_is_final=True)
         puts = [Put(PIN_KEY, msgspec.json.encode(pinned)), _term_put(term)]
-        conditions = [Precondition(PIN_KEY, self._pin_revision)]
         try:
-            self._pin_revision = await self._transact(fencing_token, conditions, puts)
+            revision = await self._transact(fencing_token, [self._pin_condition], puts)
         except StoreUncertain:
             self._pin_in_doubt = True
             raise
+        self._pin_condition = Precondition(PIN_KEY, revision)
         self._pin_in_doubt = False
         self._term_stored = self._state_stored = True
         decision(
@@ -167,17 +173,17 @@
             window=pinned.window,
             requests=pinned.counts,
             fence=fencing_token.number,
-            revision=self._pin_revision,
+            revision=revision,
         )
 
     def _leave_out_until(self, window: int, reason: str, fencing_token: FencingToken) -> None:
         """Continue with a window, without those before it that were not reported."""
         if window <= self._following_window:
             return
-        if self._following_window:
+        if self._following_window or reason == UNREADABLE:
             decision(
                 "usage_left_out",
-                first=self._following_window,
+                first=self._following_window or None,
                 last=window - 1,
                 reason=reason,
                 fence=fencing_token.number,
@@ -201,12 +207,15 @@
         if era_of(listing.revision) != era_of(token):
             raise StoreRefused("the store was restored since the duties were taken")
         items = {item.key: item for item in listing.items}
+        unreadable: dict[str, ItemUnreadable] = {}
         if listing.unreadable_keys or listing.any_key_missing:
-            await self._look_up_missing(items)
-        stored = read_stored(items)
+            unreadable = await self._look_up_missing(items)
+        pin_next_condition = pin_condition(items, unreadable)
+        stored = read_stored(items, unreadable)
         progress = resume(stored, token, self._own_progress())
         merge_counts(self._stored_counts, stored.open_counts)
-        self._pin_revision = items[PIN_KEY].revision if PIN_KEY in items else 0
+        self._pin_condition = pin_next_condition
+        self._uncertain_reason = "store restored" if stored.readable else UNREADABLE
         self._state_stored = progress.state_stored
         self._term_stored = self._pin_in_doubt = False
         if progress.pinned != self._pinned:
@@ -221,28 +230,26 @@
             fence=token,
             written_by=stored.term.token if stored.term is not None else None,
             pinned=stored.pinned.window if stored.pinned is not None else None,
-            revision=self._pin_revision,
+            revision=items[PIN_KEY].revision if PIN_KEY in items else 0,
             next_window=progress.next_window,
             uncertain=progress.uncertain,
         )
 
-    async def _look_up_missing(self, items: dict[str, Item]) -> None:
+    async def _look_up_missing(self, items: dict[str, Item]) -> dict[str, ItemUnreadable]:
         """Read the keys that a listing lacks, since it contains items that cannot be read.
 
-        Reports go on without the open counts, which daemons that run report again.
-
-        :raises StoreError: whether one of the others exists cannot be read
+        :returns: why others cannot be read by themselves either, by key
         """
+        unreadable = {}
         for key in (PIN_KEY, TERM_KEY, OPEN_KEY):
             try:
                 item = None if key in items else await self._store.get(key)
             except ItemUnreadable as error:
-                if key != OPEN_KEY:
-                    raise
-                decision("usage_state_unreadable", key=key, reason=str(error))
+                unreadable[key] = error
                 continue
             if item is not None:
                 items[key] = item
+        return unreadable
 
     def _own_progress(self) -> Progress | None:
         """Return how far this daemon was, None if another one may have pinned or reported since."""
@@ -262,12 +269,15 @@
                 del self._stored_counts[incarnation]
         puts = [Put(OPEN_KEY, msgspec.msgpack.encode(self._stored_counts))]
         conditions = []
-        if self._state_stored and not self._term_stored:
-            conditions.append(Precondition(PIN_KEY, self._pin_revision))
+        states_term = self._state_stored and not self._term_stored
+        if states_term:
+            conditions.append(self._pin_condition)
             pin_is_final = self._pinned is not None
             term = TermState(fencing_token.number, self._following_window, pin_is_final)
             puts.append(_term_put(term))
-        await self._transact(fencing_token, conditions, puts)
+        revision = await self._transact(fencing_token, conditions, puts)
+        if states_term and self._pin_condition.key == TERM_KEY:
+            self._pin_condition = Precondition(TERM_KEY, revision)
         self._term_stored = self._state_stored
 
     async def _report_window(self, pinned: PinnedWindow) -> None:
--- a/godwitpath/gateway/usage_progress.py
+++ b/godwitpath/gateway/usage_progress.py
@@ -6,7 +6,8 @@
 one, and its counts are repeated. After a restore the last pins may be lost. Then the only ones who
 know what was reported are a daemon that was confirmed as the holder so recently that no other
 holder can have pinned a window since, and any holder about windows that end after it begins. What
-the first holder of an era leaves out it states in the store, for its successors.
+the first holder of an era leaves out it states in the store, for its successors. A pin or a
+statement that cannot be read counts as lost.
 
 The decision has no access to the network and no clock. It answers the load of one holder and one
 report a window, whatever the size of the deployment.
@@ -68,7 +69,8 @@
         is_stored = own.pinned is None or (intact and pinned == own.pinned)
         return Progress(own.pinned, own.next_window, state_stored=is_stored)
     if not intact or term is None:
-        return Progress(None, pinned_until, state_stored=False, uncertain=True)
+        known_until = max(pinned_until, term.next_window if term is not None else 0)
+        return Progress(None, known_until, state_stored=False, uncertain=True)
     # A pin after the statement is of a holder of the build before, which writes none.
     is_final = term.pin_is_final or pinned_until > term.next_window
     if pinned is not None and is_final and pinned_until >= term.next_window:
--- a/godwitpath/gateway/usage_store.py
+++ b/godwitpath/gateway/usage_store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from godwitpath.decoding import Decoder, Unreadable, decode
-from godwitpath.gateway.store import Item
+from godwitpath.gateway.store import Item, ItemUnreadable, Precondition
 from godwitpath.telemetry.decisions import decision
 
 T = TypeVar("T")
@@ -62,7 +62,7 @@
     :ivar pinned: the last pinned window, None for none
     :ivar term: the last holder's statement, None for none
     :ivar open_counts: counts of open windows
-    :ivar readable: whether pin and statement could be decoded
+    :ivar readable: whether pin and statement could be read and decoded
     """
 
     pinned: PinnedWindow | None = None
@@ -76,15 +76,42 @@
 _OPEN_COUNTS = msgspec.msgpack.Decoder(CountsByIncarnation)
 
 
-def read_stored(items: Mapping[str, Item]) -> StoredUsage:
+def read_stored(
+    items: Mapping[str, Item], unreadable: Mapping[str, ItemUnreadable] | None = None
+) -> StoredUsage:
     """Decode the items of the store about usage reports; unreadable ones are logged.
 
     :param items: items by key
+    :param unreadable: why others cannot be read, by key
     """
+    unreadable = unreadable or {}
+    for key, error in unreadable.items():
+        decision("usage_state_unreadable", key=key, reason=str(error))
     pinned, pin_readable = _read(items.get(PIN_KEY), _PIN)
     term, term_readable = _read(items.get(TERM_KEY), _TERM)
     open_counts, _ = _read(items.get(OPEN_KEY), _OPEN_COUNTS)
-    return StoredUsage(pinned, term, open_counts or {}, pin_readable and term_readable)
+    readable = pin_readable and term_readable and not unreadable.keys() & {PIN_KEY, TERM_KEY}
+    return StoredUsage(pinned, term, open_counts or {}, readable)
+
+
+def pin_condition(
+    items: Mapping[str, Item], unreadable: Mapping[str, ItemUnreadable]
+) -> Precondition:
+    """Return a condition of the next pin that ends with it, so that a late one is not applied.
+
+    A pin is written with its statement, so the revision of either serves.
+
+    :param items: items by key
+    :param unreadable: why others cannot be read, by key
+    :raises ItemUnreadable: neither revision can be read
+    """
+    for key in (PIN_KEY, TERM_KEY):
+        error, item = unreadable.get(key), items.get(key)
+        if error is None:
+            return Precondition(key, item.revision if item is not None else 0)
+        if error.revision:
+            return Precondition(key, error.revision)
+    raise unreadable[PIN_KEY]
 
 
 def merge_counts(counts: CountsByIncarnation, others: CountsByIncarnation) -> None:
