Do not extend the lease of the duties by a renewal from after a restore

Cause: where the platform does not check fencing tokens, others wait for the lease's time to live from the restore. A restored store gives the identifiers of leases out again, so a renewal after the restore may succeed on another client's lease; it extended the holder's time from its sending, up to 1.2 s after the restore. A holder that was cut off right after acted beside the next one.

Change: the watcher notes the latest era that any call has learned of.

--- a/godwitpath/gateway/holder.py
+++ b/godwitpath/gateway/holder.py
@@ -339,6 +339,10 @@
                 self._drop_duties("another writer replaced the holder's key")
                 return
         await self._store.renew(self._lease_id)
+        if self._members.watcher.stated_era > era_of(self._token):
+            # Others count the time for which a lost holder may act from the restore.
+            self._drop_duties("the store was restored")
+            return
         self._valid_until_s = now_s + self._lease_s - LEASE_MARGIN_S
 
     async def _acquire(self, previous_revision: int) -> None:
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -57,6 +57,8 @@
     :ivar recovered_at_s: loop time at which the last outage ended
     :ivar revision: store revision from which the watch continues, 0 before a listing
     :ivar unreadable_keys: keys that exist and whose items cannot be read
+    :ivar stated_era: latest era that any call has learned of since the first one, 0 before: the
+        prefix may not have been listed in it yet
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.recovered_at_s = float("-inf")
         self.revision = 0
         self.unreadable_keys: set[str] = set()
+        self.stated_era = 0
         self._store = store
         self._prefix = prefix
         self._on_item = on_item
@@ -224,6 +227,7 @@
 
     def _end_watch(self, era: int) -> None:
         """End the watch request that waits, since it may never hear of the store's later era."""
+        self.stated_era = era
         if self._watch_timeout is not None and era > era_of(self.revision):
             self._watch_timeout.reschedule(asyncio.get_running_loop().time())
             self._watch_timeout = None
