--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -57,6 +57,8 @@
     :ivar recovered_at_s: loop time at which the last outage ended
     :ivar revision: store revision from which the watch continues, 0 before a listing
     :ivar unreadable_keys: keys that exist and whose items cannot be read
+    :ivar stated_era: latest era that any call has learned of since the first one, 0 before: the
+        prefix may not have been listed in it yet
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.recovered_at_s = float("-inf")
         self.revision = 0
         self.unreadable_keys: set[str] = set()
+        self.stated_era = 0
         self._store = store
         self._prefix = prefix
         self._on_item = on_item
@@ -157,6 +160,20 @@
         """Note a key that did not come from the store, so that a listing without it removes it."""
         self._keys.setdefault(key, 0)
 
+    async def read_again(self, key: str) -> ItemUnreadable | None:
+        """Read one of :attr:`unreadable_keys`; returns why it still cannot be read.
+
+        It may be read again without a change that a watch would deliver.
+        """
+        revision = self._complete_revision
+        try:
+            item = await self._store.get(key)
+        except ItemUnreadable as error:
+            return error
+        if key in self.unreadable_keys:
+            self._apply_read(key, item, revision)
+        return None
+
     async def _list_or_watch(self) -> None:
         if not self.revision:
             await self._list()
@@ -210,6 +227,7 @@
 
     def _end_watch(self, era: int) -> None:
         """End the watch request that waits, since it may never hear of the store's later era."""
+        self.stated_era = era
         if self._watch_timeout is not None and era > era_of(self.revision):
             self._watch_timeout.reschedule(asyncio.get_running_loop().time())
             self._watch_timeout = None
@@ -243,6 +261,9 @@
         except ItemUnreadable:
             self._note_unreadable(key)
             return
+        self._apply_read(key, item, revision)
+
+    def _apply_read(self, key: str, item: Item | None, revision: int) -> None:
         if item is None:
             self._apply_removal(key, revision)
         else:
