Exit without the interpreter's last garbage collections

Cause: after its last step a stopped daemon still collects the garbage of all objects at the interpreter's exit.

--- a/godwitpath/gateway/__main__.py
+++ b/godwitpath/gateway/__main__.py
@@ -19,6 +19,7 @@
     # during the imports, because the settings are read after them.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import asyncio
+    import gc
 
     from godwitpath.errors import GodwitpathError
     from godwitpath.gateway.daemon import run_gateway
@@ -33,6 +34,9 @@
         return 2
     return_large_blocks()
     asyncio.run(run_gateway(settings, path))
+    # The interpreter's last garbage collections, of all objects, would delay the exit, and the
+    # grace period of a planned stop may end within them.
+    gc.freeze()
     return 0
 
 
