Bound connections by the sockets that the platform states, too

Cause: the bound on open connections took the process's own limit on open files only. The platform states `limits.maxFds` in the settings, of which it reserves 200; where the process's limit is higher, callers alone could take 4,096 of 3,900 sockets (by reading).

Change: the settings' `max_sockets` is decoded in the adapter; the lower of both limits counts.

--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -92,5 +92,8 @@
     read_speeds: defaultdict[str, ReadSpeedEstimator] = field(
         default_factory=lambda: defaultdict(ReadSpeedEstimator)
     )
-    ports: PortConnections = field(default_factory=lambda: PortConnections(max_open_files()))
+    ports: PortConnections = field(init=False)
     instruments: Instruments = field(default_factory=Instruments)
+
+    def __post_init__(self) -> None:
+        self.ports = PortConnections(min(max_open_files(), self.settings.max_sockets))
--- a/godwitpath/gateway/settings.py
+++ b/godwitpath/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -83,6 +84,7 @@
     :ivar duties: names of the duties that the deployment requires
     :ivar duty_calls_per_s: limit on the calls to the cloud API per second, over all daemons
     :ivar bounds: bounds that the deployment requires
+    :ivar max_sockets: number of sockets that the platform lets the daemon open
     """
 
     name: str
@@ -100,6 +102,7 @@
     duties: tuple[str, ...]
     duty_calls_per_s: float
     bounds: Bounds
+    max_sockets: float = math.inf
 
     def region_of(self, zone: str) -> str:
         """Return the region of an availability zone, empty if the zone is unknown."""
--- a/godwitpath/platform/settings.py
+++ b/godwitpath/platform/settings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,9 @@
 DEFAULT_METRICS_PORT = 9464
 """Metrics port named in the deploy file; the usual port for this metrics format."""
 
+RESERVED_FILES = 200
+"""Number of open files that the platform reserves, which are none for sockets."""
+
 SETTINGS_VARIABLE = "GODWITPATH_SETTINGS"
 """Environment variable that holds the path of the settings file."""
 
@@ -66,6 +70,10 @@
     duty_per_s: Finite = 1
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    max_fds: Finite | None = None
+
+
 class _Settings(msgspec.Struct, rename="camel"):
     node_name: str
     ip: str
@@ -78,6 +86,7 @@
     port_range: list[Port] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud: _Cloud | None = None
+    limits: _Limits | None = None
 
 
 _json_decoder = msgspec.json.Decoder()
@@ -187,4 +196,11 @@
             usage_window_s=bounds.usage_window_s,
             usage_late_s=bounds.usage_late_s,
         ),
+        max_sockets=_max_sockets(raw.limits),
     )
+
+
+def _max_sockets(limits: _Limits | None) -> float:
+    if limits is None or limits.max_fds is None:
+        return math.inf
+    return max(0.0, limits.max_fds - RESERVED_FILES)
--- a/test/test_platform_settings.py
+++ b/test/test_platform_settings.py
@@ -64,3 +64,19 @@
 def test_yaml_that_cannot_be_read_is_a_finding(text: bytes) -> None:
     with pytest.raises(FindingsError):
         decode_settings(text)
+
+
+@pytest.mark.parametrize(
+    ("changes", "max_sockets"),
+    [
+        ({}, 3_900),
+        ({"limits": {"maxFds": 1_024}}, 824),
+        ({"limits": {"maxFds": 100}}, 0),
+        ({"limits": {"memoryMb": 300}}, float("inf")),
+    ],
+)
+def test_sockets_are_the_files_that_the_platform_does_not_reserve(
+    changes: dict[str, object], max_sockets: float
+) -> None:
+    settings = decode_settings(json.dumps(settings_document(**changes)).encode())
+    assert settings.max_sockets == max_sockets
