Write engine_failed about an exceeded limit once a second for each engine

Cause: engine_failed was written for each failed send.

Change: of the lines about one engine and limit the first is written, then one a second, which counts those left out as limit_left_out. Never left out are other failures, the line that ejects the engine, and that of a stream that had begun: it alone says that the engine ended it and not its caller.

--- a/godwitpath/gateway/engines.py
+++ b/godwitpath/gateway/engines.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from godwitpath.gateway.engine_notices import EngineNotices, Incarnation
+from godwitpath.gateway.limit_lines import LimitLines
 from godwitpath.ports.engine import Address
 from godwitpath.routing.outliers import OutlierState, ejected
 
@@ -75,6 +76,7 @@
         speed
     :ivar full_until_s: loop time until which other engines are preferred because this engine has
         refused a request
+    :ivar limit_lines: log lines about responses that exceed a limit
     """
 
     entry: EngineEntry
@@ -85,6 +87,7 @@
     health: OutlierState = field(default_factory=OutlierState)
     slowdown: float = 1.0
     full_until_s: float = 0.0
+    limit_lines: LimitLines = field(default_factory=LimitLines)
 
     @property
     def all_running(self) -> int:
--- a/godwitpath/gateway/forward.py
+++ b/godwitpath/gateway/forward.py
@@ -257,14 +257,22 @@
 ) -> None:
     """Record a failed send to an engine in the engine's health, the metrics and the log.
 
+    Repeated lines about one engine and limit are left out. A stream that breaks off after it had
+    begun always has its line, which says that its engine ended it and not its caller.
+
     :param kind: kind of failure, as in the metrics and the log, of any error but an exceeded limit
     :param send: the failed send, None if the engine was not reached
     """
     if isinstance(error, ResponseLimitExceeded):
         kind = "limit_exceeded"
     ctx.instruments.sends[(call.service.name, kind)] += 1
+    now_s = asyncio.get_running_loop().time()
     shared = isinstance(error, ResponseLimitExceeded) and error.shared
-    newly_ejected = not shared and engine.health.failed(asyncio.get_running_loop().time())
+    newly_ejected = not shared and engine.health.failed(now_s)
+    begun = send is not None and bool(send.first_event_at_s)
+    limit_fields = engine.limit_lines.next_fields(error, now_s, required=newly_ejected or begun)
+    if limit_fields is None:
+        return
     decision(
         "engine_failed",
         request=call.request_id,
@@ -274,18 +282,11 @@
         error=str(error) or repr(error),
         attempts=call.attempts,
         ejected=newly_ejected,
-        **_limit_fields(error),
+        **limit_fields,
         **_progress_fields(send),
     )
 
 
-def _limit_fields(error: Exception) -> dict[str, str | int]:
-    """Return which limit a response exceeded, and the amount that did."""
-    if not isinstance(error, ResponseLimitExceeded):
-        return {}
-    return {"limit": error.limit, "amount": error.amount}
-
-
 def _progress_fields(send: Send | None) -> dict[str, float | None]:
     """Return how long ago a request was sent, and how long ago a stream's first event arrived."""
     if send is None or not send.sent_at_s:
