Recognise comments of one line without a search for fields

Cause: each comment of a stream was split into lines twice. Change: the end of the first line tells a comment of one line, and lines are split once.

--- a/godwitpath/gateway/events.py
+++ b/godwitpath/gateway/events.py
@@ -66,8 +66,13 @@
         return events
 
     def _event(self, raw: bytes) -> StreamEvent:
-        event_id = _event_id(raw)
-        comment = event_id is None and _is_comment(raw)
+        event_id = None
+        # A comment of one line, as engines keep connections open with, needs no search for fields.
+        comment = raw.startswith(b":") and raw.find(b"\n") == len(raw) - 2
+        if not comment:
+            lines = raw.split(b"\n")
+            event_id = _event_id(lines)
+            comment = event_id is None and _is_comment(lines)
         self._comments = self._comments + 1 if comment else 0
         if self._comments > MAX_COMMENTS:
             raise ResponseLimitExceeded("comments in a row", self._comments)
@@ -110,12 +115,12 @@
         return data
 
 
-def _is_comment(raw: bytes) -> bool:
-    return all(line.startswith(b":") for line in raw.split(b"\n") if line)
+def _is_comment(lines: list[bytes]) -> bool:
+    return all(line.startswith(b":") for line in lines if line)
 
 
-def _event_id(raw: bytes) -> int | None:
-    for line in raw.split(b"\n"):
+def _event_id(lines: list[bytes]) -> int | None:
+    for line in lines:
         if line.startswith(b"id:"):
             return parse_whole(line[3:].strip())
     return None
