Send nothing to engines that left, also from a daemon that starts after a restore

Cause: that an entry of the store is an outdated one, which a restore brought back, was known only to the daemons that saw the engine leave. A daemon that starts after the restore lists the copy and takes the engine for ready. Ruled out: that peers tell it in time. Their reports of leave notices cover responses only, for 20 s, and what they hold is pulled only if it is later than the copy.

Change: daemons that know better write to one key which entries of the copy are outdated, by start of the engine and number of the write (gateway/left_store.py); a daemon reads the key before it is ready, and waits for that for a second at most (loaded_incompletely). An entry up to that number counts as that of a draining engine; a later one of the era is the engine's own. A statement of another era says nothing.

No check changed.

--- a/godwitpath/gateway/catalogue.py
+++ b/godwitpath/gateway/catalogue.py
@@ -13,6 +13,8 @@
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.entry_reader import EntryReader, StoreSchema
 from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.left_engines import LeftEngines, RestoredEntry
+from godwitpath.gateway.state_ages import StateAges
 from godwitpath.gateway.store import Item, Store, era_of
 from godwitpath.gateway.store_watch import StoreWatcher
 from godwitpath.gateway.unreadable import UnreadableValues
@@ -30,30 +32,8 @@
 """Time after a store outage within which engines register again whose entries lapsed during the
 outage: the platform states about two seconds."""
 
-MAX_LEFT = 500
-"""Number of engines of which it is remembered that they left: a restored store may list them as
-ready."""
-
-RESTORE_SETTLE_S = 10.0
-"""Time after a restore of the store within which engines have written their entries again, or these
-have lapsed."""
-
-
-@dataclass(slots=True, frozen=True)
-class StateAges:
-    """Time since what a daemon holds was last known to be the newest, in seconds.
-
-    :ivar configuration_s: age of the configuration, infinite before the first one
-    :ivar engines_s: age of the engines' entries, infinite before the first ones
-    """
-
-    configuration_s: float
-    engines_s: float
-
-    @property
-    def oldest_s(self) -> float:
-        """The greater of the two ages."""
-        return max(self.configuration_s, self.engines_s)
+LOAD_CONDITION_S = 1.0
+"""Longest wait for the conditions under which the loaded state counts as complete."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,6 +54,8 @@
     :param change_s: time within which changes must be known
     :ivar leaving_listeners: functions that are called with the entry of each engine that starts to
         drain or was removed
+    :ivar left: engines that said that they leave, or left
+    :ivar load_conditions: events that are awaited before the state counts as loaded
     :ivar loaded: set once the configuration and the engines have been loaded
     :ivar watching: whether this daemon watches the store itself, instead of pulling the
         configuration and the engines from a peer
@@ -93,6 +75,8 @@
         change_s: float,
     ) -> None:
         self.leaving_listeners: list[Callable[[EngineEntry], None]] = []
+        self.left = LeftEngines()
+        self.load_conditions: list[asyncio.Event] = []
         self._schema = schema
         self._in_force = in_force
         self._engines = engines
@@ -101,11 +85,8 @@
         self._configuration_loaded = asyncio.Event()
         self._pending_removals: dict[str, _PendingRemoval] = {}
         self._revision_by_key: dict[str, int] = {}
-        # Start time of each engine that said that it leaves, or was removed, and the store's era at
-        # that time, by its id; those of the last ones.
-        self._left: dict[str, tuple[int, int]] = {}
-        # Loop time at which the first revision of the current era was seen.
-        self._era_since_s = -math.inf
+        # Revisions of the entries that were read from the store and applied, by key.
+        self._entry_revisions: dict[str, int] = {}
         self._newest_revision = 0
         self._fresh_s = change_s * FRESH_SHARE
         # Loop times at which peers confirmed that what this daemon holds was the newest.
@@ -212,6 +193,12 @@
     async def _set_loaded(self) -> None:
         await self._configuration_loaded.wait()
         await self.entries_watcher.synced.wait()
+        try:
+            async with asyncio.timeout(LOAD_CONDITION_S):
+                for condition in self.load_conditions:
+                    await condition.wait()
+        except TimeoutError:
+            decision("loaded_incompletely", waited_s=LOAD_CONDITION_S)
         self.loaded.set()
 
     def apply_configuration(self, value: bytes, revision: int, source: str) -> None:
@@ -260,7 +247,7 @@
                 source=source,
             )
         if entry.state is EngineState.DRAINING:
-            self._note_left(entry)
+            self.left.note_left(entry.incarnation, era_of(self._newest_revision))
         if entry.state is EngineState.DRAINING and state_before is not EngineState.DRAINING:
             self._notify_leaving(entry)
 
@@ -276,10 +263,11 @@
         """Remove an engine."""
         self._pending_removals.pop(engine_id, None)
         self.raw_entries.pop(self._schema.engines_prefix + engine_id, None)
+        self._entry_revisions.pop(self._schema.engines_prefix + engine_id, None)
         engine = self._engines.remove(engine_id)
         if engine is not None:
             decision("engine_state", engine=engine_id, state="gone", source=source)
-            self._note_left(engine.entry)
+            self.left.note_left(engine.entry.incarnation, era_of(self._newest_revision))
             self._notify_leaving(engine.entry)
 
     def apply_peer_entries(self, entries: Mapping[str, bytes], revision: int, source: str) -> None:
@@ -294,7 +282,7 @@
         for key, value in entries.items():
             entry = self.entry_reader.read(key, value, revision, source)
             if entry is not None:
-                self.apply_entry(entry, source)
+                self.apply_entry(self.left.as_stated_in_view(entry, revision), source)
             else:
                 self._drop_key(key, source)
         for key in self.raw_entries.keys() - entries.keys():
@@ -305,6 +293,15 @@
         self.raw_entries = entries
         self.entries_watcher.skip_to_revision(revision)
 
+    def apply_restored(self, stated: Mapping[str, RestoredEntry]) -> None:
+        """Take engines as leaving whose entries, as other daemons stated, are restored ones."""
+        self.left.set_stated(stated)
+        for engine_id in stated:
+            engine = self._engines.get(engine_id)
+            revision = self._entry_revisions.get(self._schema.engines_prefix + engine_id)
+            if engine is not None and revision is not None:
+                self._put_entry(self.left.as_stated(engine.entry, revision), "store, restored")
+
     def _is_outdated(self, key: str, revision: int) -> bool:
         """Return whether a newer change of a key was applied before.
 
@@ -332,18 +329,22 @@
         same_era = era_of(item.revision) == era_of(known_revision)
         is_own_write = same_era and item.revision > known_revision
         if entry is not None and not is_own_write and self._is_restored(entry, item.revision):
+            self._note_restored(entry, item.revision)
             return
         self.raw_entries[item.key] = item.value
+        self.left.forget_found(item.key.removeprefix(self._schema.engines_prefix))
         if entry is None:
             self._drop_key(item.key, "damaged entry")
             return
-        self.apply_entry(entry, "store")
+        self._entry_revisions[item.key] = item.revision
+        self.apply_entry(self.left.as_stated(entry, item.revision), "store")
 
     def _on_entry_removed(self, key: str, revision: int) -> None:
         if self._is_outdated(key, revision):
             return
         self.entry_reader.unreadable.forget(key)
         engine_id = key.removeprefix(self._schema.engines_prefix)
+        self.left.forget_found(engine_id)
         now_s = asyncio.get_running_loop().time()
         # Engines whose entries lapsed during a store outage register again soon after it.
         drop_at_s = self.entries_watcher.recovered_at_s + REAPPEAR_GRACE_S
@@ -377,22 +378,21 @@
         known = self._engines.get(entry.engine_id)
         if known is not None and entry.state is EngineState.DRAINING:
             return False
-        started_at_ms, era = self._left.get(entry.engine_id, (0, era_of(revision)))
-        is_settled = asyncio.get_running_loop().time() - self._era_since_s >= RESTORE_SETTLE_S
-        if era == era_of(revision) or started_at_ms != entry.started_at_ms or is_settled:
+        if not self.left.left_before(entry.incarnation, era_of(revision)):
             return False
         decision("engine_entry_restored", engine=entry.engine_id, revision=revision)
         return True
 
-    def _note_left(self, entry: EngineEntry) -> None:
-        self._left.pop(entry.engine_id, None)
-        self._left[entry.engine_id] = (entry.started_at_ms, era_of(self._newest_revision))
-        while len(self._left) > MAX_LEFT:
-            del self._left[next(iter(self._left))]
+    def _note_restored(self, entry: EngineEntry, revision: int) -> None:
+        """Note that the store lists an engine as ready that leaves or has left."""
+        known = self._engines.get(entry.engine_id)
+        came_back = known is not None and known.entry.state is EngineState.READY
+        if entry.state is EngineState.READY and not came_back:
+            self.left.note_found(entry.incarnation, revision)
 
     def _note_newest(self, revision: int) -> None:
         if era_of(revision) > era_of(self._newest_revision):
-            self._era_since_s = asyncio.get_running_loop().time()
+            self.left.note_new_era()
         self._newest_revision = max(self._newest_revision, revision)
 
     def _notify_leaving(self, entry: EngineEntry) -> None:
--- a/godwitpath/gateway/context.py
+++ b/godwitpath/gateway/context.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from godwitpath.gateway.accounts import QuotaTracker
-from godwitpath.gateway.catalogue import StateAges
 from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineRegistry
@@ -22,6 +21,7 @@
 from godwitpath.gateway.retry_budget import RetryBudget
 from godwitpath.gateway.retry_schedule import RetrySchedule
 from godwitpath.gateway.settings import GatewaySettings
+from godwitpath.gateway.state_ages import StateAges
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.wire_fields import CallerFields, EngineResponseFields, SendFields
 from godwitpath.http1.messages import Headers, ResponseHead
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -25,6 +25,7 @@
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.intake import Intake
+from godwitpath.gateway.left_store import LeftStore
 from godwitpath.gateway.members import MemberEntry, Members
 from godwitpath.gateway.metrics_page import MetricsPage
 from godwitpath.gateway.peers import Peers
@@ -105,6 +106,8 @@
         incarnation = rng.getrandbits(63)
         entry = MemberEntry(settings.host, settings.peer_ports[0], settings.zone, incarnation)
         self._members = Members(self._store, settings.name, entry, rng)
+        self._left_store = LeftStore(self._store, self._members, self._catalogue, rng)
+        self._catalogue.load_conditions.append(self._left_store.applied)
         self._peers = Peers(self._ctx, self._catalogue, self._members, incarnation)
         self._ctx.permits = self._peers.permits
         self._ctx.known_daemons = self._peers.view.known_daemons
@@ -129,6 +132,7 @@
             self._members.unreadable,
             self._peers.unreadable,
             self._quarantine_store.unreadable,
+            self._left_store.unreadable,
         )
         self._metrics = MetricsPage(
             self._ctx, adapter, self._catalogue, self._peers, self._holder, dump, unreadable
@@ -169,6 +173,7 @@
             "members": self._members.run,
             "peers": self._peers.run,
             "quarantine_store": self._quarantine_store.run,
+            "left_store": self._left_store.run,
             "connections": self._close_expired_connections,
             "settings": reloader.run,
         }
--- a/test/gateway_fleet.py
+++ b/test/gateway_fleet.py
@@ -14,6 +14,7 @@
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.in_force import ConfigurationInForce
+from godwitpath.gateway.left_store import LeftStore
 from godwitpath.gateway.members import MemberEntry, Members
 from godwitpath.gateway.peers import Peers
 from godwitpath.gateway.placement import Placer
@@ -84,13 +85,20 @@
             rng,
             settings.bounds.change_s,
         )
+        self.left_store = LeftStore(self.store, self.members, self.catalogue, rng)
+        self.catalogue.load_conditions.append(self.left_store.applied)
         self.peers = Peers(self.ctx, self.catalogue, self.members, port)
         self.ctx.permits = self.peers.permits
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         await self.peers.start()
-        jobs = (self.members.run(), self.peers.run(), self.catalogue.run())
+        jobs = (
+            self.members.run(),
+            self.peers.run(),
+            self.catalogue.run(),
+            self.left_store.run(),
+        )
         self.tasks = [asyncio.create_task(job) for job in jobs]
 
     async def stop(self) -> None:
--- a/test/test_gateway_intake.py
+++ b/test/test_gateway_intake.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from godwitpath.gateway.catalogue import StateAges
 from godwitpath.gateway.intake import Intake
 from godwitpath.gateway.planned_stop import PlannedStop
+from godwitpath.gateway.state_ages import StateAges
 from godwitpath_standin.gateway.documents import configuration_document
 from godwitpath_standin.gateway.store_core import StoreCore
 from test.gateway_fleet import GROWN_BOUNDS, Daemon
