--- a/test/test_gateway_left_store.py
+++ b/test/test_gateway_left_store.py
@@ -232,6 +232,21 @@
                 await asyncio.sleep(1.0)
                 assert late.usable_ids() == ["e1"]
 
+    async def test_an_entry_is_not_stated_again_once_the_engine_wrote_another(self) -> None:
+        core = StoreCore()
+        core.put("servers/e1", entry("e1"))
+        async with running(core, "d1"):
+            snapshot = core.snapshot()
+            core.put("servers/e1", entry("e1", state="draining"))
+            await asyncio.sleep(1.0)
+            core.restore(snapshot)
+            await asyncio.sleep(2.0)
+            core.put("servers/e1", entry("e1", sequence=9))
+            await asyncio.sleep(0.5)
+            core.remove(LEFT_KEY)
+            await asyncio.sleep(5.0)
+            assert LEFT_KEY not in core.items
+
     async def test_an_engine_that_came_back_before_the_restore_is_not_stated(self) -> None:
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
