--- a/godwitpath/records/reader.py
+++ b/godwitpath/records/reader.py
@@ -161,6 +161,8 @@
                 raise OffsetUnknown("the text cannot be continued from the offset")
             if reply.pieces:
                 yield reply.pieces
+                # The caller may have left them unread for long, while no holder was searched.
+                search.found(self._now_s())
                 after_tokens = reply.pieces[-1].offset + reply.pieces[-1].tokens
                 seen = seen.extended(reply.pieces) if seen is not None else None
             elif reply.outcome is not None:
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -19,7 +19,14 @@
     pieces_after,
 )
 from godwitpath.records.table import RecordCounters, RecordTable
-from test.record_fleet import DETECTION_S, TOKENS, Reader, RecordFleet, complete_text
+from test.record_fleet import (
+    DETECTION_S,
+    TOKENS,
+    Reader,
+    RecordFleet,
+    complete_text,
+    token_text,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -181,6 +188,25 @@
     await fleet.stop()
 
 
+async def test_a_reader_that_pauses_for_long_goes_on_when_the_record_has_moved() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    record = node.record()
+    await node.store.accept(record)
+    node.store.begin_attempt(record, "attempt", "engine-1")
+    assert node.store.append(record, Piece(0, token_text(record, 0), 1))
+    batches = fleet.nodes["e4"].store.follow(local_ref(record), 0)
+    pieces = await anext(batches)
+    # Its caller leaves what was sent unread.
+    await asyncio.sleep(2 * HOLDER_SEARCH_TIMEOUT_S)
+    assert await node.store.hand_over() == 1
+    async with asyncio.timeout(SETTLED_S):
+        async for batch in batches:
+            pieces += batch
+    assert "".join(piece.text for piece in pieces) == complete_text(record)
+    await fleet.stop()
+
+
 async def test_text_is_complete_after_the_holder_fails() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
