Keep a waiting claim's claimant while no arbiter of the key responds

Cause: a claim that waits for the live claimant of its key asks the arbiters every 0.1 s. When neither responded to one of these checks, the wait ended as if the key were free, and the request ran a second time. Before the claimant's request was returned at once.

Change: without a response the claimant stays the known one while it is live. With a failed claimant the request runs, as before.

Before: test_a_claim_that_waits_keeps_the_claimant_while_no_arbiter_responds failed with "assert None is not None". After: test_record_store.py passes (22).

--- a/godwitpath/records/finder.py
+++ b/godwitpath/records/finder.py
@@ -115,6 +115,9 @@
                 request.replaces = current.request_id
             await asyncio.sleep(CLAIM_CHECK_INTERVAL_S)
             latest = await self._claim_at_arbiter(request)
+            if latest is None and self._calls.is_live(current.holder):
+                # No arbiter responded, so the key is still the claimant's.
+                continue
             if latest is None or latest.request_id == request.request_id:
                 return None
             current = latest
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -7,7 +7,9 @@
 import pytest
 
 from godwitpath.ports.peers import Peer
+from godwitpath.records.ids import placement_key
 from godwitpath.records.messages import local_ref
+from godwitpath.records.placement import key_arbiters
 from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S, RecordLost
 from godwitpath.records.record import (
     OffsetUnknown,
@@ -153,6 +155,29 @@
     await fleet.stop()
 
 
+async def test_a_claim_that_waits_keeps_the_claimant_while_no_arbiter_responds() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"], fleet.nodes["e4"]
+    key = next(
+        f"k{number}"
+        for number in range(100)
+        if other.member not in key_arbiters(placement_key("a", f"k{number}"), other.live())[:2]
+    )
+    record = claimant.record(key=key)
+    assert await claimant.store.claim_key("a", key, "d", record.request_id) is None
+    request_id = other.store.new_request_id("a", key)
+    claim = asyncio.create_task(other.store.claim_key("a", key, "d", request_id))
+    await asyncio.sleep(0.5)
+    fleet.network.cut_groups(["e4"], [name for name in fleet.nodes if name != "e4"])
+    await asyncio.sleep(1.0)
+    fleet.network.heal()
+    await claimant.store.accept(record)
+    found = await asyncio.wait_for(claim, 1.5)
+    assert found is not None
+    assert (found.request_id, found.holder) == (record.request_id, "e0")
+    await fleet.stop()
+
+
 async def test_a_record_that_only_a_failed_entry_had_is_soon_known_to_be_lost() -> None:
     fleet = RecordFleet()
     lost = fleet.nodes["e0"].record()
