Count a connection as idle once its caller has read a large response

Cause: a connection whose response was not sent as a whole when it ended is noted as handling, so that it is not ended. Nothing noted that the rest was read, so it was spared until its next request or its idle timeout (60 s): a caller that reads such responses and goes silent holds connections that never give way, and new sound callers are ended in their place.

Before: test_a_connection_is_idle_again_once_its_caller_has_read_a_large_response failed with "assert b' 200 ' in b''".

--- a/godwitpath/http1/server.py
+++ b/godwitpath/http1/server.py
@@ -395,4 +395,5 @@
             if now_s - started_at_s >= limit_s:
                 self._reject(408)
                 return
+        self._note_phase()
         self._start_timer()
--- a/test/test_http1_open_connections.py
+++ b/test/test_http1_open_connections.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from godwitpath.http1 import open_connections
+from godwitpath.http1.limits import CallerLimits
 from godwitpath.http1.listener import listen
 from godwitpath.http1.messages import Request
 from godwitpath.http1.open_connections import (
@@ -183,6 +184,25 @@
             each.transport.abort()
 
 
+async def test_a_connection_is_idle_again_once_its_caller_has_read_a_large_response() -> None:
+    limits = CallerLimits(header_timeout_s=0.1)
+    policy = ServerPolicy(_respond, lambda: limits, open_connections=OpenConnections(max_open=1))
+    server = await listen("127.0.0.1", 0, policy, set())
+    async with server, asyncio.timeout(5.0):
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST.replace(b"/", b"/large", 1))
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(8_388_608)
+        await asyncio.sleep(0.3)
+        other_reader, other_writer = await asyncio.open_connection(*address)
+        other_writer.write(REQUEST)
+        assert b" 200 " in await other_reader.readline()
+        assert await _read_to_end(reader) == b""
+        for each in (writer, other_writer):
+            each.transport.abort()
+
+
 async def _read_to_end(reader: asyncio.StreamReader) -> bytes:
     try:
         return await reader.read()
