Do not take a comment for the first event when prefill is measured

Cause: the first data of a stream counted as its first event, also if it was a comment that the engine sends while it reads the prompt.

Change: all of these are recorded with the first whole event. The start of the request for the usage reports is still counted with the first data.

Before: test_the_time_to_the_first_event_does_not_end_with_a_comment failed with a sum of 0.0004 s where the event came after 0.5 s. After: test_gateway_leading_comments.py (8) and test_gateway_slow_streams.py (5) pass. test_gateway_resumed_streams.py was stopped after 70 s on a busy machine with 72 passed and none failed; the rest was not run.

--- a/godwitpath/gateway/stream.py
+++ b/godwitpath/gateway/stream.py
@@ -188,12 +188,13 @@
         while data := await _read(ctx, call, send, progress):
             if not data_received:
                 data_received = True
-                _record_first_event(ctx, call, send, candidate, loop.time() - send.sent_at_s)
+                _count_start(ctx, call)
             forwarding_since_s = loop.time()
             events = splitter.feed(data)
             _forward_events(call, head, events, leading_comments, progress)
             if not send.first_event_at_s and any(not event.comment for event in events):
                 send.first_event_at_s = loop.time()
+                _record_first_event(ctx, call, send, candidate)
             if len(data) >= FIRST_READ_BYTES:
                 read_turns().note_cost(loop.time() - forwarding_since_s)
             reservation.resize(len(splitter.incomplete) + leading_comments.size_bytes)
@@ -249,9 +250,14 @@
             timeout_at_s = asyncio.get_running_loop().time() + max_gap_s
 
 
-def _record_first_event(
-    ctx: GatewayContext, call: Call, send: Send, candidate: Candidate, took_s: float
-) -> None:
+def _count_start(ctx: GatewayContext, call: Call) -> None:
+    if call.account is not None and not call.usage_counted:
+        call.usage_counted = True
+        ctx.usage.note_started(call.account.name)
+
+
+def _record_first_event(ctx: GatewayContext, call: Call, send: Send, candidate: Candidate) -> None:
+    took_s = send.first_event_at_s - send.sent_at_s
     send.prefill_done()
     ctx.instruments.first_event_s.record(took_s, service=call.service.name)
     if candidate.first_token_s:
@@ -260,9 +266,6 @@
         ctx.read_speeds[call.service.name].add(
             call.prompt.own_tokens, took_s - ctx.placer.distance_s(candidate.engine)
         )
-    if call.account is not None and not call.usage_counted:
-        call.usage_counted = True
-        ctx.usage.note_started(call.account.name)
 
 
 def _forward_events(
--- a/test/test_gateway_leading_comments.py
+++ b/test/test_gateway_leading_comments.py
@@ -106,6 +106,19 @@
     assert response.body == COMMENTS + stream_body(1, 1) + COMMENTS + stream_body(2, EVENTS)
 
 
+async def test_the_time_to_the_first_event_does_not_end_with_a_comment() -> None:
+    async def serve(exchange: Exchange) -> None:
+        exchange.chunk(COMMENTS)
+        await asyncio.sleep(0.5)
+        await _whole(exchange)
+
+    async with raw_engines("lm", [_engine(serve)]) as (environment, _):
+        await ask(environment.port, "/stream/x", method="POST", body=b"p")
+        page = (await ask(environment.metrics_port, "/metrics")).body.decode()
+    sums = [line for line in page.splitlines() if "first_event" in line and "_sum" in line]
+    assert [float(line.split()[-1]) >= 0.5 for line in sums] == [True], sums
+
+
 async def test_a_whole_response_of_comments_is_passed_on() -> None:
     async def serve(exchange: Exchange) -> None:
         exchange.chunk(COMMENTS)
