--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -7,7 +7,9 @@
 import pytest
 
 from godwitpath.ports.peers import Peer
+from godwitpath.records.ids import placement_key
 from godwitpath.records.messages import local_ref
+from godwitpath.records.placement import key_arbiters
 from godwitpath.records.reader import HOLDER_SEARCH_TIMEOUT_S, RecordLost
 from godwitpath.records.record import (
     OffsetUnknown,
@@ -19,7 +21,14 @@
     pieces_after,
 )
 from godwitpath.records.table import RecordCounters, RecordTable
-from test.record_fleet import DETECTION_S, TOKENS, Reader, RecordFleet, complete_text
+from test.record_fleet import (
+    DETECTION_S,
+    TOKENS,
+    Reader,
+    RecordFleet,
+    complete_text,
+    token_text,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -146,6 +155,29 @@
     await fleet.stop()
 
 
+async def test_a_claim_that_waits_keeps_the_claimant_while_no_arbiter_responds() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"], fleet.nodes["e4"]
+    key = next(
+        f"k{number}"
+        for number in range(100)
+        if other.member not in key_arbiters(placement_key("a", f"k{number}"), other.live())[:2]
+    )
+    record = claimant.record(key=key)
+    assert await claimant.store.claim_key("a", key, "d", record.request_id) is None
+    request_id = other.store.new_request_id("a", key)
+    claim = asyncio.create_task(other.store.claim_key("a", key, "d", request_id))
+    await asyncio.sleep(0.5)
+    fleet.network.cut_groups(["e4"], [name for name in fleet.nodes if name != "e4"])
+    await asyncio.sleep(1.0)
+    fleet.network.heal()
+    await claimant.store.accept(record)
+    found = await asyncio.wait_for(claim, 1.5)
+    assert found is not None
+    assert (found.request_id, found.holder) == (record.request_id, "e0")
+    await fleet.stop()
+
+
 async def test_a_record_that_only_a_failed_entry_had_is_soon_known_to_be_lost() -> None:
     fleet = RecordFleet()
     lost = fleet.nodes["e0"].record()
@@ -181,6 +213,25 @@
     await fleet.stop()
 
 
+async def test_a_reader_that_pauses_for_long_goes_on_when_the_record_has_moved() -> None:
+    fleet = RecordFleet()
+    node = fleet.nodes["e0"]
+    record = node.record()
+    await node.store.accept(record)
+    node.store.begin_attempt(record, "attempt", "engine-1")
+    assert node.store.append(record, Piece(0, token_text(record, 0), 1))
+    batches = fleet.nodes["e4"].store.follow(local_ref(record), 0)
+    pieces = await anext(batches)
+    # Its caller leaves what was sent unread.
+    await asyncio.sleep(2 * HOLDER_SEARCH_TIMEOUT_S)
+    assert await node.store.hand_over() == 1
+    async with asyncio.timeout(SETTLED_S):
+        async for batch in batches:
+            pieces += batch
+    assert "".join(piece.text for piece in pieces) == complete_text(record)
+    await fleet.stop()
+
+
 async def test_text_is_complete_after_the_holder_fails() -> None:
     fleet = RecordFleet()
     record = await fleet.nodes["e0"].accept()
