Grant the key of a failed claimant to a request with another body, as before

Cause: while a claim waits, a claim with another body was answered as a reused key also when its claimant had failed without a record (since the wait for claimants; found by review). Change: another body ends the wait only while the claimant is live.

--- a/godwitpath/records/finder.py
+++ b/godwitpath/records/finder.py
@@ -109,9 +109,11 @@
             found = await self.find(request.account, current.request_id)
             if found is not None:
                 return found
-            if loop.time() >= end_s or current.body_digest != request.body_digest:
+            claimant_is_live = self._calls.is_live(current.holder)
+            other_body = current.body_digest != request.body_digest
+            if loop.time() >= end_s or (claimant_is_live and other_body):
                 return _claimed_ref(request, current)
-            if not self._calls.is_live(current.holder):
+            if not claimant_is_live:
                 request.replaces = current.request_id
             await asyncio.sleep(CLAIM_CHECK_INTERVAL_S)
             latest = await self._claim_at_arbiter(request)
--- a/test/test_record_store.py
+++ b/test/test_record_store.py
@@ -140,6 +140,16 @@
     await fleet.stop()
 
 
+async def test_a_key_of_a_failed_claimant_is_granted_to_another_body_after_detection() -> None:
+    fleet = RecordFleet()
+    claimant, other = fleet.nodes["e0"].store, fleet.nodes["e4"].store
+    assert await claimant.claim_key("a", "k", "d", claimant.new_request_id("a", "k")) is None
+    await fleet.kill("e0")
+    await asyncio.sleep(DETECTION_S + 1.0)
+    assert await other.claim_key("a", "k", "other", other.new_request_id("a", "k")) is None
+    await fleet.stop()
+
+
 async def test_a_claim_waits_for_the_record_of_the_claimant() -> None:
     fleet = RecordFleet()
     claimant, other = fleet.nodes["e0"], fleet.nodes["e4"]
