Take the end of the lease in a test when its holder is paused

Cause: the test took the end of the lease before its call began. A renewal until the call connects moves that end, so that the pause is within the lease. Change: the pause takes the end as it is then.

--- a/test/test_gateway_handover.py
+++ b/test/test_gateway_handover.py
@@ -100,9 +100,10 @@
     await asyncio.sleep(1.5)
     token = daemon.holder.fencing_token()
     assert token is not None
-    resumed_at_s = daemon.holder._valid_until_s + 0.1
 
     def pause() -> None:
+        # The holder may have renewed its lease since the call began.
+        resumed_at_s = daemon.holder._valid_until_s + 0.1
         monkeypatch.setattr("godwitpath.gateway.holder.boot_time_s", lambda: resumed_at_s)
 
     connect_slowly(cloud, pause)
