Wait for one of several events in one place

Cause: what engines that left and quarantines keep in the store waited for changes by the same lines. Change: wait_for_any serves both.

--- a/godwitpath/gateway/left_store.py
+++ b/godwitpath/gateway/left_store.py
@@ -27,6 +27,7 @@
     without_era,
 )
 from godwitpath.gateway.unreadable import UnreadableValues
+from godwitpath.gateway.wakeups import wait_for_any
 from godwitpath.ports.kv import StoreError
 from godwitpath.telemetry.decisions import decision
 
@@ -129,16 +130,8 @@
 
     async def _wait(self) -> None:
         """Wait for a change of the store, a finding, or the next comparison."""
-        found_more = self._catalogue.left.found_more
-        self._changed.clear()
-        found_more.clear()
-        waiting = [asyncio.create_task(event.wait()) for event in (self._changed, found_more)]
-        timeout_s = CHECK_S * self._rng.uniform(0.5, 1.5)
-        try:
-            await asyncio.wait(waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in waiting:
-                task.cancel()
+        events = (self._changed, self._catalogue.left.found_more)
+        await wait_for_any(events, CHECK_S * self._rng.uniform(0.5, 1.5))
 
     def _apply(self) -> None:
         """Apply the store's copy once each time that it was written."""
--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -19,6 +19,7 @@
 from godwitpath.gateway.store import Item, Precondition, Put, Store
 from godwitpath.gateway.unreadable import UnreadableValues
 from godwitpath.gateway.verdicts import PROMPT_QUARANTINE_S, quarantine_s
+from godwitpath.gateway.wakeups import wait_for_any
 from godwitpath.ports.kv import StoreError
 from godwitpath.telemetry.decisions import decision
 
@@ -132,18 +133,8 @@
 
     async def _wait(self) -> None:
         """Wait for a change of the store, a new verdict, or the next comparison."""
-        self._changed.clear()
-        self._crashes.verdict_added.clear()
-        waiting = [
-            asyncio.create_task(event.wait())
-            for event in (self._changed, self._crashes.verdict_added)
-        ]
-        timeout_s = CHECK_S * self._rng.uniform(0.5, 1.5)
-        try:
-            await asyncio.wait(waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in waiting:
-                task.cancel()
+        events = (self._changed, self._crashes.verdict_added)
+        await wait_for_any(events, CHECK_S * self._rng.uniform(0.5, 1.5))
 
     def _apply(self) -> None:
         """Apply the store's copy once each time that it was written."""
