--- a/test/test_gateway_late_renewals.py
+++ b/test/test_gateway_late_renewals.py
@@ -12,7 +12,11 @@
 from godwitpath_standin.gateway.store_core import StoreCore
 from test.test_gateway_duties import Daemon, boot_clock
 from test.test_gateway_restore_schedules import until
-from test.test_gateway_two_holders import fencing_not_checked, watch_holders
+from test.test_gateway_two_holders import (
+    fencing_not_checked,
+    restore_and_give_lease_away,
+    watch_holders,
+)
 
 __all__ = ["boot_clock", "fencing_not_checked"]
 
@@ -36,10 +40,7 @@
         # Until the watch hears of the restore by the response to the renewal.
         d0.store.faults.watches_silent = True
         await asyncio.sleep(1.2 - renewed_after_s)
-        core.restore(copy)
-        core._last_lease_id = last_id
-        while core._last_lease_id < d0.holder._lease_id:
-            core.grant(60.0)
+        restore_and_give_lease_away(core, copy, last_id, d0.holder._lease_id)
         valid_until_s = d0.holder._valid_until_s
         await until(lambda: d0.holder._valid_until_s != valid_until_s or not d0.holder._token)
         d0.store.faults.down = True
--- a/test/test_gateway_left_store.py
+++ b/test/test_gateway_left_store.py
@@ -113,6 +113,14 @@
         await daemon.stop()
 
 
+async def lose_statement(core: StoreCore, after_s: float) -> None:
+    """Let an engine say that it leaves, and restore the store to its state before."""
+    snapshot = core.snapshot()
+    core.put("servers/e1", entry("e1", state="draining"))
+    await asyncio.sleep(after_s)
+    core.restore(snapshot)
+
+
 @asynccontextmanager
 async def starting(core: StoreCore, name: str = "late") -> AsyncIterator[Daemon]:
     """Run a daemon that starts now."""
@@ -159,10 +167,7 @@
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
         async with running(core, "d1", "d2"):
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(5.0)
-            core.restore(snapshot)
+            await lose_statement(core, 5.0)
             restored_at_s = asyncio.get_running_loop().time()
             await asyncio.sleep(after_s)
             async with starting(core) as late:
@@ -176,10 +181,7 @@
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
         async with running(core, "d1"):
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(1.0)
-            core.restore(snapshot)
+            await lose_statement(core, 1.0)
             await asyncio.sleep(2.0)
             late = Daemon(core, "late")
             list_items = late.store.list_items
@@ -236,10 +238,7 @@
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
         async with running(core, "d1"):
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(1.0)
-            core.restore(snapshot)
+            await lose_statement(core, 1.0)
             await asyncio.sleep(2.0)
             core.put("servers/e1", entry("e1", sequence=9))
             await asyncio.sleep(0.5)
@@ -284,10 +283,7 @@
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
         async with running(core, "d1", "d2", "d3"):
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(1.0)
-            core.restore(snapshot)
+            await lose_statement(core, 1.0)
             await asyncio.sleep(2.0)
             revision = core.items[LEFT_KEY].revision
             await asyncio.sleep(60.0)
@@ -299,10 +295,7 @@
         core.put(LEFT_KEY, b"[")
         async with running(core, "d1") as [daemon]:
             assert daemon.usable_ids() == ["e1"]
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(1.0)
-            core.restore(snapshot)
+            await lose_statement(core, 1.0)
             await asyncio.sleep(2.0)
             assert daemon.left_store.unreadable.counts == {"left_unreadable": 1}
             async with starting(core) as late:
@@ -315,10 +308,7 @@
         core = StoreCore()
         core.put("servers/e1", entry("e1"))
         async with running(core, "d1"):
-            snapshot = core.snapshot()
-            core.put("servers/e1", entry("e1", state="draining"))
-            await asyncio.sleep(1.0)
-            core.restore(snapshot)
+            await lose_statement(core, 1.0)
             await asyncio.sleep(2.0)
             async with starting(core) as late:
                 await asyncio.sleep(0.5)
--- a/test/test_gateway_two_holders.py
+++ b/test/test_gateway_two_holders.py
@@ -11,7 +11,7 @@
 
 import test.test_gateway_duties as duties
 from godwitpath.gateway.settings import Bounds
-from godwitpath_standin.gateway.store_core import StoreCore
+from godwitpath_standin.gateway.store_core import StoreCore, StoreSnapshot
 from test.test_gateway_duties import Daemon, boot_clock, holder_indexes
 from test.test_gateway_restore_schedules import until
 
@@ -24,6 +24,19 @@
     monkeypatch.setattr(duties, "BOUNDS", Bounds(fencing_checked=False))
 
 
+def restore_and_give_lease_away(
+    core: StoreCore, copy: StoreSnapshot, last_lease_id: int, lease_id: int
+) -> None:
+    """Restore the store, which then gives the identifier of a lease to another client.
+
+    :param last_lease_id: identifier that the store gave out last before the copy
+    """
+    core.restore(copy)
+    core._last_lease_id = last_lease_id
+    while core._last_lease_id < lease_id:
+        core.grant(60.0)
+
+
 async def watch_holders(daemons: list[Daemon]) -> tuple[float, list[int]]:
     """Watch two daemons for 25 s, then stop them.
 
@@ -120,9 +133,6 @@
         await asyncio.sleep(3.0)
         d0.store.faults.watches_silent = True
         await asyncio.sleep(0.2)
-        core.restore(copy)
-        core._last_lease_id = last_id
-        while core._last_lease_id < d0.holder._lease_id:
-            core.grant(60.0)
+        restore_and_give_lease_away(core, copy, last_id, d0.holder._lease_id)
         d0.store.faults.watches_silent = False
         assert await watch_holders([d0, d1]) == (0.0, [0])
