--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -372,3 +372,9 @@
 ) -> None:
     outcome = await run_soak(SoakPlan(seed, duration_s), tmp_path)
     assert not outcome.violations, "\n".join([cause, *outcome.lines()])
+
+
+async def test_flooded_seed_that_failed_before_has_no_violation(tmp_path: Path) -> None:
+    """Guards against comments of a lost run before the events of the next one."""
+    outcome = await run_soak(SoakPlan(1, SOAK_S, daemons=3, floods=True), tmp_path)
+    assert not outcome.violations, "\n".join(outcome.lines())
