Review case 2: requests that crash engines reach engines long after the fifth crash

The evidence about crashes travels in reports between daemons. With prompts of long sessions a report does not fit into a datagram, none arrives, and each daemon needs four crashes of its own. The metrics page counts some 400 unsent datagrams at each machine.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -109,6 +109,18 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    async def count(self, name: str) -> str:
+        """Return the sum of a counter of the daemon's metrics page whose line contains a name."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[3])
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            page = (await asyncio.wait_for(reader.read(), 2)).decode(errors="replace")
+            writer.close()
+        except (OSError, TimeoutError):
+            return "unknown"
+        lines = [line for line in page.splitlines() if name in line and not line.startswith("#")]
+        return f"{sum(float(line.split()[-1]) for line in lines):g}"
+
     async def ready(self) -> bool:
         """Return whether the daemon answers the readiness question with 200."""
         try:
