--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import sys
 import tempfile
@@ -147,8 +148,6 @@
         self.daemons: list[Daemon] = []
         self._count = daemons
         self._changes = changes
-        self._beats: list[asyncio.Task[None]] = []
-        self._entries: dict[str, bytes] = {}
 
     async def start(self) -> None:
         store_address = await self.store.start()
@@ -200,6 +199,7 @@
             if daemon.process is not None:
                 await daemon.process.wait()
         await self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def configuration(version: int = 7, **changes: Any) -> dict[str, Any]:
@@ -213,9 +213,17 @@
         ],
         "services": [
             {"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 110},
-            {"name": "lm", "healthCheckPath": "/healthz", "maxConnections": 370,
-             "engine": {"slots": 64, "kvCapacity": 232000, "models": [{"name": "m"}],
-                        "moves": True}},
+            {
+                "name": "lm",
+                "healthCheckPath": "/healthz",
+                "maxConnections": 370,
+                "engine": {
+                    "slots": 64,
+                    "kvCapacity": 232000,
+                    "models": [{"name": "m"}],
+                    "moves": True,
+                },
+            },
         ],
         "limits": {
             "maxHeaderBytes": 16384,
