--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import asyncio
+import atexit
+import contextlib
 import json
 import os
 import shutil
@@ -13,8 +15,10 @@
 import sys
 import tempfile
 import time
+import traceback
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
@@ -64,6 +68,22 @@
         self._file.write(line + "\n")
         self._file.flush()
 
+    def details(self, title: str, lines: Iterable[str]) -> None:
+        """Write what was sent, answered or run, one line each, to the file alone."""
+        self._file.write(f"{title}:\n" + "".join(f"    {line}\n" for line in lines))
+        self._file.flush()
+
+
+def run_case(main: Callable[[], Awaitable[int]]) -> NoReturn:
+    """Run a case and exit with its status, 2 if it could not run; end all processes in any case."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        status = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
 
 class Daemon:
     """A daemon as a process of its own, started with the command of the deploy file."""
@@ -72,6 +92,13 @@
         self.name, self.zone, self.ports, self.folder = name, zone, ports, folder
         self.process: asyncio.subprocess.Process | None = None
         self.settings: dict[str, Any] = {}
+        atexit.register(self._kill)
+
+    def _kill(self) -> None:
+        """End the process if the case was ended before it could."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGKILL)
 
     async def start(self) -> None:
         path = self.folder / f"{self.name}.json"
