Review: an error of a script at its start exits with 2 as well

Python exits with 1 after an error, which read as a broken rule; a broken rule is 41 inside the scripts now.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -51,6 +51,8 @@
 }
 """Bounds of the small deployments of the pages."""
 
+BROKEN_STATUS = 41
+
 MEMORY_MB = 300
 """Limit on the memory of a process in these deployments."""
 
@@ -75,14 +77,17 @@
 
 
 def run_case(main: Callable[[], Awaitable[int]]) -> NoReturn:
-    """Run a case and exit with its status, 2 if it could not run; end all processes in any case."""
+    """Run a case and exit with its status, 2 if it could not run; end all processes in any case.
+
+    A broken rule is BROKEN_STATUS here: Python itself exits with 1 after an error. run.sh turns it into 1.
+    """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.run(main())
     except Exception:
         traceback.print_exc()
         status = 2
-    sys.exit(status)
+    sys.exit(BROKEN_STATUS if status == 1 else status)
 
 
 class Daemon:
