Daemons measure how long each turn of their event loop holds it

Change: the loop's selector times each turn (from the end of a wait, or from the moment its time limit passed, to the next wait) and splits one of over 1 ms by the process's processor time into own work and waiting. Histogram loop.delay by cause; log line loop_held for over 50 ms, the longest of each second of a cause always among them.

--- a/godwitpath/gateway/__main__.py
+++ b/godwitpath/gateway/__main__.py
@@ -23,6 +23,7 @@
 
     from godwitpath.errors import GodwitpathError
     from godwitpath.gateway.daemon import run_gateway
+    from godwitpath.gateway.loop_delay import TurnTimer
     from godwitpath.gateway.memory import return_large_blocks
     from godwitpath.platform.settings import decode_settings, settings_path
 
@@ -33,7 +34,9 @@
         print(f"godwitpath: {error}", file=sys.stderr)
         return 2
     return_large_blocks()
-    asyncio.run(run_gateway(settings, path))
+    turns = TurnTimer()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
+        runner.run(run_gateway(settings, path, turns))
     # The interpreter's last garbage collections, of all objects, would delay the exit, and the
     # grace period of a planned stop may end within them.
     gc.freeze()
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -26,6 +26,7 @@
 from godwitpath.gateway.in_force import ConfigurationInForce
 from godwitpath.gateway.intake import Intake
 from godwitpath.gateway.left_store import LeftStore
+from godwitpath.gateway.loop_delay import LoopHolds, TurnTimer
 from godwitpath.gateway.members import MemberEntry, Members
 from godwitpath.gateway.metrics_page import MetricsPage
 from godwitpath.gateway.peers import Peers
@@ -69,6 +70,7 @@
     """One gateway daemon.
 
     :param path: the settings file, checked for changes while the daemon runs
+    :ivar loop_holds: records how long the event loop is held
     """
 
     def __init__(self, settings: GatewaySettings, path: Path) -> None:
@@ -98,6 +100,7 @@
             limits=EngineLimits(quota.urgent),
             crashes=CrashWatch(engines, quota.urgent),
         )
+        self.loop_holds = LoopHolds(self._ctx.instruments)
         self._catalogue = Catalogue(
             self._store, adapter, in_force, engines, rng, settings.bounds.change_s
         )
@@ -293,10 +296,13 @@
             self._ctx.evacuator.schedule_evacuation(entry)
 
 
-async def run_gateway(settings: GatewaySettings, path: Path) -> None:
+async def run_gateway(settings: GatewaySettings, path: Path, turns: TurnTimer) -> None:
     """Run a daemon until it receives a stop signal.
 
     :param path: the settings file, checked for changes while the daemon runs
+    :param turns: selector of the running loop
     """
     start_decision_log(sys.stdout.fileno(), daemon=settings.name)
-    await GatewayDaemon(settings, path).run()
+    daemon = GatewayDaemon(settings, path)
+    daemon.loop_holds.listen(turns)
+    await daemon.run()
--- a/godwitpath/gateway/instruments.py
+++ b/godwitpath/gateway/instruments.py
@@ -13,6 +13,10 @@
 """Bucket bounds of the histograms in seconds: from the duration of a call within a zone to the
 longest request deadline that callers require."""
 
+LOOP_DELAY_BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+"""Bucket bounds of the turns of the event loop in seconds; 0.05 is the longest that own work may
+take."""
+
 
 def _histogram(name: str, description: str) -> Histogram:
     return Histogram(name, "s", description, DURATION_BOUNDS_S)
@@ -28,6 +32,7 @@
     :ivar request_s: time from the first byte of a request to the end of its response
     :ivar first_event_s: time from a send to the first event of a stream
     :ivar connect_s: time until a connection to an engine was opened or taken from the pool
+    :ivar loop_delay_s: time for which a turn of the event loop held it, by cause
     """
 
     responses: Counter[tuple[str, str, str]] = field(default_factory=Counter)
@@ -50,3 +55,11 @@
             "Time to get a connection to an engine: are engines reachable?",
         )
     )
+    loop_delay_s: Histogram = field(
+        default_factory=lambda: Histogram(
+            "godwitpath.gateway.loop.delay",
+            "s",
+            "Time for which a turn of the event loop held it, by cause: does own work delay all?",
+            LOOP_DELAY_BOUNDS_S,
+        )
+    )
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -103,7 +103,12 @@
 
     def _register(self, metrics: Metrics) -> None:
         instruments = self._ctx.instruments
-        for histogram in (instruments.request_s, instruments.first_event_s, instruments.connect_s):
+        for histogram in (
+            instruments.request_s,
+            instruments.first_event_s,
+            instruments.connect_s,
+            instruments.loop_delay_s,
+        ):
             metrics.register_histogram(histogram)
         counters = (
             ("answers", "{answer}", "Answers to callers: who gave them, and why?", self._responses),
