Log lines about long prompts stay readable

Cause: a line of over 4,096 bytes was cut at that size, so that the lines request_sent and engine_crashed of a request with a prompt of 1,000 parts were no JSON and lacked their kind, time and daemon, which come last. godwitpath explain could not show them.

Change: a message that is too long has fewer items in its long collections and texts, says how many it lacks, and has shortened: true.

Failed before: the two tests that read a line of 1,000 parts (JSONDecodeError). A property test (hypothesis) on any message holds the bound and the decoding.

--- a/godwitpath/telemetry/decisions.py
+++ b/godwitpath/telemetry/decisions.py
@@ -2,7 +2,7 @@
 
 Each kind of line has a limit per second. Lines over the limit are counted, and the count is added
 to the next line of the kind. Lines are dropped and counted when the reader of standard output does
-not keep up.
+not keep up. A line that would be too long has less of its long values.
 """
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 
 import eliot
 import eliot.json
-import msgspec
 
 from godwitpath.security.redact import redact
+from godwitpath.telemetry.line_size import encode_message
 
 MAX_LINES_PER_S = 40
 """Maximum number of lines of one kind per second.
@@ -55,9 +55,7 @@
     def __call__(self, message: dict[str, Any]) -> None:
         message.pop("task_uuid", None)
         message.pop("task_level", None)
-        line = msgspec.json.encode(message, enc_hook=str) + b"\n"
-        if len(line) > MAX_LINE_BYTES:
-            line = line[: MAX_LINE_BYTES - 2] + b"~\n"
+        line = encode_message(message, MAX_LINE_BYTES - 1) + b"\n"
         try:
             os.write(self._descriptor, line)
         except OSError as error:
