Daemons count datagrams that are too large, and state the sizes of all

Change: the sender records each size, counts what exceeds the largest UDP payload and writes datagram_not_sent, at most once a second; /admin/state shows the largest datagram, what was not sent, and the longest turn of the event loop by cause.

--- a/godwitpath/gateway/instruments.py
+++ b/godwitpath/gateway/instruments.py
@@ -17,6 +17,9 @@
 """Bucket bounds of the turns of the event loop in seconds; 0.05 is the longest that own work may
 take."""
 
+DATAGRAM_BOUNDS_BYTES = (500, 1_000, 1_400, 3_000, 6_000, 12_000, 25_000, 50_000, 65_507)
+"""Bucket bounds of the sizes of datagrams; the last one is the largest that can be sent."""
+
 
 def _histogram(name: str, description: str) -> Histogram:
     return Histogram(name, "s", description, DURATION_BOUNDS_S)
@@ -32,6 +35,8 @@
     :ivar request_s: time from the first byte of a request to the end of its response
     :ivar first_event_s: time from a send to the first event of a stream
     :ivar connect_s: time until a connection to an engine was opened or taken from the pool
+    :ivar datagram_bytes: sizes of the datagrams to other daemons, sent or not
+    :ivar unsent_datagrams: number of datagrams that were too large to be sent
     :ivar loop_delay_s: time for which a turn of the event loop held it, by cause
     """
 
@@ -55,6 +60,15 @@
             "Time to get a connection to an engine: are engines reachable?",
         )
     )
+    datagram_bytes: Histogram = field(
+        default_factory=lambda: Histogram(
+            "godwitpath.gateway.peers.datagram.size",
+            "By",
+            "Sizes of datagrams to other daemons: do they fit?",
+            DATAGRAM_BOUNDS_BYTES,
+        )
+    )
+    unsent_datagrams: int = 0
     loop_delay_s: Histogram = field(
         default_factory=lambda: Histogram(
             "godwitpath.gateway.loop.delay",
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -108,6 +108,7 @@
             instruments.first_event_s,
             instruments.connect_s,
             instruments.loop_delay_s,
+            instruments.datagram_bytes,
         ):
             metrics.register_histogram(histogram)
         counters = (
@@ -164,6 +165,7 @@
         for counts in (self._peers.counts, self._peers.puller.counts):
             for name, count in list(counts.items()):
                 yield count, {"event": name}
+        yield self._ctx.instruments.unsent_datagrams, {"event": "datagrams_not_sent"}
 
     def _ended(self) -> Samples:
         for connections in self._ctx.ports.all():
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -21,6 +21,7 @@
 from godwitpath.decoding import Unreadable, decode
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.datagrams import DatagramSender
 from godwitpath.gateway.grantors import Grantors
 from godwitpath.gateway.holder import boot_time_s
 from godwitpath.gateway.holder_entry import known_holder
@@ -108,7 +109,7 @@
         self._stale_s = ctx.settings.bounds.change_s * STALE_SHARE * spread
         self._incarnation = incarnation
         self._sequence = 0
-        self._transport: asyncio.DatagramTransport | None = None
+        self._transport: DatagramSender | None = None
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._loop = asyncio.get_running_loop()
@@ -144,7 +145,9 @@
     # Reports.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        self._transport = DatagramSender(
+            cast(asyncio.DatagramTransport, transport), self._ctx.instruments, self._loop.time
+        )
 
     def error_received(self, exc: Exception) -> None:
         self.counts["datagram_errors"] += 1
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -17,9 +17,11 @@
 from godwitpath.gateway.engines import EngineState
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.gateway.holder_entry import known_holder
+from godwitpath.gateway.loop_delay import HoldCause
 from godwitpath.gateway.members import Members
 from godwitpath.gateway.peer_view import PeerView
 from godwitpath.gateway.store_watch import StoreWatcher
+from godwitpath.telemetry.instruments import Histogram
 
 
 class StateDump:
@@ -83,6 +85,14 @@
             "quarantined_prompts": list(self._verdicts()),
             "repeats_denied": ctx.retry_budget.denied,
             "streams_moved": dict(ctx.evacuator.move_counts) if ctx.evacuator is not None else {},
+            "datagrams": {
+                "largest_bytes": int(_largest(ctx.instruments.datagram_bytes)),
+                "not_sent": ctx.instruments.unsent_datagrams,
+            },
+            "loop_longest_s": {
+                cause.value: round(_largest(ctx.instruments.loop_delay_s, cause=cause.value), 4)
+                for cause in HoldCause
+            },
             "answers": [
                 {"route": route, "by": by, "reason": reason, "count": count}
                 for (route, by, reason), count in ctx.instruments.responses.items()
@@ -148,3 +158,8 @@
 def _rounded(age_s: float) -> float | None:
     """Return an age in seconds for the dump, None while nothing is known."""
     return None if math.isinf(age_s) else round(age_s, 3)
+
+
+def _largest(histogram: Histogram, **attributes: str) -> float:
+    """Return the largest value of an attribute set of a histogram, 0 without one."""
+    return max(0.0, histogram.bind(**attributes).largest)
