--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -103,7 +103,13 @@
 
     def _register(self, metrics: Metrics) -> None:
         instruments = self._ctx.instruments
-        for histogram in (instruments.request_s, instruments.first_event_s, instruments.connect_s):
+        for histogram in (
+            instruments.request_s,
+            instruments.first_event_s,
+            instruments.connect_s,
+            instruments.loop_delay_s,
+            instruments.datagram_bytes,
+        ):
             metrics.register_histogram(histogram)
         counters = (
             ("answers", "{answer}", "Answers to callers: who gave them, and why?", self._responses),
@@ -159,6 +165,7 @@
         for counts in (self._peers.counts, self._peers.puller.counts):
             for name, count in list(counts.items()):
                 yield count, {"event": name}
+        yield self._ctx.instruments.unsent_datagrams, {"event": "datagrams_not_sent"}
 
     def _ended(self) -> Samples:
         for connections in self._ctx.ports.all():
