Reports between daemons fit into packets

Cause: a report or summary had every prompt sent in the last .8 s with all of its parts, and the requests of crashed engines with all of theirs, in one datagram. Above 65,507 bytes it was not sent, which only a counter said.

Change: a report is taken apart into items and filled into datagrams of at most 1,400 bytes. Sections that others have to know come in up to four pieces, beyond that over several reports, the items in turns; evidence of crashes has up to half of the room; prompts (their eight leading parts) have what is left. Receivers merge what comes in pieces. A daemon that states whom it hears takes pieces; the others get the former message, bounded to 60,000 bytes, with complete sections. Datagrams that are not sent, or are stale, are counted by reason.

--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -110,6 +110,7 @@
             ("sends", "{send}", "Sends to engines by outcome: which service fails?", self._sends),
             ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
             ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
+            ("peers.left_out", "{item}", "Items not in a report to peers.", self._left_out),
             (
                 "connections.ended",
                 "{connection}",
@@ -135,6 +136,7 @@
             ("state.age", "s", "Time since the state was known to be the newest.", self._ages),
             ("duty.fence", "{token}", "Fencing token of the duties, 0 for none.", self._fence),
             ("peers.heard", "{daemon}", "Other daemons heard of lately.", self._reporting_peers),
+            ("peers.datagram", "By", "Largest datagram sent to a peer.", self._largest_datagram),
         )
         for name, unit, description, observe in gauges:
             metrics.gauge(f"godwitpath.gateway.{name}", unit, description, observe)
@@ -160,6 +162,15 @@
             for name, count in list(counts.items()):
                 yield count, {"event": name}
 
+    def _left_out(self) -> Samples:
+        sender = self._peers.sender
+        for message, packer in (("report", sender.reports), ("zone", sender.summaries)):
+            for section, count in list(packer.left_out.items()):
+                yield count, {"message": message, "section": section}
+
+    def _largest_datagram(self) -> float:
+        return self._peers.sender.largest_bytes
+
     def _ended(self) -> Samples:
         for connections in self._ctx.ports.all():
             for phase, count in list(connections.ended.items()):
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -25,7 +25,7 @@
 
 
 class PeerReport(msgspec.Struct, array_like=True, tag="report"):
-    """A daemon's state, sent a few times a second; each report is self-contained.
+    """A daemon's state, sent a few times a second, in one datagram or in several pieces.
 
     :ivar name: name of the sender
     :ivar incarnation: random number of the sender's incarnation
@@ -56,6 +56,11 @@
     :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
         service
     :ivar quarantine: crashes of engines that the sender found, and what is quarantined
+    :ivar hears: sequence number last heard of each daemon that the sender hears, None from builds
+        that do not state it, which also take no report in pieces
+    :ivar piece: number of this datagram among those with the same sequence number
+    :ivar spread_over: number of reports over which the sections are spread that are incomplete
+        here, 0 if all but `prompts` and `quarantine` are complete
     """
 
     name: str
@@ -81,6 +86,9 @@
     leaving: dict[str, tuple[Count, Age]] = {}
     read_speeds: dict[str, Finite] = {}
     quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
+    hears: dict[str, Count] | None = None
+    piece: Count = 0
+    spread_over: Count = 0
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
@@ -107,6 +115,11 @@
     :ivar engines_era: as in :class:`PeerReport`
     :ivar leaving: as in :class:`PeerReport`
     :ivar quarantine: as in :class:`PeerReport`, with what the aggregator heard of others
+    :ivar hears: as in :class:`PeerReport`
+    :ivar piece: as in :class:`PeerReport`
+    :ivar spread_over: as in :class:`PeerReport`
+    :ivar takes_pieces: whether all daemons of the zone that the aggregator hears take summaries in
+        pieces
     """
 
     zone: str
@@ -127,6 +140,10 @@
     engines_era: Era | None = None
     leaving: dict[str, tuple[Count, Age]] = {}
     quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
+    hears: dict[str, Count] | None = None
+    piece: Count = 0
+    spread_over: Count = 0
+    takes_pieces: bool = False
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from godwitpath.gateway.report_merge import CounterBaseline, PieceOrder, Renewals
+
 Loads = Mapping[str, tuple[int, int]]
 """Number of running requests and number of prompt tokens that wait for prefill, by engine id."""
 
@@ -16,24 +18,34 @@
 class PeerState:
     """State of another daemon from its reports; see `PeerReport` for the other fields.
 
-    :ivar sequence: sequence number of the daemon's last report, -1 before the first
+    :ivar order: sequence number of the daemon's last report, and the pieces of it that came
     :ivar received_at_s: loop time at which the last report was received
     :ivar clock_offset_s: difference between that daemon's clock and this daemon's clock
+    :ivar prompts: prompts in the pieces of the last report
+    :ivar takes_pieces: whether the daemon's build takes reports in pieces
     """
 
-    sequence: int = -1
+    order: PieceOrder = field(default_factory=PieceOrder)
     received_at_s: float = 0.0
     configuration_revision: int = 0
     configuration_version: int = 0
     clock_offset_s: float = 0.0
-    quota_used: Mapping[str, int] = field(default_factory=dict)
+    quota_used: CounterBaseline = field(default_factory=CounterBaseline)
     usage: dict[int, dict[str, int]] = field(default_factory=dict)
-    prefill_tokens: Mapping[str, int] = field(default_factory=dict)
+    prefill_tokens: CounterBaseline = field(default_factory=CounterBaseline)
     loads: Loads = field(default_factory=dict)
+    renewed_loads: Renewals = field(default_factory=Renewals)
     prompts: Prompts = field(default_factory=list)
     fresh: bool = False
     engines_revision: int = 0
     read_speeds: Mapping[str, float] = field(default_factory=dict)
+    renewed_read_speeds: Renewals = field(default_factory=Renewals)
+    takes_pieces: bool = False
+
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the daemon's last report, -1 before the first."""
+        return self.order.sequence
 
 
 @dataclass(slots=True)
@@ -41,20 +53,25 @@
     """State of another zone from its summaries; see `ZoneSummary` for the other fields.
 
     :ivar aggregator: name and incarnation of the daemon that sent the last summary
-    :ivar sequence: sequence number of the last summary, -1 before the first
+    :ivar order: sequence number of the last summary, and the pieces of it that came
     :ivar received_at_s: loop time at which the last summary was received
+    :ivar members: name and incarnation of each daemon that the summaries list
+    :ivar takes_pieces: whether all daemons of the zone take summaries in pieces
     """
 
     aggregator: tuple[str, int] = ("", 0)
-    sequence: int = -1
+    order: PieceOrder = field(default_factory=PieceOrder)
     received_at_s: float = float("-inf")
-    members: list[tuple[str, int]] = field(default_factory=list)
+    members: Mapping[tuple[str, int], None] = field(default_factory=dict)
+    renewed_members: Renewals = field(default_factory=Renewals)
     configuration_revision: int = 0
     configuration_version: int = 0
-    quota_used: Mapping[str, int] = field(default_factory=dict)
-    prefill_tokens: Mapping[str, int] = field(default_factory=dict)
+    quota_used: CounterBaseline = field(default_factory=CounterBaseline)
+    prefill_tokens: CounterBaseline = field(default_factory=CounterBaseline)
     loads: Loads = field(default_factory=dict)
+    renewed_loads: Renewals = field(default_factory=Renewals)
     engines_revision: int = 0
+    takes_pieces: bool = False
 
 
 def sum_loads(loads: Iterable[Loads]) -> dict[str, tuple[int, int]]:
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -20,6 +20,7 @@
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
 from godwitpath.gateway.peer_state import Loads, PeerState, Prompts, ZoneState
 from godwitpath.gateway.read_speed import common_speed
+from godwitpath.gateway.report_merge import CounterBaseline, PieceOrder
 from godwitpath.gateway.usage import agreed_correction_s
 from godwitpath.gateway.usage_store import CountsByIncarnation
 from godwitpath.gateway.wire_fields import PromptPart
@@ -107,6 +108,18 @@
             if state.received_at_s >= since_at_s
         }
 
+    def reporting_in_zone(self) -> list[tuple[tuple[str, int], PeerState]]:
+        """Return name and incarnation, and state, of each daemon whose load its own reports tell.
+
+        Those whose last report is old are not among them.
+        """
+        since_at_s = self._loop.time() - REPORT_TIMEOUT_S
+        return [
+            (key, state)
+            for key, state in self.states.items()
+            if state.received_at_s >= since_at_s and self.uses_reports_of(key[0])
+        ]
+
     def aggregator(self) -> str:
         """Return the name of the local zone's aggregator: the first reporting daemon by name."""
         zone = self._ctx.settings.zone
@@ -202,42 +215,55 @@
         running = sum(each.all_running for each in engines if each.entry.service == service)
         return prefill_tokens, running
 
-    def apply_report(self, report: PeerReport) -> None:
-        """Apply a daemon's report, unless a later report of the incarnation was applied."""
+    def takes_pieces(self, name: str) -> bool:
+        """Return whether a daemon's build takes reports in pieces, as far as its reports say."""
+        latest = max(
+            (state for (each, _), state in self.states.items() if each == name),
+            key=lambda state: state.received_at_s,
+            default=None,
+        )
+        return latest is not None and latest.takes_pieces
+
+    def apply_report(self, report: PeerReport) -> bool:
+        """Apply a daemon's report; returns whether no later one of the incarnation was applied."""
         key = (report.name, report.incarnation)
         state = self.states.get(key)
         if state is None:
             state = self.states[key] = PeerState()
             decision("peer_heard", peer=report.name, incarnation=report.incarnation)
-            state.quota_used = report.quota_used
-            state.prefill_tokens = report.prefill_tokens
-        if report.sequence <= state.sequence:
-            return
-        state.sequence = report.sequence
+        sequence, spread_over = report.sequence, report.spread_over
+        continues = sequence == state.sequence
+        if not state.order.accepts(sequence, report.piece):
+            return False
         state.received_at_s = self._loop.time()
         state.configuration_revision = report.configuration_revision
         state.configuration_version = report.configuration_version
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
-        state.usage.update(report.usage)
+        for window, counts in report.usage.items():
+            state.usage.setdefault(window, {}).update(counts)
         state.fresh = report.fresh
-        state.read_speeds = report.read_speeds
+        state.takes_pieces = report.hears is not None
+        state.read_speeds = state.renewed_read_speeds.merge(
+            state.read_speeds, report.read_speeds, sequence, spread_over
+        )
         state.engines_revision = report.engines_revision
         if report.holder[1] > self.reported_holder[1]:
             self.reported_holder = report.holder
+        new_use = state.quota_used.increases(report.quota_used, sequence, spread_over)
+        new_tokens = state.prefill_tokens.increases(report.prefill_tokens, sequence, spread_over)
         if not self.uses_reports_of(report.name):
             # The summary of the daemon's zone contains its load.
-            return
-        new_use = _increases(state.quota_used, report.quota_used)
+            return True
         self._apply_quota_use(new_use)
         self._apply_quota_levels(report.quota_levels)
         self.zone_quota_used.update(new_use)
-        self.zone_prefill_tokens.update(_increases(state.prefill_tokens, report.prefill_tokens))
-        self._apply_loads(report.name, state.loads, report.loads)
+        self.zone_prefill_tokens.update(new_tokens)
+        loads = state.renewed_loads.merge(state.loads, report.loads, sequence, spread_over)
+        self._apply_loads(report.name, state.loads, loads)
         self._apply_prompts(report.prompts)
-        state.quota_used = report.quota_used
-        state.prefill_tokens = report.prefill_tokens
-        state.loads = report.loads
-        state.prompts = report.prompts
+        state.loads = loads
+        state.prompts = [*state.prompts, *report.prompts] if continues else report.prompts
+        return True
 
     def apply_summary(self, summary: ZoneSummary) -> bool:
         """Apply the summary of another zone; returns whether the summary was new."""
@@ -248,27 +274,30 @@
         if state.aggregator != aggregator:
             decision("zone_heard", zone=summary.zone, speaker=summary.aggregator)
             state.aggregator = aggregator
-            state.sequence = -1
-            state.quota_used = summary.quota_used
-            state.prefill_tokens = summary.prefill_tokens
-        if summary.sequence <= state.sequence:
+            state.order = PieceOrder()
+            state.quota_used, state.prefill_tokens = CounterBaseline(), CounterBaseline()
+            state.renewed_members.clear()
+            state.renewed_loads.clear()
+        sequence, spread_over = summary.sequence, summary.spread_over
+        if not state.order.accepts(sequence, summary.piece):
             return False
-        state.sequence = summary.sequence
         state.received_at_s = self._loop.time()
-        state.members = summary.members
+        state.members = state.renewed_members.merge(
+            state.members, dict.fromkeys(summary.members), sequence, spread_over
+        )
         self._in_summary_at_s.update(dict.fromkeys(summary.members, state.received_at_s))
         state.configuration_revision = summary.configuration_revision
         state.configuration_version = summary.configuration_version
         state.engines_revision = summary.engines_revision
-        self._apply_quota_use(_increases(state.quota_used, summary.quota_used))
+        state.takes_pieces = summary.takes_pieces
+        self._apply_quota_use(state.quota_used.increases(summary.quota_used, sequence, spread_over))
         self._other_zones_prefill_tokens.update(
-            _increases(state.prefill_tokens, summary.prefill_tokens)
+            state.prefill_tokens.increases(summary.prefill_tokens, sequence, spread_over)
         )
-        self._apply_loads(f"zone {summary.zone}", state.loads, summary.loads)
+        loads = state.renewed_loads.merge(state.loads, summary.loads, sequence, spread_over)
+        self._apply_loads(f"zone {summary.zone}", state.loads, loads)
         self._apply_prompts(summary.prompts)
-        state.quota_used = summary.quota_used
-        state.prefill_tokens = summary.prefill_tokens
-        state.loads = summary.loads
+        state.loads = loads
         return True
 
     def drop_expired(self) -> None:
@@ -335,12 +364,3 @@
             if service is not None and service.engine is not None:
                 prompt_parts = [PromptPart(part_id, tokens) for part_id, tokens in parts]
                 self._ctx.placer.note_peer_prompt(engine, prompt_parts, service.engine.cache_tokens)
-
-
-def _increases(before: Mapping[str, int], now: Mapping[str, int]) -> dict[str, int]:
-    """Return the change of each counter, without the unchanged counters."""
-    return {
-        name: value - before.get(name, 0)
-        for name, value in now.items()
-        if value != before.get(name, 0)
-    }
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -1,7 +1,8 @@
 """Sends reports to the other daemons and receives theirs.
 
-Reports are sent as datagrams: each report replaces the previous one, so a lost report delays the
-update by half a second. They are best effort; state that requires agreement is kept in the store.
+Reports are sent as datagrams of at most a packet each: a lost one delays what it says by half a
+second, or by a few reports where the sections of a report take turns. They are best effort; state
+that requires agreement is kept in the store.
 Up to a dozen daemons report to one another in a full mesh. In a larger fleet daemons report within
 their availability zone, the zone's aggregator sends summaries of the zone to the other zones, and
 every daemon also reports to the duty holder (the daemon that does the deployment-wide tasks under a
@@ -12,12 +13,10 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from functools import singledispatchmethod
 from typing import cast
 
-import msgspec
-
 from godwitpath.decoding import Unreadable, decode
 from godwitpath.gateway.catalogue import Catalogue
 from godwitpath.gateway.context import GatewayContext
@@ -32,18 +31,18 @@
     PermitRequest,
     ZoneSummary,
     message_decoder,
-    seal,
     unseal,
     with_eras,
     without_eras,
 )
-from godwitpath.gateway.peer_state import sum_loads
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S, PeerView
 from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.gateway.pulls import CataloguePuller
+from godwitpath.gateway.report_sender import Outgoing, ReportSender
 from godwitpath.gateway.store import era_of
 from godwitpath.gateway.unreadable import UnreadableValues
+from godwitpath.gateway.zone_summary import build_summary
 from godwitpath.http1.listener import listen
 from godwitpath.http1.server import ServerConnection
 from godwitpath.http1.server_policy import ServerPolicy
@@ -82,6 +81,7 @@
     :ivar puller: pulls changes that the store does not provide
     :ivar permits: requests and grants permits for sends to limited engines
     :ivar counts: number of events by name, such as refused datagrams
+    :ivar sender: packs and sends datagrams
     :ivar unreadable: addresses that sent a datagram which is signed but cannot be decoded
     """
 
@@ -97,6 +97,7 @@
         )
         self.permits.send = self._send_permit_request
         self.counts: Counter[str] = Counter()
+        self.sender = ReportSender(members, self.counts)
         self.unreadable = UnreadableValues("datagram_unreadable")
         self._ctx = ctx
         self._catalogue = catalogue
@@ -108,7 +109,6 @@
         self._stale_s = ctx.settings.bounds.change_s * STALE_SHARE * spread
         self._incarnation = incarnation
         self._sequence = 0
-        self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._loop = asyncio.get_running_loop()
@@ -131,8 +131,8 @@
 
     def close(self) -> None:
         """Stop listening, and close the idle connections to peers."""
-        if self._transport is not None:
-            self._transport.close()
+        if self.sender.transport is not None:
+            self.sender.transport.close()
         if self._server is not None:
             self._server.close()
         self.puller.close()
@@ -144,10 +144,10 @@
     # Reports.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        self.sender.transport = cast(asyncio.DatagramTransport, transport)
 
     def error_received(self, exc: Exception) -> None:
-        self.counts["datagram_errors"] += 1
+        self.sender.note_error(exc)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         secret = self._members.secret
@@ -176,7 +176,8 @@
     def _(self, message: PeerReport, addr: tuple[str, int], data: bytes) -> None:
         if message.name != self._ctx.settings.name:
             message = with_eras(message, era_of(self._catalogue.seen_revision))
-            self.view.apply_report(message)
+            if not self.view.apply_report(message):
+                self.counts["datagrams_stale"] += 1
             self._confirm(message)
             self._ctx.limits.apply_report(message.name, message.limits)
             self._ctx.engines.notices.apply_report(message.name, message.leaving)
@@ -186,6 +187,7 @@
     def _(self, message: ZoneSummary, addr: tuple[str, int], data: bytes) -> None:
         message = with_eras(message, era_of(self._catalogue.seen_revision))
         if not self.view.apply_summary(message):
+            self.counts["datagrams_stale"] += 1
             return
         self._catalogue.confirm_engines(
             message.engines_revision, message.engines_age_s, self._loop.time()
@@ -196,12 +198,14 @@
         aggregator = self._members.entries.get(message.aggregator)
         if aggregator is not None and (aggregator.host, aggregator.port) == addr:
             # The summary came directly from the other zone, so forward it in the local zone.
-            self._send(data, self._daemons_in(self._ctx.settings.zone))
+            zone_peers = self._daemons_in(self._ctx.settings.zone)
+            if message.piece or message.spread_over:
+                zone_peers = [each for each in zone_peers if self.view.takes_pieces(each)]
+            self._send(data, zone_peers)
 
     @_apply.register
     def _(self, message: PermitRequest, addr: tuple[str, int], data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.sendto(self._seal(self.permits.handle_request(message)), addr)
+        self.sender.send_to(self.sender.seal(self.permits.handle_request(message)), addr)
 
     @_apply.register
     def _(self, message: PermitReply, addr: tuple[str, int], data: bytes) -> None:
@@ -236,7 +240,7 @@
             self.view.drop_expired()
             self._members.drop_expired()
             self.view.correct_clock()
-            if self._members.secret and self._transport is not None:
+            if self._members.secret and self.sender.transport is not None:
                 self._ctx.quota.mark_reported()
                 self._sequence += 1
                 self._send_reports()
@@ -259,34 +263,52 @@
 
     def _send_reports(self) -> None:
         """Send the report, and the zone summary if this daemon is the zone's aggregator."""
+        self.sender.begin_report()
         report = self._build_report()
-        sealed_report = self._seal(without_eras(report))
+        recipients = self._report_recipients(report)
+        packed = self.sender.pack(without_eras(report), self.sender.reports, len(recipients))
+        takers = {each for each in recipients if self.view.takes_pieces(each)}
+        self._send_packed(packed, takers, recipients - takers)
+        if not self.view.full_mesh and self.view.aggregator() == self._ctx.settings.name:
+            self._send_summary(without_eras(self._build_summary(report)))
+
+    def _report_recipients(self, report: PeerReport) -> set[str]:
+        """Return the names of the daemons that this daemon's report is sent to."""
+        registered = self._members.entries.keys()
         if self.view.full_mesh:
-            self._send(sealed_report, self._members.entries)
-            return
-        zone = self._ctx.settings.zone
-        zone_peers = set(self._daemons_in(zone))
+            return set(registered)
         # A daemon that cannot reach the store learns the current duty holder from its peers.
         holder, _ = max(report.holder, self.view.reported_holder, key=lambda known: known[1])
-        self._send(sealed_report, zone_peers | ({holder} & self._members.entries.keys()))
-        if self.view.aggregator() == self._ctx.settings.name:
-            summary = self._seal(without_eras(self._build_summary(report)))
-            for other in {entry.zone for entry in self._members.entries.values()} - {zone}:
-                self._send(summary, self._summary_recipients(other))
+        return set(self._daemons_in(self._ctx.settings.zone)) | ({holder} & registered)
+
+    def _send_summary(self, summary: ZoneSummary) -> None:
+        """Send the summary of the local zone to the other zones, which forward it."""
+        sizes = Counter(entry.zone for entry in self._members.entries.values())
+        del sizes[summary.zone]
+        copies = len(sizes) * max(sizes.values(), default=0)
+        packed = self.sender.pack(summary, self.sender.summaries, copies)
+        for zone in sizes:
+            recipients = self._summary_recipients(zone)
+            state = self.view.zones.get(zone)
+            takes_pieces = len(recipients) == 1 and state is not None and state.takes_pieces
+            self._send_packed(
+                packed, recipients if takes_pieces else (), () if takes_pieces else recipients
+            )
+
+    def _send_packed(
+        self, packed: Outgoing, takers: Iterable[str], others: Collection[str]
+    ) -> None:
+        """Send a message in pieces to the daemons that take these, and whole to the others."""
+        for piece in packed.pieces:
+            self._send(piece, takers)
+        if others:
+            self._send(packed.whole(), others)
 
     def _send(self, data: bytes, names: Iterable[str]) -> None:
-        if self._transport is None:
-            return
-        for name in names:
-            entry = self._members.entries.get(name)
-            if entry is not None:
-                self._transport.sendto(data, (entry.host, entry.port))
+        self.sender.send(data, names)
 
     def _send_permit_request(self, request: PermitRequest, grantor: str) -> None:
-        self._send(self._seal(request), (grantor,))
-
-    def _seal(self, message: PeerMessage) -> bytes:
-        return seal(self._members.secret, msgspec.msgpack.encode(message))
+        self._send(self.sender.seal(request), (grantor,))
 
     def _daemons_in(self, zone: str) -> list[str]:
         return [name for name, entry in self._members.entries.items() if entry.zone == zone]
@@ -335,6 +357,7 @@
             leaving=ctx.engines.notices.reported(),
             read_speeds=self.view.own_read_speeds(),
             quarantine=ctx.crashes.quarantine.report(self._loop.time()),
+            hears={},
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
@@ -342,41 +365,5 @@
 
         :param own_report: this daemon's report
         """
-        view = self.view
-        since_at_s = self._loop.time() - REPORT_TIMEOUT_S
-        zone_peers = [
-            (key, state)
-            for key, state in view.states.items()
-            if state.received_at_s >= since_at_s and view.uses_reports_of(key[0])
-        ]
-        # The version is that of the greatest revision.
-        configuration_revision, configuration_version = max(
-            [
-                (own_report.configuration_revision, own_report.configuration_version),
-                *(
-                    (state.configuration_revision, state.configuration_version)
-                    for _, state in zone_peers
-                ),
-            ]
-        )
-        return ZoneSummary(
-            zone=self._ctx.settings.zone,
-            aggregator=own_report.name,
-            incarnation=own_report.incarnation,
-            sequence=own_report.sequence,
-            members=[(own_report.name, own_report.incarnation), *(key for key, _ in zone_peers)],
-            configuration_revision=configuration_revision,
-            configuration_version=configuration_version,
-            quota_used=dict(Counter(own_report.quota_used) + view.zone_quota_used),
-            loads=sum_loads([own_report.loads, *(state.loads for _, state in zone_peers)]),
-            prefill_tokens=dict(Counter(own_report.prefill_tokens) + view.zone_prefill_tokens),
-            prompts=[
-                *own_report.prompts,
-                *(sent for _, state in zone_peers for sent in state.prompts),
-            ],
-            limits=own_report.limits,
-            engines_revision=own_report.engines_revision,
-            engines_age_s=own_report.engines_age_s,
-            leaving=own_report.leaving,
-            quarantine=self._ctx.crashes.quarantine.report(self._loop.time(), relayed=True),
-        )
+        quarantine = self._ctx.crashes.quarantine.report(self._loop.time(), relayed=True)
+        return build_summary(self.view, self._ctx.settings.zone, own_report, quarantine)
--- a/godwitpath/gateway/placement.py
+++ b/godwitpath/gateway/placement.py
@@ -62,6 +62,10 @@
 """Maximum number of recently sent prompts that a daemon reports to the others: the prompts that one
 daemon sends in a burst."""
 
+MAX_REPORTED_PARTS = 8
+"""Number of leading parts of a prompt that a daemon reports to the others: placement needs the
+prefix of a prompt, and prompts share the document and the session before their own parts."""
+
 MAX_PARTS_PER_ENGINE = 4096
 """Maximum number of prompt parts that are tracked in the cache of one engine."""
 
@@ -221,12 +225,13 @@
             self._recent_prompts.append((now_s, engine.entry.engine_id, prompt.shared_parts))
 
     def sent_since(self, since_at_s: float) -> list[tuple[str, tuple[PromptPart, ...]]]:
-        """Return the engine id and the shared prompt parts of each generation sent since a time.
+        """Return the engine id and the leading shared parts of each generation sent since a time.
 
         :param since_at_s: loop time
+        :returns: at most :data:`MAX_REPORTED_PARTS` parts of each
         """
         return [
-            (engine_id, parts)
+            (engine_id, parts[:MAX_REPORTED_PARTS])
             for at_s, engine_id, parts in self._recent_prompts
             if at_s >= since_at_s
         ]
