--- a/godwitpath/gateway/instruments.py
+++ b/godwitpath/gateway/instruments.py
@@ -36,7 +36,6 @@
     :ivar first_event_s: time from a send to the first event of a stream
     :ivar connect_s: time until a connection to an engine was opened or taken from the pool
     :ivar datagram_bytes: sizes of the datagrams to other daemons, sent or not
-    :ivar unsent_datagrams: number of datagrams that were too large to be sent
     :ivar loop_delay_s: time for which a turn of the event loop held it, by cause
     """
 
@@ -68,7 +67,6 @@
             DATAGRAM_BOUNDS_BYTES,
         )
     )
-    unsent_datagrams: int = 0
     loop_delay_s: Histogram = field(
         default_factory=lambda: Histogram(
             "godwitpath.gateway.loop.delay",
--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -116,6 +116,7 @@
             ("sends", "{send}", "Sends to engines by outcome: which service fails?", self._sends),
             ("platform.calls", "{call}", "Calls to the platform: does it answer?", self._calls),
             ("peers.events", "{event}", "Pulls, and datagrams refused.", self._peer_events),
+            ("peers.left_out", "{item}", "Items not in a report to peers.", self._left_out),
             (
                 "connections.ended",
                 "{connection}",
@@ -165,7 +166,12 @@
         for counts in (self._peers.counts, self._peers.puller.counts):
             for name, count in list(counts.items()):
                 yield count, {"event": name}
-        yield self._ctx.instruments.unsent_datagrams, {"event": "datagrams_not_sent"}
+
+    def _left_out(self) -> Samples:
+        sender = self._peers.sender
+        for message, packer in (("report", sender.reports), ("zone", sender.summaries)):
+            for section, count in list(packer.left_out.items()):
+                yield count, {"message": message, "section": section}
 
     def _ended(self) -> Samples:
         for connections in self._ctx.ports.all():
