A grantor that is not heard does not grant beside another one

Cause: each daemon took the daemons that it hears for those that hear it. A daemon that hears nobody while the others hear it was preferred by them for good, and its engines got nothing.

Change: reports and zone summaries state whom their sender hears (`hears`, appended, None from the build before). From that each daemon works out whom each other one prefers; the grantor is the daemon that more than half of the known daemons prefer, and it grants once they have preferred it for 1.2 s, the time for which a statement counts. A daemon that has stated for as long to hear half or less is not preferred. The decision is a module of its own. Contact with a majority was weighed and is not enough: of three daemons two that do not hear one another are both in contact with the third.

--- a/godwitpath/gateway/grantors.py
+++ b/godwitpath/gateway/grantors.py
@@ -1,9 +1,9 @@
 """Chooses the daemon that grants the sends to a limited engine: the engine's grantor.
 
-Each limited engine has one grantor, which all daemons determine by rendezvous hashing over the
-daemons that report: one in the engine's availability zone if any reports there. A daemon that does
-not see more than half of all known daemons knows no grantor, so that of two parts of a divided
-fleet at most one grants.
+Each limited engine has one grantor, by rendezvous hashing: each daemon prefers, among the daemons
+that it hears, those in the engine's availability zone, and the grantor is the daemon that more than
+half of all known daemons prefer by what they state to hear. So of two parts of a divided fleet at
+most one grants, also where daemons hear others that do not hear them.
 """
 
 from __future__ import annotations
@@ -15,21 +15,25 @@
 
 from godwitpath.gateway.engines import EngineEntry
 from godwitpath.gateway.members import Members
+from godwitpath.gateway.mutual_hearing import Election, elect
+from godwitpath.gateway.peer_state import STATEMENT_S
 from godwitpath.ranking import score
 
 if TYPE_CHECKING:
     from godwitpath.gateway.peer_view import PeerView
 
-HANDOVER_S = 1.2
-"""Time from which a daemon became the grantor of an engine until it grants: the previous one learns
-of it from three reports, one of which may be lost, and its permits are used by then."""
+HANDOVER_S = STATEMENT_S
+"""Time for which more than half of the daemons have preferred a daemon until it grants: by then no
+statement from before counts with the previous grantor, and its permits are used."""
 
 VIEW_AGE_S = 0.05
-"""Longest time for which the set of reporting daemons is not computed anew."""
+"""Longest time for which the grantors are not determined anew."""
 
 MAX_PAUSE_S = 1.0
 """Longest time between two calls of :meth:`Grantors.refresh` in a daemon that was not paused."""
 
+NOBODY = Election(None, None)
+
 
 class Grantors:
     """Knows the grantor of each engine.
@@ -37,8 +41,6 @@
     :param name: name of this daemon
     :param zone: availability zone of this daemon
     :param clock_s: returns the time on a clock that continues while the machine is suspended
-    :ivar settled_since_s: loop time since which this daemon has seen the same daemons without a
-        pause of its own
     :ivar resumed_at_s: loop time at which this daemon noticed its last pause
     """
 
@@ -50,10 +52,13 @@
         self._members = members
         self._view = view
         self._clock_s = clock_s
-        self._names: frozenset[str] = frozenset()
+        self._heard: frozenset[str] = frozenset()
+        self._known: frozenset[str] = frozenset()
         self._computed_at_s = -math.inf
         self._refreshed_at_s = -math.inf
-        self.settled_since_s = math.inf
+        self._elections: dict[str, Election] = {}
+        # The known daemons in the order of an engine's preference, by engine id.
+        self._rankings: dict[str, list[str]] = {}
         self.resumed_at_s = -math.inf
 
     @property
@@ -63,14 +68,14 @@
 
     def grantor(self, entry: EngineEntry) -> str | None:
         """Return the name of an engine's grantor, None if this daemon cannot know it."""
-        self.refresh()
-        if not self._names:
-            return None
-        in_zone = [name for name in self._names if self._zone_of(name) == entry.zone]
-        return max(in_zone or self._names, key=lambda name: (score(entry.engine_id, name), name))
+        return self._election(entry).chosen
+
+    def may_grant(self, entry: EngineEntry) -> bool:
+        """Return whether this daemon is the grantor of an engine, and no other one still is."""
+        return self._election(entry).steady == self._name
 
     def refresh(self) -> None:
-        """Update the reporting daemons, and notice whether this daemon was paused.
+        """Update what the daemons hear, and notice whether this daemon was paused.
 
         To be called at least every :data:`MAX_PAUSE_S`.
         """
@@ -79,24 +84,64 @@
         paused = clock_s - self._refreshed_at_s > MAX_PAUSE_S
         self._refreshed_at_s = clock_s
         if paused:
-            self.settled_since_s = self.resumed_at_s = now_s
+            self.resumed_at_s = now_s
+            self._view.statements.forget()
         elif now_s - self._computed_at_s < VIEW_AGE_S:
             return
         self._computed_at_s = now_s
-        names = self._reporting()
-        if names != self._names:
-            self._names = names
-            self.settled_since_s = now_s
-
-    def _reporting(self) -> frozenset[str]:
-        """Return the names of this and the reporting daemons, none if they are not a majority."""
+        self._elections.clear()
+        heard = frozenset(self._view.reporting())
+        if heard != self._heard:
+            self._heard = heard
+        self._view.statements.note(self._name, self._heard, now_s)
+        self._note_known()
+
+    def _note_known(self) -> None:
+        """Update the known daemons: the registered ones, and all that any daemon hears."""
+        now_s = asyncio.get_running_loop().time()
+        stated = {
+            id(each.latest): each.latest
+            for each in self._view.statements.current(now_s).values()
+            if each.latest is not None
+        }
+        known = self._heard.union(self._members.entries, (self._name,), *stated.values())
+        if known != self._known:
+            self._known = known
+            self._rankings.clear()
+
+    def _election(self, entry: EngineEntry) -> Election:
+        self.refresh()
         members = self._members
         if not members.secret or members.watcher.last_response_at_s is None:
-            return frozenset()
-        reporting = self._view.reporting()
-        known = members.entries.keys() | reporting | {self._name}
-        names = frozenset(reporting | {self._name})
-        return names if 2 * len(names) > len(known) else frozenset()
+            return NOBODY
+        election = self._elections.get(entry.engine_id)
+        if election is None:
+            now_s = asyncio.get_running_loop().time()
+            election = elect(
+                self._ranking(entry),
+                self._view.statements.current(now_s),
+                self._heard,
+                len(self._known),
+                now_s,
+                HANDOVER_S,
+            )
+            self._elections[entry.engine_id] = election
+        return election
+
+    def _ranking(self, entry: EngineEntry) -> list[str]:
+        ranking = self._rankings.get(entry.engine_id)
+        if ranking is None:
+            ranking = sorted(
+                self._known,
+                key=lambda name: (
+                    self._zone_of(name) == entry.zone,
+                    score(entry.engine_id, name),
+                    name,
+                ),
+                reverse=True,
+            )
+            self._rankings[entry.engine_id] = ranking
+        return ranking
 
     def _zone_of(self, name: str) -> str | None:
         return self._zone if name == self._name else self._members.zone_of(name)
--- /dev/null
+++ b/godwitpath/gateway/peer_hearing.py
@@ -0,0 +1,169 @@
+"""Who hears this daemon: from what the other daemons' reports and the zones' summaries state.
+
+In a full mesh each report names the daemons that its sender hears. In a large fleet it names those
+of the sender's zone, and the aggregators of the zones whose summaries the sender hears. The daemons
+that a zone's aggregator hears are those that the other zones hear, and they hear what it hears.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
+
+from godwitpath.gateway.members import Members
+from godwitpath.gateway.mutual_hearing import Heard, in_contact
+from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
+from godwitpath.telemetry.decisions import decision
+
+if TYPE_CHECKING:
+    from godwitpath.gateway.peer_view import PeerView
+
+SETTLE_S = 1.2
+"""Time for which a daemon must not hear another one until a log line says so: a daemon that starts
+hears the first reports before its own have arrived."""
+
+MAX_LOGGED_NAMES = 12
+"""Largest number of names in a log line."""
+
+
+class PeerHearing:
+    """Knows which daemons hear this one.
+
+    :param name: name of this daemon
+    :param zone: availability zone of this daemon
+    """
+
+    def __init__(self, name: str, zone: str, members: Members, view: PeerView) -> None:
+        self._name = name
+        self._zone = zone
+        self._members = members
+        self._view = view
+        self._loop = asyncio.get_running_loop()
+        # Sequence numbers that each daemon last stated.
+        self._sequences: dict[str, Mapping[str, int]] = {}
+        # Loop time at which another daemon last stated a new report of each daemon.
+        self._heard_by_others_at_s: dict[str, float] = {}
+        self._changed_at_s = math.inf
+        self._seen: tuple[Heard, Heard] = (frozenset(), frozenset())
+        self._logged: tuple[Heard, Heard] = (frozenset(), frozenset())
+
+    def hears(self) -> dict[str, int]:
+        """Return the sequence numbers to state in a report."""
+        direct = self._view.reporting_directly()
+        if self._view.full_mesh:
+            return {name: state.sequence for name, state in direct.items()}
+        in_zone = {
+            name: state.sequence
+            for name, state in direct.items()
+            if self._members.zone_of(name) == self._zone
+        }
+        return in_zone | self.hears_zones()
+
+    def hears_zones(self) -> dict[str, int]:
+        """Return the sequence numbers of the other zones' last summaries, by aggregator."""
+        return {
+            zone.aggregator[0]: zone.sequence
+            for zone in self._view.zones_heard().values()
+            if zone.sequence >= 0
+        }
+
+    def note_report(self, report: PeerReport) -> None:
+        """Note whom a daemon hears."""
+        now_s = self._loop.time()
+        self._note_sequences(report.name, report.hears, now_s)
+        if self._view.uses_reports_of(report.name):
+            heard = (
+                None
+                if report.hears is None
+                else self._expand(report.hears, self._members.zone_of(report.name) or "")
+            )
+            self._view.statements.note(report.name, heard, now_s)
+
+    def note_summary(self, summary: ZoneSummary) -> None:
+        """Note whom a zone's daemons hear."""
+        now_s = self._loop.time()
+        names = frozenset(name for name, _ in summary.members)
+        heard = None if summary.hears is None else names | self._expand(summary.hears, summary.zone)
+        for name in names:
+            self._view.statements.note(name, heard, now_s)
+
+    def in_contact(self) -> set[str]:
+        """Return the names of the daemons that this daemon hears and that hear this daemon."""
+        return in_contact(self._name, self._view.reporting(), self._view.statements.latest)
+
+    def not_hearing(self) -> set[str]:
+        """Return the names of the daemons that this daemon hears and that do not hear it."""
+        return self._view.reporting() - self.in_contact()
+
+    def heard_by_others_age_s(self, name: str) -> float:
+        """Return the time since another daemon first stated the last report of a daemon.
+
+        :returns: seconds, infinite if nobody stated one
+        """
+        return self._loop.time() - self._heard_by_others_at_s.get(name, -math.inf)
+
+    def log_changes(self) -> None:
+        """Write a log line when this daemon learns whom it does not hear, or who does not hear it.
+
+        To be called with each report.
+        """
+        now_s = self._loop.time()
+        reporting = self._view.reporting()
+        not_heard_by = frozenset(reporting - self.in_contact())
+        not_heard = frozenset(self._members.entries.keys() - reporting)
+        seen = (not_heard_by, not_heard)
+        if seen != self._seen:
+            self._seen, self._changed_at_s = seen, now_s
+        if seen == self._logged or now_s - self._changed_at_s < SETTLE_S:
+            return
+        self._logged = seen
+        decision(
+            "hearing_changed",
+            not_heard_by=sorted(not_heard_by)[:MAX_LOGGED_NAMES],
+            not_heard=sorted(not_heard)[:MAX_LOGGED_NAMES],
+            daemons_not_hearing=len(not_heard_by),
+            daemons_not_heard=len(not_heard),
+            heard=len(reporting),
+        )
+
+    def _note_sequences(self, name: str, hears: Mapping[str, int] | None, now_s: float) -> None:
+        before = self._sequences.get(name, {})
+        self._sequences[name] = hears or {}
+        for other, sequence in (hears or {}).items():
+            if before.get(other, sequence) != sequence:
+                self._heard_by_others_at_s[other] = now_s
+
+    def drop_expired(self) -> None:
+        """Drop what was stated by and about daemons that are no longer known."""
+        known = self._view.known_daemons()
+        for table in (self._sequences, self._heard_by_others_at_s):
+            for name in [name for name in table if name not in known]:
+                del table[name]
+
+    def _expand(self, names: Iterable[str], from_zone: str) -> Heard:
+        """Return the names that a daemon states, with those whom it hears of by zone summaries.
+
+        :param from_zone: zone of the daemon that states them
+        """
+        heard = set(names)
+        if self._view.full_mesh:
+            return frozenset(heard)
+        for name in list(heard):
+            zone = self._zone_of(name)
+            if zone is not None and zone != from_zone:
+                heard |= self._summarised(zone, name)
+        return frozenset(heard)
+
+    def _summarised(self, zone: str, aggregator: str) -> set[str]:
+        """Return the daemons that are in the summary of an aggregator's zone."""
+        if zone != self._zone:
+            state = self._view.zones.get(zone)
+            return {name for name, _ in state.members} if state is not None else set()
+        stated = None if aggregator == self._name else self._view.statements.latest(aggregator)
+        heard = self._view.reporting_directly().keys() | {self._name} if stated is None else stated
+        return {name for name in heard if self._zone_of(name) == zone}
+
+    def _zone_of(self, name: str) -> str | None:
+        return self._zone if name == self._name else self._members.zone_of(name)
--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -56,6 +56,9 @@
     :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
         service
     :ivar quarantine: crashes of engines that the sender found, and what is quarantined
+    :ivar hears: sequence number of the last report of each daemon that the sender hears, by name:
+        in a large fleet of its zone's daemons, and of the other zones' aggregators; None from
+        builds that do not state it
     """
 
     name: str
@@ -81,6 +84,7 @@
     leaving: dict[str, tuple[Count, Age]] = {}
     read_speeds: dict[str, Finite] = {}
     quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
+    hears: dict[str, Count] | None = None
 
 
 class ZoneSummary(msgspec.Struct, array_like=True, tag="zone"):
@@ -107,6 +111,8 @@
     :ivar engines_era: as in :class:`PeerReport`
     :ivar leaving: as in :class:`PeerReport`
     :ivar quarantine: as in :class:`PeerReport`, with what the aggregator heard of others
+    :ivar hears: as in :class:`PeerReport`, of the other zones' aggregators; `members` are those
+        that the aggregator hears in its zone
     """
 
     zone: str
@@ -127,6 +133,7 @@
     engines_era: Era | None = None
     leaving: dict[str, tuple[Count, Age]] = {}
     quarantine: QuarantineReport = msgspec.field(default_factory=QuarantineReport)
+    hears: dict[str, Count] | None = None
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit"):
--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -11,6 +11,9 @@
 Prompts = list[tuple[str, list[tuple[str, int]]]]
 """Recently sent prompts: engine id, and the id and number of tokens of each shared prompt part."""
 
+STATEMENT_S = 1.2
+"""Time for which a daemon's statement of whom it hears counts: three report intervals."""
+
 
 @dataclass(slots=True)
 class PeerState:
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -17,8 +17,10 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
+from godwitpath.gateway.mutual_hearing import HearingStatements
+from godwitpath.gateway.peer_hearing import PeerHearing
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
-from godwitpath.gateway.peer_state import Loads, PeerState, Prompts, ZoneState
+from godwitpath.gateway.peer_state import STATEMENT_S, Loads, PeerState, Prompts, ZoneState
 from godwitpath.gateway.read_speed import common_speed
 from godwitpath.gateway.usage import agreed_correction_s
 from godwitpath.gateway.usage_store import CountsByIncarnation
@@ -54,6 +56,8 @@
         account, counted since this daemon's start
     :ivar zone_prefill_tokens: prompt tokens that the other daemons of the local zone have sent for
         prefill, by service, counted since this daemon's start
+    :ivar statements: whom the daemons state to hear
+    :ivar hearing: with whom this daemon is in contact both ways
     :ivar reported_holder: name and fencing token of the duty holder with the greatest fencing token
         in any report
     """
@@ -64,6 +68,8 @@
         self.zone_quota_used: Counter[str] = Counter()
         self.zone_prefill_tokens: Counter[str] = Counter()
         self.reported_holder: tuple[str, int] = ("", 0)
+        self.statements = HearingStatements(STATEMENT_S)
+        self.hearing = PeerHearing(ctx.settings.name, ctx.settings.zone, members, self)
         self._other_zones_prefill_tokens: Counter[str] = Counter()
         # Loop time of the last summary that listed each incarnation of another zone's daemons.
         self._in_summary_at_s: dict[tuple[str, int], float] = {}
@@ -88,12 +94,16 @@
         names = {
             name for (name, _), state in self.states.items() if state.received_at_s >= since_at_s
         }
-        for zone in self.zones.values():
-            if zone.received_at_s >= since_at_s:
-                names.update(name for name, _ in zone.members)
+        for zone in self.zones_heard().values():
+            names.update(name for name, _ in zone.members)
         names.discard(self._ctx.settings.name)
         return names
 
+    def zones_heard(self) -> dict[str, ZoneState]:
+        """Return the state of each other zone whose summary was recently received, by name."""
+        since_at_s = self._loop.time() - REPORT_TIMEOUT_S
+        return {name: zone for name, zone in self.zones.items() if zone.received_at_s >= since_at_s}
+
     def known_daemons(self) -> set[str]:
         """Return the names of all daemons that are registered or report, including this one."""
         return {self._ctx.settings.name} | self._members.entries.keys() | self.reporting()
@@ -215,6 +225,7 @@
             return
         state.sequence = report.sequence
         state.received_at_s = self._loop.time()
+        self.hearing.note_report(report)
         state.configuration_revision = report.configuration_revision
         state.configuration_version = report.configuration_version
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
@@ -257,6 +268,7 @@
         state.received_at_s = self._loop.time()
         state.members = summary.members
         self._in_summary_at_s.update(dict.fromkeys(summary.members, state.received_at_s))
+        self.hearing.note_summary(summary)
         state.configuration_revision = summary.configuration_revision
         state.configuration_version = summary.configuration_version
         state.engines_revision = summary.engines_revision
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -335,6 +335,7 @@
             leaving=ctx.engines.notices.reported(),
             read_speeds=self.view.own_read_speeds(),
             quarantine=ctx.crashes.quarantine.report(self._loop.time()),
+            hears=self.view.hearing.hears(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
@@ -379,4 +380,5 @@
             engines_age_s=own_report.engines_age_s,
             leaving=own_report.leaving,
             quarantine=self._ctx.crashes.quarantine.report(self._loop.time(), relayed=True),
+            hears=self.view.hearing.hears_zones(),
         )
--- a/godwitpath/gateway/permits.py
+++ b/godwitpath/gateway/permits.py
@@ -16,7 +16,7 @@
 
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import Engine, EngineEntry, EngineRegistry, EngineState
-from godwitpath.gateway.grantors import HANDOVER_S, Grantors
+from godwitpath.gateway.grantors import Grantors
 from godwitpath.gateway.peer_messages import PermitReply, PermitRequest
 from godwitpath.gateway.permit_bucket import PermitBucket
 from godwitpath.telemetry.decisions import decision
@@ -87,7 +87,7 @@
         self._random = random
         self._number = 0
         self._resumed_at_s = -math.inf
-        self._buckets: dict[tuple[str, int], tuple[PermitBucket, float]] = {}
+        self._buckets: dict[tuple[str, int], PermitBucket] = {}
         self._replies: dict[int, asyncio.Future[PermitReply]] = {}
         # Loop time until which no permit is requested, by engine id and priority.
         self._paused_until_s: dict[str, dict[int, float]] = {}
@@ -220,13 +220,12 @@
             self._buckets.pop(key, None)
             return MIN_PAUSE_S, "not_grantor"
         now_s = asyncio.get_running_loop().time()
+        if not self._grantors.may_grant(entry):
+            self._buckets.pop(key, None)
+            return MIN_PAUSE_S, "taking_over"
         if key not in self._buckets:
-            grants_from_s = max(now_s, self._grantors.settled_since_s + HANDOVER_S)
-            self._buckets[key] = PermitBucket(grants_from_s), grants_from_s
-        bucket, grants_from_s = self._buckets[key]
-        if now_s < grants_from_s:
-            return grants_from_s - now_s, "taking_over"
-        wait_s = bucket.take(limit.rate_per_s, priority, now_s)
+            self._buckets[key] = PermitBucket(now_s)
+        wait_s = self._buckets[key].take(limit.rate_per_s, priority, now_s)
         return (wait_s, "refused") if wait_s else (0.0, "granted")
 
     async def _ask(self, grantor: str, entry: EngineEntry, priority: int) -> tuple[float, str]:
--- a/test/permit_model.py
+++ b/test/permit_model.py
@@ -15,7 +15,9 @@
 from godwitpath.gateway.engine_limits import EngineLimits
 from godwitpath.gateway.engines import EngineEntry, EngineRegistry, EngineState
 from godwitpath.gateway.grantors import Grantors
+from godwitpath.gateway.mutual_hearing import HearingStatements
 from godwitpath.gateway.peer_messages import PermitReply, PermitRequest
+from godwitpath.gateway.peer_state import STATEMENT_S
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S
 from godwitpath.gateway.peers import REPORT_S, URGENT_REPORT_S
 from godwitpath.gateway.permits import SendPermits
@@ -51,6 +53,7 @@
     """A daemon with the real code of limits, grantors and permits.
 
     :ivar cut: whether its messages to and from other daemons are lost
+    :ivar unheard: whether its reports to other daemons are lost; permits are not
     :ivar deaf: whether messages of other daemons to it are lost; its requests still count
     :ivar paused_until_s: loop time until which it does nothing
     :ivar excused_until_s: loop time until which its requests do not count
@@ -61,6 +64,7 @@
         self.zone = ZONES[number % len(ZONES)]
         self.cut = False
         self.deaf = False
+        self.unheard = False
         self.paused_until_s = 0.0
         self.excused_until_s = 0.0
         self.incarnation = 0
@@ -78,8 +82,12 @@
         for engine in fleet.engines:
             self.engines.put(engine.entry)
         self.limits = EngineLimits(self.report_soon)
+        self.statements = HearingStatements(STATEMENT_S)
+        self.stated: frozenset[str] = frozenset()
         view: Any = SimpleNamespace(
-            reporting=self._reporting, known_daemons=lambda: set(fleet.names)
+            reporting=self._reporting,
+            known_daemons=lambda: set(fleet.names),
+            statements=self.statements,
         )
         members: Any = SimpleNamespace(
             secret=b"s",
@@ -138,15 +146,18 @@
             self.report_soon.clear()
             self.permits.refresh()
             reported = self.limits.reported()
+            heard = frozenset(self._reporting())
+            self.stated = self.stated if heard == self.stated else heard
             for other in self._fleet.daemons:
-                lost = self.cut or other.cut or other.deaf or other.paused
+                lost = self.cut or self.unheard or other.cut or other.deaf or other.paused
                 lost = lost or rng.random() < LOSS
                 if other is not self and not lost:
-                    other.hear(self.name, reported)
+                    other.hear(self.name, reported, self.stated)
 
-    def hear(self, sender: str, reported: Any) -> None:
+    def hear(self, sender: str, reported: Any, heard: frozenset[str]) -> None:
         """Apply the report of another daemon."""
-        self.heard_at_s[sender] = asyncio.get_running_loop().time()
+        self.heard_at_s[sender] = now_s = asyncio.get_running_loop().time()
+        self.statements.note(sender, heard, now_s)
         if reported:
             self.limits.apply_report(sender, reported)
 
--- a/test/test_gateway_permits.py
+++ b/test/test_gateway_permits.py
@@ -110,6 +110,42 @@
         assert recent
         await fleet.stop()
 
+    @pytest.mark.parametrize("daemons", [3, 7, 30])
+    async def test_a_grantor_that_hears_all_and_is_not_heard_does_not_grant_beside_its_successor(
+        self, daemons: int
+    ) -> None:
+        fleet = ModelFleet(daemons, engines=1, demand_per_s=40.0, seed=daemons)
+        await fleet.run(1.0)
+        [engine] = fleet.engines
+        limited_at_s = state_limit(engine, 6.0)
+        await fleet.run(3.0)
+        for _ in range(2):
+            unheard = grantor_of(fleet, engine)
+            unheard.unheard = True
+            await fleet.run(8.0)
+            assert grantors_of(fleet, engine) & {unheard.name} == set()
+            since_s = asyncio.get_running_loop().time() - 4.0
+            recent = [each for each in engine.arrivals if each.at_s >= since_s]
+            assert len(recent) >= MIN_SHARE_USED * 6.0 * 4.0
+            unheard.unheard = False
+            await fleet.run(5.0)
+        assert exceeded(engine, 6.0, limited_at_s) == []
+        await fleet.stop()
+
+    async def test_a_grantor_that_hears_nobody_is_replaced_while_the_others_hear_it(self) -> None:
+        fleet = ModelFleet(7, engines=1, demand_per_s=40.0, seed=3)
+        await fleet.run(1.0)
+        [engine] = fleet.engines
+        limited_at_s = state_limit(engine, 4.0)
+        await fleet.run(2.0)
+        grantor_of(fleet, engine).deaf = True
+        await fleet.run(10.0)
+        assert exceeded(engine, 4.0, limited_at_s) == []
+        since_s = asyncio.get_running_loop().time() - 4.0
+        recent = [each for each in engine.arrivals if each.at_s >= since_s]
+        assert len(recent) >= MIN_SHARE_USED * 4.0 * 4.0
+        await fleet.stop()
+
     async def test_both_halves_of_a_divided_fleet_do_not_grant(self) -> None:
         fleet = ModelFleet(9, engines=1, demand_per_s=30.0, seed=1)
         await fleet.run(2.0)
