A daemon of a build that states nothing may prefer the daemon that counts

Cause: where a daemon states nothing, it counts as hearing what the counting daemon hears, and that set lacked the counting daemon itself. Beside daemons of the build before, the grantor that these prefer never counted them for itself, and each daemon named another grantor.

Change: the set contains the counting daemon.

The case d0 of the decision's test is new; the other one is as before.

--- a/godwitpath/gateway/grantors.py
+++ b/godwitpath/gateway/grantors.py
@@ -120,7 +120,7 @@
             election = elect(
                 self._ranking(entry),
                 self._view.statements.current(now_s),
-                self._heard,
+                self._heard | {self._name},
                 len(self._known),
                 now_s,
                 HANDOVER_S,
--- a/test/test_gateway_mutual_hearing.py
+++ b/test/test_gateway_mutual_hearing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -71,7 +72,8 @@
             statements = self.statements[number]
             statements.note(NAMES[number], heard, now_s)
             current = statements.current(now_s)
-            elections.append(elect(self.ranking, current, heard, self.size, now_s, KEEP_S))
+            known = heard | {NAMES[number]}
+            elections.append(elect(self.ranking, current, known, self.size, now_s, KEEP_S))
         return elections
 
     def heard(self, number: int, now_s: float) -> frozenset[str]:
@@ -133,7 +135,8 @@
         assert others <= stated[name]
 
 
-def test_a_build_that_states_nothing_counts_as_hearing_what_this_one_hears() -> None:
+@pytest.mark.parametrize("first", ["d0", "d1"])
+def test_a_build_that_states_nothing_counts_as_hearing_what_this_one_hears(first: str) -> None:
     heard = frozenset({"d1", "d2"})
     assert in_contact("d0", heard, lambda name: None) == heard
     statements = HearingStatements(KEEP_S)
@@ -141,8 +144,9 @@
         for name in ("d1", "d2"):
             statements.note(name, None, step * STEP_S)
         statements.note("d0", heard, step * STEP_S)
+    ranking = sorted(["d0", "d1", "d2"], key=lambda name: name != first)
     current = statements.current(2.9)
-    assert elect(["d1", "d0", "d2"], current, heard, 3, 2.9, KEEP_S) == Election("d1", "d1")
+    assert elect(ranking, current, heard | {"d0"}, 3, 2.9, KEEP_S) == Election(first, first)
 
 
 def test_a_statement_counts_for_its_time_only_and_its_predecessor_until_then() -> None:
