Decisions use whom a daemon is in contact with both ways

Change: quota_share counts daemons in contact both ways; report_age_s judges by contact with half of the others, counts reports whose sequence numbers others state, and counts a holder that hears less than half as silent; the aggregator is the first that half of its zone hears. Both ends write hearing_changed within the contact time; a metric and the state show it.

--- a/godwitpath/gateway/metrics_page.py
+++ b/godwitpath/gateway/metrics_page.py
@@ -135,6 +135,7 @@
             ("state.age", "s", "Time since the state was known to be the newest.", self._ages),
             ("duty.fence", "{token}", "Fencing token of the duties, 0 for none.", self._fence),
             ("peers.heard", "{daemon}", "Other daemons heard of lately.", self._reporting_peers),
+            ("peers.not_hearing", "{daemon}", "Of these, not hearing this one.", self._not_hearing),
         )
         for name, unit, description, observe in gauges:
             metrics.gauge(f"godwitpath.gateway.{name}", unit, description, observe)
@@ -250,3 +251,6 @@
 
     def _reporting_peers(self) -> float:
         return len(self._peers.view.reporting())
+
+    def _not_hearing(self) -> float:
+        return len(self._peers.view.hearing.not_hearing())
--- a/godwitpath/gateway/mutual_hearing.py
+++ b/godwitpath/gateway/mutual_hearing.py
@@ -83,6 +83,18 @@
             del self._stated[name]
         return self._stated
 
+    def hears_less_than_half(self, name: str, others: Collection[str], now_s: float) -> bool:
+        """Return whether a daemon has stated for the whole time to hear less than half of some."""
+        stated = self.current(now_s).get(name)
+        return (
+            stated is not None
+            and stated.is_steady(now_s, self._keep_s)
+            and all(
+                heard is not None and 2 * len(heard.intersection(others)) < len(others)
+                for _, heard in stated.changes
+            )
+        )
+
     def latest(self, name: str) -> Heard | None:
         """Return the last statement of a daemon, None if it has not stated whom it hears."""
         stated = self._stated.get(name)
@@ -101,6 +113,21 @@
     }
 
 
+def widely_heard(names: Collection[str], stated: Callable[[str], Heard | None]) -> list[str]:
+    """Return those of some daemons that at least half of the others of them hear.
+
+    :param stated: returns whom a daemon stated to hear, None if it stated nothing
+    """
+    statements = {name: stated(name) for name in names}
+
+    def heard_by(name: str) -> int:
+        return sum(
+            heard is None or name in heard for other, heard in statements.items() if other != name
+        )
+
+    return [name for name in names if 2 * heard_by(name) >= len(names) - 1]
+
+
 def choice(ranking: Sequence[str], voter: str, heard: Collection[str]) -> str | None:
     """Return the first of a ranking that a daemon hears, or itself."""
     return next((name for name in ranking if name == voter or name in heard), None)
@@ -134,7 +161,7 @@
     count that many, so nobody chooses it once it has stated so for the whole time.
 
     :param ranking: names of the known daemons, the preferred ones first
-    :param own_heard: whom this daemon hears
+    :param own_heard: this daemon and those that it hears, for daemons that state nothing
     :param known: number of known daemons, including this one
     """
     deaf = {
--- a/godwitpath/gateway/peer_hearing.py
+++ b/godwitpath/gateway/peer_hearing.py
@@ -86,6 +86,9 @@
         now_s = self._loop.time()
         names = frozenset(name for name, _ in summary.members)
         heard = None if summary.hears is None else names | self._expand(summary.hears, summary.zone)
+        if heard == (before := self._view.statements.latest(summary.aggregator)):
+            # One object for all daemons of the zone, which compares in no time.
+            heard = before
         for name in names:
             self._view.statements.note(name, heard, now_s)
 
@@ -97,12 +100,15 @@
         """Return the names of the daemons that this daemon hears and that do not hear it."""
         return self._view.reporting() - self.in_contact()
 
-    def heard_by_others_age_s(self, name: str) -> float:
-        """Return the time since another daemon first stated the last report of a daemon.
+    def stated(self, name: str) -> Heard | None:
+        """Return whom a daemon states to hear, None if it has not stated that."""
+        if name == self._name:
+            return frozenset(self._view.reporting())
+        return self._view.statements.latest(name)
 
-        :returns: seconds, infinite if nobody stated one
-        """
-        return self._loop.time() - self._heard_by_others_at_s.get(name, -math.inf)
+    def heard_by_others_at_s(self, name: str) -> float | None:
+        """Return the loop time at which another daemon last stated a report that is new here."""
+        return self._heard_by_others_at_s.get(name)
 
     def log_changes(self) -> None:
         """Write a log line when this daemon learns whom it does not hear, or who does not hear it.
@@ -132,15 +138,30 @@
         before = self._sequences.get(name, {})
         self._sequences[name] = hears or {}
         for other, sequence in (hears or {}).items():
-            if before.get(other, sequence) != sequence:
+            is_new = before.get(other, sequence) != sequence
+            if is_new and sequence > self._own_sequence(other):
                 self._heard_by_others_at_s[other] = now_s
 
+    def _own_sequence(self, name: str) -> int:
+        """Return the sequence number of the last report or summary that came from a daemon."""
+        entry = self._members.entries.get(name)
+        if entry is None:
+            return -1
+        state = self._view.states.get((name, entry.incarnation))
+        zone = self._view.zones.get(entry.zone)
+        summarised = zone is not None and zone.aggregator == (name, entry.incarnation)
+        return max(
+            state.sequence if state is not None else -1,
+            zone.sequence if zone is not None and summarised else -1,
+        )
+
     def drop_expired(self) -> None:
         """Drop what was stated by and about daemons that are no longer known."""
         known = self._view.known_daemons()
-        for table in (self._sequences, self._heard_by_others_at_s):
-            for name in [name for name in table if name not in known]:
-                del table[name]
+        for name in self._sequences.keys() - known:
+            del self._sequences[name]
+        for name in self._heard_by_others_at_s.keys() - known:
+            del self._heard_by_others_at_s[name]
 
     def _expand(self, names: Iterable[str], from_zone: str) -> Heard:
         """Return the names that a daemon states, with those whom it hears of by zone summaries.
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -17,7 +17,7 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
-from godwitpath.gateway.mutual_hearing import HearingStatements
+from godwitpath.gateway.mutual_hearing import HearingStatements, widely_heard
 from godwitpath.gateway.peer_hearing import PeerHearing
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
 from godwitpath.gateway.peer_state import STATEMENT_S, Loads, PeerState, Prompts, ZoneState
@@ -118,14 +118,18 @@
         }
 
     def aggregator(self) -> str:
-        """Return the name of the local zone's aggregator: the first reporting daemon by name."""
-        zone = self._ctx.settings.zone
+        """Return the name of the local zone's aggregator.
+
+        It is the first by name of the reporting daemons that half of the others hear.
+        """
+        own_name, zone = self._ctx.settings.name, self._ctx.settings.zone
         names = [
             name
             for name in self.reporting_directly()
             if (entry := self._members.entries.get(name)) is not None and entry.zone == zone
         ]
-        return min([*names, self._ctx.settings.name])
+        names.append(own_name)
+        return min(widely_heard(names, self.hearing.stated) or names)
 
     def watchers(self) -> list[str]:
         """Return the names of the local zone's other daemons that watch the store, sorted."""
@@ -153,8 +157,8 @@
         """Return the time since the last report of a daemon's incarnation.
 
         :returns: seconds; None if no report was received; infinite if the daemon has since
-            restarted; zero if this daemon itself appears to be cut off, because less than half of
-            the others report to it
+            restarted, or hears less than half of the others; zero if this daemon itself appears to
+            be cut off, because it is in contact both ways with less than half of them
         """
         if name == self._ctx.settings.name:
             return 0.0 if incarnation == self._incarnation else math.inf
@@ -162,20 +166,26 @@
         if entry is not None and entry.incarnation != incarnation:
             return math.inf
         others = self._members.entries.keys() - {name}
-        if 2 * len(self.reporting() & others) < len(others):
+        if 2 * len(self.hearing.in_contact() & others) < len(others):
             return 0.0
+        its_others = others | {self._ctx.settings.name}
+        if self.statements.hears_less_than_half(name, its_others, self._loop.time()):
+            return math.inf
         key = (name, incarnation)
         report_times_s = [self._in_summary_at_s[key]] if key in self._in_summary_at_s else []
         state = self.states.get(key)
         if state is not None:
             report_times_s.append(state.received_at_s)
+        if entry is not None and (at_s := self.hearing.heard_by_others_at_s(name)) is not None:
+            report_times_s.append(at_s)
         return self._loop.time() - max(report_times_s) if report_times_s else None
 
     def quota_share(self) -> float:
-        """Return the fraction of each quota that this daemon and all reporting daemons may use."""
-        reporting = self.reporting()
-        known_daemons = 1 + len(self._members.entries.keys() | reporting)
-        return (1 + len(reporting)) / known_daemons
+        """Return the fraction of each quota that this daemon and those in contact may use.
+
+        Daemons that do not hear this one do not subtract what it admits.
+        """
+        return (1 + len(self.hearing.in_contact())) / len(self.known_daemons())
 
     def usage_counts(self) -> CountsByIncarnation:
         """Return the number of requests that each incarnation of every daemon counted as usage."""
@@ -286,6 +296,8 @@
     def drop_expired(self) -> None:
         """Drop the loads of silent daemons and zones, and later their remaining state."""
         now_s = self._loop.time()
+        self.hearing.drop_expired()
+        self.hearing.log_changes()
         for key, state in list(self.states.items()):
             report_age_s = now_s - state.received_at_s
             if report_age_s >= REPORT_TIMEOUT_S and state.loads:
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -92,12 +92,14 @@
     def _daemons(self) -> Iterator[dict[str, Any]]:
         direct = self._view.reporting_directly()
         reporting = self._view.reporting()
+        in_contact = self._view.hearing.in_contact()
         for name, entry in sorted(self._members.entries.items()):
             state = direct.get(name)
             yield {
                 "name": name,
                 "zone": entry.zone,
                 "heard": name in reporting,
+                "hears_this": name in in_contact if name in reporting else None,
                 "configuration_revision": (
                     state.configuration_revision if state is not None else None
                 ),
