--- a/godwitpath/gateway/peer_messages.py
+++ b/godwitpath/gateway/peer_messages.py
@@ -56,8 +56,9 @@
     :ivar read_speeds: prompt tokens per second that the sender measured an engine to prefill, by
         service
     :ivar quarantine: crashes of engines that the sender found, and what is quarantined
-    :ivar hears: sequence number last heard of each daemon that the sender hears, None from builds
-        that do not state it, which also take no report in pieces
+    :ivar hears: sequence number of the last report of each daemon that the sender hears, by name:
+        in a large fleet of its zone's daemons, and of the other zones' aggregators; None from
+        builds that do not state it, which also take no report in pieces
     :ivar piece: number of this datagram among those with the same sequence number
     :ivar spread_over: number of reports over which the sections are spread that are incomplete
         here, 0 if all but `prompts` and `quarantine` are complete
@@ -115,7 +116,8 @@
     :ivar engines_era: as in :class:`PeerReport`
     :ivar leaving: as in :class:`PeerReport`
     :ivar quarantine: as in :class:`PeerReport`, with what the aggregator heard of others
-    :ivar hears: as in :class:`PeerReport`
+    :ivar hears: as in :class:`PeerReport`, of the other zones' aggregators; `members` are those
+        that the aggregator hears in its zone
     :ivar piece: as in :class:`PeerReport`
     :ivar spread_over: as in :class:`PeerReport`
     :ivar takes_pieces: whether all daemons of the zone that the aggregator hears take summaries in
--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -357,7 +357,7 @@
             leaving=ctx.engines.notices.reported(),
             read_speeds=self.view.own_read_speeds(),
             quarantine=ctx.crashes.quarantine.report(self._loop.time()),
-            hears={},
+            hears=self.view.hearing.hears(),
         )
 
     def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
--- a/godwitpath/gateway/report_budget.py
+++ b/godwitpath/gateway/report_budget.py
@@ -22,6 +22,7 @@
     Item,
     Message,
     evidence_items,
+    hearing_items,
     load_items,
     prompt_items,
     state_items,
@@ -148,6 +149,8 @@
         empty = without_items(message)
         base_bytes = DIGEST_BYTES + len(_encode(empty)) + LENGTHS_BYTES
         pieces = _Pieces(MAX_DATAGRAM_BYTES - base_bytes, max_pieces)
+        # A statement of whom the sender hears is only of use whole, so it never takes turns.
+        self._fill_rest(pieces, list(hearing_items(message)))
         state = _sized(self._by_turn(state_items(message)))
         loads = _sized(self._by_turn(load_items(message)))
         evidence = _sized(self._by_turn(evidence_items(message)))
@@ -171,7 +174,7 @@
         empty = without_items(message)
         piece = _Piece(MAX_WHOLE_BYTES - DIGEST_BYTES - len(_encode(empty)) - LENGTHS_BYTES)
         sections: dict[str, list[Item]] = {}
-        for item in (*state_items(message), *load_items(message)):
+        for item in (*hearing_items(message), *state_items(message), *load_items(message)):
             sections.setdefault(item.section, []).append(item)
         for section, items in sections.items():
             size_bytes = sum(each.size_bytes() + NESTED_BYTES for each in items)
--- a/godwitpath/gateway/report_sections.py
+++ b/godwitpath/gateway/report_sections.py
@@ -22,7 +22,6 @@
 STATE_SECTIONS = (
     "leaving",
     "limits",
-    "hears",
     "members",
     "usage",
     "quota_used",
@@ -85,6 +84,11 @@
             yield from (Item(section, key, (key, each)) for key, each in value.items())
 
 
+def hearing_items(message: PeerReport | ZoneSummary) -> Iterator[Item]:
+    """Yield the daemons that the sender hears."""
+    yield from (Item("hears", name, (name, each)) for name, each in (message.hears or {}).items())
+
+
 def load_items(message: PeerReport | ZoneSummary) -> Iterator[Item]:
     """Yield the items that make placement better."""
     for section in LOAD_SECTIONS:
@@ -139,7 +143,7 @@
     """Return a message with empty sections."""
     changes: dict[str, Any] = {
         section: [] if section == "members" else {}
-        for section in (*STATE_SECTIONS, *LOAD_SECTIONS)
+        for section in ("hears", *STATE_SECTIONS, *LOAD_SECTIONS)
         if getattr(message, section, None) is not None
     }
     return msgspec.structs.replace(
--- a/godwitpath/gateway/zone_summary.py
+++ b/godwitpath/gateway/zone_summary.py
@@ -49,6 +49,6 @@
         engines_age_s=own_report.engines_age_s,
         leaving=own_report.leaving,
         quarantine=quarantine,
-        hears={},
+        hears=view.hearing.hears_zones(),
         takes_pieces=all(state.takes_pieces for _, state in zone_peers),
     )
--- a/test/test_gateway_report_budget.py
+++ b/test/test_gateway_report_budget.py
@@ -240,3 +240,18 @@
     pieces = pieces_allowed(daemons - 1, elapsed_s)
     sent_bytes = pieces * (daemons - 1) * MAX_DATAGRAM_BYTES
     assert pieces == 1 or sent_bytes <= MAX_BYTES_PER_S * elapsed_s
+
+
+@pytest.mark.parametrize("daemons", [1, 7, 58])
+def test_a_statement_of_whom_a_daemon_hears_is_whole_in_the_first_datagram_of_each_report(
+    daemons: int,
+) -> None:
+    hears = {f"edge-mtl-a-{number:02d}": 60_000 for number in range(daemons)}
+    accounts = {f"account-{number:04d}": 5 for number in range(400)}
+    message = PeerReport("edge-mtl-b-99", 2**62, 60_000, 7, 1.7e9, accounts, {}, {}, {}, [])
+    message = msgspec.structs.replace(without_eras(message), hears=hears)
+    packer: ReportPacker[PeerReport] = ReportPacker()
+    for _ in range(5):
+        first, *others = packer.pieces(message, 2)
+        assert first.hears == hears
+        assert [each.hears for each in others] == [{}] * len(others)
