--- a/godwitpath_standin/__main__.py
+++ b/godwitpath_standin/__main__.py
@@ -209,6 +209,9 @@
     floods: Annotated[
         bool, typer.Option(help="Whether engines and callers send without end.")
     ] = False,
+    long_prompts: Annotated[
+        bool, typer.Option(help="Whether callers also send prompts of up to 1,000 parts.")
+    ] = False,
     old_build: Annotated[
         Path | None,
         typer.Option(
@@ -226,7 +229,7 @@
     violated_runs = 0
     for number in range(seed, seed + runs):
         folder = logs / f"seed-{number}" if logs is not None else None
-        plan = SoakPlan(number, minutes * 60, processes, kills, floods, old_build)
+        plan = SoakPlan(number, minutes * 60, processes, kills, floods, old_build, long_prompts)
         outcome = asyncio.run(run_soak(plan, folder))
         for line in outcome.lines():
             typer.echo(line)
--- a/godwitpath_standin/soak/callers.py
+++ b/godwitpath_standin/soak/callers.py
@@ -9,6 +9,7 @@
 from godwitpath_standin.soak.environment import Daemon, SoakEnvironment
 from godwitpath_standin.soak.history import SentRequest
 from godwitpath_standin.soak.invariants import route_timeout_s
+from godwitpath_standin.soak.long_prompts import LongPrompts, tokens
 
 GIVE_UP_MARGIN_S = 2.0
 """Time past the timeout of a request after which its caller gives up."""
@@ -104,15 +105,24 @@
 
 
 class Caller:
-    """Sends one request after another with random routes, accounts and pauses."""
+    """Sends one request after another with random routes, accounts and pauses.
+
+    :param long_prompts: draws long prompts, None for short ones only
+    """
 
     def __init__(
-        self, environment: SoakEnvironment, balancer: Balancer, rng: random.Random, name: str
+        self,
+        environment: SoakEnvironment,
+        balancer: Balancer,
+        rng: random.Random,
+        name: str,
+        long_prompts: LongPrompts | None = None,
     ) -> None:
         self._environment = environment
         self._balancer = balancer
         self._rng = rng
         self._name = name
+        self._long_prompts = long_prompts
         self._sent_count = 0
 
     async def run(self) -> None:
@@ -169,12 +179,13 @@
             f"X-Attempt-Id: {sent.request_id}\r\nX-Deadline-Ms: {int(timeout_s * 1000)}\r\n"
         )
         if sent.stream:
-            head += "X-Model: m\r\nX-Token-Count: 300,60\r\n"
+            document = self._long_prompts.draw() if self._long_prompts is not None else []
+            head += f"X-Model: m\r\nX-Token-Count: {300 + tokens(document)},60\r\n"
             parts = ["ab12:200", f"{sent.request_id.encode().hex()}:100"]
             for part in sorted(self._environment.crashing_parts):
                 if self._rng.random() < CRASHING_SHARE:
                     parts.insert(self._rng.randrange(2), f"{part}:50")
-            head += f"X-Prompt-Prefix: {','.join(parts)}\r\n"
+            head += f"X-Prompt-Prefix: {','.join([*document, *parts])}\r\n"
         if sent.body:
             head += f"Content-Length: {len(sent.body)}\r\n"
         self._environment.history.sent[sent.request_id] = sent
--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -86,6 +86,32 @@
     until_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class LoopHold:
+    """A turn in which a daemon's own work held its event loop.
+
+    :ivar daemon: name of the daemon
+    :ivar held_s: processor time of the turn
+    """
+
+    daemon: str
+    held_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class SelfReport:
+    """What a process of a daemon last stated about itself.
+
+    :ivar largest_datagram_bytes: size of the largest datagram to another daemon, sent or not
+    :ivar unsent_datagrams: number of datagrams that were too large to be sent
+    :ivar longest_work_s: longest turn of the event loop by the daemon's own work
+    """
+
+    largest_datagram_bytes: int
+    unsent_datagrams: int
+    longest_work_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Violation:
     """A violated invariant.
@@ -114,6 +140,8 @@
     :ivar crashing_requests: requests on which engines crashed
     :ivar stalls: periods in which the soak's own process ran late
     :ivar peak_memory_mb: largest resident memory of the processes of a daemon, by daemon
+    :ivar loop_holds: turns in which daemons held their event loops for long, as their logs say
+    :ivar self_reports: what each process last stated about itself, by daemon and process id
     :ivar unexpected_exits: messages about daemon exits that no injected fault explains
     """
 
@@ -127,6 +155,8 @@
     crashing_requests: set[RequestCopy] = field(default_factory=set)
     stalls: list[Stall] = field(default_factory=list)
     peak_memory_mb: dict[str, float] = field(default_factory=dict)
+    loop_holds: list[LoopHold] = field(default_factory=list)
+    self_reports: dict[tuple[str, int], SelfReport] = field(default_factory=dict)
     unexpected_exits: list[str] = field(default_factory=list)
 
     def ended(self) -> Iterator[SentRequest]:
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -42,6 +42,9 @@
 MAX_MEMORY_MB = 300.0
 """Largest resident memory of a daemon, as the users specify."""
 
+MAX_LOOP_HOLD_S = 0.05
+"""Longest time for which a daemon's own work may hold its event loop, as the users specify."""
+
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
 """A limit that an engine states in the form that the users specify."""
 
@@ -297,6 +300,16 @@
             yield Violation("memory", f"{name} took {peak_mb:.0f} MB")
 
 
+def loops_not_held(history: History) -> Iterator[Violation]:
+    """Check that no daemon holds its event loop for long by its own work."""
+    longest_s: dict[str, float] = defaultdict(float)
+    for hold in history.loop_holds:
+        longest_s[hold.daemon] = max(longest_s[hold.daemon], hold.held_s)
+    for name, held_s in longest_s.items():
+        if held_s > MAX_LOOP_HOLD_S:
+            yield Violation("loop", f"{name} held its loop for {1000 * held_s:.1f} ms")
+
+
 def no_unexpected_exits(history: History) -> Iterator[Violation]:
     """Check that no daemon exits unexpectedly."""
     for message in history.unexpected_exits:
@@ -319,6 +332,7 @@
     one_holder_per_token,
     holders_do_not_alternate,
     memory_bounded,
+    loops_not_held,
     no_unexpected_exits,
 )
 
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -22,8 +22,15 @@
 from godwitpath_standin.soak.history import History, Violation
 from godwitpath_standin.soak.injection import heal, inject
 from godwitpath_standin.soak.invariants import violations
+from godwitpath_standin.soak.long_prompts import LongPrompts
+from godwitpath_standin.soak.loop_holds import read_loop_holds
 from godwitpath_standin.soak.memory import record_memory
 from godwitpath_standin.soak.readability import unreadable_messages
+from godwitpath_standin.soak.self_reports import (
+    SelfReportSummary,
+    record_self_reports,
+    summarize_self_reports,
+)
 from godwitpath_standin.soak.usage_report import UsageSummary, summarize_usage
 
 READY_S = 60.0
@@ -62,6 +69,7 @@
     :ivar kills: whether faults end processes of daemons
     :ivar floods: whether engines and callers send without end
     :ivar old_build: root of a checkout of an earlier build, which daemons run at every second start
+    :ivar long_prompts: whether callers also send prompts of many parts, or with long ids
     """
 
     seed: int
@@ -70,6 +78,7 @@
     kills: bool = True
     floods: bool = False
     old_build: Path | None = None
+    long_prompts: bool = False
 
 
 @dataclass(slots=True)
@@ -81,6 +90,7 @@
     :ivar stalled_s: time for which the soak's own process ran late
     :ivar peak_memory_mb: largest resident memory of a daemon
     :ivar usage: how the reported usage compares with the engines' runs
+    :ivar self_reports: what the daemons state about their datagrams and event loops
     """
 
     plan: SoakPlan
@@ -90,6 +100,7 @@
     stalled_s: float = 0.0
     peak_memory_mb: float = 0.0
     usage: UsageSummary = field(default_factory=UsageSummary)
+    self_reports: SelfReportSummary = field(default_factory=SelfReportSummary)
 
     def lines(self) -> Iterator[str]:
         """Yield the lines of the report."""
@@ -99,7 +110,7 @@
         yield (
             f"seed {plan.seed}: {verdict}; {plan.daemons} daemons, {len(self.faults)} faults in "
             f"{plan.duration_s:.0f} s, {self.statuses.total()} requests ({status_counts}); "
-            f"{self.usage}; up to {self.peak_memory_mb:.0f} MB a daemon; "
+            f"{self.usage}; {self.self_reports}; up to {self.peak_memory_mb:.0f} MB a daemon; "
             f"stalled for {self.stalled_s:.1f} s"
         )
         if self.violations:
@@ -123,12 +134,17 @@
         await environment.start(plan.daemons, ENGINES_PER_SERVICE)
         balancer = Balancer(environment.daemons)
         background_tasks = [
-            asyncio.create_task(job) for job in (balancer.run(), record_memory(environment))
+            asyncio.create_task(job)
+            for job in (
+                balancer.run(),
+                record_memory(environment),
+                record_self_reports(environment),
+            )
         ]
         stack.push_async_callback(_cancel, background_tasks)
         await wait_until(lambda: len(balancer.ready()) == plan.daemons, READY_S)
         callers = [
-            Caller(environment, balancer, random.Random(f"{plan.seed} {number}"), f"c{number}")
+            _caller(environment, balancer, plan, number)
             for number in range(min(CALLERS_PER_DAEMON * plan.daemons, MAX_CALLERS))
         ]
         background_tasks += [asyncio.create_task(caller.run()) for caller in callers]
@@ -137,15 +153,26 @@
         await _inject_faults(environment, plan, outcome)
         if not outcome.violations:
             await _check_recovery(environment, balancer, outcome)
+        environment.history.loop_holds += read_loop_holds(folder)
         outcome.violations = outcome.violations or list(violations(environment.history))
         outcome.statuses = Counter(sent.response.status for sent in environment.history.ended())
         outcome.stalled_s = environment.history.stalled_s(0.0, environment.now_s)
         outcome.peak_memory_mb = max(environment.history.peak_memory_mb.values(), default=0.0)
         outcome.usage = summarize_usage(environment.history, time.time(), environment.now_s)
+        outcome.self_reports = summarize_self_reports(environment.history.self_reports.values())
         outcome.violations += log_violations(environment.history, folder)
     return outcome
 
 
+def _caller(
+    environment: SoakEnvironment, balancer: Balancer, plan: SoakPlan, number: int
+) -> Caller:
+    name = f"c{number}"
+    long_prompts = LongPrompts(plan.seed, name) if plan.long_prompts else None
+    rng = random.Random(f"{plan.seed} {number}")
+    return Caller(environment, balancer, rng, name, long_prompts)
+
+
 async def _inject_faults(
     environment: SoakEnvironment, plan: SoakPlan, outcome: SoakOutcome
 ) -> None:
