A broken run of the soak names when its daemons had no processor

Change: the report lists, with the faults, each time of 0.2 s or more at which a daemon's loop waited for a processor, as its log says. They excuse nothing: no check reads them.

--- a/godwitpath_standin/soak/history.py
+++ b/godwitpath_standin/soak/history.py
@@ -88,14 +88,18 @@
 
 @dataclass(slots=True, frozen=True)
 class LoopHold:
-    """A turn in which a daemon's own work held its event loop.
+    """A long turn of a daemon's event loop.
 
     :ivar daemon: name of the daemon
-    :ivar held_s: processor time of the turn
+    :ivar held_s: for how long the turn held the loop by its cause
+    :ivar own_work: whether the daemon worked meanwhile, instead of waiting for a processor
+    :ivar ended_at_s: seconds since 1970 at the end of the turn
     """
 
     daemon: str
     held_s: float
+    own_work: bool = True
+    ended_at_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/godwitpath_standin/soak/invariants.py
+++ b/godwitpath_standin/soak/invariants.py
@@ -304,6 +304,8 @@
     """Check that no daemon holds its event loop for long by its own work."""
     longest_s: dict[str, float] = defaultdict(float)
     for hold in history.loop_holds:
+        if not hold.own_work:
+            continue
         longest_s[hold.daemon] = max(longest_s[hold.daemon], hold.held_s)
     for name, held_s in longest_s.items():
         if held_s > MAX_LOOP_HOLD_S:
--- a/godwitpath_standin/soak/run.py
+++ b/godwitpath_standin/soak/run.py
@@ -23,7 +23,7 @@
 from godwitpath_standin.soak.injection import heal, inject
 from godwitpath_standin.soak.invariants import violations
 from godwitpath_standin.soak.long_prompts import LongPrompts
-from godwitpath_standin.soak.loop_holds import read_loop_holds
+from godwitpath_standin.soak.loop_holds import describe_waits, read_loop_holds
 from godwitpath_standin.soak.memory import record_memory
 from godwitpath_standin.soak.readability import unreadable_messages
 from godwitpath_standin.soak.self_reports import (
@@ -86,6 +86,8 @@
     """Result of a soak.
 
     :ivar faults: injected faults with the time at which each began, in order
+    :ivar began_at_s: seconds since 1970 at which the faults began
+    :ivar waits: lines on the times at which a daemon had no processor, which excuse nothing
     :ivar statuses: number of requests by HTTP status, 0 for no response
     :ivar stalled_s: time for which the soak's own process ran late
     :ivar peak_memory_mb: largest resident memory of a daemon
@@ -96,6 +98,8 @@
     plan: SoakPlan
     violations: list[Violation] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    began_at_s: float = 0.0
+    waits: list[str] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     stalled_s: float = 0.0
     peak_memory_mb: float = 0.0
@@ -115,6 +119,7 @@
         )
         if self.violations:
             yield from self.faults
+            yield from self.waits
             yield from map(str, self.violations)
 
 
@@ -153,7 +158,9 @@
         await _inject_faults(environment, plan, outcome)
         if not outcome.violations:
             await _check_recovery(environment, balancer, outcome)
-        environment.history.loop_holds += read_loop_holds(folder)
+        holds = environment.history.loop_holds
+        holds += read_loop_holds(folder)
+        outcome.waits = list(describe_waits(holds, outcome.began_at_s))
         outcome.violations = outcome.violations or list(violations(environment.history))
         outcome.statuses = Counter(sent.response.status for sent in environment.history.ended())
         outcome.stalled_s = environment.history.stalled_s(0.0, environment.now_s)
@@ -178,6 +185,7 @@
 ) -> None:
     names = [daemon.name for daemon in environment.daemons]
     started_at_s = environment.now_s
+    outcome.began_at_s = time.time()
     check_at_s = started_at_s + CHECK_S
     positions = len(environment.positions)
     async with asyncio.TaskGroup() as group:
