Let no usage report wait for a write of the counts of open windows

What callers saw: the users' grown site priced four usage windows in a row that came after their time, while three writes to the store in ten took effect late. Reproduced in a model on the paused clock.

Cause: the holder wrote the counts of open windows in the same loop as pins and reports, before them. A write without a response took 1.5 s and ended the round, and after the retry pause the next write of open counts was due.

Change: a task of its own writes the open counts (`gateway/usage_open.py` merges them). The statement of a term, which shares a condition with the pin, stays in the loop.

Measured: test_writes_of_open_counts_without_a_response_delay_no_report failed before (no window of five reported) and holds now.

--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -7,14 +7,13 @@
 later duty holder repeats exactly these counts and continues with the next window. Where a restore
 of the store may have lost a pin, :mod:`godwitpath.gateway.usage_progress` decides what may still be
 reported. The counts of open windows, which were not pinned yet, are also written to the store every
-second, so that they survive the loss of all daemons.
+second (:mod:`godwitpath.gateway.usage_open`); a write of them that waits delays no report.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -32,6 +31,7 @@
     era_of,
 )
 from godwitpath.gateway.usage import UsageCounter
+from godwitpath.gateway.usage_open import OpenCounts
 from godwitpath.gateway.usage_progress import Progress, resume
 from godwitpath.gateway.usage_store import (
     OPEN_KEY,
@@ -41,7 +41,6 @@
     CountsByIncarnation,
     PinnedWindow,
     TermState,
-    merge_counts,
     pin_condition,
     read_stored,
 )
@@ -52,6 +51,9 @@
 """Interval between two writes of the counts of open windows: if all daemons fail, the usage of this
 time is lost."""
 
+TERM_WRITE_INTERVAL_S = 1.0
+"""Interval between two attempts to state the term in the store."""
+
 WINDOW_SETTLE_S = 3.0
 """Time after a window's end until the window's counts are complete: requests are counted when their
 response arrives, and the other daemons receive the counts within two reports."""
@@ -88,9 +90,8 @@
         self._holder = holder
         self._usage = usage
         self._bounds = bounds
-        self._counts = counts
-        self._stored_counts: CountsByIncarnation = {}
-        self._open_counts_stored_at_s = -math.inf
+        self._open_counts = OpenCounts(counts)
+        self._term_sent_at_s = -math.inf
         self._following_window = 0
         self._loaded_token_number = 0
         self._reload = False
@@ -110,6 +111,11 @@
 
     async def run(self) -> None:
         """Report usage while this daemon holds the duty, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._report_loop())
+            group.create_task(self._store_loop())
+
+    async def _report_loop(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             fencing_token = self._holder.fencing_token()
@@ -127,6 +133,19 @@
                 decision("usage_delayed", fence=fencing_token.number, reason=str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _store_loop(self) -> None:
+        """Write the request counts of the open windows to the store, until cancelled."""
+        while True:
+            await asyncio.sleep(OPEN_WRITE_INTERVAL_S)
+            fencing_token = self._holder.fencing_token()
+            if fencing_token is None or fencing_token.number != self._loaded_token_number:
+                continue
+            puts = [Put(OPEN_KEY, self._open_counts.encode(self._following_window))]
+            try:
+                await self._transact(fencing_token, [], puts)
+            except StoreError as error:
+                decision("usage_not_stored", fence=fencing_token.number, reason=str(error))
+
     async def _report_next_window(self, fencing_token: FencingToken) -> None:
         if self._loaded_token_number != fencing_token.number or self._reload:
             await self._load_stored_state(fencing_token)
@@ -137,9 +156,10 @@
             self._leave_out_until(self._next_window(), self._uncertain_reason, fencing_token)
             self._uncertain_until_s = None
             self._state_stored = True
-        if boot_time_s() - self._open_counts_stored_at_s >= OPEN_WRITE_INTERVAL_S:
-            self._open_counts_stored_at_s = boot_time_s()
-            await self._store_open_counts(fencing_token)
+        stated = self._term_stored or not self._state_stored
+        if not stated and boot_time_s() - self._term_sent_at_s >= TERM_WRITE_INTERVAL_S:
+            self._term_sent_at_s = boot_time_s()
+            await self._state_term(fencing_token)
         if self._pinned is not None and not self._pin_reported:
             await self._report_window(self._pinned)
             if not self._pin_reported:
@@ -148,7 +168,7 @@
         is_due = (window + 1) * self._usage.window_s + WINDOW_SETTLE_S <= self._usage.clock.now_s()
         if not is_due or not self._holder.settled:
             return
-        pinned = PinnedWindow(window, self._total_counts(window))
+        pinned = PinnedWindow(window, self._open_counts.total(window))
         await self._pin(fencing_token, pinned)
         self._leave_out_until(window, "overdue", fencing_token)
         self._pinned = pinned
@@ -213,7 +233,7 @@
         pin_next_condition = pin_condition(items, unreadable)
         stored = read_stored(items, unreadable)
         progress = resume(stored, token, self._own_progress())
-        merge_counts(self._stored_counts, stored.open_counts)
+        self._open_counts.merge_stored(stored.open_counts)
         self._pin_condition = pin_next_condition
         self._uncertain_reason = "store restored" if stored.readable else UNREADABLE
         self._state_stored = progress.state_stored
@@ -258,27 +278,14 @@
             return None
         return Progress(self._pinned, self._following_window, self._state_stored)
 
-    async def _store_open_counts(self, fencing_token: FencingToken) -> None:
-        """Write the request counts of the open windows to the store."""
-        merge_counts(self._stored_counts, self._counts())
-        for incarnation, windows in list(self._stored_counts.items()):
-            self._stored_counts[incarnation] = {
-                key: value for key, value in windows.items() if key >= self._following_window
-            }
-            if not self._stored_counts[incarnation]:
-                del self._stored_counts[incarnation]
-        puts = [Put(OPEN_KEY, msgspec.msgpack.encode(self._stored_counts))]
-        conditions = []
-        states_term = self._state_stored and not self._term_stored
-        if states_term:
-            conditions.append(self._pin_condition)
-            pin_is_final = self._pinned is not None
-            term = TermState(fencing_token.number, self._following_window, pin_is_final)
-            puts.append(_term_put(term))
-        revision = await self._transact(fencing_token, conditions, puts)
-        if states_term and self._pin_condition.key == TERM_KEY:
+    async def _state_term(self, fencing_token: FencingToken) -> None:
+        """Write to the store how far the reports are, where this holder has pinned nothing yet."""
+        pin_is_final = self._pinned is not None
+        term = TermState(fencing_token.number, self._following_window, pin_is_final)
+        revision = await self._transact(fencing_token, [self._pin_condition], [_term_put(term)])
+        if self._pin_condition.key == TERM_KEY:
             self._pin_condition = Precondition(TERM_KEY, revision)
-        self._term_stored = self._state_stored
+        self._term_stored = True
 
     async def _report_window(self, pinned: PinnedWindow) -> None:
         held = self._holder.fencing_token()
@@ -308,21 +315,6 @@
             windows.append(self._usage.window_at(ended_s))
         return max(windows)
 
-    def _total_counts(self, window: int) -> dict[str, int]:
-        """Return the requests of a window by account, summed over all incarnations of all daemons.
-
-        For each incarnation, the larger of the received and the stored counts is used.
-        """
-        received = self._counts()
-        total: Counter[str] = Counter()
-        for incarnation in received.keys() | self._stored_counts.keys():
-            received_counts = received.get(incarnation, {}).get(window, {})
-            stored_counts = self._stored_counts.get(incarnation, {}).get(window, {})
-            total.update(
-                max(received_counts, stored_counts, key=lambda counts: sum(counts.values()))
-            )
-        return dict(total)
-
 
 def _term_put(term: TermState) -> Put:
     return Put(TERM_KEY, msgspec.json.encode(term))
