Let a usage report without a response hold up no later window

What callers saw: four usage windows in a row came after their time on the users' grown site, while half of the calls to the cloud API got no answer and holders changed.

Cause: only the last pin was kept in the store, so the next window was pinned only once the report of the one before had been accepted. A call without a response takes 2 s and a pause, and each window waited for all before it; a window whose report is never accepted blocked all later ones for good.

Change: a pin has the final counts of all windows whose reports wait (`earlier`, an appended field with a default), all windows that are due are pinned in one write, and their reports are under way at once (`gateway/usage_reports.py`). A successor repeats all of them. A build that does not know the field repeats the last window and leaves the others out: no window gets two counts.

Evidence: test_a_report_without_a_response_holds_up_no_later_window (no window accepted before) and test_a_successor_repeats_all_windows_whose_reports_got_no_response failed before. test_windows_that_came_due_while_the_store_was_away_are_reported_at_once held before.

--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -3,8 +3,9 @@
 The duty holder is the daemon that does the tasks of the whole deployment under a lease.
 
 All duty holders that report a window report equal counts. A window is pinned before it is reported:
-its final counts are written to the store, on the condition that the writer still holds the duty. A
-later duty holder repeats exactly these counts and continues with the next window. Where a restore
+its final counts are written to the store, on the condition that the writer still holds the duty,
+beside those of the windows whose reports still wait. A later duty holder repeats exactly these
+counts and continues with the next window. Where a restore
 of the store may have lost a pin, :mod:`godwitpath.gateway.usage_progress` decides what may still be
 reported. The counts of open windows, which were not pinned yet, are also written to the store every
 second (:mod:`godwitpath.gateway.usage_open`); a write of them that waits delays no report.
@@ -18,7 +19,7 @@
 
 import msgspec
 
-from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain, FencedOff, FencingToken
+from godwitpath.gateway.cloud import Cloud, FencingToken
 from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder, boot_time_s
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import (
@@ -33,6 +34,7 @@
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.usage_open import OpenCounts
 from godwitpath.gateway.usage_progress import Progress, resume
+from godwitpath.gateway.usage_reports import RETRY_DELAY_S, PinnedReports
 from godwitpath.gateway.usage_store import (
     OPEN_KEY,
     PIN_KEY,
@@ -64,15 +66,11 @@
 UNREADABLE = "unreadable"
 """Reason for which windows are left out: the store returned a pin or a statement unreadable."""
 
-RETRY_DELAY_S = 0.5
-"""Pause after a failed call of the store or the cloud API."""
-
 
 class UsageDuty:
     """Reports usage while this daemon holds the duty.
 
     :param counts: returns the request counts of all daemons, as far as this daemon received them
-    :ivar reported: number of windows that this daemon has reported
     """
 
     def __init__(
@@ -84,13 +82,12 @@
         bounds: Bounds,
         counts: Callable[[], CountsByIncarnation],
     ) -> None:
-        self.reported = 0
         self._store = store
-        self._cloud = cloud
         self._holder = holder
         self._usage = usage
         self._bounds = bounds
         self._open_counts = OpenCounts(counts)
+        self._reports = PinnedReports(cloud, holder)
         self._term_sent_at_s = -math.inf
         self._following_window = 0
         self._loaded_token_number = 0
@@ -107,29 +104,28 @@
         self._pin_condition = Precondition(PIN_KEY, 0)
         self._uncertain_reason = ""
         self._pinned: PinnedWindow | None = None
-        self._pin_reported = False
 
     async def run(self) -> None:
         """Report usage while this daemon holds the duty, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._report_loop())
+            group.create_task(self._report_loop(group))
             group.create_task(self._store_loop())
 
-    async def _report_loop(self) -> None:
+    async def _report_loop(self, group: asyncio.TaskGroup) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             fencing_token = self._holder.fencing_token()
             if fencing_token is None:
                 continue
             try:
-                await self._report_next_window(fencing_token)
-            except FencedOff as error:
-                decision("usage_fenced_off", fence=fencing_token.number, reason=str(error))
-                self._holder.mark_fenced_off()
+                await self._prepare_term(fencing_token)
+                self._reports.start(fencing_token.number, group)
+                await self._pin_due_windows(fencing_token)
+                self._reports.start(fencing_token.number, group)
             except TxnConflict:
                 # Another holder has pinned a window, so read the stored state again.
                 self._reload = True
-            except (CloudRefused, CloudUncertain, StoreError) as error:
+            except StoreError as error:
                 decision("usage_delayed", fence=fencing_token.number, reason=str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
 
@@ -146,7 +142,8 @@
             except StoreError as error:
                 decision("usage_not_stored", fence=fencing_token.number, reason=str(error))
 
-    async def _report_next_window(self, fencing_token: FencingToken) -> None:
+    async def _prepare_term(self, fencing_token: FencingToken) -> None:
+        """Learn at a term's start how far the reports are, and state it in the store."""
         if self._loaded_token_number != fencing_token.number or self._reload:
             await self._load_stored_state(fencing_token)
         if self._pinned is not None and not self._state_stored:
@@ -160,21 +157,26 @@
         if not stated and boot_time_s() - self._term_sent_at_s >= TERM_WRITE_INTERVAL_S:
             self._term_sent_at_s = boot_time_s()
             await self._state_term(fencing_token)
-        if self._pinned is not None and not self._pin_reported:
-            await self._report_window(self._pinned)
-            if not self._pin_reported:
-                return
-        window = self._next_window()
-        is_due = (window + 1) * self._usage.window_s + WINDOW_SETTLE_S <= self._usage.clock.now_s()
-        if not is_due or not self._holder.settled:
+
+    async def _pin_due_windows(self, fencing_token: FencingToken) -> None:
+        """Pin all windows whose counts are complete and which are not overdue, in one write."""
+        first = self._next_window()
+        settled_at_s = self._usage.clock.now_s() - WINDOW_SETTLE_S
+        last = self._usage.window_at(settled_at_s) - 1
+        if last < first or not self._holder.settled:
             return
-        pinned = PinnedWindow(window, self._open_counts.total(window))
+        waiting = {
+            window: dict(counts)
+            for window, counts in self._reports.pending.items()
+            if window >= self._first_in_time()
+        }
+        due = {window: self._open_counts.total(window) for window in range(first, last)}
+        pinned = PinnedWindow(last, self._open_counts.total(last), {**waiting, **due})
         await self._pin(fencing_token, pinned)
-        self._leave_out_until(window, "overdue", fencing_token)
+        self._leave_out_until(first, "overdue", fencing_token)
         self._pinned = pinned
-        self._pin_reported = False
-        self._following_window = window + 1
-        await self._report_window(pinned)
+        self._following_window = last + 1
+        self._reports.replace(pinned.all_counts())
 
     async def _pin(self, fencing_token: FencingToken, pinned: PinnedWindow) -> None:
         """Write the final counts of a window to the store."""
@@ -192,6 +194,7 @@
             "usage_pinned",
             window=pinned.window,
             requests=pinned.counts,
+            earlier=pinned.earlier,
             fence=fencing_token.number,
             revision=revision,
         )
@@ -239,7 +242,8 @@
         self._state_stored = progress.state_stored
         self._term_stored = self._pin_in_doubt = False
         if progress.pinned != self._pinned:
-            self._pin_reported = False
+            pinned = progress.pinned
+            self._reports.replace(pinned.all_counts() if pinned is not None else {})
         self._pinned = progress.pinned
         self._following_window = progress.next_window
         self._uncertain_until_s = boot_time_s() if progress.uncertain else None
@@ -287,34 +291,21 @@
             self._pin_condition = Precondition(TERM_KEY, revision)
         self._term_stored = True
 
-    async def _report_window(self, pinned: PinnedWindow) -> None:
-        held = self._holder.fencing_token()
-        if held is None or held.number != self._loaded_token_number:
-            return
-        fencing_token = self._holder.begin_call()
-        if fencing_token is None:
-            return
-        await self._cloud.report_usage(fencing_token, pinned.window, pinned.counts)
-        self._pin_reported = True
-        self.reported += 1
-        decision(
-            "usage_reported",
-            window=pinned.window,
-            requests=pinned.counts,
-            fence=fencing_token.number,
-        )
-
     def _next_window(self) -> int:
         """Return the number of the window to report next, without windows that are left out."""
         now_s = self._usage.clock.now_s()
-        overdue_s = self._bounds.usage_late_s + self._usage.window_s
-        windows = [self._following_window, self._usage.window_at(now_s - overdue_s)]
+        windows = [self._following_window, self._first_in_time()]
         if self._uncertain_until_s is not None:
             # The clock may have been corrected since.
             ended_s = now_s - (boot_time_s() - self._uncertain_until_s)
             windows.append(self._usage.window_at(ended_s))
         return max(windows)
 
+    def _first_in_time(self) -> int:
+        """Return the first window that is overdue by less than a window's length, or by nothing."""
+        overdue_s = self._bounds.usage_late_s + self._usage.window_s
+        return self._usage.window_at(self._usage.clock.now_s() - overdue_s)
+
 
 def _term_put(term: TermState) -> Put:
     return Put(TERM_KEY, msgspec.json.encode(term))
--- a/godwitpath/gateway/usage_store.py
+++ b/godwitpath/gateway/usage_store.py
@@ -36,10 +36,17 @@
 
     :ivar window: number of the window
     :ivar counts: number of requests that started to run in the window, by account
+    :ivar earlier: final counts of earlier windows whose reports may not have been accepted, by
+        window; builds that do not know them do not report these windows
     """
 
     window: int
     counts: dict[str, int]
+    earlier: dict[int, dict[str, int]] = {}
+
+    def all_counts(self) -> dict[int, dict[str, int]]:
+        """Return the final counts by window."""
+        return {**self.earlier, self.window: self.counts}
 
 
 class TermState(msgspec.Struct):
