--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -3,23 +3,23 @@
 The duty holder is the daemon that does the tasks of the whole deployment under a lease.
 
 All duty holders that report a window report equal counts. A window is pinned before it is reported:
-its final counts are written to the store, on the condition that the writer still holds the duty. A
-later duty holder repeats exactly these counts and continues with the next window. Where a restore
+its final counts are written to the store, on the condition that the writer still holds the duty,
+beside those of the windows whose reports still wait. A later duty holder repeats exactly these
+counts and continues with the next window. Where a restore
 of the store may have lost a pin, :mod:`godwitpath.gateway.usage_progress` decides what may still be
 reported. The counts of open windows, which were not pinned yet, are also written to the store every
-second, so that they survive the loss of all daemons.
+second (:mod:`godwitpath.gateway.usage_open`); a write of them that waits delays no report.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections import Counter
 from collections.abc import Callable
 
 import msgspec
 
-from godwitpath.gateway.cloud import Cloud, CloudRefused, CloudUncertain, FencedOff, FencingToken
+from godwitpath.gateway.cloud import Cloud, FencingToken
 from godwitpath.gateway.holder import HOLDER_KEY, DutyHolder, boot_time_s
 from godwitpath.gateway.settings import Bounds
 from godwitpath.gateway.store import (
@@ -32,7 +32,9 @@
     era_of,
 )
 from godwitpath.gateway.usage import UsageCounter
+from godwitpath.gateway.usage_open import OpenCounts
 from godwitpath.gateway.usage_progress import Progress, resume
+from godwitpath.gateway.usage_reports import RETRY_DELAY_S, PinnedReports
 from godwitpath.gateway.usage_store import (
     OPEN_KEY,
     PIN_KEY,
@@ -41,7 +43,6 @@
     CountsByIncarnation,
     PinnedWindow,
     TermState,
-    merge_counts,
     pin_condition,
     read_stored,
 )
@@ -52,6 +53,9 @@
 """Interval between two writes of the counts of open windows: if all daemons fail, the usage of this
 time is lost."""
 
+TERM_WRITE_INTERVAL_S = 1.0
+"""Interval between two attempts to state the term in the store."""
+
 WINDOW_SETTLE_S = 3.0
 """Time after a window's end until the window's counts are complete: requests are counted when their
 response arrives, and the other daemons receive the counts within two reports."""
@@ -62,15 +66,11 @@
 UNREADABLE = "unreadable"
 """Reason for which windows are left out: the store returned a pin or a statement unreadable."""
 
-RETRY_DELAY_S = 0.5
-"""Pause after a failed call of the store or the cloud API."""
-
 
 class UsageDuty:
     """Reports usage while this daemon holds the duty.
 
     :param counts: returns the request counts of all daemons, as far as this daemon received them
-    :ivar reported: number of windows that this daemon has reported
     """
 
     def __init__(
@@ -82,15 +82,13 @@
         bounds: Bounds,
         counts: Callable[[], CountsByIncarnation],
     ) -> None:
-        self.reported = 0
         self._store = store
-        self._cloud = cloud
         self._holder = holder
         self._usage = usage
         self._bounds = bounds
-        self._counts = counts
-        self._stored_counts: CountsByIncarnation = {}
-        self._open_counts_stored_at_s = -math.inf
+        self._open_counts = OpenCounts(counts)
+        self._reports = PinnedReports(cloud, holder)
+        self._term_sent_at_s = -math.inf
         self._following_window = 0
         self._loaded_token_number = 0
         self._reload = False
@@ -106,28 +104,46 @@
         self._pin_condition = Precondition(PIN_KEY, 0)
         self._uncertain_reason = ""
         self._pinned: PinnedWindow | None = None
-        self._pin_reported = False
 
     async def run(self) -> None:
         """Report usage while this daemon holds the duty, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._report_loop(group))
+            group.create_task(self._store_loop())
+
+    async def _report_loop(self, group: asyncio.TaskGroup) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             fencing_token = self._holder.fencing_token()
             if fencing_token is None:
                 continue
             try:
-                await self._report_next_window(fencing_token)
-            except FencedOff as error:
-                decision("usage_fenced_off", fence=fencing_token.number, reason=str(error))
-                self._holder.mark_fenced_off()
+                await self._prepare_term(fencing_token)
+                self._reports.start(fencing_token.number, group)
+                await self._pin_due_windows(fencing_token)
+                self._reports.start(fencing_token.number, group)
             except TxnConflict:
                 # Another holder has pinned a window, so read the stored state again.
                 self._reload = True
-            except (CloudRefused, CloudUncertain, StoreError) as error:
+            except StoreError as error:
                 decision("usage_delayed", fence=fencing_token.number, reason=str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _report_next_window(self, fencing_token: FencingToken) -> None:
+    async def _store_loop(self) -> None:
+        """Write the request counts of the open windows to the store, until cancelled."""
+        while True:
+            await asyncio.sleep(OPEN_WRITE_INTERVAL_S)
+            fencing_token = self._holder.fencing_token()
+            if fencing_token is None or fencing_token.number != self._loaded_token_number:
+                continue
+            puts = [Put(OPEN_KEY, self._open_counts.encode(self._following_window))]
+            try:
+                await self._transact(fencing_token, [], puts)
+            except StoreError as error:
+                decision("usage_not_stored", fence=fencing_token.number, reason=str(error))
+
+    async def _prepare_term(self, fencing_token: FencingToken) -> None:
+        """Learn at a term's start how far the reports are, and state it in the store."""
         if self._loaded_token_number != fencing_token.number or self._reload:
             await self._load_stored_state(fencing_token)
         if self._pinned is not None and not self._state_stored:
@@ -137,24 +153,30 @@
             self._leave_out_until(self._next_window(), self._uncertain_reason, fencing_token)
             self._uncertain_until_s = None
             self._state_stored = True
-        if boot_time_s() - self._open_counts_stored_at_s >= OPEN_WRITE_INTERVAL_S:
-            self._open_counts_stored_at_s = boot_time_s()
-            await self._store_open_counts(fencing_token)
-        if self._pinned is not None and not self._pin_reported:
-            await self._report_window(self._pinned)
-            if not self._pin_reported:
-                return
-        window = self._next_window()
-        is_due = (window + 1) * self._usage.window_s + WINDOW_SETTLE_S <= self._usage.clock.now_s()
-        if not is_due or not self._holder.settled:
+        stated = self._term_stored or not self._state_stored
+        if not stated and boot_time_s() - self._term_sent_at_s >= TERM_WRITE_INTERVAL_S:
+            self._term_sent_at_s = boot_time_s()
+            await self._state_term(fencing_token)
+
+    async def _pin_due_windows(self, fencing_token: FencingToken) -> None:
+        """Pin all windows whose counts are complete and which are not overdue, in one write."""
+        first = self._next_window()
+        settled_at_s = self._usage.clock.now_s() - WINDOW_SETTLE_S
+        last = self._usage.window_at(settled_at_s) - 1
+        if last < first or not self._holder.settled:
             return
-        pinned = PinnedWindow(window, self._total_counts(window))
+        waiting = {
+            window: dict(counts)
+            for window, counts in self._reports.pending.items()
+            if window >= self._first_in_time()
+        }
+        due = {window: self._open_counts.total(window) for window in range(first, last)}
+        pinned = PinnedWindow(last, self._open_counts.total(last), {**waiting, **due})
         await self._pin(fencing_token, pinned)
-        self._leave_out_until(window, "overdue", fencing_token)
+        self._leave_out_until(first, "overdue", fencing_token)
         self._pinned = pinned
-        self._pin_reported = False
-        self._following_window = window + 1
-        await self._report_window(pinned)
+        self._following_window = last + 1
+        self._reports.replace(pinned.all_counts())
 
     async def _pin(self, fencing_token: FencingToken, pinned: PinnedWindow) -> None:
         """Write the final counts of a window to the store."""
@@ -172,6 +194,7 @@
             "usage_pinned",
             window=pinned.window,
             requests=pinned.counts,
+            earlier=pinned.earlier,
             fence=fencing_token.number,
             revision=revision,
         )
@@ -213,13 +236,14 @@
         pin_next_condition = pin_condition(items, unreadable)
         stored = read_stored(items, unreadable)
         progress = resume(stored, token, self._own_progress())
-        merge_counts(self._stored_counts, stored.open_counts)
+        self._open_counts.merge_stored(stored.open_counts)
         self._pin_condition = pin_next_condition
         self._uncertain_reason = "store restored" if stored.readable else UNREADABLE
         self._state_stored = progress.state_stored
         self._term_stored = self._pin_in_doubt = False
         if progress.pinned != self._pinned:
-            self._pin_reported = False
+            pinned = progress.pinned
+            self._reports.replace(pinned.all_counts() if pinned is not None else {})
         self._pinned = progress.pinned
         self._following_window = progress.next_window
         self._uncertain_until_s = boot_time_s() if progress.uncertain else None
@@ -258,70 +282,29 @@
             return None
         return Progress(self._pinned, self._following_window, self._state_stored)
 
-    async def _store_open_counts(self, fencing_token: FencingToken) -> None:
-        """Write the request counts of the open windows to the store."""
-        merge_counts(self._stored_counts, self._counts())
-        for incarnation, windows in list(self._stored_counts.items()):
-            self._stored_counts[incarnation] = {
-                key: value for key, value in windows.items() if key >= self._following_window
-            }
-            if not self._stored_counts[incarnation]:
-                del self._stored_counts[incarnation]
-        puts = [Put(OPEN_KEY, msgspec.msgpack.encode(self._stored_counts))]
-        conditions = []
-        states_term = self._state_stored and not self._term_stored
-        if states_term:
-            conditions.append(self._pin_condition)
-            pin_is_final = self._pinned is not None
-            term = TermState(fencing_token.number, self._following_window, pin_is_final)
-            puts.append(_term_put(term))
-        revision = await self._transact(fencing_token, conditions, puts)
-        if states_term and self._pin_condition.key == TERM_KEY:
+    async def _state_term(self, fencing_token: FencingToken) -> None:
+        """Write to the store how far the reports are, where this holder has pinned nothing yet."""
+        pin_is_final = self._pinned is not None
+        term = TermState(fencing_token.number, self._following_window, pin_is_final)
+        revision = await self._transact(fencing_token, [self._pin_condition], [_term_put(term)])
+        if self._pin_condition.key == TERM_KEY:
             self._pin_condition = Precondition(TERM_KEY, revision)
-        self._term_stored = self._state_stored
-
-    async def _report_window(self, pinned: PinnedWindow) -> None:
-        held = self._holder.fencing_token()
-        if held is None or held.number != self._loaded_token_number:
-            return
-        fencing_token = self._holder.begin_call()
-        if fencing_token is None:
-            return
-        await self._cloud.report_usage(fencing_token, pinned.window, pinned.counts)
-        self._pin_reported = True
-        self.reported += 1
-        decision(
-            "usage_reported",
-            window=pinned.window,
-            requests=pinned.counts,
-            fence=fencing_token.number,
-        )
+        self._term_stored = True
 
     def _next_window(self) -> int:
         """Return the number of the window to report next, without windows that are left out."""
         now_s = self._usage.clock.now_s()
-        overdue_s = self._bounds.usage_late_s + self._usage.window_s
-        windows = [self._following_window, self._usage.window_at(now_s - overdue_s)]
+        windows = [self._following_window, self._first_in_time()]
         if self._uncertain_until_s is not None:
             # The clock may have been corrected since.
             ended_s = now_s - (boot_time_s() - self._uncertain_until_s)
             windows.append(self._usage.window_at(ended_s))
         return max(windows)
 
-    def _total_counts(self, window: int) -> dict[str, int]:
-        """Return the requests of a window by account, summed over all incarnations of all daemons.
-
-        For each incarnation, the larger of the received and the stored counts is used.
-        """
-        received = self._counts()
-        total: Counter[str] = Counter()
-        for incarnation in received.keys() | self._stored_counts.keys():
-            received_counts = received.get(incarnation, {}).get(window, {})
-            stored_counts = self._stored_counts.get(incarnation, {}).get(window, {})
-            total.update(
-                max(received_counts, stored_counts, key=lambda counts: sum(counts.values()))
-            )
-        return dict(total)
+    def _first_in_time(self) -> int:
+        """Return the first window that is overdue by less than a window's length, or by nothing."""
+        overdue_s = self._bounds.usage_late_s + self._usage.window_s
+        return self._usage.window_at(self._usage.clock.now_s() - overdue_s)
 
 
 def _term_put(term: TermState) -> Put:
