Quarantine: parts are judged once, and an explained crash counts towards one verdict

Change: a crash keeps a bit mask of its requests for each subject; subjects under the same crashes are judged together (judgement.py); one subject is chosen a review. What a crash holds is bounded by subjects as well. A crash that a verdict explains counts against a member of it only beside a crash that no verdict explains and that was 2 s ago, which tells the member from the others. The two go together: under the old rule all members of a verdict stay due, and each would have to be judged again.

--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, defaultdict
-from collections.abc import Iterable, Iterator
+from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from godwitpath.gateway.engine_notices import Incarnation
@@ -29,6 +29,16 @@
 MAX_REPORTED_REQUESTS = 256
 """Number of requests in a report, which has to fit into a datagram."""
 
+MAX_SUBJECTS_PER_CRASH = 16_384
+"""Number of subjects, counted in each request with them, that are remembered of a crash: of longer
+prompts fewer requests are remembered."""
+
+MAX_SUBJECTS = 131_072
+"""Number of subjects, counted in each crash under them, that are remembered."""
+
+NEWEST_CRASHES = 8
+"""Number of the newest crashes under a subject that decide whether a success is news."""
+
 MAX_SUCCESSES = 8192
 """Number of parts of prompts, and of requests, of which it is remembered that a response went well:
 callers choose both."""
@@ -40,24 +50,65 @@
 
     :ivar at_s: time of the crash
     :ivar learned_at_s: time at which its last request was learned
-    :ivar requests: subjects of each request that the engine could have begun to answer
+    :ivar requests: subjects of each request that the engine could have begun to answer, in the
+        order in which they were learned
     :ivar own_requests: those of the requests that this daemon had sent
+    :ivar masks: which requests have a subject, bit n for the n-th request
+    :ivar has_parts: whether one of the requests has a prompt with shared parts
     """
 
     at_s: float
     learned_at_s: float
-    requests: set[Subjects] = field(default_factory=set)
+    requests: dict[Subjects, None] = field(default_factory=dict)
     own_requests: set[Subjects] = field(default_factory=set)
+    masks: dict[str, int] = field(default_factory=dict)
+    has_parts: bool = False
+    _size: int = 0
 
-    @property
-    def has_parts(self) -> bool:
-        """Whether one of the requests has a prompt with shared parts."""
-        return any(not is_fingerprint(subjects[0]) for subjects in self.requests)
+    def add(self, request: Subjects, own: bool, now_s: float) -> list[str]:
+        """Add a request if there is room for it.
 
-    @property
-    def subjects(self) -> set[str]:
-        """Subjects of all requests."""
-        return {subject for request in self.requests for subject in request}
+        :returns: the subjects that no known request has
+        """
+        if request in self.requests or not self._has_room(request):
+            return []
+        bit = 1 << len(self.requests)
+        self.requests[request] = None
+        if own:
+            self.own_requests.add(request)
+        self._size += len(request)
+        self.learned_at_s = now_s
+        self.has_parts = self.has_parts or not is_fingerprint(request[0])
+        new_subjects = [subject for subject in request if subject not in self.masks]
+        for subject in request:
+            self.masks[subject] = self.masks.get(subject, 0) | bit
+        return new_subjects
+
+    def _has_room(self, request: Subjects) -> bool:
+        return (
+            len(self.requests) < MAX_REQUESTS_PER_CRASH
+            and self._size + len(request) <= MAX_SUBJECTS_PER_CRASH
+        )
+
+    def has_request_with(self, subjects: Iterable[str]) -> bool:
+        """Return whether one of the requests has all of some subjects."""
+        mask = -1
+        for subject in subjects:
+            mask &= self.masks.get(subject, 0)
+            if not mask:
+                return False
+        return True
+
+    def forget_parts(self) -> list[str]:
+        """Reduce the requests to their fingerprints; returns the parts that they had."""
+        parts = [subject for subject in self.masks if not is_fingerprint(subject)]
+        known, own = self.requests, self.own_requests
+        self.requests, self.own_requests, self.masks = {}, set(), {}
+        self._size, self.has_parts = 0, False
+        for request in known:
+            if fingerprints := tuple(filter(is_fingerprint, request)):
+                self.add(fingerprints, request in own, self.learned_at_s)
+        return parts
 
 
 @dataclass(slots=True)
@@ -120,13 +171,14 @@
     :ivar successes: the successes by subject
     """
 
-    __slots__ = ("_incarnations_by_subject", "_started_at_s", "crashes", "successes")
+    __slots__ = ("_incarnations_by_subject", "_size", "_started_at_s", "crashes", "successes")
 
     def __init__(self, started_at_s: float) -> None:
         self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
         self.successes = SuccessRecords()
-        self._incarnations_by_subject: defaultdict[str, set[Incarnation]] = defaultdict(set)
+        self._incarnations_by_subject: dict[str, list[Incarnation]] = {}
         self._started_at_s = started_at_s
+        self._size = 0
 
     def add_crash(
         self,
@@ -146,37 +198,43 @@
         crash = self.crashes.get(incarnation)
         if crash is None:
             crash = self.crashes[incarnation] = Crash(at_s, now_s)
-            if len(self.crashes) > MAX_CRASHES:
-                self._drop_crash(next(iter(self.crashes)))
         crash.at_s = min(crash.at_s, at_s)
-        unknown = sorted({request for request in requests if request} - crash.requests)
-        new_requests = unknown[: MAX_REQUESTS_PER_CRASH - len(crash.requests)]
-        if own:
-            crash.own_requests.update(new_requests)
-        if new_requests:
-            crash.requests.update(new_requests)
-            crash.learned_at_s = now_s
-        new_subjects = {subject for request in new_requests for subject in request}
-        for subject in new_subjects:
-            self._incarnations_by_subject[subject].add(incarnation)
+        unknown = {request for request in requests if request and request not in crash.requests}
+        new_subjects: set[str] = set()
+        for request in sorted(unknown, key=lambda each: each[::-1]):
+            for subject in crash.add(request, own, now_s):
+                self._incarnations_by_subject.setdefault(subject, []).append(incarnation)
+                self._size += 1
+            if request in crash.requests:
+                new_subjects.update(request)
+        while len(self.crashes) > 1 and (
+            len(self.crashes) > MAX_CRASHES or self._size > MAX_SUBJECTS
+        ):
+            self._drop_crash(next(iter(self.crashes)))
         return new_subjects
 
+    def has_crash_under(self, subject: str) -> bool:
+        """Return whether an engine crashed under a subject."""
+        return subject in self._incarnations_by_subject
+
     def succeeded_since(self, subject: str, since_s: float) -> bool:
         """Return whether a response to a subject went well after a time."""
         success = self.successes.get(subject)
         return success is not None and success.succeeded_at_s > since_s
 
-    def times_s(self, subject: str) -> list[float]:
-        """Return the times of all crashes under a subject."""
-        return [self.crashes[each].at_s for each in self._incarnations_by_subject.get(subject, ())]
+    def newest_times_s(self, subject: str) -> list[float]:
+        """Return the times of the newest crashes under a subject."""
+        newest = self._incarnations_by_subject.get(subject, ())[-NEWEST_CRASHES:]
+        return [self.crashes[each].at_s for each in newest]
 
-    def crashes_since_success(self, subject: str) -> Iterator[Crash]:
-        """Yield the crashes under a subject since the last response to it that went well."""
+    def crashes_since_success(self, subject: str) -> tuple[Incarnation, ...]:
+        """Return the crashes under a subject since the last response to it that went well."""
+        incarnations = self._incarnations_by_subject.get(subject, ())
         success = self.successes.get(subject)
-        for incarnation in self._incarnations_by_subject.get(subject, ()):
-            crash = self.crashes[incarnation]
-            if success is None or crash.at_s > success.succeeded_at_s:
-                yield crash
+        if success is None:
+            return tuple(incarnations)
+        since_s, crashes = success.succeeded_at_s, self.crashes
+        return tuple([each for each in incarnations if crashes[each].at_s > since_s])
 
     def count_with_parts_since(self, at_s: float) -> int:
         """Return the number of crashes under prompts with shared parts since a time."""
@@ -205,17 +263,15 @@
             if now_s - crash.at_s >= REQUEST_EVIDENCE_RETENTION_S:
                 self._drop_crash(incarnation)
             elif now_s - crash.at_s >= EVIDENCE_RETENTION_S and crash.has_parts:
-                self._forget(
-                    incarnation, {each for each in crash.subjects if not is_fingerprint(each)}
-                )
-                crash.requests = {tuple(filter(is_fingerprint, each)) for each in crash.requests}
-                crash.requests.discard(())
+                self._forget(incarnation, crash.forget_parts())
 
     def _drop_crash(self, incarnation: Incarnation) -> None:
-        self._forget(incarnation, self.crashes.pop(incarnation).subjects)
+        self._forget(incarnation, self.crashes.pop(incarnation).masks)
 
     def _forget(self, incarnation: Incarnation, subjects: Iterable[str]) -> None:
         for subject in subjects:
-            self._incarnations_by_subject[subject].discard(incarnation)
-            if not self._incarnations_by_subject[subject]:
+            incarnations = self._incarnations_by_subject[subject]
+            incarnations.remove(incarnation)
+            self._size -= 1
+            if not incarnations:
                 del self._incarnations_by_subject[subject]
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -11,41 +11,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from itertools import islice
 
-from godwitpath.gateway.crash_evidence import REPORT_S, Crash, CrashEvidence
+from godwitpath.gateway.crash_evidence import REPORT_S, CrashEvidence
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.fingerprint import is_fingerprint
+from godwitpath.gateway.judgement import CRASHES_IN_DOUBT, Judge
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
 from godwitpath.gateway.verdicts import Verdict, Verdicts
 
-CRASHES_TO_QUARANTINE = 4
-"""Crashes under a part after which it is quarantined: two may coincide with a part by chance."""
-
-CRASHES_OF_A_REQUEST = 3
-"""Crashes under a request after which its copies are refused."""
-
-CAUSES_OF_A_REQUEST = 2
-"""Number of causes among these crashes: a zone that is lost may end several engines that run copies
-of one request."""
-
-CRASHES_IN_DOUBT = 6
-"""Crashes under a part that it takes if there is a better explanation: if a response to the part
-went well before, or if most engines crashed without it."""
-
-EXPLAINED_SHARE = 1 / 3
-"""Share of the crashes since the first one under a part that the part has to explain. In a large
-fleet whose engines keep failing, some rare part is in several crashes by chance."""
-
-SAME_CAUSE_S = 0.25
-"""Time within which several crashes count as one: engines that fail together, such as those of a
-reclaimed zone, share a cause that is none of their requests."""
-
-MIN_SUSPICION_S = 2.0
-"""Time from the first crash under a subject to its quarantine: by then every daemon knows of a
-response to the subject that went well in between."""
-
 SAME_SUCCESS_S = 0.2
 """Difference up to which two times of a response that went well are the same, since they are
 reported as ages."""
@@ -62,11 +37,19 @@
     :param started_at_s: time since which evidence is collected
     """
 
-    __slots__ = ("_evidence", "_received_at_s", "_reporting_since_s", "_suspects", "_verdicts")
+    __slots__ = (
+        "_evidence",
+        "_judge",
+        "_received_at_s",
+        "_reporting_since_s",
+        "_suspects",
+        "_verdicts",
+    )
 
     def __init__(self, started_at_s: float) -> None:
         self._evidence = CrashEvidence(started_at_s)
         self._verdicts = Verdicts()
+        self._judge = Judge(self._evidence, self._verdicts)
         # Subjects under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
         # Subjects with a success to report to the other daemons, by time of the first report.
@@ -91,10 +74,7 @@
         :param own: whether this daemon had sent them
         :returns: the new verdict that follows, None if there is none
         """
-        new_subjects = self._evidence.add_crash(incarnation, at_s, requests, now_s, own=own)
-        for subject in new_subjects:
-            self._report_if_needed(subject, now_s)
-        self._suspects |= new_subjects
+        self._add_crash(incarnation, at_s, requests, now_s, own=own)
         return self.review(now_s)
 
     def note_success(self, subjects: Iterable[str], at_s: float, now_s: float) -> list[Verdict]:
@@ -103,10 +83,11 @@
         :param at_s: time until which the engine had answered without a crash
         :returns: the verdicts that it refutes
         """
-        for subject in subjects:
+        succeeded = set(subjects)
+        for subject in succeeded:
             self._evidence.successes.add(subject, at_s)
             self._report_if_needed(subject, now_s)
-        return self._drop_refuted()
+        return self._drop_refuted(succeeded)
 
     # Decisions.
 
@@ -125,7 +106,7 @@
 
         That crash, which is not confirmed yet, and one more would quarantine one of its subjects.
         """
-        return any(self._convicts(subject, further_crashes=2) for subject in subjects)
+        return any(case.convicts(further_crashes=2) for case in self._judge.cases(subjects))
 
     @property
     def verdicts(self) -> list[Verdict]:
@@ -139,7 +120,7 @@
     def crashes(self, verdict: Verdict) -> Iterator[tuple[Incarnation, float]]:
         """Yield the engines whose known crashes speak for a verdict, with the time of each."""
         for incarnation, crash in self._evidence.crashes.items():
-            if any(verdict.subjects.issubset(request) for request in crash.requests):
+            if crash.has_request_with(verdict.subjects):
                 yield incarnation, crash.at_s
 
     def review(self, now_s: float) -> Verdict | None:
@@ -147,19 +128,31 @@
 
         :returns: the new verdict, None if there is none
         """
-        self._suspects = {subject for subject in self._suspects if self._convicts(subject)}
-        crashes = {subject: self._counted(subject) for subject in self._suspects}
-        due = [
-            subject for subject in self._suspects if now_s - crashes[subject][0] >= MIN_SUSPICION_S
-        ]
-        for subject in sorted(due, key=self._ranking_key):
-            self._suspects.discard(subject)
-            times_s = crashes[subject]
-            count = self._crash_count(subject)
-            verdict = Verdict(self._inseparable(subject), count, times_s[0], now_s)
-            if self._add_verdict(verdict) is not None:
-                return verdict
-        return None
+        if not self._suspects:
+            return None
+        cases = [case for case in self._judge.cases(self._suspects) if case.convicts()]
+        self._suspects = {subject for case in cases for subject in case.subjects}
+        due = [case for case in cases if now_s >= case.due_at_s]
+        if not due:
+            return None
+        subject, case = self._judge.best(due)
+        self._suspects.discard(subject)
+        subjects = self._judge.inseparable(subject, case)
+        return self._add_verdict(Verdict(subjects, case.crash_count, case.causes_s[0], now_s))
+
+    def _add_crash(
+        self,
+        incarnation: Incarnation,
+        at_s: float,
+        requests: Iterable[Subjects],
+        now_s: float,
+        *,
+        own: bool,
+    ) -> None:
+        new_subjects = self._evidence.add_crash(incarnation, at_s, requests, now_s, own=own)
+        for subject in new_subjects:
+            self._report_if_needed(subject, now_s)
+        self._suspects |= new_subjects
 
     def drop_expired(self, now_s: float) -> list[Verdict]:
         """Drop old evidence, and verdicts for which nobody asks any more; returns the latter."""
@@ -223,7 +216,8 @@
         for crash in report.crashes:
             incarnation = (crash.engine_id, crash.started_at_ms)
             at_s = now_s - crash.age_s
-            new.append(self.note_crash(incarnation, at_s, crash.requests, now_s, own=False))
+            self._add_crash(incarnation, at_s, crash.requests, now_s, own=False)
+        new.append(self.review(now_s))
         return [verdict for verdict in new if verdict is not None]
 
     def _apply_verdict(self, reported: ReportedVerdict, now_s: float) -> Verdict | None:
@@ -249,7 +243,7 @@
         success = self._evidence.successes.get(subject)
         if success is None:
             return False
-        times_s = self._evidence.times_s(subject)
+        times_s = self._evidence.newest_times_s(subject)
         times_s += [each.since_s for each in self._verdicts if subject in each.subjects]
         return any(success.reported_at_s < at_s < success.succeeded_at_s for at_s in times_s)
 
@@ -257,85 +251,6 @@
         if subject not in self._reporting_since_s and self._is_unreported(subject):
             self._reporting_since_s[subject] = now_s
 
-    # Judgement.
-
-    def _convicts(self, subject: str, further_crashes: int = 0) -> bool:
-        """Return whether the crashes under a subject suffice for its quarantine.
-
-        :param further_crashes: number of crashes, each with a cause of its own, to add to the known
-        """
-        causes = len(self._counted(subject)) + further_crashes
-        if not is_fingerprint(subject):
-            return causes >= self._required(subject)
-        crashes = self._crash_count(subject) + further_crashes
-        return crashes >= CRASHES_OF_A_REQUEST and causes >= CAUSES_OF_A_REQUEST
-
-    def _crash_count(self, subject: str) -> int:
-        """Return the number of crashes that speak against a subject.
-
-        For a part, those with one cause are one.
-        """
-        if is_fingerprint(subject):
-            return sum(1 for _ in self._counting_crashes(subject))
-        return len(self._counted(subject))
-
-    def _required(self, subject: str) -> int:
-        """Return the number of crashes after which a part is quarantined."""
-        if subject in self._evidence.successes:
-            return CRASHES_IN_DOUBT
-        times_s = [crash.at_s for crash in self._counting_crashes(subject)]
-        all_crashes = self._evidence.count_with_parts_since(min(times_s)) if times_s else 0
-        explains = len(times_s) >= EXPLAINED_SHARE * all_crashes
-        return CRASHES_TO_QUARANTINE if explains else CRASHES_IN_DOUBT
-
-    def _counting_crashes(self, subject: str) -> Iterator[Crash]:
-        """Yield the crashes that count against a subject.
-
-        Those that a verdict on other subjects explains do not.
-        """
-        for crash in self._evidence.crashes_since_success(subject):
-            explained = any(
-                subject not in verdict.subjects
-                and any(verdict.subjects.issubset(request) for request in crash.requests)
-                for verdict in self._verdicts
-            )
-            if not explained:
-                yield crash
-
-    def _counted(self, subject: str) -> list[float]:
-        """Return the times of the crashes that count against a subject, one for each cause."""
-        counted: list[float] = []
-        for at_s in sorted(crash.at_s for crash in self._counting_crashes(subject)):
-            if not counted or at_s - counted[-1] >= SAME_CAUSE_S:
-                counted.append(at_s)
-        return counted
-
-    def _ranking_key(self, subject: str) -> tuple[bool, int, int, str]:
-        """Return by what the subject to quarantine is chosen, the least doubtful first.
-
-        A subject that many requests share is found in many requests of each crash.
-        """
-        requests = sum(
-            subject in request
-            for crash in self._counting_crashes(subject)
-            for request in crash.requests
-        )
-        return subject in self._evidence.successes, requests, -len(self._counted(subject)), subject
-
-    def _inseparable(self, subject: str) -> frozenset[str]:
-        """Return a subject with those that the evidence does not distinguish from it.
-
-        These are in each request with the subject under which an engine crashed.
-        """
-        return frozenset.intersection(
-            *(
-                frozenset(request)
-                for crash in self._counting_crashes(subject)
-                for request in crash.requests
-                if subject in request
-            )
-        )
-
     def _add_verdict(self, verdict: Verdict) -> Verdict | None:
         """Add a verdict without the subjects to which a response went well since.
 
@@ -351,13 +266,16 @@
             return None
         return self._verdicts.add(verdict)
 
-    def _drop_refuted(self) -> list[Verdict]:
-        """Drop refuted subjects of all verdicts; returns the verdicts of which nothing is left."""
+    def _drop_refuted(self, succeeded: Set[str]) -> list[Verdict]:
+        """Drop refuted subjects of all verdicts; returns the verdicts of which nothing is left.
+
+        :param succeeded: the subjects with a new success
+        """
         refuted = []
-        for verdict in self.verdicts:
+        for verdict in self._verdicts:
             if not any(
                 self._evidence.succeeded_since(subject, verdict.since_s)
-                for subject in verdict.subjects
+                for subject in verdict.subjects & succeeded
             ):
                 continue
             subjects = verdict.subjects
--- a/godwitpath/gateway/verdicts.py
+++ b/godwitpath/gateway/verdicts.py
@@ -54,12 +54,16 @@
 
 
 class Verdicts:
-    """The verdicts in force, none of which covers another."""
+    """The verdicts in force, none of which covers another.
 
-    __slots__ = ("_by_subjects",)
+    :ivar revision: changes with each verdict that is added or removed
+    """
+
+    __slots__ = ("_by_subjects", "revision")
 
     def __init__(self) -> None:
         self._by_subjects: dict[frozenset[str], Verdict] = {}
+        self.revision = 0
 
     def __iter__(self) -> Iterator[Verdict]:
         return iter(list(self._by_subjects.values()))
@@ -88,11 +92,13 @@
         if len(self) >= MAX_VERDICTS:
             self.remove(self._least_needed())
         self._by_subjects[verdict.subjects] = verdict
+        self.revision += 1
         return verdict
 
     def remove(self, verdict: Verdict) -> None:
         """Remove a verdict."""
         del self._by_subjects[verdict.subjects]
+        self.revision += 1
 
     def drop_expired(self, now_s: float) -> list[Verdict]:
         """Drop the verdicts that have expired, and return them."""
--- a/test/test_gateway_request_quarantine.py
+++ b/test/test_gateway_request_quarantine.py
@@ -8,7 +8,8 @@
 
 from godwitpath.gateway.crash_evidence import EVIDENCE_RETENTION_S, MAX_SUCCESSES
 from godwitpath.gateway.fingerprint import fingerprint
-from godwitpath.gateway.quarantine import CRASHES_OF_A_REQUEST, Quarantine
+from godwitpath.gateway.judgement import CRASHES_OF_A_REQUEST
+from godwitpath.gateway.quarantine import Quarantine
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
 from godwitpath.gateway.verdicts import MAX_VERDICTS, REQUEST_QUARANTINE_S
 from godwitpath.http1.messages import Request
