A restart of all daemons does not grant a large burst again

Cause: each daemon began an account with its share of a whole burst unless another one had reported its level, so that a restart of all granted the burst once more.

Change: without a reported level a daemon begins with half of the allowed excess (overage and slack of the settings), and with what the account's rate gave since its own start; the level of the first report replaces it.

Where the excess holds the burst, nothing changes.

--- a/godwitpath/gateway/accounts.py
+++ b/godwitpath/gateway/accounts.py
@@ -30,6 +30,10 @@
 """Unreported use, as a share of an account's burst, that is reported to the other daemons at
 once."""
 
+START_EXCESS_SHARE = 0.5
+"""Share of the allowed excess over a quota that the burst may take which daemons grant after a
+restart of them all; the rest is for use that is not yet reported."""
+
 _SALT = secrets.token_bytes(16)
 
 
@@ -66,11 +70,14 @@
     :ivar requested: units requested from this daemon, including units of refused requests
     :ivar admitted: units admitted by this daemon
     :ivar peer_admitted: units admitted by the other daemons, as they reported them
+    :ivar level_known: whether the level is a full bucket's, or follows from what another daemon
+        reported
     """
 
     level: float
     refilled_at_s: float
     spec: AccountSpec
+    level_known: bool
     requested: float = 0.0
     admitted: float = 0.0
     peer_admitted: float = 0.0
@@ -92,13 +99,26 @@
 
     :param window_s: quota window; an account's debt from late reports is limited to the rate times
         this window
+    :param overage: fraction by which the daemons together may exceed a quota in a window
+    :param slack: units by which they may exceed it in addition
+    :param started_at_s: loop time at which the daemon started
     :ivar used: units that this daemon has admitted since its start, by account
     :ivar urgent: set when unreported use is large enough to be reported at once
     """
 
-    def __init__(self, rng: Random, window_s: float) -> None:
+    def __init__(
+        self,
+        rng: Random,
+        window_s: float,
+        overage: float = 0.0,
+        slack: float = math.inf,
+        started_at_s: float = 0.0,
+    ) -> None:
         self._rng = rng
         self._window_s = window_s
+        self._overage = overage
+        self._slack = slack
+        self._started_at_s = started_at_s
         self.used: dict[str, float] = {}
         self.urgent = asyncio.Event()
         self._unreported: dict[str, float] = {}
@@ -137,8 +157,9 @@
         return 0.0
 
     def __contains__(self, account: str) -> bool:
-        """Return whether there is a bucket of an account."""
-        return account in self._buckets
+        """Return whether the level of an account's bucket is known."""
+        bucket = self._buckets.get(account)
+        return bucket is not None and bucket.level_known
 
     def levels(self) -> dict[str, int]:
         """Return the units left in the bucket of each account at the time of its last request."""
@@ -170,19 +191,40 @@
     def note_peer_level(
         self, spec: AccountSpec, level: float, rate_share: float, now_s: float
     ) -> None:
-        """Start the bucket of an account at the level that another daemon reported.
+        """Set the bucket of an account to the level that another daemon reported.
 
         A daemon that has just started, or has had no request of the account, would else admit the
-        whole burst again. A bucket that exists is not changed: it counts the use of all daemons.
+        whole burst again. A bucket whose level is known is not changed: it counts the use of all
+        daemons.
+        """
+        if spec.rate_per_s <= 0 or spec.name in self:
+            return
+        begun = spec.name in self._buckets
+        bucket = self._refill(spec, rate_share, now_s)
+        reported_level = min(level - self.used.get(spec.name, 0.0), spec.burst * rate_share)
+        if begun:
+            bucket.level = max(bucket.level, reported_level)
+        else:
+            bucket.level = reported_level
+        bucket.level_known = True
+
+    def _start_level(self, spec: AccountSpec, now_s: float) -> float:
+        """Return the units of an account that all daemons together grant after their start.
+
+        Without other daemons' reports nothing says how much was used before. The burst that is
+        granted once more keeps to the allowed excess, and the rest of it comes at the rate.
         """
-        if spec.rate_per_s > 0 and spec.name not in self._buckets:
-            bucket = self._refill(spec, rate_share, now_s)
-            bucket.level = min(bucket.level, level)
+        excess = self._overage * (spec.rate_per_s * self._window_s + spec.burst) + self._slack
+        refilled = spec.rate_per_s * (now_s - self._started_at_s)
+        return min(spec.burst, max(1.0, START_EXCESS_SHARE * excess) + refilled)
 
     def _refill(self, spec: AccountSpec, rate_share: float, now_s: float) -> _Bucket:
         bucket = self._buckets.get(spec.name)
         if bucket is None:
-            bucket = self._buckets[spec.name] = _Bucket(spec.burst * rate_share, now_s, spec)
+            level = self._start_level(spec, now_s)
+            known = level >= spec.burst
+            bucket = _Bucket(level * rate_share, now_s, spec, known)
+            self._buckets[spec.name] = bucket
         elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
         bucket.refilled_at_s = now_s
         decay = math.exp(-elapsed_s / AVERAGING_TIME_S)
--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -80,7 +80,13 @@
         adapter = PlatformAdapter(settings)
         self._store = adapter.store
         in_force = ConfigurationInForce()
-        quota = QuotaTracker(rng, settings.bounds.quota_window_s)
+        quota = QuotaTracker(
+            rng,
+            settings.bounds.quota_window_s,
+            settings.bounds.quota_overage,
+            settings.bounds.quota_slack,
+            asyncio.get_running_loop().time(),
+        )
         engines = EngineRegistry(EngineNotices(quota.urgent))
         self._ctx = GatewayContext(
             settings=settings,
