--- a/godwitpath/gateway/daemon.py
+++ b/godwitpath/gateway/daemon.py
@@ -134,7 +134,14 @@
             self._store, self._members, self._ctx.crashes, self._ctx.usage.clock.now_s, rng
         )
         self._duties = self._make_duties(adapter)
-        dump = StateDump(self._ctx, self._catalogue, self._members, self._peers.view, self._holder)
+        dump = StateDump(
+            self._ctx,
+            self._catalogue,
+            self._members,
+            self._peers.view,
+            self._holder,
+            self._peers.counts,
+        )
         unreadable = (
             self._store.unreadable,
             self._catalogue.entry_reader.unreadable,
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -17,9 +17,12 @@
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
+from godwitpath.gateway.mutual_hearing import HearingStatements, widely_heard
+from godwitpath.gateway.peer_hearing import PeerHearing
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
-from godwitpath.gateway.peer_state import Loads, PeerState, Prompts, ZoneState
+from godwitpath.gateway.peer_state import STATEMENT_S, Loads, PeerState, Prompts, ZoneState
 from godwitpath.gateway.read_speed import common_speed
+from godwitpath.gateway.report_merge import CounterBaseline, PieceOrder
 from godwitpath.gateway.usage import agreed_correction_s
 from godwitpath.gateway.usage_store import CountsByIncarnation
 from godwitpath.gateway.wire_fields import PromptPart
@@ -54,6 +57,8 @@
         account, counted since this daemon's start
     :ivar zone_prefill_tokens: prompt tokens that the other daemons of the local zone have sent for
         prefill, by service, counted since this daemon's start
+    :ivar statements: whom the daemons state to hear
+    :ivar hearing: with whom this daemon is in contact both ways
     :ivar reported_holder: name and fencing token of the duty holder with the greatest fencing token
         in any report
     """
@@ -64,6 +69,8 @@
         self.zone_quota_used: Counter[str] = Counter()
         self.zone_prefill_tokens: Counter[str] = Counter()
         self.reported_holder: tuple[str, int] = ("", 0)
+        self.statements = HearingStatements(STATEMENT_S)
+        self.hearing = PeerHearing(ctx.settings.name, ctx.settings.zone, members, self)
         self._other_zones_prefill_tokens: Counter[str] = Counter()
         # Loop time of the last summary that listed each incarnation of another zone's daemons.
         self._in_summary_at_s: dict[tuple[str, int], float] = {}
@@ -88,12 +95,16 @@
         names = {
             name for (name, _), state in self.states.items() if state.received_at_s >= since_at_s
         }
-        for zone in self.zones.values():
-            if zone.received_at_s >= since_at_s:
-                names.update(name for name, _ in zone.members)
+        for zone in self.zones_heard().values():
+            names.update(name for name, _ in zone.members)
         names.discard(self._ctx.settings.name)
         return names
 
+    def zones_heard(self) -> dict[str, ZoneState]:
+        """Return the state of each other zone whose summary was recently received, by name."""
+        since_at_s = self._loop.time() - REPORT_TIMEOUT_S
+        return {name: zone for name, zone in self.zones.items() if zone.received_at_s >= since_at_s}
+
     def known_daemons(self) -> set[str]:
         """Return the names of all daemons that are registered or report, including this one."""
         return {self._ctx.settings.name} | self._members.entries.keys() | self.reporting()
@@ -107,15 +118,31 @@
             if state.received_at_s >= since_at_s
         }
 
+    def reporting_in_zone(self) -> list[tuple[tuple[str, int], PeerState]]:
+        """Return name and incarnation, and state, of each daemon whose load its own reports tell.
+
+        Those whose last report is old are not among them.
+        """
+        since_at_s = self._loop.time() - REPORT_TIMEOUT_S
+        return [
+            (key, state)
+            for key, state in self.states.items()
+            if state.received_at_s >= since_at_s and self.uses_reports_of(key[0])
+        ]
+
     def aggregator(self) -> str:
-        """Return the name of the local zone's aggregator: the first reporting daemon by name."""
-        zone = self._ctx.settings.zone
+        """Return the name of the local zone's aggregator.
+
+        It is the first by name of the reporting daemons that half of the others hear.
+        """
+        own_name, zone = self._ctx.settings.name, self._ctx.settings.zone
         names = [
             name
             for name in self.reporting_directly()
             if (entry := self._members.entries.get(name)) is not None and entry.zone == zone
         ]
-        return min([*names, self._ctx.settings.name])
+        names.append(own_name)
+        return min(widely_heard(names, self.hearing.stated) or names)
 
     def watchers(self) -> list[str]:
         """Return the names of the local zone's other daemons that watch the store, sorted."""
@@ -143,8 +170,8 @@
         """Return the time since the last report of a daemon's incarnation.
 
         :returns: seconds; None if no report was received; infinite if the daemon has since
-            restarted; zero if this daemon itself appears to be cut off, because less than half of
-            the others report to it
+            restarted, or hears less than half of the others; zero if this daemon itself appears to
+            be cut off, because it is in contact both ways with less than half of them
         """
         if name == self._ctx.settings.name:
             return 0.0 if incarnation == self._incarnation else math.inf
@@ -152,20 +179,26 @@
         if entry is not None and entry.incarnation != incarnation:
             return math.inf
         others = self._members.entries.keys() - {name}
-        if 2 * len(self.reporting() & others) < len(others):
+        if 2 * len(self.hearing.in_contact() & others) < len(others):
             return 0.0
+        its_others = others | {self._ctx.settings.name}
+        if self.statements.hears_less_than_half(name, its_others, self._loop.time()):
+            return math.inf
         key = (name, incarnation)
         report_times_s = [self._in_summary_at_s[key]] if key in self._in_summary_at_s else []
         state = self.states.get(key)
         if state is not None:
             report_times_s.append(state.received_at_s)
+        if entry is not None and (at_s := self.hearing.heard_by_others_at_s(name)) is not None:
+            report_times_s.append(at_s)
         return self._loop.time() - max(report_times_s) if report_times_s else None
 
     def quota_share(self) -> float:
-        """Return the fraction of each quota that this daemon and all reporting daemons may use."""
-        reporting = self.reporting()
-        known_daemons = 1 + len(self._members.entries.keys() | reporting)
-        return (1 + len(reporting)) / known_daemons
+        """Return the fraction of each quota that this daemon and those in contact may use.
+
+        Daemons that do not hear this one do not subtract what it admits.
+        """
+        return (1 + len(self.hearing.in_contact())) / len(self.known_daemons())
 
     def usage_counts(self) -> CountsByIncarnation:
         """Return the number of requests that each incarnation of every daemon counted as usage."""
@@ -202,42 +235,57 @@
         running = sum(each.all_running for each in engines if each.entry.service == service)
         return prefill_tokens, running
 
-    def apply_report(self, report: PeerReport) -> None:
-        """Apply a daemon's report, unless a later report of the incarnation was applied."""
+    def takes_pieces(self, name: str) -> bool:
+        """Return whether a daemon's build takes reports in pieces, as far as its reports say."""
+        latest = max(
+            (state for (each, _), state in self.states.items() if each == name),
+            key=lambda state: state.received_at_s,
+            default=None,
+        )
+        return latest is not None and latest.takes_pieces
+
+    def apply_report(self, report: PeerReport) -> bool:
+        """Apply a daemon's report; returns whether no later one of the incarnation was applied."""
         key = (report.name, report.incarnation)
         state = self.states.get(key)
         if state is None:
             state = self.states[key] = PeerState()
             decision("peer_heard", peer=report.name, incarnation=report.incarnation)
-            state.quota_used = report.quota_used
-            state.prefill_tokens = report.prefill_tokens
-        if report.sequence <= state.sequence:
-            return
-        state.sequence = report.sequence
+        sequence, spread_over = report.sequence, report.spread_over
+        continues = sequence == state.sequence
+        if not state.order.accepts(sequence, report.piece):
+            return False
         state.received_at_s = self._loop.time()
+        if not report.piece:
+            self.hearing.note_report(report)
         state.configuration_revision = report.configuration_revision
         state.configuration_version = report.configuration_version
         state.clock_offset_s = report.clock_s - self._ctx.usage.clock.now_s()
-        state.usage.update(report.usage)
+        for window, counts in report.usage.items():
+            state.usage.setdefault(window, {}).update(counts)
         state.fresh = report.fresh
-        state.read_speeds = report.read_speeds
+        state.takes_pieces = report.hears is not None
+        state.read_speeds = state.renewed_read_speeds.merge(
+            state.read_speeds, report.read_speeds, sequence, spread_over
+        )
         state.engines_revision = report.engines_revision
         if report.holder[1] > self.reported_holder[1]:
             self.reported_holder = report.holder
+        new_use = state.quota_used.increases(report.quota_used, sequence, spread_over)
+        new_tokens = state.prefill_tokens.increases(report.prefill_tokens, sequence, spread_over)
         if not self.uses_reports_of(report.name):
             # The summary of the daemon's zone contains its load.
-            return
-        new_use = _increases(state.quota_used, report.quota_used)
+            return True
         self._apply_quota_use(new_use)
         self._apply_quota_levels(report.quota_levels)
         self.zone_quota_used.update(new_use)
-        self.zone_prefill_tokens.update(_increases(state.prefill_tokens, report.prefill_tokens))
-        self._apply_loads(report.name, state.loads, report.loads)
+        self.zone_prefill_tokens.update(new_tokens)
+        loads = state.renewed_loads.merge(state.loads, report.loads, sequence, spread_over)
+        self._apply_loads(report.name, state.loads, loads)
         self._apply_prompts(report.prompts)
-        state.quota_used = report.quota_used
-        state.prefill_tokens = report.prefill_tokens
-        state.loads = report.loads
-        state.prompts = report.prompts
+        state.loads = loads
+        state.prompts = [*state.prompts, *report.prompts] if continues else report.prompts
+        return True
 
     def apply_summary(self, summary: ZoneSummary) -> bool:
         """Apply the summary of another zone; returns whether the summary was new."""
@@ -248,32 +296,39 @@
         if state.aggregator != aggregator:
             decision("zone_heard", zone=summary.zone, speaker=summary.aggregator)
             state.aggregator = aggregator
-            state.sequence = -1
-            state.quota_used = summary.quota_used
-            state.prefill_tokens = summary.prefill_tokens
-        if summary.sequence <= state.sequence:
+            state.order = PieceOrder()
+            state.quota_used, state.prefill_tokens = CounterBaseline(), CounterBaseline()
+            state.renewed_members.clear()
+            state.renewed_loads.clear()
+        sequence, spread_over = summary.sequence, summary.spread_over
+        if not state.order.accepts(sequence, summary.piece):
             return False
-        state.sequence = summary.sequence
         state.received_at_s = self._loop.time()
-        state.members = summary.members
+        state.members = state.renewed_members.merge(
+            state.members, dict.fromkeys(summary.members), sequence, spread_over
+        )
         self._in_summary_at_s.update(dict.fromkeys(summary.members, state.received_at_s))
+        if not summary.piece:
+            self.hearing.note_summary(summary, state.members)
         state.configuration_revision = summary.configuration_revision
         state.configuration_version = summary.configuration_version
         state.engines_revision = summary.engines_revision
-        self._apply_quota_use(_increases(state.quota_used, summary.quota_used))
+        state.takes_pieces = summary.takes_pieces
+        self._apply_quota_use(state.quota_used.increases(summary.quota_used, sequence, spread_over))
         self._other_zones_prefill_tokens.update(
-            _increases(state.prefill_tokens, summary.prefill_tokens)
+            state.prefill_tokens.increases(summary.prefill_tokens, sequence, spread_over)
         )
-        self._apply_loads(f"zone {summary.zone}", state.loads, summary.loads)
+        loads = state.renewed_loads.merge(state.loads, summary.loads, sequence, spread_over)
+        self._apply_loads(f"zone {summary.zone}", state.loads, loads)
         self._apply_prompts(summary.prompts)
-        state.quota_used = summary.quota_used
-        state.prefill_tokens = summary.prefill_tokens
-        state.loads = summary.loads
+        state.loads = loads
         return True
 
     def drop_expired(self) -> None:
         """Drop the loads of silent daemons and zones, and later their remaining state."""
         now_s = self._loop.time()
+        self.hearing.drop_expired()
+        self.hearing.log_changes()
         for key, state in list(self.states.items()):
             report_age_s = now_s - state.received_at_s
             if report_age_s >= REPORT_TIMEOUT_S and state.loads:
@@ -335,12 +390,3 @@
             if service is not None and service.engine is not None:
                 prompt_parts = [PromptPart(part_id, tokens) for part_id, tokens in parts]
                 self._ctx.placer.note_peer_prompt(engine, prompt_parts, service.engine.cache_tokens)
-
-
-def _increases(before: Mapping[str, int], now: Mapping[str, int]) -> dict[str, int]:
-    """Return the change of each counter, without the unchanged counters."""
-    return {
-        name: value - before.get(name, 0)
-        for name, value in now.items()
-        if value != before.get(name, 0)
-    }
--- a/godwitpath/gateway/state_dump.py
+++ b/godwitpath/gateway/state_dump.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from godwitpath import __version__
@@ -25,7 +25,10 @@
 
 
 class StateDump:
-    """Collects the state of a daemon's components."""
+    """Collects the state of a daemon's components.
+
+    :param peer_events: number of events with other daemons by name
+    """
 
     def __init__(
         self,
@@ -34,12 +37,14 @@
         members: Members,
         view: PeerView,
         holder: DutyHolder,
+        peer_events: Mapping[str, int],
     ) -> None:
         self._ctx = ctx
         self._catalogue = catalogue
         self._members = members
         self._view = view
         self._holder = holder
+        self._peer_events = peer_events
 
     def status(self) -> dict[str, Any]:
         """Return this daemon's view of the daemons, the engines and the duty holder."""
@@ -87,7 +92,7 @@
             "streams_moved": dict(ctx.evacuator.move_counts) if ctx.evacuator is not None else {},
             "datagrams": {
                 "largest_bytes": int(_largest(ctx.instruments.datagram_bytes)),
-                "not_sent": ctx.instruments.unsent_datagrams,
+                "not_sent": self._peer_events.get("datagrams_unsent_too_large", 0),
             },
             "loop_longest_s": {
                 cause.value: round(_largest(ctx.instruments.loop_delay_s, cause=cause.value), 4)
@@ -102,12 +107,14 @@
     def _daemons(self) -> Iterator[dict[str, Any]]:
         direct = self._view.reporting_directly()
         reporting = self._view.reporting()
+        in_contact = self._view.hearing.in_contact()
         for name, entry in sorted(self._members.entries.items()):
             state = direct.get(name)
             yield {
                 "name": name,
                 "zone": entry.zone,
                 "heard": name in reporting,
+                "hears_this": name in in_contact if name in reporting else None,
                 "configuration_revision": (
                     state.configuration_revision if state is not None else None
                 ),
