A silent watch of the daemons' own keys no longer hides what peers know

Cause: the watch of registrations and of the duty holder's key waits for 20 s.

Once peers have known for a second what the watch has not brought, the request that waits is ended and the store asked anew, once for each daemon or token.

Before (with the request never ended early): 2 of 3 new cases of test_gateway_members.py failed, after 4 s neither the daemon nor the holder was known. After: they pass, with at most 4 requests; 70 passed in members, store_watch, freshness, store_restore_fleet, peer_hearing and duties.

--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from hashlib import blake2b
 
 import msgspec
@@ -41,9 +42,16 @@
 """Pause between two watch requests, for each registered daemon: when all daemons start at once, the
 store would otherwise send each registration to each daemon in a separate response."""
 
+NEWS_S = 1.0
+"""Time for which peers must have known of a daemon or a duty holder that the watch of the store has
+not brought until the store is asked anew: its connection may be silent."""
+
 SECRET_BYTES = 32
 """Size of the secret."""
 
+MAX_LOGGED_NEWS = 12
+"""Largest number of names in a log line."""
+
 SECRET_WAIT_S = 0.6
 """Longest random delay before a daemon creates the secret, so that usually only one does."""
 
@@ -116,6 +124,9 @@
         # Era of the store before the lease was granted, as far as it was known.
         self._lease_era = 0
         self._listeners: list[asyncio.Event] = []
+        # Loop time since which peers have known what this daemon does not, infinite once the store
+        # was asked for it.
+        self._news_at_s: dict[str | int, float] = {}
 
     def count(self) -> int:
         """Return the number of daemons, including this one, 0 before the others are known."""
@@ -134,6 +145,20 @@
                 del self.entries[name]
                 decision("member_gone", member=name)
 
+    def note_news(self, news: Collection[str | int]) -> None:
+        """Note what peers know and this daemon does not, and ask the store if that goes on.
+
+        The store is asked once for each. To be called with each report of this daemon.
+
+        :param news: names of daemons, or fencing token of a duty holder
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._news_at_s = {each: self._news_at_s.get(each, now_s) for each in news}
+        late = [each for each, at_s in self._news_at_s.items() if now_s - at_s >= NEWS_S]
+        if late and self.watcher.hasten(NEWS_S):
+            decision("members_outdated", known_to_peers=late[:MAX_LOGGED_NEWS], count=len(late))
+            self._news_at_s.update(dict.fromkeys(late, math.inf))
+
     def zone_of(self, name: str) -> str | None:
         """Return the availability zone of another daemon, None if the daemon is not known."""
         entry = self.entries.get(name)
--- a/godwitpath/gateway/store_watch.py
+++ b/godwitpath/gateway/store_watch.py
@@ -101,6 +101,8 @@
         self._partly_listed = False
         # Ends the watch request that waits, None while none does.
         self._watch_timeout: asyncio.Timeout | None = None
+        self._watch_began_at_s = math.inf
+        self._hastened = False
         # Loop time of the last loss of history, and the pause after another one soon.
         self._lost_at_s = -math.inf
         self._loss_pause_s = 0.0
@@ -160,6 +162,22 @@
         """Note a key that did not come from the store, so that a listing without it removes it."""
         self._keys.setdefault(key, 0)
 
+    def hasten(self, waited_s: float) -> bool:
+        """Ask anew what has changed if a watch request has waited for a time.
+
+        For a caller who knows of a change that the request has not brought: its connection may be
+        silent.
+
+        :returns: whether the request is ended
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._watch_timeout is None or now_s - self._watch_began_at_s < waited_s:
+            return False
+        self._hastened = True
+        self._watch_timeout.reschedule(now_s)
+        self._watch_timeout = None
+        return True
+
     async def read_again(self, key: str) -> ItemUnreadable | None:
         """Read one of :attr:`unreadable_keys`; returns why it still cannot be read.
 
@@ -186,7 +204,11 @@
             return
         wait_s = self._wait_s if self._confirmed else CONFIRM_WAIT_S
         started_at_s = asyncio.get_running_loop().time()
-        changes, revision = await self._watch(wait_s)
+        answer = await self._watch(wait_s)
+        if answer is None:
+            self._confirmed = False
+            return
+        changes, revision = answer
         took_s = asyncio.get_running_loop().time() - started_at_s
         self._confirmed = True
         self._note_response()
@@ -215,12 +237,19 @@
         self._loss_pause_s = min(RETRY_MAX_S, max(RETRY_MIN_S, pause_s * 2))
         return pause_s
 
-    async def _watch(self, wait_s: float) -> tuple[list[Change], int]:
-        """Wait for changes, at most until another call learns that the store was restored."""
+    async def _watch(self, wait_s: float) -> tuple[list[Change], int] | None:
+        """Wait for changes, at most until another call learns that the store was restored.
+
+        :returns: the changes and their revision, None if the request was ended by :meth:`hasten`
+        """
+        self._watch_began_at_s = asyncio.get_running_loop().time()
+        self._hastened = False
         try:
             async with asyncio.timeout(None) as self._watch_timeout:
                 return await self._store.changes(self._prefix, self.revision, wait_s)
         except TimeoutError as error:
+            if self._hastened:
+                return None
             raise HistoryLost("the store was restored, as another call learned") from error
         finally:
             self._watch_timeout = None
@@ -228,6 +257,7 @@
     def _end_watch(self, era: int) -> None:
         """End the watch request that waits, since it may never hear of the store's later era."""
         self.stated_era = era
+        self._hastened = False
         if self._watch_timeout is not None and era > era_of(self.revision):
             self._watch_timeout.reschedule(asyncio.get_running_loop().time())
             self._watch_timeout = None
--- a/test/test_gateway_members.py
+++ b/test/test_gateway_members.py
@@ -4,20 +4,26 @@
 
 import asyncio
 import json
+from random import Random
 
 import msgspec
 import pytest
 from hypothesis import given
 
 from godwitpath.decoding import Unreadable, is_ip_address
+from godwitpath.gateway.holder_entry import HOLDER_KEY, HolderEntry, known_holder
 from godwitpath.gateway.members import (
     MEMBERS_PREFIX,
     RENEW_S,
     SECRET_BYTES,
     SECRET_KEY,
+    MemberEntry,
+    Members,
     decode_member,
 )
 from godwitpath.gateway.peer_view import REPORT_TIMEOUT_S
+from godwitpath.gateway.peers import REPORT_S
+from godwitpath_standin.gateway.store_core import FakeStore, StoreCore
 from test.gateway_fleet import fleet
 from test.mutations import DEEP, values_of_others
 
@@ -93,3 +99,67 @@
         await asyncio.sleep(RENEW_S + 1.0)
         assert len(core.items[SECRET_KEY].value) == SECRET_BYTES
         assert daemon.members.secret == core.items[SECRET_KEY].value
+
+
+CONTACT_S = 4.0
+"""The bound `contactMs` of these deployments."""
+
+
+@pytest.mark.looptime
+async def test_a_silent_watch_does_not_hide_what_peers_know_of_longer_than_the_contact_time() -> (
+    None
+):
+    core = StoreCore()
+    store = FakeStore(core)
+    members = Members(store, "d0", MemberEntry("10.0.0.1", 7600, "a", 1), Random(0))
+    task = asyncio.create_task(members.run())
+    await asyncio.sleep(3.0)
+    store.faults.watches_silent = True
+    core.put(MEMBERS_PREFIX + "d1", json.dumps(VALID).encode())
+    core.put(HOLDER_KEY, msgspec.json.encode(HolderEntry("d1", 2**63 - 1, 5)))
+    token = core.items[HOLDER_KEY].revision
+    await asyncio.sleep(0.5)
+    store.faults.watches_silent = False
+    calls_before = core.calls["watch"]
+    for _ in range(round(CONTACT_S / REPORT_S)):
+        news = {"d1", token} - members.entries.keys() - {known_holder(members)[1]}
+        members.note_news(news)
+        await asyncio.sleep(REPORT_S)
+    assert "d1" in members.entries
+    assert known_holder(members) == ("d1", token)
+    assert core.calls["watch"] - calls_before <= 4
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.looptime
+async def test_what_the_store_does_not_have_makes_a_daemon_ask_it_once() -> None:
+    core = StoreCore()
+    members = Members(FakeStore(core), "d0", MemberEntry("10.0.0.1", 7600, "a", 1), Random(0))
+    task = asyncio.create_task(members.run())
+    await asyncio.sleep(3.0)
+    calls_before = core.calls["watch"]
+    for _ in range(30):
+        members.note_news(["gone"])
+        await asyncio.sleep(REPORT_S)
+    assert core.calls["watch"] - calls_before <= 3
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_a_daemon_whose_watch_fell_silent_knows_a_new_holder_within_the_contact_time() -> (
+    None
+):
+    async with fleet(3, "a") as daemons:
+        await asyncio.sleep(2.5)
+        silent, holder, _ = daemons
+        silent.store.faults.watches_silent = True
+        core = silent.store._core
+        core.put(
+            HOLDER_KEY, msgspec.json.encode(HolderEntry(holder.name, holder.members.incarnation, 5))
+        )
+        token = core.items[HOLDER_KEY].revision
+        await asyncio.sleep(1.0)
+        silent.store.faults.watches_silent = False
+        await asyncio.sleep(CONTACT_S - 1.0)
+        assert {known_holder(each.members) for each in daemons} == {(holder.name, token)}
