Repeat a usage call without a response with no further pause

What callers saw: usage windows that came after their time while the platform left calls and writes unanswered.

Cause: after a call that had waited for its response (2 s at the cloud API, 1.5 s at the store) the retry pause of 0.5 s was added.

Change: the pause counts from the start of the failed call, so that refused calls are still half a second apart.

Evidence: test_a_call_that_waited_for_its_response_is_repeated_without_a_further_pause failed before (2.75 s between two calls, 2.26 allowed).

--- a/godwitpath/gateway/usage_duty.py
+++ b/godwitpath/gateway/usage_duty.py
@@ -34,7 +34,7 @@
 from godwitpath.gateway.usage import UsageCounter
 from godwitpath.gateway.usage_open import OpenCounts
 from godwitpath.gateway.usage_progress import Progress, resume
-from godwitpath.gateway.usage_reports import RETRY_DELAY_S, PinnedReports
+from godwitpath.gateway.usage_reports import PinnedReports, pause_before_retry
 from godwitpath.gateway.usage_store import (
     OPEN_KEY,
     PIN_KEY,
@@ -117,6 +117,7 @@
             fencing_token = self._holder.fencing_token()
             if fencing_token is None:
                 continue
+            started_at_s = asyncio.get_running_loop().time()
             try:
                 await self._prepare_term(fencing_token)
                 self._reports.start(fencing_token.number, group)
@@ -127,7 +128,7 @@
                 self._reload = True
             except StoreError as error:
                 decision("usage_delayed", fence=fencing_token.number, reason=str(error))
-                await asyncio.sleep(RETRY_DELAY_S)
+                await pause_before_retry(started_at_s)
 
     async def _store_loop(self) -> None:
         """Write the request counts of the open windows to the store, until cancelled."""
--- a/godwitpath/gateway/usage_reports.py
+++ b/godwitpath/gateway/usage_reports.py
@@ -12,8 +12,18 @@
 from godwitpath.gateway.holder import DutyHolder
 from godwitpath.telemetry.decisions import decision
 
-RETRY_DELAY_S = 0.5
-"""Pause after a failed call of the store or the cloud API."""
+RETRY_INTERVAL_S = 0.5
+"""Shortest time between the starts of two calls of the store or the cloud API, the first of which
+failed: one that waited for a response for longer is repeated at once."""
+
+
+async def pause_before_retry(started_at_s: float) -> None:
+    """Wait until a failed call may be repeated.
+
+    :param started_at_s: loop time at which the call began
+    """
+    now_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(max(0.0, started_at_s + RETRY_INTERVAL_S - now_s))
 
 
 class PinnedReports:
@@ -53,6 +63,7 @@
             group.create_task(self._report(window, token_number))
 
     async def _report(self, window: int, token_number: int) -> None:
+        started_at_s = asyncio.get_running_loop().time()
         try:
             await self._call(window, token_number)
         except FencedOff as error:
@@ -62,7 +73,7 @@
                 self._holder.mark_fenced_off()
         except (CloudRefused, CloudUncertain) as error:
             decision("usage_delayed", fence=token_number, window=window, reason=str(error))
-            await asyncio.sleep(RETRY_DELAY_S)
+            await pause_before_retry(started_at_s)
         finally:
             self._in_flight.discard(window)
 
--- a/test/test_gateway_usage_overdue.py
+++ b/test/test_gateway_usage_overdue.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Mapping, Sequence
+from itertools import pairwise
 
 import pytest
 
 from godwitpath.gateway.cloud import CloudUncertain, FencingToken
 from godwitpath.gateway.store import Precondition, Put
+from godwitpath.gateway.usage_duty import POLL_INTERVAL_S
 from godwitpath.gateway.usage_store import OPEN_KEY, PIN_KEY
 from godwitpath.ports.kv import StoreUncertain
 from godwitpath_standin.gateway.cloud import NO_RESPONSE_S, FakeCloud
@@ -61,14 +63,22 @@
 
 
 class MuteCloud(FakeCloud):
-    """Cloud API that never answers nor carries out the reports of some windows."""
+    """Cloud API that never answers nor carries out the reports of some windows.
+
+    :ivar muted_at_s: loop times at which such a report arrived
+    """
 
     mute_windows: frozenset[int] = frozenset()
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.muted_at_s: list[float] = []
+
     async def report_usage(
         self, fencing_token: FencingToken, window: int, requests: Mapping[str, int]
     ) -> None:
         if window in self.mute_windows:
+            self.muted_at_s.append(asyncio.get_running_loop().time())
             await asyncio.sleep(NO_RESPONSE_S)
             raise CloudUncertain("no answer")
         await super().report_usage(fencing_token, window, requests)
@@ -119,3 +129,16 @@
     await daemon.kill()
     assert sorted(cloud.usage) == [200, 201]
     assert not late_windows(cloud)
+
+
+@pytest.mark.looptime
+@pytest.mark.usefixtures("boot_clock")
+async def test_a_call_that_waited_for_its_response_is_repeated_without_a_further_pause() -> None:
+    core, cloud = StoreCore(), MuteCloud()
+    cloud.mute_windows = frozenset((200,))
+    daemon = UsageDaemon(core, cloud, 0, set())
+    await asyncio.sleep(16.0)
+    await daemon.kill()
+    gaps_s = [later - earlier for earlier, later in pairwise(cloud.muted_at_s)]
+    assert len(gaps_s) >= 2
+    assert max(gaps_s) <= NO_RESPONSE_S + POLL_INTERVAL_S + 0.01
