Quarantine: reports fit into a given number of bytes

Change: Quarantine.report(now_s, relayed=..., max_bytes=1200) fills a report in turns, a third each for verdicts, successes and crashes, and what the others leave. Of a request the parts without any success go first, then those with an older one; those with a later one are left out. Slices of a request carry its fingerprint and the number of parts from which on it counts, so that no piece convicts by itself. Of requests with the same parts one is reported with them. A verdict of many subjects goes in pieces, in a field of its own that older builds do not read, and counts once it is whole. New fields only, with defaults. A part id above 40 characters is replaced by its digest.

Also mended: note_success raised KeyError when one verdict became narrower and replaced another one; the property test found it, and its own test failed on the code before.

Changed test: test_a_report_fits_into_a_datagram (60,000 bytes) became ..._into_a_packet_beside_others (1,200 bytes). It recorded a later success of every part of the crashes, which are not reported then; now one shared part succeeds, and it also asks for verdicts and that success in the report.

--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from godwitpath.gateway.context import GatewayContext
+from godwitpath.gateway.fingerprint import subjects_of_parts
 from godwitpath.gateway.model import AccountSpec, Route, ServiceSpec
 from godwitpath.gateway.placement import Prompt
 from godwitpath.gateway.wire_fields import CallerFields
@@ -73,7 +74,8 @@
     @property
     def subjects(self) -> tuple[str, ...]:
         """What a crash of an engine under the request may be due to."""
-        return (*self.shared_parts, self.fingerprint) if self.fingerprint else self.shared_parts
+        parts = subjects_of_parts(self.shared_parts)
+        return (*parts, self.fingerprint) if self.fingerprint else parts
 
     @property
     def request_id(self) -> str:
--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import chain, repeat
 
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.fingerprint import is_fingerprint
-from godwitpath.gateway.quarantine_report import ReportedCrash, Subjects
+from godwitpath.gateway.quarantine_report import Subjects
 
 EVIDENCE_RETENTION_S = 600.0
 """Time for which a crash counts against parts of prompts."""
@@ -26,9 +27,6 @@
 MAX_REQUESTS_PER_CRASH = 128
 """Number of requests that are remembered of a crash."""
 
-MAX_REPORTED_REQUESTS = 256
-"""Number of requests in a report, which has to fit into a datagram."""
-
 MAX_SUBJECTS_PER_CRASH = 16_384
 """Number of subjects, counted in each request with them, that are remembered of a crash: of longer
 prompts fewer requests are remembered."""
@@ -44,6 +42,14 @@
 callers choose both."""
 
 
+@dataclass(slots=True)
+class _Pieces:
+    """The known parts of a request that counts once there are enough of them."""
+
+    needed: int = 0
+    subjects: dict[str, None] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Crash:
     """A crash of one incarnation of an engine.
@@ -51,43 +57,81 @@
     :ivar at_s: time of the crash
     :ivar learned_at_s: time at which its last request was learned
     :ivar requests: subjects of each request that the engine could have begun to answer, in the
-        order in which they were learned
-    :ivar own_requests: those of the requests that this daemon had sent
+        order in which they were learned; subjects that are learned later follow the known ones
+    :ivar own_requests: numbers of the requests that this daemon had sent
     :ivar masks: which requests have a subject, bit n for the n-th request
     :ivar has_parts: whether one of the requests has a prompt with shared parts
     """
 
     at_s: float
     learned_at_s: float
-    requests: dict[Subjects, None] = field(default_factory=dict)
-    own_requests: set[Subjects] = field(default_factory=set)
+    requests: list[Subjects] = field(default_factory=list)
+    own_requests: set[int] = field(default_factory=set)
     masks: dict[str, int] = field(default_factory=dict)
     has_parts: bool = False
     _size: int = 0
+    _numbers: dict[Subjects, int] = field(default_factory=dict)
+    # Subjects of requests that are not known whole, by fingerprint.
+    _pieces: dict[Subjects, _Pieces] = field(default_factory=dict)
 
-    def add(self, request: Subjects, own: bool, now_s: float) -> list[str]:
-        """Add a request if there is room for it.
+    def add(self, request: Subjects, own: bool, now_s: float, needed: int = 0) -> list[str]:
+        """Add a request if there is room for it, or further subjects of a known one.
 
+        :param needed: number of parts from which on the request counts, 0 if it is whole
         :returns: the subjects that no known request has
         """
-        if request in self.requests or not self._has_room(request):
+        key = request[-1:] if is_fingerprint(request[-1]) else request
+        number = self._numbers.get(key)
+        if number is None:
+            if needed:
+                request = self._collect(key, request, needed)
+            else:
+                self._size -= len(self._pieces.pop(key, _Pieces()).subjects)
+            has_room = bool(request) and self._has_room(len(request))
+            return self._put(key, request, own, now_s) if has_room else []
+        bit = 1 << number
+        unknown = tuple(each for each in request if not self.masks.get(each, 0) & bit)
+        if not unknown or not self._has_room(len(unknown)):
             return []
-        bit = 1 << len(self.requests)
-        self.requests[request] = None
+        known = self.requests[number]
+        self.requests[number] = (*known[:-1], *unknown, *known[-1:])
+        self._size += len(unknown)
+        return self._mark(unknown, bit, now_s)
+
+    def _collect(self, key: Subjects, request: Subjects, needed: int) -> Subjects:
+        """Add a piece of a request; returns the request once it is whole, nothing before."""
+        pieces = self._pieces.setdefault(key, _Pieces())
+        pieces.needed = max(pieces.needed, needed)
+        known = len(pieces.subjects)
+        if self._size + len(request) <= MAX_SUBJECTS_PER_CRASH:
+            pieces.subjects.update(dict.fromkeys(request[:-1]))
+        self._size += len(pieces.subjects) - known
+        if len(pieces.subjects) < pieces.needed:
+            return ()
+        del self._pieces[key]
+        self._size -= len(pieces.subjects)
+        return (*pieces.subjects, *key)
+
+    def _put(self, key: Subjects, request: Subjects, own: bool, now_s: float) -> list[str]:
+        number = self._numbers[key] = len(self.requests)
+        self.requests.append(request)
         if own:
-            self.own_requests.add(request)
+            self.own_requests.add(number)
         self._size += len(request)
+        return self._mark(request, 1 << number, now_s)
+
+    def _mark(self, subjects: Subjects, bit: int, now_s: float) -> list[str]:
         self.learned_at_s = now_s
-        self.has_parts = self.has_parts or not is_fingerprint(request[0])
-        new_subjects = [subject for subject in request if subject not in self.masks]
-        for subject in request:
+        self.has_parts = self.has_parts or not is_fingerprint(subjects[0])
+        new_subjects = [subject for subject in subjects if subject not in self.masks]
+        for subject in subjects:
             self.masks[subject] = self.masks.get(subject, 0) | bit
         return new_subjects
 
-    def _has_room(self, request: Subjects) -> bool:
+    def _has_room(self, subjects: int) -> bool:
         return (
             len(self.requests) < MAX_REQUESTS_PER_CRASH
-            and self._size + len(request) <= MAX_SUBJECTS_PER_CRASH
+            and self._size + subjects <= MAX_SUBJECTS_PER_CRASH
         )
 
     def has_request_with(self, subjects: Iterable[str]) -> bool:
@@ -103,11 +147,11 @@
         """Reduce the requests to their fingerprints; returns the parts that they had."""
         parts = [subject for subject in self.masks if not is_fingerprint(subject)]
         known, own = self.requests, self.own_requests
-        self.requests, self.own_requests, self.masks = {}, set(), {}
-        self._size, self.has_parts = 0, False
-        for request in known:
+        self.requests, self.own_requests, self.masks = [], set(), {}
+        self._numbers, self._pieces, self._size, self.has_parts = {}, {}, 0, False
+        for number, request in enumerate(known):
             if fingerprints := tuple(filter(is_fingerprint, request)):
-                self.add(fingerprints, request in own, self.learned_at_s)
+                self.add(fingerprints, number in own, self.learned_at_s)
         return parts
 
 
@@ -188,9 +232,12 @@
         now_s: float,
         *,
         own: bool,
+        needed: Sequence[int] = (),
     ) -> set[str]:
         """Add a crash, or further requests of a known one.
 
+        :param needed: for each request, the number of parts from which on it counts, 0 if it is
+            whole
         :returns: the subjects of the requests that are new
         """
         if at_s < self._started_at_s or now_s - at_s >= EVIDENCE_RETENTION_S:
@@ -199,14 +246,16 @@
         if crash is None:
             crash = self.crashes[incarnation] = Crash(at_s, now_s)
         crash.at_s = min(crash.at_s, at_s)
-        unknown = {request for request in requests if request and request not in crash.requests}
         new_subjects: set[str] = set()
-        for request in sorted(unknown, key=lambda each: each[::-1]):
-            for subject in crash.add(request, own, now_s):
+        pairs = list(zip(requests, chain(needed, repeat(0)), strict=False))
+        for request, its_needed in sorted(pairs, key=lambda pair: pair[0][::-1]):
+            known = len(crash.requests)
+            for subject in crash.add(request, own, now_s, its_needed) if request else ():
                 self._incarnations_by_subject.setdefault(subject, []).append(incarnation)
                 self._size += 1
-            if request in crash.requests:
-                new_subjects.update(request)
+                new_subjects.add(subject)
+            for added in crash.requests[known:]:
+                new_subjects.update(added)
         while len(self.crashes) > 1 and (
             len(self.crashes) > MAX_CRASHES or self._size > MAX_SUBJECTS
         ):
@@ -240,23 +289,6 @@
         """Return the number of crashes under prompts with shared parts since a time."""
         return sum(crash.at_s >= at_s and crash.has_parts for crash in self.crashes.values())
 
-    def reported_crashes(self, now_s: float, *, relayed: bool) -> list[ReportedCrash]:
-        """Return the crashes to report to the other daemons, the newest first.
-
-        :param relayed: whether to report also the requests that other daemons reported
-        """
-        reported: list[ReportedCrash] = []
-        requests_left = MAX_REPORTED_REQUESTS
-        for (engine_id, started_at_ms), crash in reversed(self.crashes.items()):
-            if now_s - crash.learned_at_s >= REPORT_S:
-                continue
-            requests = sorted(crash.requests if relayed else crash.own_requests)[:requests_left]
-            if requests:
-                age_s = round(now_s - crash.at_s, 3)
-                reported.append(ReportedCrash(engine_id, started_at_ms, age_s, requests))
-                requests_left -= len(requests)
-        return reported
-
     def drop_expired(self, now_s: float) -> None:
         """Drop the crashes that no longer count, and earlier what they say of parts."""
         for incarnation, crash in list(self.crashes.items()):
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -11,23 +11,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Set
-from itertools import islice
+from collections.abc import Iterable, Iterator, Sequence, Set
 
-from godwitpath.gateway.crash_evidence import REPORT_S, CrashEvidence
+from godwitpath.gateway.crash_evidence import CrashEvidence
 from godwitpath.gateway.engine_notices import Incarnation
 from godwitpath.gateway.fingerprint import is_fingerprint
 from godwitpath.gateway.judgement import CRASHES_IN_DOUBT, Judge
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict, Subjects
+from godwitpath.gateway.quarantine_reporter import MAX_REPORT_BYTES, Reporter, reported_verdict
+from godwitpath.gateway.verdict_pieces import VerdictPieces
 from godwitpath.gateway.verdicts import Verdict, Verdicts
 
-SAME_SUCCESS_S = 0.2
-"""Difference up to which two times of a response that went well are the same, since they are
-reported as ages."""
-
-MAX_REPORTED_SUCCESSES = 512
-"""Number of subjects with a success in a report, which has to fit into a datagram."""
-
 
 class Quarantine:
     """Evidence about the subjects of requests, and the verdicts that follow from it.
@@ -37,25 +31,16 @@
     :param started_at_s: time since which evidence is collected
     """
 
-    __slots__ = (
-        "_evidence",
-        "_judge",
-        "_received_at_s",
-        "_reporting_since_s",
-        "_suspects",
-        "_verdicts",
-    )
+    __slots__ = ("_evidence", "_judge", "_pieces", "_reporter", "_suspects", "_verdicts")
 
     def __init__(self, started_at_s: float) -> None:
         self._evidence = CrashEvidence(started_at_s)
         self._verdicts = Verdicts()
         self._judge = Judge(self._evidence, self._verdicts)
+        self._reporter = Reporter(self._evidence, self._verdicts)
+        self._pieces = VerdictPieces()
         # Subjects under which enough engines crashed, and which are judged a little later.
         self._suspects: set[str] = set()
-        # Subjects with a success to report to the other daemons, by time of the first report.
-        self._reporting_since_s: dict[str, float] = {}
-        # Subjects with a success that was new in a report of another daemon, by time of receipt.
-        self._received_at_s: dict[str, float] = {}
 
     # Evidence.
 
@@ -86,7 +71,7 @@
         succeeded = set(subjects)
         for subject in succeeded:
             self._evidence.successes.add(subject, at_s)
-            self._report_if_needed(subject, now_s)
+            self._reporter.consider(subject, now_s)
         return self._drop_refuted(succeeded)
 
     # Decisions.
@@ -148,10 +133,13 @@
         now_s: float,
         *,
         own: bool,
+        needed: Sequence[int] = (),
     ) -> None:
-        new_subjects = self._evidence.add_crash(incarnation, at_s, requests, now_s, own=own)
+        new_subjects = self._evidence.add_crash(
+            incarnation, at_s, requests, now_s, own=own, needed=needed
+        )
         for subject in new_subjects:
-            self._report_if_needed(subject, now_s)
+            self._reporter.consider(subject, now_s)
         self._suspects |= new_subjects
 
     def drop_expired(self, now_s: float) -> list[Verdict]:
@@ -161,41 +149,20 @@
 
     # Exchange with other daemons.
 
-    def report(self, now_s: float, *, relayed: bool = False) -> QuarantineReport:
+    def report(
+        self, now_s: float, *, relayed: bool = False, max_bytes: int = MAX_REPORT_BYTES
+    ) -> QuarantineReport:
         """Return what to report to the other daemons.
 
         :param relayed: whether to report also what other daemons reported lately
+        :param max_bytes: bound of the size of the report in MessagePack
         """
-        successes = self._evidence.successes
-        for subject, since_s in list(self._reporting_since_s.items()):
-            if now_s - since_s >= REPORT_S:
-                del self._reporting_since_s[subject]
-                success = successes.get(subject)
-                if success is not None:
-                    success.reported_at_s = success.succeeded_at_s
-        for subject, received_at_s in list(self._received_at_s.items()):
-            if now_s - received_at_s >= REPORT_S:
-                del self._received_at_s[subject]
-        reported_subjects = set(self._reporting_since_s)
-        if relayed:
-            reported_subjects |= self._received_at_s.keys()
-        succeeded = {
-            subject: round(now_s - successes[subject].succeeded_at_s, 3)
-            for subject in islice(reported_subjects, MAX_REPORTED_SUCCESSES)
-            if subject in successes
-        }
-        crashes = self._evidence.reported_crashes(now_s, relayed=relayed)
-        return QuarantineReport(crashes, self.reported_verdicts(now_s), succeeded)
+        return self._reporter.report(now_s, relayed=relayed, max_bytes=max_bytes)
 
     def reported_verdicts(self, now_s: float) -> list[ReportedVerdict]:
         """Return the verdicts in force as they are reported."""
         return [
-            ReportedVerdict(
-                tuple(sorted(verdict.subjects)),
-                verdict.crashes,
-                round(now_s - verdict.since_s, 3),
-                round(now_s - verdict.asked_at_s, 3),
-            )
+            reported_verdict(verdict, tuple(sorted(verdict.subjects)), now_s)
             for verdict in self._verdicts
         ]
 
@@ -206,17 +173,15 @@
         """
         for subject, age_s in report.successes.items():
             self.note_success((subject,), now_s - age_s, now_s)
-            success = self._evidence.successes[subject]
-            if now_s - age_s > success.reported_at_s + SAME_SUCCESS_S:
-                self._received_at_s[subject] = now_s
-            success.reported_at_s = max(success.reported_at_s, now_s - age_s)
-            if not self._is_unreported(subject):
-                self._reporting_since_s.pop(subject, None)
-        new = [self._apply_verdict(verdict, now_s) for verdict in report.verdicts]
+            self._reporter.note_heard(subject, now_s - age_s, now_s)
+        whole = [*report.verdicts, *self._pieces.join(report.pieces, now_s)]
+        new = [self._apply_verdict(verdict, now_s) for verdict in whole]
         for crash in report.crashes:
             incarnation = (crash.engine_id, crash.started_at_ms)
             at_s = now_s - crash.age_s
-            self._add_crash(incarnation, at_s, crash.requests, now_s, own=False)
+            self._add_crash(
+                incarnation, at_s, crash.requests, now_s, own=False, needed=crash.needed
+            )
         new.append(self.review(now_s))
         return [verdict for verdict in new if verdict is not None]
 
@@ -238,19 +203,6 @@
         )
         return None if verdict.has_expired(now_s) else self._add_verdict(verdict)
 
-    def _is_unreported(self, subject: str) -> bool:
-        """Return whether a success changes what the other daemons count against a subject."""
-        success = self._evidence.successes.get(subject)
-        if success is None:
-            return False
-        times_s = self._evidence.newest_times_s(subject)
-        times_s += [each.since_s for each in self._verdicts if subject in each.subjects]
-        return any(success.reported_at_s < at_s < success.succeeded_at_s for at_s in times_s)
-
-    def _report_if_needed(self, subject: str, now_s: float) -> None:
-        if subject not in self._reporting_since_s and self._is_unreported(subject):
-            self._reporting_since_s[subject] = now_s
-
     def _add_verdict(self, verdict: Verdict) -> Verdict | None:
         """Add a verdict without the subjects to which a response went well since.
 
@@ -273,7 +225,8 @@
         """
         refuted = []
         for verdict in self._verdicts:
-            if not any(
+            # A verdict that has become narrower may have replaced it.
+            if verdict not in self._verdicts or not any(
                 self._evidence.succeeded_since(subject, verdict.since_s)
                 for subject in verdict.subjects & succeeded
             ):
--- a/godwitpath/gateway/verdicts.py
+++ b/godwitpath/gateway/verdicts.py
@@ -71,6 +71,9 @@
     def __len__(self) -> int:
         return len(self._by_subjects)
 
+    def __contains__(self, verdict: Verdict) -> bool:
+        return self._by_subjects.get(verdict.subjects) is verdict
+
     def find(self, subjects: Iterable[str]) -> Verdict | None:
         """Return the verdict under which a request with these subjects is refused, None if none."""
         if not self._by_subjects:
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -15,6 +15,7 @@
 from godwitpath.gateway.judgement import CRASHES_IN_DOUBT
 from godwitpath.gateway.quarantine import Quarantine
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
+from godwitpath.gateway.quarantine_reporter import MAX_REPORT_BYTES
 from godwitpath.gateway.verdicts import MAX_VERDICTS, PROMPT_QUARANTINE_S
 from test.quarantine_model import ModelOutcome, QuarantineModel
 
@@ -119,6 +120,13 @@
         quarantine.note_success(("doc",), 5.5, 5.5)
         assert quarantine.verdict(("crashing", "other"), 6.0) is not None
 
+    def test_a_response_that_makes_one_verdict_cover_another_raises_no_error(self) -> None:
+        quarantine = Quarantine(0.0)
+        verdicts = [ReportedVerdict((part, "doc"), 9, 1.0, 0.5) for part in ("first", "second")]
+        quarantine.apply_report(QuarantineReport(verdicts=verdicts), 2.0)
+        assert quarantine.note_success(("first", "second"), 3.0, 3.0) == []
+        assert [verdict.subjects for verdict in quarantine.verdicts] == [frozenset({"doc"})]
+
     def test_one_more_crash_tells_them_apart(self) -> None:
         quarantine = Quarantine(0.0)
         crashed(quarantine, *((at_s, [("crashing", "doc")]) for at_s in (1.0, 2.0, 3.0, 5.0)))
@@ -185,18 +193,20 @@
             <= MAX_CRASHES * MAX_REQUESTS_PER_CRASH
         )
 
-    def test_a_report_fits_into_a_datagram(self) -> None:
+    def test_a_report_fits_into_a_packet_beside_others(self) -> None:
         quarantine = Quarantine(0.0)
         long = "x" * 32
         for number in range(50):
             prompts = [(f"first{long}", f"{number}-{n}{long}") for n in range(100)]
             quarantine.note_crash((f"e{number}", 1), 1.0 + 0.01 * number, prompts, 2.0)
-            quarantine.note_success([part for prompt in prompts for part in prompt], 2.1, 2.1)
+        quarantine.note_success((f"first{long}",), 2.1, 2.1)
         verdicts = [ReportedVerdict((f"v{n}{long}",), 4, 1.0, 1.0) for n in range(MAX_VERDICTS)]
         quarantine.apply_report(QuarantineReport(verdicts=verdicts), 2.2)
         report = quarantine.report(2.3, relayed=True)
         assert report.crashes[0].engine_id == "e49"
-        assert len(msgspec.msgpack.encode(report)) < 60_000
+        assert report.verdicts
+        assert report.successes
+        assert len(msgspec.msgpack.encode(report)) <= MAX_REPORT_BYTES
 
 
 class TestExchange:
