Quarantine: the store's copy is bounded

Cause: each of up to 64 verdicts was stored with all of its subjects, up to some 11 kB for a document of 1,000 parts, and a lift with each of them.

Change: at most 64 KiB of verdicts, those of the fewest subjects first, so that what is left out does not change from check to check and is not written again; the newest 4,096 lifts.

--- a/godwitpath/gateway/quarantine_store.py
+++ b/godwitpath/gateway/quarantine_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from heapq import nlargest
 from random import Random
 
 import msgspec
@@ -37,6 +38,13 @@
 """Difference to the time of the last request in the store's copy from which it is written again."""
 
 
+MAX_STORED_BYTES = 65_536
+"""Size of the verdicts in the store's copy: callers choose how many parts their prompts have."""
+
+MAX_LIFTED = 4096
+"""Number of lifted subjects in the store's copy, the newest ones: those of the longest prompt."""
+
+
 class StoredVerdict(msgspec.Struct, frozen=True):
     """A verdict in the store.
 
@@ -87,9 +95,20 @@
 
 
 def _without_old(lifted: dict[str, float], now_s: float) -> dict[str, float]:
-    return {
-        subject: at_s for subject, at_s in lifted.items() if now_s - at_s < quarantine_s((subject,))
-    }
+    newest = nlargest(MAX_LIFTED, lifted.items(), key=lambda each: (each[1], each[0]))
+    return {subject: at_s for subject, at_s in newest if now_s - at_s < quarantine_s((subject,))}
+
+
+def that_fit(verdicts: Iterable[StoredVerdict]) -> list[StoredVerdict]:
+    """Return the verdicts that have room in the store's copy, those of few subjects first."""
+    fitting: list[StoredVerdict] = []
+    left = MAX_STORED_BYTES
+    for each in sorted(verdicts, key=lambda each: (len(each.subjects), each.subjects)):
+        left -= len(msgspec.json.encode(each)) + 1
+        if left < 0:
+            break
+        fitting.append(each)
+    return fitting
 
 
 class QuarantineStore:
@@ -173,10 +192,20 @@
             or any(self._is_refuted(each) for each in stored.verdicts)
             or any(
                 each.asked_at_s - asked_at_s.get(each.subjects, 0.0) >= REFRESH_S
-                for each in self._own_verdicts()
+                for each in self._verdicts(stored)
             )
         )
 
+    def _verdicts(self, stored: StoredQuarantine) -> list[StoredVerdict]:
+        """Return the verdicts of the store's copy that still hold, and this daemon's."""
+        now_s = self._now_s()
+        verdicts = {
+            each.subjects: each
+            for each in (*stored.verdicts, *self._own_verdicts())
+            if now_s - each.asked_at_s < quarantine_s(each.subjects) and not self._is_refuted(each)
+        }
+        return that_fit(verdicts.values())
+
     def _all_lifts(self, stored: StoredQuarantine) -> dict[str, float]:
         """Return the lifts that still count, of the store's copy and of earlier ones."""
         latest = dict(stored.lifted)
@@ -211,13 +240,9 @@
     async def _write(self) -> None:
         """Write the verdicts of the store's copy that still hold, and this daemon's; all lifts."""
         item = self._members.items.get(QUARANTINE_KEY)
-        stored, now_s = self._read(item), self._now_s()
-        verdicts = {
-            each.subjects: each
-            for each in (*stored.verdicts, *self._own_verdicts())
-            if now_s - each.asked_at_s < quarantine_s(each.subjects) and not self._is_refuted(each)
-        }
-        value = StoredQuarantine(list(verdicts.values()), self._all_lifts(stored))
+        stored = self._read(item)
+        verdicts = self._verdicts(stored)
+        value = StoredQuarantine(verdicts, self._all_lifts(stored))
         revision = item.revision if item is not None else 0
         put = Put(QUARANTINE_KEY, msgspec.json.encode(value))
         try:
--- a/test/test_gateway_quarantine_store.py
+++ b/test/test_gateway_quarantine_store.py
@@ -19,7 +19,9 @@
 from godwitpath.gateway.crash_watch import CrashWatch
 from godwitpath.gateway.engines import EngineRegistry
 from godwitpath.gateway.members import MemberEntry, Members
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedVerdict
 from godwitpath.gateway.quarantine_store import (
+    MAX_STORED_BYTES,
     QUARANTINE_KEY,
     QuarantineStore,
     StoredQuarantine,
@@ -151,6 +153,26 @@
         async with running(core, "d3") as [started]:
             assert not started.refuses
 
+    async def test_verdicts_of_many_parts_neither_fill_the_store_nor_are_written_again(
+        self,
+    ) -> None:
+        core = StoreCore()
+        async with running(core, "d1") as [daemon]:
+            wide = [
+                ReportedVerdict(tuple(f"{number:02}-{n:06}" for n in range(1_000)), 9, 1.0, 0.0)
+                for number in range(20)
+            ]
+            daemon.crashes.apply_report("d2", QuarantineReport(verdicts=wide))
+            daemon.crash()
+            await asyncio.sleep(20.0)
+            item = core.items[QUARANTINE_KEY]
+            assert len(item.value) <= MAX_STORED_BYTES + 1_000
+            sizes = [len(each.subjects) for each in stored(core).verdicts]
+            assert sizes[0] == len(CRASHING_PARTS)
+            assert len(sizes) > 2
+            await asyncio.sleep(60.0)
+            assert core.items[QUARANTINE_KEY].revision == item.revision
+
     async def test_a_copy_that_cannot_be_read_is_replaced(self) -> None:
         core = StoreCore()
         core.put(QUARANTINE_KEY, b"{")
