--- a/test/test_gateway_judgement.py
+++ b/test/test_gateway_judgement.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from godwitpath.gateway.quarantine import Quarantine
+from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash
 
 MAX_HOLD_S = 0.05
 """Longest time for which one step may hold the event loop."""
@@ -46,7 +47,7 @@
 
 class TestCost:
     def test_a_document_of_many_parts_does_not_hold_the_loop(self) -> None:
-        quarantine, meter = Quarantine(0.0), HoldMeter()
+        quarantine, other, meter = Quarantine(0.0), Quarantine(0.0), HoldMeter()
         document = tuple(f"{number:08x}" for number in range(PARTS - 1))
         sound = (*document, "request:sound")
         for crash in range(12):
@@ -54,14 +55,35 @@
             requests = crashing_requests(document, crash)
             meter(quarantine.note_crash, (f"e{crash}", 1), now_s, requests, now_s)
             meter(quarantine.review, now_s + 0.1)
+            meter(other.apply_report, meter(quarantine.report, now_s + 0.1), now_s + 0.12)
+            whole = ReportedCrash(f"e{crash}", 1, 0.1, requests)
+            meter(other.apply_report, QuarantineReport([whole]), now_s + 0.2)
             meter(quarantine.is_suspect, requests[0])
             meter(quarantine.verdict, requests[0], now_s + 0.1)
             if crash >= 8:
                 meter(quarantine.note_success, sound, now_s + 0.2, now_s + 0.2)
+                meter(quarantine.report, now_s + 0.3)
         assert quarantine.verdict(requests[0], 20.0) is not None
         assert quarantine.verdict(sound, 20.0) is None
         assert meter.longest_s < MAX_HOLD_S
 
+    def test_a_prompt_whose_parts_are_all_in_verdicts_does_not_hold_the_loop(self) -> None:
+        quarantine, meter = Quarantine(0.0), HoldMeter()
+        document = tuple(f"{number:08x}" for number in range(PARTS))
+        for crash in range(8):
+            now_s = 1.0 + crash
+            requests = [(*document, f"request:{crash}-{n}") for n in range(BAD_PER_CRASH)]
+            meter(quarantine.note_crash, (f"e{crash}", 1), now_s, requests, now_s)
+            meter(quarantine.report, now_s + 0.1)
+            meter(quarantine.review, now_s + 0.2)
+        assert len(quarantine.verdicts[0].subjects) == PARTS
+        meter(quarantine.note_crash, ("e8", 1), 20.0, [(document[0], "request:8")], 20.0)
+        meter(quarantine.review, 22.0)
+        assert quarantine.verdict((document[0], "request:9"), 22.0) is not None
+        meter(quarantine.note_success, document, 23.0, 23.0)
+        assert quarantine.verdict(document, 23.0) is None
+        assert meter.longest_s < MAX_HOLD_S
+
 
 BAD = ("first", "document", "crashing")
 SOUND = ("first", "document")
