Peer messages: design, model of sizes, and hearing merged across pieces

What a daemon hears is merged like other sections, so that a piece that names some of the daemons does not say that the others are silent.

--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -22,6 +22,7 @@
     :ivar received_at_s: loop time at which the last report was received
     :ivar clock_offset_s: difference between that daemon's clock and this daemon's clock
     :ivar prompts: prompts in the pieces of the last report
+    :ivar hears: sequence number last heard of each daemon that the daemon hears, by name
     :ivar takes_pieces: whether the daemon's build takes reports in pieces
     """
 
@@ -40,6 +41,8 @@
     engines_revision: int = 0
     read_speeds: Mapping[str, float] = field(default_factory=dict)
     renewed_read_speeds: Renewals = field(default_factory=Renewals)
+    hears: Mapping[str, int] = field(default_factory=dict)
+    renewed_hears: Renewals = field(default_factory=Renewals)
     takes_pieces: bool = False
 
     @property
@@ -56,6 +59,7 @@
     :ivar order: sequence number of the last summary, and the pieces of it that came
     :ivar received_at_s: loop time at which the last summary was received
     :ivar members: name and incarnation of each daemon that the summaries list
+    :ivar hears: sequence number last heard of each daemon that the aggregator states to hear
     :ivar takes_pieces: whether all daemons of the zone take summaries in pieces
     """
 
@@ -64,6 +68,8 @@
     received_at_s: float = float("-inf")
     members: Mapping[tuple[str, int], None] = field(default_factory=dict)
     renewed_members: Renewals = field(default_factory=Renewals)
+    hears: Mapping[str, int] = field(default_factory=dict)
+    renewed_hears: Renewals = field(default_factory=Renewals)
     configuration_revision: int = 0
     configuration_version: int = 0
     quota_used: CounterBaseline = field(default_factory=CounterBaseline)
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -243,6 +243,9 @@
             state.usage.setdefault(window, {}).update(counts)
         state.fresh = report.fresh
         state.takes_pieces = report.hears is not None
+        state.hears = state.renewed_hears.merge(
+            state.hears, report.hears or {}, sequence, spread_over
+        )
         state.read_speeds = state.renewed_read_speeds.merge(
             state.read_speeds, report.read_speeds, sequence, spread_over
         )
@@ -276,8 +279,8 @@
             state.aggregator = aggregator
             state.order = PieceOrder()
             state.quota_used, state.prefill_tokens = CounterBaseline(), CounterBaseline()
-            state.renewed_members.clear()
-            state.renewed_loads.clear()
+            for renewals in (state.renewed_members, state.renewed_loads, state.renewed_hears):
+                renewals.clear()
         sequence, spread_over = summary.sequence, summary.spread_over
         if not state.order.accepts(sequence, summary.piece):
             return False
@@ -285,6 +288,9 @@
         state.members = state.renewed_members.merge(
             state.members, dict.fromkeys(summary.members), sequence, spread_over
         )
+        state.hears = state.renewed_hears.merge(
+            state.hears, summary.hears or {}, sequence, spread_over
+        )
         self._in_summary_at_s.update(dict.fromkeys(summary.members, state.received_at_s))
         state.configuration_revision = summary.configuration_revision
         state.configuration_version = summary.configuration_version
--- a/godwitpath_bench/__main__.py
+++ b/godwitpath_bench/__main__.py
@@ -12,6 +12,7 @@
     gossip,
     overload,
     path,
+    peer_bytes,
     reclaim,
     records,
     retries,
@@ -36,6 +37,7 @@
 gossip.register(app)
 overload.register(app)
 path.register(app)
+peer_bytes.register(app)
 reclaim.register(app)
 records.register(app)
 retries.register(app)
