--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -14,6 +14,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+import msgspec
+
 from godwitpath.gateway.context import GatewayContext
 from godwitpath.gateway.engines import PeerLoad
 from godwitpath.gateway.members import Members
@@ -235,6 +237,12 @@
         continues = sequence == state.sequence
         if not state.order.accepts(sequence, report.piece):
             return False
+        state.takes_pieces = report.hears is not None
+        if report.hears is not None:
+            state.hears = state.renewed_hears.merge(
+                state.hears, report.hears, sequence, spread_over
+            )
+            report = msgspec.structs.replace(report, hears=dict(state.hears))
         state.received_at_s = self._loop.time()
         state.configuration_revision = report.configuration_revision
         state.configuration_version = report.configuration_version
@@ -242,10 +250,6 @@
         for window, counts in report.usage.items():
             state.usage.setdefault(window, {}).update(counts)
         state.fresh = report.fresh
-        state.takes_pieces = report.hears is not None
-        state.hears = state.renewed_hears.merge(
-            state.hears, report.hears or {}, sequence, spread_over
-        )
         state.read_speeds = state.renewed_read_speeds.merge(
             state.read_speeds, report.read_speeds, sequence, spread_over
         )
@@ -288,10 +292,14 @@
         state.members = state.renewed_members.merge(
             state.members, dict.fromkeys(summary.members), sequence, spread_over
         )
-        state.hears = state.renewed_hears.merge(
-            state.hears, summary.hears or {}, sequence, spread_over
-        )
         self._in_summary_at_s.update(dict.fromkeys(summary.members, state.received_at_s))
+        if summary.hears is not None:
+            state.hears = state.renewed_hears.merge(
+                state.hears, summary.hears, sequence, spread_over
+            )
+            summary = msgspec.structs.replace(
+                summary, members=list(state.members), hears=dict(state.hears)
+            )
         state.configuration_revision = summary.configuration_revision
         state.configuration_version = summary.configuration_version
         state.engines_revision = summary.engines_revision
