--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -256,6 +256,7 @@
         continues = sequence == state.sequence
         if not state.order.accepts(sequence, report.piece):
             return False
+        state.takes_pieces = report.hears is not None
         state.received_at_s = self._loop.time()
         if not report.piece:
             self.hearing.note_report(report)
@@ -265,7 +266,6 @@
         for window, counts in report.usage.items():
             state.usage.setdefault(window, {}).update(counts)
         state.fresh = report.fresh
-        state.takes_pieces = report.hears is not None
         state.read_speeds = state.renewed_read_speeds.merge(
             state.read_speeds, report.read_speeds, sequence, spread_over
         )
