--- a/godwitpath/gateway/report_budget.py
+++ b/godwitpath/gateway/report_budget.py
@@ -40,8 +40,8 @@
 MAX_PIECES = 4
 """Largest number of datagrams of one report to one daemon."""
 
-MAX_BYTES_PER_S = 1_250_000
-"""Bytes per second of a daemon's reports: one percent of a link of 1,000 Mbit/s."""
+MAX_BYTES_PER_S = 625_000
+"""Bytes per second of a daemon's reports: half of the smallest daemon's link of 10 Mbit/s."""
 
 MIN_ITEM_BYTES = 6
 """Size up to which the room in a datagram counts as none."""
