--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -79,6 +79,11 @@
     engines_revision: int = 0
     takes_pieces: bool = False
 
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the last summary, -1 before the first."""
+        return self.order.sequence
+
 
 def sum_loads(loads: Iterable[Loads]) -> dict[str, tuple[int, int]]:
     """Return running requests and waiting prompt tokens by engine id, summed over daemons."""
--- a/godwitpath/gateway/report_budget.py
+++ b/godwitpath/gateway/report_budget.py
@@ -152,7 +152,9 @@
         loads = _sized(self._by_turn(load_items(message)))
         evidence = _sized(self._by_turn(evidence_items(message)))
         # Neither callers' requests nor the size of the deployment keeps the other from being told.
-        waiting_evidence = self._fill(pieces, evidence, pieces.total_room_bytes // 2)
+        first_bytes = evidence[0][1] if evidence else 0
+        evidence_bytes = max(first_bytes, pieces.total_room_bytes // 2)
+        waiting_evidence = self._fill(pieces, evidence, evidence_bytes)
         waiting = self._fill(pieces, state)
         waiting_evidence = self._fill(pieces, waiting_evidence)
         waiting = self._fill(pieces, [*waiting, *loads])
--- a/godwitpath/gateway/report_sections.py
+++ b/godwitpath/gateway/report_sections.py
@@ -34,7 +34,7 @@
 LOAD_SECTIONS = ("loads", "read_speeds")
 """Sections that make placement better."""
 
-MAX_CHUNK_BYTES = 400
+MAX_CHUNK_BYTES = 480
 """Largest size of a chunk of a request's subjects: one fits into half of a datagram."""
 
 MAX_EVIDENCE_ITEMS = 512
