Quarantine: distinct subjects of a crash are bounded, and expired ones are dropped a few at a time

Cause: 16,384 distinct subjects of a crash (four prompts of 4,000 parts, or 16 of 1,000) cost up to 134 ms in one call, and dropping the parts of expired crashes up to 101 ms.

Change: 6,144 distinct subjects of a crash, 32,768 counted in each request; a call drops the parts of expired crashes up to 8,192 subjects, the next call the rest.

--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -27,9 +27,14 @@
 MAX_REQUESTS_PER_CRASH = 128
 """Number of requests that are remembered of a crash."""
 
-MAX_SUBJECTS_PER_CRASH = 16_384
-"""Number of subjects, counted in each request with them, that are remembered of a crash: of longer
-prompts fewer requests are remembered."""
+MAX_SUBJECTS_PER_CRASH = 6144
+"""Number of subjects that are remembered of a crash: the longest prompts have some 4,000."""
+
+MAX_ENTRIES_PER_CRASH = 32_768
+"""The same, with each subject counted once for each request with it."""
+
+MAX_FORGOTTEN = 8192
+"""Number of subjects of expired crashes from which on the others are dropped at the next call."""
 
 MAX_SUBJECTS = 131_072
 """Number of subjects, counted in each crash under them, that are remembered."""
@@ -87,11 +92,11 @@
                 request = self._collect(key, request, needed)
             else:
                 self._size -= len(self._pieces.pop(key, _Pieces()).subjects)
-            has_room = bool(request) and self._has_room(len(request))
+            has_room = bool(request) and self._has_room(request)
             return self._put(key, request, own, now_s) if has_room else []
         bit = 1 << number
         unknown = tuple(each for each in request if not self.masks.get(each, 0) & bit)
-        if not unknown or not self._has_room(len(unknown)):
+        if not unknown or not self._has_room(unknown):
             return []
         known = self.requests[number]
         self.requests[number] = (*known[:-1], *unknown, *known[-1:])
@@ -103,7 +108,7 @@
         pieces = self._pieces.setdefault(key, _Pieces())
         pieces.needed = max(pieces.needed, needed)
         known = len(pieces.subjects)
-        if self._size + len(request) <= MAX_SUBJECTS_PER_CRASH:
+        if self._size + len(request) <= MAX_ENTRIES_PER_CRASH:
             pieces.subjects.update(dict.fromkeys(request[:-1]))
         self._size += len(pieces.subjects) - known
         if len(pieces.subjects) < pieces.needed:
@@ -128,10 +133,12 @@
             self.masks[subject] = self.masks.get(subject, 0) | bit
         return new_subjects
 
-    def _has_room(self, subjects: int) -> bool:
+    def _has_room(self, subjects: Subjects) -> bool:
+        new_subjects = sum(subject not in self.masks for subject in subjects)
         return (
             len(self.requests) < MAX_REQUESTS_PER_CRASH
-            and self._size + subjects <= MAX_SUBJECTS_PER_CRASH
+            and self._size + len(subjects) <= MAX_ENTRIES_PER_CRASH
+            and len(self.masks) + new_subjects <= MAX_SUBJECTS_PER_CRASH
         )
 
     def has_request_with(self, subjects: Iterable[str]) -> bool:
@@ -291,7 +298,10 @@
 
     def drop_expired(self, now_s: float) -> None:
         """Drop the crashes that no longer count, and earlier what they say of parts."""
+        before = self._size
         for incarnation, crash in list(self.crashes.items()):
+            if before - self._size >= MAX_FORGOTTEN:
+                return
             if now_s - crash.at_s >= REQUEST_EVIDENCE_RETENTION_S:
                 self._drop_crash(incarnation)
             elif now_s - crash.at_s >= EVIDENCE_RETENTION_S and crash.has_parts:
