--- a/test/test_gateway_one_standstill.py
+++ b/test/test_gateway_one_standstill.py
@@ -12,7 +12,7 @@
 import pytest
 
 import test.usage_model as usage_model
-from godwitpath.gateway.cloud import FencingToken
+from godwitpath.gateway.cloud import CloudRefused, FencingToken
 from godwitpath.gateway.store import Precondition, Put
 from godwitpath.gateway.usage_store import OPEN_KEY, PIN_KEY, TERM_KEY
 from test.test_gateway_duties import boot_clock
@@ -73,6 +73,9 @@
     ) -> None:
         name, _, _ = fencing_token.holder.partition("/")
         await self.daemons[name].stand("before report")
+        if not fencing_token.is_valid():
+            # As the client of the platform's cloud API, which checks just before it sends.
+            raise CloudRefused("the permission for the call ended before it was sent")
         await super().report_usage(fencing_token, window, requests)
         await self.daemons[name].stand("after")
 
