What is reported of crashes is one part of a report, whole in a datagram

The quarantine takes turns itself and counts as reported what it was asked for; the packing took its report apart, dropped the pieces of verdicts and the number of parts that a request needs, and could leave the rest for later. It gets 900 bytes, 400 where a report has one datagram.

--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -39,6 +39,8 @@
 from godwitpath.gateway.permits import SendPermits
 from godwitpath.gateway.port_limits import SERVICE_PORT_LIMITS
 from godwitpath.gateway.pulls import CataloguePuller
+from godwitpath.gateway.quarantine_report import QuarantineReport
+from godwitpath.gateway.report_budget import quarantine_bytes
 from godwitpath.gateway.report_sender import Outgoing, ReportSender
 from godwitpath.gateway.store import era_of
 from godwitpath.gateway.unreadable import UnreadableValues
@@ -264,28 +266,48 @@
     def _send_reports(self) -> None:
         """Send the report, and the zone summary if this daemon is the zone's aggregator."""
         self.sender.begin_report()
-        report = self._build_report()
-        recipients = self._report_recipients(report)
+        holder = known_holder(self._members)
+        recipients = self._report_recipients(holder)
+        report = self._build_report(holder, self._quarantine_report(len(recipients)))
         packed = self.sender.pack(without_eras(report), self.sender.reports, len(recipients))
         takers = {each for each in recipients if self.view.takes_pieces(each)}
         self._send_packed(packed, takers, recipients - takers)
         if not self.view.full_mesh and self.view.aggregator() == self._ctx.settings.name:
-            self._send_summary(without_eras(self._build_summary(report)))
+            self._send_summary(report)
 
-    def _report_recipients(self, report: PeerReport) -> set[str]:
-        """Return the names of the daemons that this daemon's report is sent to."""
+    def _quarantine_report(self, copies: int, *, relayed: bool = False) -> QuarantineReport:
+        """Return what to report of crashes and quarantine.
+
+        :param copies: number of datagrams that one daemon sends or forwards for each piece
+        :param relayed: whether to report also what other daemons reported
+        """
+        max_bytes = quarantine_bytes(self.sender.pieces_allowed(copies))
+        quarantine = self._ctx.crashes.quarantine
+        return quarantine.report(self._loop.time(), relayed=relayed, max_bytes=max_bytes)
+
+    def _report_recipients(self, known: tuple[str, int]) -> set[str]:
+        """Return the names of the daemons that this daemon's report is sent to.
+
+        :param known: name and fencing token of the duty holder that this daemon knows of
+        """
         registered = self._members.entries.keys()
         if self.view.full_mesh:
             return set(registered)
         # A daemon that cannot reach the store learns the current duty holder from its peers.
-        holder, _ = max(report.holder, self.view.reported_holder, key=lambda known: known[1])
+        holder, _ = max(known, self.view.reported_holder, key=lambda each: each[1])
         return set(self._daemons_in(self._ctx.settings.zone)) | ({holder} & registered)
 
-    def _send_summary(self, summary: ZoneSummary) -> None:
-        """Send the summary of the local zone to the other zones, which forward it."""
+    def _send_summary(self, report: PeerReport) -> None:
+        """Send the summary of the local zone to the other zones, which forward it.
+
+        :param report: this daemon's report
+        """
+        own_zone = self._ctx.settings.zone
         sizes = Counter(entry.zone for entry in self._members.entries.values())
-        del sizes[summary.zone]
+        del sizes[own_zone]
         copies = len(sizes) * max(sizes.values(), default=0)
+        quarantine = self._quarantine_report(copies, relayed=True)
+        summary = without_eras(build_summary(self.view, own_zone, report, quarantine))
         packed = self.sender.pack(summary, self.sender.summaries, copies)
         for zone in sizes:
             recipients = self._summary_recipients(zone)
@@ -324,7 +346,7 @@
         names = sorted(self._daemons_in(zone))
         return self._ctx.rng.sample(names, min(FALLBACK_RECIPIENTS, len(names)))
 
-    def _build_report(self) -> PeerReport:
+    def _build_report(self, holder: tuple[str, int], quarantine: QuarantineReport) -> PeerReport:
         ctx = self._ctx
         ages = self._catalogue.ages()
         loads = {
@@ -349,21 +371,13 @@
             ],
             fresh=self._catalogue.fresh,
             engines_revision=self._catalogue.engines_revision,
-            holder=known_holder(self._members),
+            holder=holder,
             limits=ctx.limits.reported(),
             quota_levels=ctx.quota.levels(),
             configuration_age_s=ages.configuration_s,
             engines_age_s=ages.engines_s,
             leaving=ctx.engines.notices.reported(),
             read_speeds=self.view.own_read_speeds(),
-            quarantine=ctx.crashes.quarantine.report(self._loop.time()),
+            quarantine=quarantine,
             hears=self.view.hearing.hears(),
         )
-
-    def _build_summary(self, own_report: PeerReport) -> ZoneSummary:
-        """Build the summary of the local zone.
-
-        :param own_report: this daemon's report
-        """
-        quarantine = self._ctx.crashes.quarantine.report(self._loop.time(), relayed=True)
-        return build_summary(self.view, self._ctx.settings.zone, own_report, quarantine)
--- a/godwitpath/gateway/report_budget.py
+++ b/godwitpath/gateway/report_budget.py
@@ -21,10 +21,10 @@
     NESTED_BYTES,
     Item,
     Message,
-    evidence_items,
     hearing_items,
     load_items,
     prompt_items,
+    quarantine_items,
     state_items,
     with_items,
     without_items,
@@ -37,6 +37,12 @@
 MAX_WHOLE_BYTES = 60_000
 """Largest size of a message to a build that takes no pieces: UDP carries 65,507 bytes."""
 
+QUARANTINE_BYTES = 900
+"""Room for what is reported of crashes and quarantine, which a datagram has beside its head."""
+
+SMALL_QUARANTINE_BYTES = 400
+"""The same where a report may have one datagram only, which also says whom the sender hears."""
+
 MAX_PIECES = 4
 """Largest number of datagrams of one report to one daemon."""
 
@@ -56,6 +62,14 @@
 _encode = msgspec.msgpack.Encoder().encode
 
 
+def quarantine_bytes(max_pieces: int) -> int:
+    """Return the room for what is reported of crashes and quarantine.
+
+    :param max_pieces: number of datagrams that the report may have
+    """
+    return QUARANTINE_BYTES if max_pieces > 1 else SMALL_QUARANTINE_BYTES
+
+
 def pieces_allowed(recipients: int, elapsed_s: float) -> int:
     """Return how many datagrams a report may have, at least one.
 
@@ -98,11 +112,6 @@
         self._max_pieces = max_pieces
         self.pieces = [_Piece(room_bytes)]
 
-    @property
-    def total_room_bytes(self) -> int:
-        """Room for items in all datagrams that are allowed."""
-        return self._room_bytes * self._max_pieces
-
     @property
     def full(self) -> bool:
         """Whether no item fits any more."""
@@ -149,22 +158,15 @@
         empty = without_items(message)
         base_bytes = DIGEST_BYTES + len(_encode(empty)) + LENGTHS_BYTES
         pieces = _Pieces(MAX_DATAGRAM_BYTES - base_bytes, max_pieces)
-        # A statement of whom the sender hears is only of use whole, so it never takes turns.
-        self._fill_rest(pieces, list(hearing_items(message)))
+        self._fill_hearing(pieces, list(hearing_items(message)), max_pieces)
+        waiting_quarantine = self._fill(pieces, _sized(quarantine_items(message)))
         state = _sized(self._by_turn(state_items(message)))
         loads = _sized(self._by_turn(load_items(message)))
-        evidence = _sized(self._by_turn(evidence_items(message)))
-        # Neither callers' requests nor the size of the deployment keeps the other from being told.
-        first_bytes = evidence[0][1] if evidence else 0
-        evidence_bytes = max(first_bytes, pieces.total_room_bytes // 2)
-        waiting_evidence = self._fill(pieces, evidence, evidence_bytes)
-        waiting = self._fill(pieces, state)
-        waiting_evidence = self._fill(pieces, waiting_evidence)
-        waiting = self._fill(pieces, [*waiting, *loads])
-        self.left_out.update(item.section for item, _ in (*waiting, *waiting_evidence))
+        waiting = self._fill(pieces, [*state, *loads])
+        self.left_out.update(item.section for item, _ in (*waiting, *waiting_quarantine))
         prompts = self._by_turn(prompt_items(message))
         self._fill_rest(pieces, prompts)
-        self._forget_all_but(prompts, (item for item, _ in (*state, *loads, *evidence)))
+        self._forget_all_but(prompts, (item for item, _ in (*state, *loads)))
         spread_over = _spread_over(_total_bytes([*state, *loads]), _total_bytes(waiting))
         return list(_assemble(empty, pieces.pieces, spread_over))
 
@@ -185,7 +187,7 @@
                 piece.room_bytes -= size_bytes
             else:
                 self.left_out[section] += len(items)
-        for item in evidence_items(message):
+        for item in quarantine_items(message):
             if not piece.take(item, item.size_bytes()):
                 self.left_out[item.section] += 1
         piece.room_bytes -= MAX_WHOLE_BYTES - MAX_DATAGRAM_BYTES
@@ -198,25 +200,29 @@
         """Return items, those first that were sent the longest time ago, or never."""
         return sorted(items, key=lambda item: self._sent_in.get((item.section, item.key), 0))
 
-    def _fill(
-        self, pieces: _Pieces, items: Iterable[SizedItem], max_bytes: float = math.inf
-    ) -> list[SizedItem]:
-        """Place items; returns those for which there is no room.
-
-        :param max_bytes: largest size of all that are placed
-        """
+    def _fill(self, pieces: _Pieces, items: Iterable[SizedItem]) -> list[SizedItem]:
+        """Place items; returns those for which there is no room."""
         waiting = []
         remaining = iter(items)
         for item, size_bytes in remaining:
-            max_bytes -= size_bytes
-            if max_bytes >= 0 and pieces.place(item, size_bytes, open_more=True):
+            if pieces.place(item, size_bytes, open_more=True):
                 self._sent_in[(item.section, item.key)] = self._reports
                 continue
             waiting.append((item, size_bytes))
-            if max_bytes < 0 or pieces.full:
+            if pieces.full:
                 waiting.extend(remaining)
         return waiting
 
+    def _fill_hearing(self, pieces: _Pieces, items: list[Item], max_pieces: int) -> None:
+        """Place whom the sender hears in the first datagram; it never takes turns.
+
+        Half of the room is left for other items where the report has no further datagram.
+        """
+        reserved_bytes = pieces.pieces[0].room_bytes // 2 if max_pieces == 1 else 0
+        pieces.pieces[0].room_bytes -= reserved_bytes
+        self._fill_rest(pieces, items)
+        pieces.pieces[0].room_bytes += reserved_bytes
+
     def _fill_rest(self, pieces: _Pieces, items: list[Item]) -> None:
         """Place items in begun datagrams until one does not fit."""
         for index, item in enumerate(items):
@@ -245,7 +251,7 @@
 
 def _assemble(empty: Message, pieces: list[_Piece], spread_over: int) -> Iterator[Message]:
     """Yield the message of each datagram."""
-    lasting = ("crashes", "verdicts", "successes", "prompts")
+    lasting = ("quarantine", "prompts")
     whole = spread_over == 1 and all(
         item.section in lasting for piece in pieces[1:] for item in piece.items
     )
--- a/godwitpath/gateway/report_sections.py
+++ b/godwitpath/gateway/report_sections.py
@@ -8,14 +8,14 @@
 
 from collections.abc import Hashable, Iterable, Iterator
 from dataclasses import dataclass
-from itertools import groupby, islice
+from itertools import groupby
 from typing import Any, TypeVar
 
 import msgspec
 
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
 from godwitpath.gateway.placement import MAX_REPORTED_PARTS
-from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash, Subjects
+from godwitpath.gateway.quarantine_report import QuarantineReport
 
 Message = TypeVar("Message", bound=PeerReport | ZoneSummary)
 
@@ -36,9 +36,6 @@
 MAX_CHUNK_BYTES = 480
 """Largest size of a chunk of a request's subjects: one fits into half of a datagram."""
 
-MAX_EVIDENCE_ITEMS = 512
-"""Largest number of items that are considered of what is reported of crashes."""
-
 NESTED_BYTES = 12
 """Size of the key and the length of a mapping within a section, such as a usage window's."""
 
@@ -107,36 +104,10 @@
             yield Item("prompts", key, (engine_id, parts))
 
 
-def evidence_items(message: PeerReport | ZoneSummary) -> Iterator[Item]:
-    """Yield what is reported of crashes and quarantine, verdicts first and successes last.
-
-    The subjects of a request are reported in chunks of at most :data:`MAX_CHUNK_BYTES`.
-    """
-    return islice(_evidence_items(message.quarantine), MAX_EVIDENCE_ITEMS)
-
-
-def _evidence_items(quarantine: QuarantineReport) -> Iterator[Item]:
-    for verdict in quarantine.verdicts:
-        yield Item("verdicts", verdict.subjects, verdict)
-    for crash in quarantine.crashes:
-        incarnation = (crash.engine_id, crash.started_at_ms)
-        for request in crash.requests:
-            for chunk in _chunks(request):
-                content = msgspec.structs.replace(crash, requests=[chunk])
-                yield Item("crashes", (incarnation, chunk), content)
-    for subject, age_s in quarantine.successes.items():
-        yield Item("successes", subject, (subject, age_s))
-
-
-def _chunks(request: Subjects) -> Iterator[Subjects]:
-    start, size_bytes = 0, 0
-    for index, subject in enumerate(request):
-        subject_bytes = len(subject.encode()) + 3
-        if index > start and size_bytes + subject_bytes > MAX_CHUNK_BYTES:
-            yield request[start:index]
-            start, size_bytes = index, 0
-        size_bytes += subject_bytes
-    yield request[start:]
+def quarantine_items(message: PeerReport | ZoneSummary) -> Iterator[Item]:
+    """Yield what is reported of crashes and quarantine, which has taken its turns already."""
+    if message.quarantine != QuarantineReport():
+        yield Item("quarantine", "report", message.quarantine)
 
 
 def without_items(message: Message) -> Message:
@@ -146,9 +117,7 @@
         for section in ("hears", *STATE_SECTIONS, *LOAD_SECTIONS)
         if getattr(message, section, None) is not None
     }
-    return msgspec.structs.replace(
-        message, **changes, prompts=[], quarantine=QuarantineReport([], [], {})
-    )
+    return msgspec.structs.replace(message, **changes, prompts=[], quarantine=QuarantineReport())
 
 
 def with_items(empty: Message, items: Iterable[Item], **changes: Any) -> Message:
@@ -157,11 +126,10 @@
     :param empty: the message with empty sections
     :param changes: values of other fields
     """
-    quarantine: dict[str, Any] = {}
     for section, group in groupby(sorted(items, key=_section), key=_section):
         contents = [(item.parent, item.content) for item in group]
-        if section in ("verdicts", "crashes", "successes"):
-            quarantine[section] = [content for _, content in contents]
+        if section == "quarantine":
+            [(_, changes[section])] = contents
         elif section in ("members", "prompts"):
             changes[section] = [content for _, content in contents]
         elif section == "usage":
@@ -171,25 +139,8 @@
             changes[section] = windows
         else:
             changes[section] = dict(content for _, content in contents)
-    if quarantine:
-        changes["quarantine"] = QuarantineReport(
-            list(_joined(quarantine.get("crashes", ()))),
-            quarantine.get("verdicts", []),
-            dict(quarantine.get("successes", ())),
-        )
     return msgspec.structs.replace(empty, **changes)
 
 
 def _section(item: Item) -> str:
     return item.section
-
-
-def _joined(chunks: Iterable[ReportedCrash]) -> Iterator[ReportedCrash]:
-    """Yield each crash once, with all of its chunks."""
-    crashes: dict[tuple[str, int], ReportedCrash] = {}
-    for chunk in chunks:
-        incarnation = (chunk.engine_id, chunk.started_at_ms)
-        known = crashes.get(incarnation)
-        requests = [*(known.requests if known is not None else ()), *chunk.requests]
-        crashes[incarnation] = msgspec.structs.replace(chunk, requests=requests)
-    yield from crashes.values()
--- a/godwitpath/gateway/report_sender.py
+++ b/godwitpath/gateway/report_sender.py
@@ -75,12 +75,19 @@
         self._elapsed_s = min(MAX_ELAPSED_S, now_s - self._reported_at_s)
         self._reported_at_s = now_s
 
+    def pieces_allowed(self, copies: int) -> int:
+        """Return how many datagrams the report or summary that was begun may have.
+
+        :param copies: number of datagrams that one daemon sends or forwards for each piece
+        """
+        return pieces_allowed(copies, self._elapsed_s)
+
     def pack(self, message: Message, packer: ReportPacker[Message], copies: int) -> Outgoing:
         """Return the datagrams of a report or summary.
 
         :param copies: number of datagrams that one daemon sends or forwards for each piece
         """
-        pieces = packer.pieces(message, pieces_allowed(copies, self._elapsed_s))
+        pieces = packer.pieces(message, self.pieces_allowed(copies))
         datagrams = [self.seal(each) for each in pieces]
         if len(pieces) == 1 and not pieces[0].spread_over:
             return Outgoing(datagrams, lambda: datagrams[0])
