--- a/godwitpath/gateway/call.py
+++ b/godwitpath/gateway/call.py
@@ -53,6 +53,7 @@
     broken_sends: int = 0
     usage_counted: bool = False
     fingerprint: str = ""
+    known_subjects: tuple[str, ...] | None = field(default=None, init=False, repr=False)
 
     @property
     def account_name(self) -> str:
@@ -74,8 +75,10 @@
     @property
     def subjects(self) -> tuple[str, ...]:
         """What a crash of an engine under the request may be due to."""
-        parts = subjects_of_parts(self.shared_parts)
-        return (*parts, self.fingerprint) if self.fingerprint else parts
+        if self.known_subjects is None:
+            parts = subjects_of_parts(self.shared_parts)
+            self.known_subjects = (*parts, self.fingerprint) if self.fingerprint else parts
+        return self.known_subjects
 
     @property
     def request_id(self) -> str:
--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -202,9 +202,12 @@
     def add(self, subject: str, at_s: float) -> SuccessRecord:
         """Record a success, and return the record."""
         records = self._records(subject)
-        record = records.setdefault(subject, SuccessRecord(at_s))
-        record.succeeded_at_s = max(record.succeeded_at_s, at_s)
-        records.move_to_end(subject)
+        record = records.get(subject)
+        if record is None:
+            record = records[subject] = SuccessRecord(at_s)
+        else:
+            records.move_to_end(subject)
+            record.succeeded_at_s = max(record.succeeded_at_s, at_s)
         while len(records) > MAX_SUCCESSES:
             records.popitem(last=False)
         return record
--- a/godwitpath/gateway/quarantine.py
+++ b/godwitpath/gateway/quarantine.py
@@ -71,7 +71,8 @@
         succeeded = set(subjects)
         for subject in succeeded:
             self._evidence.successes.add(subject, at_s)
-            self._reporter.consider(subject, now_s)
+            if len(self._verdicts) or self._evidence.has_crash_under(subject):
+                self._reporter.consider(subject, now_s)
         return self._drop_refuted(succeeded)
 
     # Decisions.
