--- a/godwitpath/gateway/peers.py
+++ b/godwitpath/gateway/peers.py
@@ -307,7 +307,7 @@
         del sizes[own_zone]
         copies = len(sizes) * max(sizes.values(), default=0)
         quarantine = self._quarantine_report(copies, relayed=True)
-        summary = without_eras(build_summary(self.view, own_zone, report, quarantine))
+        summary = without_eras(self._build_summary(report, quarantine))
         packed = self.sender.pack(summary, self.sender.summaries, copies)
         for zone in sizes:
             recipients = self._summary_recipients(zone)
@@ -381,3 +381,6 @@
             quarantine=quarantine,
             hears=self.view.hearing.hears(),
         )
+
+    def _build_summary(self, report: PeerReport, quarantine: QuarantineReport) -> ZoneSummary:
+        return build_summary(self.view, self._ctx.settings.zone, report, quarantine)
