--- a/test/test_gateway_report_path.py
+++ b/test/test_gateway_report_path.py
@@ -69,7 +69,10 @@
         await keep_sending(daemons, prompts, parts, REPORT_TIMEOUT_S + 1.0)
         assert dict(hearing(daemons)) == {each.name: 5 for each in daemons}
         assert all(not each.peers.counts["datagram_errors"] for each in daemons)
-        assert max(each.ctx.instruments.datagram_bytes.bind().largest for each in daemons) <= MAX_DATAGRAM_BYTES
+        assert (
+            max(each.ctx.instruments.datagram_bytes.bind().largest for each in daemons)
+            <= MAX_DATAGRAM_BYTES
+        )
 
 
 async def test_a_burst_in_a_zone_of_14_daemons_does_not_silence_the_zone() -> None:
@@ -77,7 +80,10 @@
         await asyncio.sleep(2.5)
         await keep_sending(daemons[:14], 64, 3, REPORT_TIMEOUT_S + 1.0)
         assert dict(hearing(daemons)) == {each.name: 16 for each in daemons}
-        assert max(each.ctx.instruments.datagram_bytes.bind().largest for each in daemons) <= MAX_DATAGRAM_BYTES
+        assert (
+            max(each.ctx.instruments.datagram_bytes.bind().largest for each in daemons)
+            <= MAX_DATAGRAM_BYTES
+        )
 
 
 async def test_usage_and_quota_of_many_accounts_reach_all_daemons_in_pieces() -> None:
