--- a/test/test_gateway_peer_hearing.py
+++ b/test/test_gateway_peer_hearing.py
@@ -47,12 +47,12 @@
     daemon: Daemon, others: list[Daemon], kinds: Collection[str] = REPORTS
 ) -> Callable[[], None]:
     """Send nothing of some kinds from a daemon to others; returns what ends that."""
-    transport = daemon.peers._transport
+    transport = daemon.peers.sender.transport
     ports = {each.port for each in others}
-    daemon.peers._transport = SilencedTransport(transport, kinds, ports)  # type: ignore[assignment]
+    daemon.peers.sender.transport = SilencedTransport(transport, kinds, ports)  # type: ignore[assignment]
 
     def end() -> None:
-        daemon.peers._transport = transport
+        daemon.peers.sender.transport = transport
 
     return end
 
