A zone follows one of two aggregators of another zone

Cause: where a zone's daemons divide into two parts that do not hear each other while other zones hear both, each part has an aggregator, and the other zones took the last summary that came. Each sent its own summary to the part that had spoken last, naming that part's aggregator only. So each part counted the other zones' daemons as hearing it, and both had a majority for grantors of their own. Each change also began new baselines of counters, so that quota units of the divided zone were not counted. Change: the first aggregator is followed until it has been silent for as long as a statement counts, or until one that precedes it lists it as a member. Of another one's summary, what it says of engines counts, and that its members report.

--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from godwitpath.gateway.report_merge import CounterBaseline, PieceOrder, Renewals
@@ -76,6 +76,32 @@
     engines_revision: int = 0
     takes_pieces: bool = False
 
+    def follows(
+        self, aggregator: tuple[str, int], members: Collection[tuple[str, int]], now_s: float
+    ) -> bool:
+        """Return whether a daemon's summary is that of the zone.
+
+        Two parts of a zone that do not hear each other each have an aggregator. The first one is
+        followed until it is silent for as long as a statement counts, so that this zone is never
+        counted as hearing both. One that hears it, and precedes it, replaces it at once.
+
+        :param members: members that the summary lists
+        """
+        followed = self.aggregator
+        return (
+            aggregator[0] == followed[0]
+            or now_s - self.received_at_s > STATEMENT_S
+            or (aggregator[0] < followed[0] and followed in members)
+        )
+
+    def begin(self, aggregator: tuple[str, int]) -> None:
+        """Follow an aggregator, whose sequence numbers and counters are its own."""
+        self.aggregator = aggregator
+        self.order = PieceOrder()
+        self.quota_used, self.prefill_tokens = CounterBaseline(), CounterBaseline()
+        self.renewed_members.clear()
+        self.renewed_loads.clear()
+
 
 def sum_loads(loads: Iterable[Loads]) -> dict[str, tuple[int, int]]:
     """Return running requests and waiting prompt tokens by engine id, summed over daemons."""
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -23,7 +23,6 @@
 from godwitpath.gateway.peer_messages import PeerReport, ZoneSummary
 from godwitpath.gateway.peer_state import STATEMENT_S, Loads, PeerState, Prompts, ZoneState
 from godwitpath.gateway.read_speed import common_speed
-from godwitpath.gateway.report_merge import CounterBaseline, PieceOrder
 from godwitpath.gateway.usage import agreed_correction_s
 from godwitpath.gateway.usage_store import CountsByIncarnation
 from godwitpath.gateway.wire_fields import PromptPart
@@ -294,13 +293,13 @@
             return False
         state = self.zones.setdefault(summary.zone, ZoneState())
         aggregator = (summary.aggregator, summary.incarnation)
+        if not state.follows(aggregator, summary.members, self._loop.time()):
+            # What it says of engines counts, and that its members report.
+            self._in_summary_at_s.update(dict.fromkeys(summary.members, self._loop.time()))
+            return True
         if state.aggregator != aggregator:
             decision("zone_heard", zone=summary.zone, speaker=summary.aggregator)
-            state.aggregator = aggregator
-            state.order = PieceOrder()
-            state.quota_used, state.prefill_tokens = CounterBaseline(), CounterBaseline()
-            state.renewed_members.clear()
-            state.renewed_loads.clear()
+            state.begin(aggregator)
         sequence, spread_over = summary.sequence, summary.spread_over
         if not state.order.accepts(sequence, summary.piece):
             return False
