--- a/godwitpath/gateway/peer_state.py
+++ b/godwitpath/gateway/peer_state.py
@@ -76,6 +76,11 @@
     engines_revision: int = 0
     takes_pieces: bool = False
 
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the last summary, -1 before the first."""
+        return self.order.sequence
+
     def follows(
         self, aggregator: tuple[str, int], members: Collection[tuple[str, int]], now_s: float
     ) -> bool:
--- a/test/test_gateway_peer_hearing.py
+++ b/test/test_gateway_peer_hearing.py
@@ -49,7 +49,9 @@
     """Send nothing of some kinds from a daemon to others; returns what ends that."""
     transport = daemon.peers.sender.transport
     ports = {each.port for each in others}
-    daemon.peers.sender.transport = SilencedTransport(transport, kinds, ports)  # type: ignore[assignment]
+    daemon.peers.sender.transport = SilencedTransport(  # type: ignore[assignment]
+        transport, kinds, ports
+    )
 
     def end() -> None:
         daemon.peers.sender.transport = transport
