A crash whose request is learned in parts is explained once it has all of them

Cause: the judge kept which verdicts explain a crash for as long as the number of its requests was the same, though further subjects of a known request may come later. The crash then went on counting against the request's other parts. Change: kept while requests and subjects are the same in number.

Measured: the new test in test_gateway_judgement failed before (the sound part still had a case with the crash that the verdict explains), and passes; test_gateway_judgement and test_gateway_quarantine pass (one run), scripts/check passes.

--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -79,6 +79,11 @@
     # Subjects of requests that are not known whole, by fingerprint.
     _pieces: dict[Subjects, _Pieces] = field(default_factory=dict)
 
+    @property
+    def extent(self) -> tuple[int, int]:
+        """Number of requests, and of all their subjects: differs once more of them is known."""
+        return len(self.requests), self._size
+
     def add(self, request: Subjects, own: bool, now_s: float, needed: int = 0) -> list[str]:
         """Add a request if there is room for it, or further subjects of a known one.
 
--- a/godwitpath/gateway/judgement.py
+++ b/godwitpath/gateway/judgement.py
@@ -88,8 +88,8 @@
     def __init__(self, evidence: CrashEvidence, verdicts: Verdicts) -> None:
         self._evidence = evidence
         self._verdicts = verdicts
-        # Number of requests of a crash, and the verdicts that explain it, by crash.
-        self._explanations: dict[Incarnation, tuple[int, tuple[Verdict, ...]]] = {}
+        # What is known of a crash's requests, and the verdicts that explain it, by crash.
+        self._explanations: dict[Incarnation, tuple[tuple[int, int], tuple[Verdict, ...]]] = {}
         self._revision = -1
 
     def cases(self, subjects: Iterable[str]) -> list[Case]:
@@ -200,12 +200,12 @@
             self._explanations.clear()
             self._revision = self._verdicts.revision
         crash = self._evidence.crashes[incarnation]
-        count, verdicts = self._explanations.get(incarnation, (-1, ()))
-        if count != len(crash.requests):
+        extent, verdicts = self._explanations.get(incarnation, ((-1, -1), ()))
+        if extent != crash.extent:
             verdicts = tuple(
                 each for each in self._verdicts if crash.has_request_with(each.subjects)
             )
-            self._explanations[incarnation] = (len(crash.requests), verdicts)
+            self._explanations[incarnation] = (crash.extent, verdicts)
         return verdicts
 
 
--- a/test/test_gateway_judgement.py
+++ b/test/test_gateway_judgement.py
@@ -6,8 +6,11 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from godwitpath.gateway.crash_evidence import CrashEvidence
+from godwitpath.gateway.judgement import Judge
 from godwitpath.gateway.quarantine import Quarantine
 from godwitpath.gateway.quarantine_report import QuarantineReport, ReportedCrash
+from godwitpath.gateway.verdicts import Verdict, Verdicts
 
 MAX_HOLD_S = 0.05
 """Longest time for which one step may hold the event loop."""
@@ -125,3 +128,14 @@
         crash_under(quarantine, 6.0, SOUND)
         assert quarantine.review(8.0) is not None
         assert quarantine.verdict(SOUND, 8.0) is not None
+
+
+def test_a_crash_whose_request_is_learned_in_parts_is_explained_once_it_has_all_of_them() -> None:
+    evidence, verdicts = CrashEvidence(0.0), Verdicts()
+    verdicts.add(Verdict(frozenset(("a", "b")), 4, 0.0, 0.0))
+    judge = Judge(evidence, verdicts)
+    fingerprint = "request:f1"
+    evidence.add_crash(("e", 1), 10.0, [("a", "sound", fingerprint)], 10.0, own=False)
+    assert judge.cases(["sound"])
+    evidence.add_crash(("e", 1), 10.0, [("b", fingerprint)], 10.1, own=False)
+    assert not judge.cases(["sound"])
