--- a/godwitpath/gateway/crash_evidence.py
+++ b/godwitpath/gateway/crash_evidence.py
@@ -40,7 +40,7 @@
 """Number of subjects, counted in each crash under them, that are remembered."""
 
 NEWEST_CRASHES = 8
-"""Number of the newest crashes under a subject that decide whether a success is news."""
+"""Number of the newest crashes under a subject that decide whether a success is reported."""
 
 MAX_SUCCESSES = 8192
 """Number of parts of prompts, and of requests, of which it is remembered that a response went well:
--- a/godwitpath/gateway/members.py
+++ b/godwitpath/gateway/members.py
@@ -42,14 +42,14 @@
 """Pause between two watch requests, for each registered daemon: when all daemons start at once, the
 store would otherwise send each registration to each daemon in a separate response."""
 
-NEWS_S = 1.0
+UNKNOWN_S = 1.0
 """Time for which peers must have known of a daemon or a duty holder that the watch of the store has
 not brought until the store is asked anew: its connection may be silent."""
 
 SECRET_BYTES = 32
 """Size of the secret."""
 
-MAX_LOGGED_NEWS = 12
+MAX_LOGGED_UNKNOWN = 12
 """Largest number of names in a log line."""
 
 SECRET_WAIT_S = 0.6
@@ -126,7 +126,7 @@
         self._listeners: list[asyncio.Event] = []
         # Loop time since which peers have known what this daemon does not, infinite once the store
         # was asked for it.
-        self._news_at_s: dict[str | int, float] = {}
+        self._unknown_since_s: dict[str | int, float] = {}
 
     def count(self) -> int:
         """Return the number of daemons, including this one, 0 before the others are known."""
@@ -145,19 +145,19 @@
                 del self.entries[name]
                 decision("member_gone", member=name)
 
-    def note_news(self, news: Collection[str | int]) -> None:
+    def note_unknown(self, unknown: Collection[str | int]) -> None:
         """Note what peers know and this daemon does not, and ask the store if that goes on.
 
         The store is asked once for each. To be called with each report of this daemon.
 
-        :param news: names of daemons, or fencing token of a duty holder
+        :param unknown: names of daemons, or fencing token of a duty holder
         """
         now_s = asyncio.get_running_loop().time()
-        self._news_at_s = {each: self._news_at_s.get(each, now_s) for each in news}
-        late = [each for each, at_s in self._news_at_s.items() if now_s - at_s >= NEWS_S]
-        if late and self.watcher.hasten(NEWS_S):
-            decision("members_outdated", known_to_peers=late[:MAX_LOGGED_NEWS], count=len(late))
-            self._news_at_s.update(dict.fromkeys(late, math.inf))
+        self._unknown_since_s = {each: self._unknown_since_s.get(each, now_s) for each in unknown}
+        late = [each for each, at_s in self._unknown_since_s.items() if now_s - at_s >= UNKNOWN_S]
+        if late and self.watcher.hasten(UNKNOWN_S):
+            decision("members_outdated", known_to_peers=late[:MAX_LOGGED_UNKNOWN], count=len(late))
+            self._unknown_since_s.update(dict.fromkeys(late, math.inf))
 
     def zone_of(self, name: str) -> str | None:
         """Return the availability zone of another daemon, None if the daemon is not known."""
--- a/godwitpath/gateway/peer_view.py
+++ b/godwitpath/gateway/peer_view.py
@@ -329,7 +329,7 @@
         now_s = self._loop.time()
         self.hearing.drop_expired()
         self.hearing.log_changes()
-        self._members.note_news(self._news())
+        self._members.note_unknown(self._unknown_here())
         for key, state in list(self.states.items()):
             report_age_s = now_s - state.received_at_s
             if report_age_s >= REPORT_TIMEOUT_S and state.loads:
@@ -347,11 +347,11 @@
                 zone.loads = {}
                 self._ctx.engines.drop_peer(f"zone {name}")
 
-    def _news(self) -> list[str | int]:
+    def _unknown_here(self) -> list[str | int]:
         """Return the daemons that report and the holder's token that the store has not brought."""
-        news: list[str | int] = [*(self.reporting() - self._members.entries.keys())]
+        unknown: list[str | int] = [*(self.reporting() - self._members.entries.keys())]
         token = self.reported_holder[1]
-        return [*news, token] if token > known_holder(self._members)[1] else news
+        return [*unknown, token] if token > known_holder(self._members)[1] else unknown
 
     def correct_clock(self) -> None:
         """Correct this daemon's clock to the median of all clocks if it differs too much."""
--- a/godwitpath/gateway/quarantine_reporter.py
+++ b/godwitpath/gateway/quarantine_reporter.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(slots=True)
-class _News:
+class _PendingSuccess:
     """A success that the other daemons may not know of.
 
     :ivar since_s: time from which on it is reported
@@ -69,7 +69,7 @@
     reported: bool = False
 
     def is_old(self, now_s: float) -> bool:
-        """Return whether it was reported for long enough, or is not news any more."""
+        """Return whether it was reported for long enough, or has waited for too long."""
         age_s = now_s - self.since_s
         return age_s >= (REPORT_S if self.reported else MAX_WAIT_S)
 
@@ -114,22 +114,22 @@
         self._own = _Turns()
         self._relayed = _Turns()
         # Successes to report to the other daemons by subject, the next first.
-        self._successes: dict[str, _News] = {}
+        self._successes: dict[str, _PendingSuccess] = {}
         # The same, of successes that were new in a report of another daemon.
-        self._heard: dict[str, _News] = {}
+        self._heard: dict[str, _PendingSuccess] = {}
 
     # Successes.
 
     def consider(self, subject: str, now_s: float) -> None:
         """Report the success of a subject if it changes what other daemons count against it."""
         if subject not in self._successes and self._is_unreported(subject):
-            self._successes[subject] = _News(now_s)
+            self._successes[subject] = _PendingSuccess(now_s)
 
     def note_heard(self, subject: str, at_s: float, now_s: float) -> None:
         """Note that another daemon reported a success."""
         success = self._evidence.successes[subject]
         if at_s > success.reported_at_s + SAME_SUCCESS_S:
-            self._heard[subject] = _News(now_s)
+            self._heard[subject] = _PendingSuccess(now_s)
         success.reported_at_s = max(success.reported_at_s, at_s)
         if not self._is_unreported(subject):
             self._successes.pop(subject, None)
@@ -187,10 +187,10 @@
                 break
             used += size_bytes
             draft.successes[subject] = round(now_s - success.succeeded_at_s, 3)
-            for told in (self._successes, self._heard) if relayed else (self._successes,):
-                if subject in told:
-                    news = told[subject] = told.pop(subject)
-                    news.reported = True
+            for reported in (self._successes, self._heard) if relayed else (self._successes,):
+                if subject in reported:
+                    pending = reported[subject] = reported.pop(subject)
+                    pending.reported = True
         return used
 
     def _fill_verdicts(self, draft: _Draft, turns: _Turns, now_s: float, room: int) -> int:
@@ -309,8 +309,8 @@
     def _forget_reported(self, turns: _Turns, now_s: float) -> None:
         """Forget what the other daemons know by now."""
         for incarnation, rows in list(turns.rows.items()):
-            is_news = now_s - self._evidence.crashes[incarnation].learned_at_s < REPORT_S
-            left = [row for row in rows if is_news or not row.rounds]
+            is_recent = now_s - self._evidence.crashes[incarnation].learned_at_s < REPORT_S
+            left = [row for row in rows if is_recent or not row.rounds]
             if left:
                 turns.rows[incarnation] = left
             else:
@@ -318,14 +318,14 @@
         in_force = {verdict.subjects for verdict in self._verdicts}
         for subjects in turns.verdicts.keys() - in_force:
             del turns.verdicts[subjects]
-        for subject, news in list(self._successes.items()):
-            if news.is_old(now_s):
+        for subject, pending in list(self._successes.items()):
+            if pending.is_old(now_s):
                 del self._successes[subject]
                 success = self._evidence.successes.get(subject)
                 if success is not None:
                     success.reported_at_s = success.succeeded_at_s
-        for subject, news in list(self._heard.items()):
-            if news.is_old(now_s):
+        for subject, pending in list(self._heard.items()):
+            if pending.is_old(now_s):
                 del self._heard[subject]
 
 
--- a/test/test_gateway_members.py
+++ b/test/test_gateway_members.py
@@ -123,7 +123,7 @@
     calls_before = core.calls["watch"]
     for _ in range(round(CONTACT_S / REPORT_S)):
         news = {"d1", token} - members.entries.keys() - {known_holder(members)[1]}
-        members.note_news(news)
+        members.note_unknown(news)
         await asyncio.sleep(REPORT_S)
     assert "d1" in members.entries
     assert known_holder(members) == ("d1", token)
@@ -140,7 +140,7 @@
     await asyncio.sleep(3.0)
     calls_before = core.calls["watch"]
     for _ in range(30):
-        members.note_news(["gone"])
+        members.note_unknown(["gone"])
         await asyncio.sleep(REPORT_S)
     assert core.calls["watch"] - calls_before <= 3
     task.cancel()
