--- a/test/test_gateway_main.py
+++ b/test/test_gateway_main.py
@@ -11,6 +11,7 @@
 import pytest
 
 from godwitpath.gateway import __main__, daemon, memory
+from godwitpath.gateway.loop_delay import TurnTimer
 from godwitpath.gateway.settings import GatewaySettings
 from godwitpath.platform.settings import SETTINGS_VARIABLE
 from godwitpath_standin.gateway.documents import settings_document
@@ -36,7 +37,7 @@
 ) -> None:
     frozen_while_running: list[int] = []
 
-    async def run(settings: GatewaySettings, path: Path) -> None:
+    async def run(settings: GatewaySettings, path: Path, turns: TurnTimer) -> None:
         frozen_while_running.append(gc.get_freeze_count())
 
     monkeypatch.setattr(daemon, "run_gateway", run)
