--- a/godwitpath/gateway/report_budget.py
+++ b/godwitpath/gateway/report_budget.py
@@ -173,7 +173,7 @@
     def whole(self, message: Message) -> Message:
         """Return the message for a build that takes no pieces, whose sections must be complete.
 
-        What does not fit is left out by whole sections, of prompts and evidence by items.
+        What does not fit is left out by whole sections, of prompts by items.
         """
         empty = without_items(message)
         piece = _Piece(MAX_WHOLE_BYTES - DIGEST_BYTES - len(_encode(empty)) - LENGTHS_BYTES)
--- a/test/test_gateway_report_budget.py
+++ b/test/test_gateway_report_budget.py
@@ -140,7 +140,7 @@
     message = without_eras(message)
     packer: ReportPacker[Any] = ReportPacker()
     vital = {(each.section, each.key): each.size_bytes() + 12 for each in state_items(message)}
-    # Evidence has up to half of the room; what is left by one item's size may stay empty.
+    # Half of the room, as other sections come first; as much as one item may stay empty.
     room_bytes = (MAX_DATAGRAM_BYTES - HEAD_BYTES) * max_pieces / 2 - 100 * max_pieces
     due_in = math.ceil(sum(vital.values()) / room_bytes)
     seen = set()
